--- /dev/null
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -0,0 +1,6 @@
+package figdeck
+
+/** Starts the command-line client. */
+public fun main() {
+    println("figdeck")
+}
