Model values, platform ports, control thread and HTTP over Netty

Cause: the core types and the plumbing come before any path through them. After: HttpSpec passes 9 cases, both lengths, slow heads and broken answers among them.

--- /dev/null
+++ b/src/main/kotlin/figdeck/control/Control.kt
@@ -0,0 +1,39 @@
+package figdeck.control
+
+import figdeck.model.Clock
+import figdeck.model.Moment
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.withContext
+import java.util.concurrent.Executors
+
+/** What a command makes of the control state: the [state] that follows, and the [result] for whoever asked. */
+public data class Step<S, R>(
+    public val state: S,
+    public val result: R,
+)
+
+/**
+ * The one control thread. It alone replaces the control state; every other thread reads [snapshot], which is
+ * immutable, and posts commands with [run].
+ */
+public class Control<S : Any>(initial: S, private val clock: Clock) : AutoCloseable {
+    private val dispatcher = Executors.newSingleThreadExecutor { work ->
+        Thread(work, "figdeck-control").apply { isDaemon = true }
+    }.asCoroutineDispatcher()
+
+    /** The state after the latest command. */
+    @Volatile
+    public var snapshot: S = initial
+        private set
+
+    /** Runs [command] on the control thread at the present time and suspends until it has been decided. */
+    public suspend fun <R> run(command: (S, Moment) -> Step<S, R>): R = withContext(dispatcher) {
+        val step = command(snapshot, clock())
+        snapshot = step.state
+        step.result
+    }
+
+    override fun close() {
+        dispatcher.close()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -0,0 +1,118 @@
+package figdeck.http.client
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.http.BodyLost
+import figdeck.http.awaitChannel
+import figdeck.model.Address
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private const val MAX_IDLE_PER_ADDRESS = 256
+private val CONNECT_TIMEOUT = 1.seconds
+
+/** Sends requests over kept connections. Each connection carries one exchange at a time, so answers can't cross. */
+public class HttpClient(
+    private val group: EventLoopGroup,
+    private val connectTimeout: Duration = CONNECT_TIMEOUT,
+) : AutoCloseable {
+    private val idle = ConcurrentHashMap<Address, ConcurrentLinkedDeque<Channel>>()
+
+    /**
+     * Sends [request], passes the response to [use] and returns what that makes of it.
+     *
+     * The connection is closed, which cancels the request at the peer, when the coroutine is cancelled or when [use]
+     * leaves a part of the body unread.
+     */
+    public suspend fun <R> exchange(
+        request: OutgoingRequest,
+        use: suspend (HttpReply) -> R,
+    ): Either<ExchangeFailure, R> {
+        val channel = try {
+            acquire(request)
+        } catch (e: IOException) {
+            return ExchangeFailure.NotSent("connect to ${request.address}: ${e.message}").left()
+        }
+        val connection = channel.pipeline().get(ClientConnection::class.java)
+        return try {
+            use(connection, request, use)
+        } finally {
+            release(request.address, channel, connection)
+        }
+    }
+
+    override fun close() {
+        idle.values.forEach { channels -> channels.forEach { it.close() } }
+        idle.clear()
+    }
+
+    private suspend fun <R> use(
+        connection: ClientConnection,
+        request: OutgoingRequest,
+        use: suspend (HttpReply) -> R,
+    ): Either<ExchangeFailure, R> = try {
+        val reply = withTimeoutOrNull(request.headTimeout) { connection.send(request) }
+        if (reply == null) {
+            ExchangeFailure.Lost("${request.address} sent no response for ${request.headTimeout}").left()
+        } else {
+            use(reply).right()
+        }
+    } catch (e: BodyLost) {
+        ExchangeFailure.Lost("${request.address}: ${e.message}").left()
+    }
+
+    private suspend fun acquire(request: OutgoingRequest): Channel {
+        if (!request.freshConnection) {
+            val channels = idle[request.address]
+            while (channels != null) {
+                val kept = channels.pollFirst() ?: break
+                if (kept.isActive) {
+                    return kept
+                }
+            }
+        }
+        return connect(request.address)
+    }
+
+    private suspend fun connect(address: Address): Channel = Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.AUTO_READ, false)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
+        .handler(ClientInitializer)
+        .connect(address.ip, address.port)
+        .awaitChannel()
+
+    private fun release(address: Address, channel: Channel, connection: ClientConnection) {
+        val channels = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        if (connection.isReusable && channel.isActive && channels.size < MAX_IDLE_PER_ADDRESS) {
+            channels.addFirst(channel)
+        } else {
+            channel.close()
+        }
+    }
+}
+
+private object ClientInitializer : ChannelInitializer<SocketChannel>() {
+    override fun initChannel(channel: SocketChannel) {
+        channel.pipeline()
+            .addLast(HttpClientCodec())
+            .addLast(ClientConnection())
+    }
+
+    override fun isSharable(): Boolean = true
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/http/server/ConnectionDeadline.kt
@@ -0,0 +1,23 @@
+package figdeck.http.server
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** The one running deadline of a connection; starting it again replaces it. Used on the event loop alone. */
+internal class ConnectionDeadline(
+    private val ctx: ChannelHandlerContext,
+    private val expire: () -> Unit,
+) {
+    private var pending: ScheduledFuture<*>? = null
+
+    fun start(delay: Duration) {
+        cancel()
+        pending = ctx.executor().schedule(expire, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    fun cancel() {
+        pending?.cancel(false)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/http/server/HttpServer.kt
@@ -0,0 +1,68 @@
+package figdeck.http.server
+
+import figdeck.model.Address
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.util.concurrent.GlobalEventExecutor
+import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val ACCEPT_BACKLOG = 1024
+
+/** A listener that runs [handler] for each call, on the event loop of the call's connection. */
+public class HttpServer(
+    private val group: EventLoopGroup,
+    private val limits: HttpServerLimits,
+    private val handler: HttpHandler,
+) : AutoCloseable {
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private val active = AtomicInteger()
+    private var listener: Channel? = null
+
+    /** The number of calls that are being answered. */
+    public val activeCalls: Int get() = active.get()
+
+    /** Starts to listen and returns the bound address; port 0 in [ip]:[port] takes a free one. */
+    public fun listen(ip: String, port: Int): Address {
+        val channel = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(Initializer())
+            .bind(ip, port)
+            .sync()
+            .channel()
+        listener = channel
+        val bound = channel.localAddress() as InetSocketAddress
+        return Address(ip, bound.port)
+    }
+
+    /** Stops accepting connections; calls in progress go on. */
+    public fun stopAccepting() {
+        listener?.close()?.sync()
+    }
+
+    override fun close() {
+        stopAccepting()
+        connections.close().awaitUninterruptibly()
+    }
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            connections.add(channel)
+            channel.pipeline()
+                .addLast(StrictRequestDecoder(limits))
+                .addLast(HttpResponseEncoder())
+                .addLast(ServerConnection(limits, active, handler))
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/http/server/ServerExchange.kt
@@ -0,0 +1,106 @@
+package figdeck.http.server
+
+import figdeck.http.ChunkQueue
+import figdeck.http.awaitChannel
+import figdeck.http.newHeaders
+import figdeck.log.PartLog
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.CancellationException
+import java.io.IOException
+
+private const val INTERNAL_ERROR = 500
+private val log = PartLog("http")
+
+/** One call and its response on a connection. */
+internal class ServerExchange(
+    private val ctx: ChannelHandlerContext,
+    request: HttpRequest,
+    private val chunks: ChunkQueue,
+) {
+    private val requestKeepsAlive = HttpUtil.isKeepAlive(request)
+    private var started = false
+    private var ended = false
+
+    val responder: HttpResponder = HttpResponder(::start, ::write, ::full)
+
+    val keepsAlive: Boolean get() = requestKeepsAlive && ended
+
+    @Suppress("TooGenericExceptionCaught") // A handler's fault must end its own call and no other.
+    suspend fun run(handle: suspend () -> Unit) {
+        try {
+            handle()
+            end()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: IOException) {
+            log.debug { "a call was broken off: ${e.message}" }
+        } catch (e: Exception) {
+            log.error(e) { "a handler failed" }
+            if (!started) {
+                full(INTERNAL_ERROR, newHeaders(), ByteArray(0))
+            }
+        }
+    }
+
+    private suspend fun start(status: Int, headers: HttpHeaders) {
+        check(!started) { "the response has started already: start it once" }
+        started = true
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
+        HttpUtil.setTransferEncodingChunked(response, true)
+        markConnection(response.headers())
+        write(response)
+    }
+
+    private suspend fun write(chunk: ByteArray) {
+        write(DefaultHttpContent(Unpooled.wrappedBuffer(chunk)))
+    }
+
+    private suspend fun full(status: Int, headers: HttpHeaders, body: ByteArray) {
+        check(!started) { "the response has started already: start it once" }
+        started = true
+        ended = true
+        val response = DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(body),
+        )
+        response.headers().set(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        markConnection(response.headers())
+        write(response)
+    }
+
+    private suspend fun end() {
+        check(started) { "the handler returned without a response: send one" }
+        if (!ended) {
+            ended = true
+            write(LastHttpContent.EMPTY_LAST_CONTENT)
+        }
+    }
+
+    private fun markConnection(headers: HttpHeaders) {
+        if (!requestKeepsAlive || !chunks.isComplete) {
+            headers.set(HttpHeaderNames.CONNECTION, "close")
+        }
+    }
+
+    private suspend fun write(message: Any) {
+        if (!ctx.channel().isActive) {
+            throw PeerGone()
+        }
+        val written = ctx.writeAndFlush(message)
+        if (!ctx.channel().isWritable || message is DefaultFullHttpResponse) {
+            written.awaitChannel()
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/Configuration.kt
@@ -0,0 +1,13 @@
+package figdeck.model
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** All templates in force at a [revision]. */
+public data class Configuration(
+    public val revision: Revision,
+    public val templates: PersistentMap<TemplateName, Template>,
+)
+
+/** The configuration of a deployment in which no template has been applied. */
+public val emptyConfiguration: Configuration = Configuration(Revision(0), persistentMapOf())
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/HostId.kt
@@ -0,0 +1,11 @@
+package figdeck.model
+
+/** Names one daemon's host. At most [MAX_ID_LENGTH] characters. */
+@JvmInline
+public value class HostId(public val value: String) {
+    init {
+        requireId("host", value)
+    }
+
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -0,0 +1,117 @@
+package figdeck.model
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Why work was refused. Each kind says what to do about it and whether the work may have run. */
+public sealed interface Refusal {
+    /** What happened and its remedy. */
+    public val message: String
+
+    /** Whether the work may have run. */
+    public val ran: Ran get() = Ran.NO
+
+    /** When to come back, where waiting helps. */
+    public val retryAfter: Duration? get() = null
+
+    /** No key came with a request that needs one. */
+    public data object MissingKey : Refusal {
+        override val message: String get() = "no key came with the request: send 'Authorization: Bearer KEY'"
+    }
+
+    /** The key is unknown or withdrawn. */
+    public data object UnknownKey : Refusal {
+        override val message: String get() = "the key is unknown or withdrawn: ask the operators for a new one"
+    }
+
+    /** The request breaks the protocol at [path]. */
+    public data class BadRequest(public val path: String, public val remedy: String) : Refusal {
+        override val message: String get() = "$path: $remedy"
+    }
+
+    /** The body is longer than [limitBytes]. */
+    public data class BodyTooLarge(public val limitBytes: Int) : Refusal {
+        override val message: String get() = "the body is too large: send at most $limitBytes bytes"
+    }
+
+    /** The team may not use [model], or no template has it. */
+    public data class ModelNotFound(public val model: String) : Refusal {
+        override val message: String
+            get() = "model '$model' is not open to this team: ask for one that its template grants"
+    }
+
+    /** The item asks for more tokens than the model gives. */
+    public data class TooManyTokens(public val asked: Int, public val most: Int) : Refusal {
+        override val message: String get() = "max_tokens $asked is over the model's $most: ask for at most $most"
+    }
+
+    /** The team may not use [route], or no template has it. */
+    public data class RouteNotFound(public val route: String) : Refusal {
+        override val message: String
+            get() = "route '$route' is not open to this team: call one that its template grants"
+    }
+
+    /** Nothing stands at the path, or it belongs to another team. */
+    public data class NotFound(public val what: String) : Refusal {
+        override val message: String get() = "$what was not found: check the name and the key"
+    }
+
+    /** The team has used up its rate and burst. */
+    public data class OverRate(public val team: TeamId, override val retryAfter: Duration) : Refusal {
+        override val message: String
+            get() = "team '$team' is over its rate: wait ${retryAfter.inWholeMilliseconds} ms and send again"
+    }
+
+    /** Too much work waits already. */
+    public data class Overloaded(public val what: String, override val retryAfter: Duration) : Refusal {
+        override val message: String get() = "$what is overloaded: send again after the time in Retry-After"
+    }
+
+    /** No upstream could be reached, and nothing was sent. */
+    public data class NoUpstream(public val what: String) : Refusal {
+        override val message: String get() = "no upstream of $what can be reached: send again after a second"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** An upstream was lost after the work was sent to it. */
+    public data class UpstreamLost(public val upstream: UpstreamId) : Refusal {
+        override val message: String
+            get() = "upstream '$upstream' was lost after it got the work: check its effect before sending again"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
+    /** The daemon can't tell whether its configuration is current. */
+    public data object StaleConfiguration : Refusal {
+        override val message: String get() = "this host can't confirm which keys are valid: send again after a second"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** The platform's service can't keep the work now. */
+    public data class StoreUnavailable(override val retryAfter: Duration) : Refusal {
+        override val message: String get() = "the work can't be kept now: send again after the time in Retry-After"
+    }
+
+    /** The daemon is stopping. */
+    public data object Draining : Refusal {
+        override val message: String get() = "this host is stopping: send again, and another host will answer"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** The same idempotency key came with another body. */
+    public data class KeyReused(public val idempotencyKey: String) : Refusal {
+        override val message: String
+            get() = "idempotency key '$idempotencyKey' was used with another body: use a new one for new work"
+    }
+
+    /** The work was cancelled before it ran. */
+    public data object Cancelled : Refusal {
+        override val message: String get() = "the work was cancelled before it ran: submit it again if it is wanted"
+    }
+
+    /** The request with this idempotency key is still running as [id]. */
+    public data class StillRunning(public val id: RequestId) : Refusal {
+        override val message: String get() = "request '$id' is still running: read /v1/results/$id later"
+        override val ran: Ran get() = Ran.UNKNOWN
+        override val retryAfter: Duration get() = 1.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/RequestRecord.kt
@@ -0,0 +1,22 @@
+package figdeck.model
+
+/** The durable record of an accepted request, from which its course can be told. */
+public data class RequestRecord(
+    public val id: RequestId,
+    public val team: TeamId?,
+    public val work: Work,
+    public val host: HostId,
+    public val revision: Revision,
+    public val acceptedAtMillis: Long,
+    public val attempts: List<Attempt>,
+    public val endedAtMillis: Long?,
+    public val outcome: Outcome?,
+)
+
+/** One sending of a request to an upstream. */
+public data class Attempt(
+    public val upstream: UpstreamId,
+    public val host: HostId,
+    public val startedAtMillis: Long,
+    public val result: String,
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/Row.kt
@@ -0,0 +1,8 @@
+package figdeck.model
+
+/** A row of the platform's table: its [version] rises with each write of the key. */
+public data class Row(
+    public val key: String,
+    public val value: String,
+    public val version: Long,
+)
--- /dev/null
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -0,0 +1,131 @@
+package figdeck.http
+
+import arrow.core.getOrElse
+import figdeck.http.client.ExchangeFailure
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.HttpServer
+import figdeck.http.server.HttpServerLimits
+import figdeck.model.Address
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.delay
+import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val IP = "127.0.0.1"
+private const val LIMIT = 1_000_000
+
+private val echo: HttpHandler = { call, responder ->
+    responder.full(200, newHeaders(), call.body.readAll(LIMIT).getOrElse { ByteArray(0) })
+}
+
+private fun exchangeRaw(address: Address, text: String): String = Socket(address.ip, address.port).use { socket ->
+    socket.soTimeout = 5_000
+    socket.getOutputStream().write(text.encodeToByteArray())
+    socket.getInputStream().readAllBytes().decodeToString()
+}
+
+class HttpSpec : DescribeSpec({
+    val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    val client = HttpClient(group)
+
+    afterSpec {
+        client.close()
+        group.shutdownGracefully()
+    }
+
+    suspend fun <R> serving(
+        handler: HttpHandler,
+        limits: HttpServerLimits = HttpServerLimits(),
+        use: suspend (Address) -> R,
+    ): R = HttpServer(group, limits, handler).use { server -> use(server.listen(IP, 0)) }
+
+    describe("an exchange") {
+        it("carries a body there and back, and again on the kept connection") {
+            serving(echo) { address ->
+                repeat(3) {
+                    val request = OutgoingRequest(address, "POST", "/x", body = ByteArray(300_000) { 7 })
+                    val size = client.exchange(request) { it.body.readAll(LIMIT).getOrElse { ByteArray(0) }.size }
+                    size.getOrNull() shouldBe 300_000
+                }
+            }
+        }
+
+        it("streams chunks") {
+            val streaming: HttpHandler = { _, responder ->
+                responder.start(200, newHeaders())
+                repeat(1000) { responder.write("data: $it\n\n".encodeToByteArray()) }
+            }
+            serving(streaming) { address ->
+                val text = client.exchange(OutgoingRequest(address, "GET", "/")) {
+                    it.body.readAll(LIMIT).getOrElse { ByteArray(0) }.decodeToString()
+                }
+                text.getOrNull() shouldBe (0 until 1000).joinToString("") { "data: $it\n\n" }
+            }
+        }
+
+        it("tells that nothing was sent when nobody listens") {
+            val unused = serving(echo) { it }
+            client.exchange(OutgoingRequest(unused, "GET", "/", freshConnection = true)) { }
+                .leftOrNull().shouldBeInstanceOf<ExchangeFailure.NotSent>()
+        }
+
+        it("tells a loss when the peer breaks off in mid-answer") {
+            val breaking: HttpHandler = { _, responder ->
+                responder.start(200, newHeaders())
+                responder.write("a".encodeToByteArray())
+                error("broken")
+            }
+            serving(breaking) { address ->
+                client.exchange(OutgoingRequest(address, "GET", "/")) { it.body.readAll(10) }
+                    .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
+            }
+        }
+
+        it("tells a loss when no response head comes in time") {
+            serving({ _, _ -> delay(5_000) }) { address ->
+                client.exchange(OutgoingRequest(address, "GET", "/", headTimeout = 50.milliseconds)) { }
+                    .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
+            }
+        }
+    }
+
+    describe("a listener") {
+        it("refuses a request with both lengths") {
+            serving(echo) { address ->
+                exchangeRaw(
+                    address,
+                    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                ).lineSequence().first() shouldBe "HTTP/1.1 400 Bad Request"
+            }
+        }
+
+        it("refuses a header block over the limit") {
+            serving(echo) { address ->
+                exchangeRaw(address, "GET / HTTP/1.1\r\nHost: x\r\nA: ${"a".repeat(40_000)}\r\n\r\n")
+                    .lineSequence().first() shouldBe "HTTP/1.1 431 Request Header Fields Too Large"
+            }
+        }
+
+        it("closes a connection whose request head does not come") {
+            serving(echo, HttpServerLimits(headerTimeout = 100.milliseconds)) { address ->
+                exchangeRaw(address, "GET / HT") shouldBe ""
+            }
+        }
+
+        it("answers pipelined requests one after another") {
+            serving(echo) { address ->
+                val one = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n"
+                val last = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 1\r\n\r\n"
+                val answers = exchangeRaw(address, one + "a" + one + "b" + last + "c")
+                Regex("HTTP/1.1 200 OK").findAll(answers).count() shouldBe 3
+                answers.last() shouldBe 'c'
+            }
+        }
+    }
+})
