A port that is surely closed in the HTTP spec

Cause: a listener closed by another thread leaves the kernel's socket open until the selector's next round, so a connect just after it could still be accepted; the client then said, truthfully, that it can't know. Ruled out: a fault of the client. Change: the spec takes its unused port from a socket that is closed at once.

--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.delay
+import java.net.ServerSocket
 import java.net.Socket
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -70,7 +71,7 @@
         }
 
         it("tells that nothing was sent when nobody listens") {
-            val unused = serving(echo) { it }
+            val unused = Address(IP, ServerSocket(0).use { it.localPort })
             client.exchange(OutgoingRequest(unused, "GET", "/", freshConnection = true)) { }
                 .leftOrNull().shouldBeInstanceOf<ExchangeFailure.NotSent>()
         }
