--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -38,7 +38,7 @@
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         scope = CoroutineScope(ctx.channel().eventLoop().asCoroutineDispatcher() + SupervisorJob())
-        deadline = ConnectionDeadline(ctx) { expire(ctx) }
+        deadline = ConnectionDeadline(ctx) { expire(ctx, chunks) }
         deadline.start(limits.headerTimeout)
         ctx.read()
     }
@@ -89,7 +89,7 @@
 
     private fun begin(ctx: ChannelHandlerContext, request: HttpRequest) {
         deadline.start(limits.bodyTotalTimeout)
-        val queue = ChunkQueue(limits.bodyIdleTimeout) { readBody(ctx) }
+        val queue = ChunkQueue(limits.bodyIdleTimeout) { ctx.channel().read() }
         chunks = queue
         val exchange = ServerExchange(ctx, request, queue)
         val call = httpCall(request.method().name(), request.uri(), request.headers(), queue.body)
@@ -120,14 +120,6 @@
         }
     }
 
-    private fun readBody(ctx: ChannelHandlerContext) {
-        if (ctx.executor().inEventLoop()) {
-            ctx.read()
-        } else {
-            ctx.executor().execute { readBody(ctx) }
-        }
-    }
-
     private fun finish(ctx: ChannelHandlerContext, reuse: Boolean) {
         current = null
         chunks = null
@@ -150,16 +142,15 @@
             accept(ctx, waiting.removeFirst())
         }
     }
+}
 
-    private fun expire(ctx: ChannelHandlerContext) {
-        val queue = chunks
-        when {
-            queue == null -> ctx.close()
-            queue.isComplete -> Unit
-            else -> {
-                queue.fail("the request came too slowly")
-                refuse(ctx, HttpResponseStatus.REQUEST_TIMEOUT)
-            }
+private fun expire(ctx: ChannelHandlerContext, chunks: ChunkQueue?) {
+    when {
+        chunks == null -> ctx.close()
+        chunks.isComplete -> Unit
+        else -> {
+            chunks.fail("the request came too slowly")
+            refuse(ctx, HttpResponseStatus.REQUEST_TIMEOUT)
         }
     }
 }
--- a/src/main/kotlin/figdeck/model/Route.kt
+++ b/src/main/kotlin/figdeck/model/Route.kt
@@ -12,3 +12,21 @@
     public val idempotent: Boolean,
     public val open: Boolean,
 )
+
+/** Builds a [Route]. */
+public class RouteBuilder internal constructor(private val name: String) {
+    /** The services behind the route. */
+    public var upstreams: List<String> = emptyList()
+
+    /** Whether a call may be sent again after an uncertain loss. */
+    public var idempotent: Boolean = false
+
+    /** Whether callers without a key may use it. */
+    public var open: Boolean = false
+
+    internal fun build(faults: FaultCollector): Route? {
+        val routeName = faults.attempt("name") { RouteName(name) }
+        val ids = upstreamIds(upstreams, faults)
+        return Route(routeName ?: return null, ids, idempotent, open)
+    }
+}
--- a/src/main/kotlin/figdeck/model/Team.kt
+++ b/src/main/kotlin/figdeck/model/Team.kt
@@ -1,5 +1,9 @@
 package figdeck.model
 
+private const val MAX_RATE = 1_000_000.0
+private const val MAX_BURST = 1_000_000
+private const val MAX_WEIGHT = 1000
+
 /**
  * A tenant and what its template grants it.
  *
@@ -15,3 +19,53 @@
     public val models: Set<ModelName>,
     public val routes: Set<RouteName>,
 )
+
+/** Builds a [Team]. */
+public class TeamBuilder internal constructor(private val id: String) {
+    private val keys = mutableListOf<Pair<String, String>>()
+
+    /** Requests a second across all hosts. */
+    public var ratePerSecond: Double = 1.0
+
+    /** Requests at once across all hosts. */
+    public var burst: Int = 1
+
+    /** The share of contended capacity relative to other teams. */
+    public var weight: Int = 1
+
+    /** The models it may ask for. */
+    public var models: List<String> = emptyList()
+
+    /** The routes it may call, besides those open to all. */
+    public var routes: List<String> = emptyList()
+
+    /** Adds a key by its [id] and the SHA-256 of the key in hexadecimal. */
+    public fun key(id: String, sha256: String) {
+        keys += id to sha256
+    }
+
+    internal fun build(faults: FaultCollector): Team? {
+        val teamId = faults.attempt("team") { TeamId(id) }
+        val teamKeys = buildKeys(faults)
+        val rateFits = ratePerSecond > 0 && ratePerSecond <= MAX_RATE
+        faults.expect(rateFits, "ratePerSecond", "$ratePerSecond is out of range: use more than 0, up to $MAX_RATE")
+        faults.expect(burst in 1..MAX_BURST, "burst", "$burst is out of range: use 1 to $MAX_BURST")
+        faults.expect(weight in 1..MAX_WEIGHT, "weight", "$weight is out of range: use 1 to $MAX_WEIGHT")
+        val modelNames = models.mapIndexedNotNull { i, model -> faults.attempt("models[$i]") { ModelName(model) } }
+        val routeNames = routes.mapIndexedNotNull { i, route -> faults.attempt("routes[$i]") { RouteName(route) } }
+        return Team(
+            id = teamId ?: return null,
+            keys = teamKeys,
+            limit = Limit(ratePerSecond, burst),
+            weight = weight,
+            models = modelNames.toSet(),
+            routes = routeNames.toSet(),
+        )
+    }
+
+    private fun buildKeys(faults: FaultCollector): List<TeamKey> = keys.mapIndexedNotNull { i, (id, sha256) ->
+        val keyId = faults.attempt("keys[$i].id") { KeyId(id) }
+        val hash = faults.attempt("keys[$i].sha256") { KeyHash(sha256) }
+        if (keyId == null || hash == null) null else TeamKey(keyId, hash)
+    }
+}
