One path from caller to upstream, thin, in the shape of the whole

Change: figdeck serve, stand-in and demo; chat (plain and streamed), service calls and results; acceptance and outcome as rows of the platform's table; templates applied by compare-and-set; decisions in command/ and query/, run on the one control thread; codecs in wire/. After: figdeck demo streams a chat turn and answers a slot check; 11 tests pass.

--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -1,6 +1,15 @@
 package figdeck
 
-/** Starts the command-line client. */
-public fun main() {
-    println("figdeck")
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import figdeck.cli.Figdeck
+import figdeck.cli.command.Demo
+import figdeck.cli.command.Serve
+import figdeck.cli.command.StandIn
+
+/** Starts the command that the arguments name. */
+public fun main(args: Array<String>) {
+    Figdeck()
+        .subcommands(Serve(), StandIn(), Demo())
+        .main(args)
 }
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/EventLoops.kt
@@ -0,0 +1,18 @@
+package figdeck.cli
+
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.util.concurrent.DefaultThreadFactory
+
+private const val MAX_TRAFFIC_THREADS = 4
+
+/** The threads that carry traffic. */
+internal fun newEventLoops(): EventLoopGroup {
+    val threads = Runtime.getRuntime().availableProcessors().coerceIn(1, MAX_TRAFFIC_THREADS)
+    return MultiThreadIoEventLoopGroup(
+        threads,
+        DefaultThreadFactory("figdeck-traffic", true),
+        NioIoHandler.newFactory()
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/command/Demo.kt
@@ -0,0 +1,116 @@
+package figdeck.cli.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import figdeck.cli.Credentials
+import figdeck.cli.Daemon
+import figdeck.cli.Settings
+import figdeck.cli.newEventLoops
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.HttpServer
+import figdeck.http.server.HttpServerLimits
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.HostId
+import figdeck.model.Region
+import figdeck.model.hashKey
+import figdeck.model.systemClock
+import figdeck.model.template
+import figdeck.standin.EnginePace
+import figdeck.standin.EngineStandIn
+import figdeck.standin.PlatformStandIn
+import figdeck.standin.ServiceStandIn
+import figdeck.wire.command.encodeTemplate
+import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.runBlocking
+import java.net.ServerSocket
+
+private const val IP = "127.0.0.1"
+private const val CALLER_KEY = "demo-key"
+private const val OPERATOR_SECRET = "demo-operator"
+
+private const val CHAT =
+    """{"model":"walks","max_tokens":5,"stream":true,"messages":[{"role":"user","content":"Any slot?"}]}"""
+private const val DEMO_RATE = 100.0
+private const val DEMO_BURST = 100
+
+/** Runs a daemon and its stand-ins in one process and sends one request of each kind. */
+internal class Demo : CliktCommand("demo") {
+    private val group = newEventLoops()
+    private val client = HttpClient(group)
+
+    override fun help(context: Context): String = "Run a daemon with stand-ins and show one request of each kind."
+
+    override fun run() {
+        val platform = group.listen(PlatformStandIn(systemClock).handler)
+        val engine = group.listen(EngineStandIn(EnginePace(), systemClock).handler)
+        val service = group.listen(ServiceStandIn().handler)
+        val settings = demoSettings(platform)
+        Daemon(settings, group).use { daemon ->
+            daemon.start()
+            runBlocking { show(settings, engine, service) }
+        }
+    }
+
+    private suspend fun show(settings: Settings, engine: Address, service: Address) {
+        echo("-- a template is applied")
+        send(settings.operatorAddress, OPERATOR_SECRET, "PUT", "/v1/templates/demo", demoTemplate(engine, service))
+        echo("-- a chat turn is streamed")
+        send(settings.callerAddress, CALLER_KEY, "POST", "/v1/chat/completions", CHAT)
+        echo("-- a slot check is answered")
+        send(settings.callerAddress, CALLER_KEY, "POST", "/v1/services/slots/check", """{"herd":"north"}""")
+    }
+
+    private suspend fun send(address: Address, key: String, method: String, target: String, body: String) {
+        val headers = newHeaders().set("Authorization", "Bearer $key")
+        val request = OutgoingRequest(address, method, target, headers, body.encodeToByteArray())
+        client.exchange(request) { reply ->
+            echo("$method $target: ${reply.status}")
+            reply.body.chunks.collect { echo(it.decodeToString(), trailingNewline = false) }
+            echo("")
+        }.onLeft { echo("$method $target: ${it.reason}") }
+    }
+}
+
+private fun EventLoopGroup.listen(handler: HttpHandler): Address =
+    HttpServer(this, HttpServerLimits(), handler).listen(IP, 0)
+
+private fun freeAddress(): Address = Address(IP, ServerSocket(0).use { it.localPort })
+
+private fun demoSettings(platform: Address) = Settings(
+    host = HostId("demo"),
+    dataCentre = DataCentre("demo"),
+    region = Region("demo"),
+    callerAddress = freeAddress(),
+    peerAddress = freeAddress(),
+    operatorAddress = freeAddress(),
+    platformAddress = platform,
+    credentials = Credentials("demo-peers", OPERATOR_SECRET, "demo-upstream"),
+)
+
+private fun demoTemplate(engine: Address, service: Address): String {
+    val built = template("demo") {
+        upstream("engine") {
+            address = engine.toString()
+            dataCentre = "demo"
+        }
+        upstream("slots") {
+            address = service.toString()
+            dataCentre = "demo"
+            kind = "service"
+        }
+        model("walks") { upstreams = listOf("engine") }
+        route("slots") { upstreams = listOf("slots") }
+        team("stado") {
+            key("demo", hashKey(CALLER_KEY).hex)
+            ratePerSecond = DEMO_RATE
+            burst = DEMO_BURST
+            models = listOf("walks")
+            routes = listOf("slots")
+        }
+    }
+    return built.fold({ error(it.joinToString()) }, { encodeTemplate(it) })
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/command/Serve.kt
@@ -0,0 +1,68 @@
+package figdeck.cli.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import figdeck.cli.Daemon
+import figdeck.cli.RawSettings
+import figdeck.cli.Settings
+import figdeck.cli.check
+import figdeck.cli.newEventLoops
+import figdeck.log.PartLog
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.runBlocking
+
+/** The exit code of a daemon whose settings are faulty. */
+internal const val EXIT_BAD_SETTINGS = 2
+private val log = PartLog("serve")
+
+/** Runs a daemon until it is told to stop. */
+internal class Serve : CliktCommand("serve") {
+    private val host by option(help = "Name of this host.").default("")
+    private val dataCentre by option(help = "Data centre of this host.").default("")
+    private val region by option(help = "Region of this host.").default("")
+    private val callerAddress by option(help = "Where callers connect, ip:port.").default("")
+    private val peerAddress by option(help = "Where other daemons connect, ip:port.").default("")
+    private val operatorAddress by option(help = "Where operators connect, ip:port.").default("")
+    private val platformAddress by option(help = "Where the platform's service listens, ip:port.").default("")
+    private val peerSecret by option(help = "Secret between daemons.").default("")
+    private val operatorSecret by option(help = "Secret of operators.").default("")
+    private val upstreamSecret by option(help = "Secret shown to upstreams.").default("")
+
+    override fun help(context: Context): String = "Run a daemon."
+
+    override fun run() {
+        rawSettings().check().fold(
+            { faults ->
+                faults.forEach { echo("figdeck: $it", err = true) }
+                throw ProgramResult(EXIT_BAD_SETTINGS)
+            },
+            { runDaemon(it) },
+        )
+    }
+
+    private fun rawSettings() = RawSettings(
+        host = host,
+        dataCentre = dataCentre,
+        region = region,
+        callerAddress = callerAddress,
+        peerAddress = peerAddress,
+        operatorAddress = operatorAddress,
+        platformAddress = platformAddress,
+        peerSecret = peerSecret,
+        operatorSecret = operatorSecret,
+        upstreamSecret = upstreamSecret,
+    )
+
+    private fun runDaemon(settings: Settings) {
+        val stopping = CompletableDeferred<Unit>()
+        Runtime.getRuntime().addShutdownHook(Thread { stopping.complete(Unit) })
+        Daemon(settings, newEventLoops()).use { daemon ->
+            daemon.start()
+            log.info { "host ${settings.host} serves callers at ${settings.callerAddress}" }
+            runBlocking { stopping.await() }
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/control/Control.kt
+++ b/src/main/kotlin/figdeck/control/Control.kt
@@ -1,17 +1,12 @@
 package figdeck.control
 
+import figdeck.command.Step
 import figdeck.model.Clock
 import figdeck.model.Moment
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.withContext
 import java.util.concurrent.Executors
 
-/** What a command makes of the control state: the [state] that follows, and the [result] for whoever asked. */
-public data class Step<S, R>(
-    public val state: S,
-    public val result: R,
-)
-
 /**
  * The one control thread. It alone replaces the control state; every other thread reads [snapshot], which is
  * immutable, and posts commands with [run].
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -0,0 +1,79 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.model.Attempt
+import figdeck.model.CallResult
+import figdeck.model.Outcome
+import figdeck.model.Refusal
+import figdeck.model.RequestRecord
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.Work
+import figdeck.query.RouteAccess
+import figdeck.upstream.command.ServiceAnswer
+
+/** Accepts and runs a call of a plain service. A call that is not idempotent is sent again only if nothing was sent. */
+public suspend fun Services.serveCall(access: RouteAccess, call: Work.ServiceCall): Either<Refusal, CallAnswer> =
+    either {
+        access.team?.let { limits.take(it).bind() }
+        val record = newRecord(access.team, call)
+        journal.accept(record).bind()
+        val attempts = mutableListOf<Attempt>()
+        val result = runCall(record, access, call, attempts)
+        val outcome = result.fold(
+            { Outcome.Failed(it) },
+            { Outcome.Completed(it.status, it.contentType, it.body) },
+        )
+        journal.finish(record.copy(attempts = attempts, endedAtMillis = clock().epochMillis, outcome = outcome))
+        CallAnswer(record.id, result.bind())
+    }
+
+private suspend fun Services.runCall(
+    record: RequestRecord,
+    access: RouteAccess,
+    call: Work.ServiceCall,
+    attempts: MutableList<Attempt>,
+): Either<Refusal, ServiceAnswer> = either {
+    val failed = mutableSetOf<UpstreamId>()
+    var answer: ServiceAnswer? = null
+    var failure: Refusal = Refusal.NoUpstream("route '${call.route}'")
+    while (answer == null) {
+        val candidates = candidates(access.route.upstreams, failed)
+        ensure(candidates.isNotEmpty()) { failure }
+        val upstream = dispatcher.acquire(candidates).bind()
+        when (val result = attemptCall(record, upstream, call, attempts)) {
+            is CallResult.Done -> answer = result.value
+            is CallResult.NotDone -> failed += upstream.id
+            is CallResult.Unknown -> {
+                failure = Refusal.UpstreamLost(upstream.id)
+                ensure(call.idempotent) { failure }
+                failed += upstream.id
+            }
+        }
+    }
+    answer
+}
+
+private suspend fun Services.attemptCall(
+    record: RequestRecord,
+    upstream: Upstream,
+    call: Work.ServiceCall,
+    attempts: MutableList<Attempt>,
+): CallResult<ServiceAnswer> {
+    val startedAt = clock().epochMillis
+    val result = try {
+        upstreams.call(upstream, record.id, call)
+    } finally {
+        dispatcher.release(upstream.id)
+    }
+    attempts += Attempt(upstream.id, record.host, startedAt, result.describe())
+    return result
+}
+
+private fun CallResult<ServiceAnswer>.describe(): String = when (this) {
+    is CallResult.Done -> "answered: ${value.status}"
+    is CallResult.NotDone -> "not sent: $reason"
+    is CallResult.Unknown -> "lost: $reason"
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/Services.kt
@@ -0,0 +1,41 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.model.Clock
+import figdeck.model.Refusal
+import figdeck.model.RequestId
+import figdeck.model.Team
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.upstream.command.UpstreamCommands
+
+/**
+ * Whether a team may start one more request.
+ *
+ * @property take takes one token of the team's fleet-wide limit.
+ */
+public data class Limits(public val take: suspend (Team) -> Either<Refusal, Unit>)
+
+/**
+ * The choice of upstreams.
+ *
+ * @property acquire takes a slot at one of the candidates.
+ * @property release gives it back.
+ */
+public data class Dispatcher(
+    public val acquire: suspend (candidates: List<Upstream>) -> Either<Refusal, Upstream>,
+    public val release: suspend (UpstreamId) -> Unit,
+)
+
+/** What serving a request needs, each part to be replaced by itself. */
+public data class Services(
+    public val control: Control<ControlState>,
+    public val clock: Clock,
+    public val newRequestId: () -> RequestId,
+    public val limits: Limits,
+    public val journal: Journal,
+    public val dispatcher: Dispatcher,
+    public val upstreams: UpstreamCommands,
+)
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -114,4 +114,11 @@
         override val ran: Ran get() = Ran.UNKNOWN
         override val retryAfter: Duration get() = 1.seconds
     }
+
+    /** A refusal read back from a durable record. */
+    public data class Recorded(
+        public val type: String,
+        override val message: String,
+        override val ran: Ran,
+    ) : Refusal
 }
--- /dev/null
+++ b/src/main/kotlin/figdeck/traffic/Responses.kt
@@ -0,0 +1,39 @@
+package figdeck.traffic
+
+import figdeck.http.newHeaders
+import figdeck.http.server.HttpCall
+import figdeck.http.server.HttpResponder
+import figdeck.model.Refusal
+import figdeck.model.RequestId
+import figdeck.wire.encodeRefusal
+import figdeck.wire.retryAfterSeconds
+import figdeck.wire.status
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
+internal const val STATUS_OK = 200
+internal const val REQUEST_ID_HEADER = "X-Request-Id"
+private const val JSON_TYPE = "application/json"
+private const val BEARER_PREFIX = "Bearer "
+
+/** The key that came with the call, or null. */
+internal fun HttpCall.bearerKey(): String? =
+    headers.get(HttpHeaderNames.AUTHORIZATION)?.takeIf { it.startsWith(BEARER_PREFIX) }?.removePrefix(BEARER_PREFIX)
+
+internal fun jsonHeaders(requestId: RequestId? = null): HttpHeaders {
+    val headers = newHeaders().set(HttpHeaderNames.CONTENT_TYPE, JSON_TYPE)
+    requestId?.let { headers.set(REQUEST_ID_HEADER, it.value) }
+    return headers
+}
+
+/** Sends [text] as JSON. */
+internal suspend fun HttpResponder.json(text: String, status: Int = STATUS_OK, requestId: RequestId? = null) {
+    full(status, jsonHeaders(requestId), text.encodeToByteArray())
+}
+
+/** Sends [refusal] with its status and, where waiting helps, `Retry-After`. */
+internal suspend fun HttpResponder.refuse(refusal: Refusal) {
+    val headers = jsonHeaders()
+    refusal.retryAfterSeconds?.let { headers.set(HttpHeaderNames.RETRY_AFTER, it) }
+    full(refusal.status, headers, encodeRefusal(refusal).encodeToByteArray())
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -0,0 +1,50 @@
+package figdeck.traffic.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import figdeck.daemon.command.CallAnswer
+import figdeck.daemon.command.Services
+import figdeck.daemon.command.serveCall
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.http.server.HttpCall
+import figdeck.http.server.HttpHandler
+import figdeck.model.Refusal
+import figdeck.model.Work
+import figdeck.query.accessTo
+import figdeck.traffic.REQUEST_ID_HEADER
+import figdeck.traffic.bearerKey
+import figdeck.traffic.refuse
+import io.netty.handler.codec.http.HttpHeaderNames
+
+/** The path below which the routes stand. */
+internal const val SERVICES_PREFIX = "/v1/services/"
+private const val MAX_CALL_BYTES = 1024 * 1024
+
+/** Handles calls below `/v1/services/{route}/`. */
+internal fun serviceHandler(services: Services): HttpHandler = { call, responder ->
+    services.serve(call).fold(
+        { responder.refuse(it) },
+        { answered ->
+            val headers = newHeaders()
+                .set(HttpHeaderNames.CONTENT_TYPE, answered.answer.contentType)
+                .set(REQUEST_ID_HEADER, answered.id.value)
+            responder.full(answered.answer.status, headers, answered.answer.body.encodeToByteArray())
+        },
+    )
+}
+
+private suspend fun Services.serve(call: HttpCall): Either<Refusal, CallAnswer> = either {
+    val below = call.path.removePrefix(SERVICES_PREFIX)
+    val access = control.snapshot.index.accessTo(below.substringBefore('/'), call.bearerKey()).bind()
+    val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
+    val work = Work.ServiceCall(
+        route = access.route.name,
+        method = call.method,
+        path = "/" + below.substringAfter('/', ""),
+        contentType = call.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty(),
+        body = body.decodeToString(),
+        idempotent = access.route.idempotent,
+    )
+    serveCall(access, work).bind()
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/upstream/command/HttpService.kt
@@ -0,0 +1,54 @@
+package figdeck.upstream.command
+
+import arrow.core.Either
+import figdeck.http.client.ExchangeFailure
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.readAll
+import figdeck.model.CallResult
+import figdeck.model.RequestId
+import figdeck.model.Upstream
+import figdeck.model.Work
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.time.Duration.Companion.seconds
+
+private const val ANSWER_LIMIT_BYTES = 1024 * 1024
+private val HEAD_TIMEOUT = 10.seconds
+
+/** Runs [call] at a plain service under figdeck's own [credential]. */
+internal suspend fun callOverHttp(
+    client: HttpClient,
+    credential: String,
+    upstream: Upstream,
+    request: RequestId,
+    call: Work.ServiceCall,
+): CallResult<ServiceAnswer> {
+    val outgoing = OutgoingRequest(
+        address = upstream.address,
+        method = call.method,
+        target = call.path,
+        headers = upstreamHeaders(credential, request.value).set(HttpHeaderNames.CONTENT_TYPE, call.contentType),
+        body = call.body.encodeToByteArray(),
+        freshConnection = !call.idempotent,
+        headTimeout = HEAD_TIMEOUT,
+    )
+    val result = client.exchange(outgoing) { reply ->
+        reply.body.readAll(ANSWER_LIMIT_BYTES).map { body ->
+            val contentType = reply.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
+            ServiceAnswer(reply.status, contentType, body.decodeToString())
+        }
+    }
+    return when (result) {
+        is Either.Right -> result.value.fold(
+            { CallResult.Unknown("the answer is over ${it.limitBytes} bytes") },
+            { CallResult.Done(it) },
+        )
+        is Either.Left -> result.value.toCallResult()
+    }
+}
+
+/** What a failed exchange says of the call it carried. */
+internal fun ExchangeFailure.toCallResult(): CallResult<Nothing> = when (this) {
+    is ExchangeFailure.NotSent -> CallResult.NotDone(reason)
+    is ExchangeFailure.Lost -> CallResult.Unknown(reason)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/upstream/command/ServiceAnswer.kt
@@ -0,0 +1,8 @@
+package figdeck.upstream.command
+
+/** The whole answer of a plain service. */
+public data class ServiceAnswer(
+    public val status: Int,
+    public val contentType: String,
+    public val body: String,
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -0,0 +1,78 @@
+package figdeck.wire
+
+import figdeck.model.Ran
+import figdeck.model.Refusal
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlin.time.DurationUnit
+
+private const val BAD_REQUEST = 400
+private const val UNAUTHORIZED = 401
+private const val NOT_FOUND = 404
+private const val CONFLICT = 409
+private const val TOO_LARGE = 413
+private const val UNPROCESSABLE = 422
+private const val TOO_MANY = 429
+private const val BAD_GATEWAY = 502
+private const val UNAVAILABLE = 503
+
+@Serializable
+internal data class RefusalDto(val error: ErrorDto)
+
+@Serializable
+internal data class ErrorDto(
+    val type: String,
+    val message: String,
+    val ran: String,
+    @SerialName("request_id") val requestId: String? = null,
+)
+
+/** The name under which callers meet the kind of this refusal. */
+internal val Refusal.type: String
+    get() = when (this) {
+        Refusal.MissingKey -> "missing_key"
+        Refusal.UnknownKey -> "unknown_key"
+        is Refusal.BadRequest -> "bad_request"
+        is Refusal.BodyTooLarge -> "body_too_large"
+        is Refusal.ModelNotFound -> "model_not_found"
+        is Refusal.TooManyTokens -> "too_many_tokens"
+        is Refusal.RouteNotFound -> "route_not_found"
+        is Refusal.NotFound -> "not_found"
+        is Refusal.OverRate -> "over_rate"
+        is Refusal.Overloaded -> "overloaded"
+        is Refusal.NoUpstream -> "no_upstream"
+        is Refusal.UpstreamLost -> "upstream_lost"
+        Refusal.StaleConfiguration -> "stale_configuration"
+        is Refusal.StoreUnavailable -> "store_unavailable"
+        Refusal.Draining -> "draining"
+        is Refusal.KeyReused -> "key_reused"
+        Refusal.Cancelled -> "cancelled"
+        is Refusal.StillRunning -> "still_running"
+        is Refusal.Recorded -> type
+    }
+
+/** The HTTP status of this refusal. */
+internal val Refusal.status: Int
+    get() = when (this) {
+        Refusal.MissingKey, Refusal.UnknownKey -> UNAUTHORIZED
+        is Refusal.BadRequest -> BAD_REQUEST
+        is Refusal.BodyTooLarge -> TOO_LARGE
+        is Refusal.ModelNotFound, is Refusal.RouteNotFound, is Refusal.NotFound -> NOT_FOUND
+        is Refusal.TooManyTokens -> UNPROCESSABLE
+        is Refusal.OverRate -> TOO_MANY
+        is Refusal.UpstreamLost, is Refusal.Recorded -> BAD_GATEWAY
+        is Refusal.KeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
+        is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
+        is Refusal.StoreUnavailable, Refusal.Draining -> UNAVAILABLE
+    }
+
+internal val Ran.text: String get() = name.lowercase()
+
+/** The value of `Retry-After` in whole seconds, rounded up; null where waiting doesn't help. */
+internal val Refusal.retryAfterSeconds: Long?
+    get() = retryAfter?.let { Math.ceil(it.toDouble(DurationUnit.SECONDS)).toLong().coerceAtLeast(1) }
+
+internal fun encodeRefusal(refusal: Refusal, requestId: String? = null): String {
+    val dto = RefusalDto(ErrorDto(refusal.type, refusal.message, refusal.ran.text, requestId))
+    return lenientJson.encodeToString(RefusalDto.serializer(), dto)
+}
