Ports for ownership and dispatch, with lanes, permits and fences

Cause: the fleet, the scheduler and the batch worker are built side by side and need fixed meeting points.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -8,14 +8,20 @@
 import figdeck.control.takeToken
 import figdeck.daemon.command.Dispatcher
 import figdeck.daemon.command.Limits
+import figdeck.daemon.command.Ownership
+import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.directJournal
 import figdeck.daemon.query.followConfiguration
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
+import figdeck.model.ABSENT
 import figdeck.model.Clock
+import figdeck.model.Epoch
+import figdeck.model.Fence
 import figdeck.model.RequestId
+import figdeck.model.RowCheck
 import figdeck.model.systemClock
 import figdeck.platform.Platform
 import figdeck.platform.PlatformHttp
@@ -23,10 +29,12 @@
 import figdeck.platform.query.httpQueries
 import figdeck.traffic.callerApi
 import figdeck.traffic.operatorApi
+import figdeck.traffic.peerApi
 import figdeck.upstream.command.UpstreamCommands
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -48,6 +56,7 @@
     private val services = services(random)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
         HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
 
@@ -55,12 +64,14 @@
     fun start() {
         scope.launch { followConfiguration(platform, control, clock) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
+        peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
     }
 
     override fun close() {
         scope.cancel()
         callerServer.close()
+        peerServer.close()
         operatorServer.close()
         client.close()
         control.close()
@@ -72,6 +83,7 @@
         newRequestId = requestIds(settings, random),
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
+        ownership = soleOwnership(),
         dispatcher = localDispatcher(control),
         upstreams = httpUpstreams(client, settings),
     )
@@ -90,9 +102,21 @@
     )
 }
 
-private fun localDispatcher(control: Control<ControlState>): Dispatcher = Dispatcher(
-    acquire = { candidates -> control.run { state, _ -> reserveSlot(state, candidates) } },
-    release = { upstream -> control.run { state, _ -> releaseSlot(state, upstream) } },
+private fun localDispatcher(control: Control<ControlState>): Dispatcher {
+    val count = AtomicLong()
+    return Dispatcher(
+        acquire = { request ->
+            control.run { state, _ -> reserveSlot(state, request.candidates) }
+                .map { Permit(count.incrementAndGet(), it, CompletableDeferred()) }
+        },
+        release = { permit, _, _ -> control.run { state, _ -> releaseSlot(state, permit.upstream.id) } },
+    )
+}
+
+/** Every shard is this host's: fit for a fleet of one. */
+private fun soleOwnership(): Ownership = Ownership(
+    fenceOf = { shard -> Fence(Epoch(1), RowCheck("shard/$shard", ABSENT)) },
+    ownerOf = { null },
 )
 
 /** Request ids that are unique across hosts and across restarts of one host. */
--- a/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -5,6 +5,8 @@
 import arrow.core.raise.ensure
 import figdeck.model.Attempt
 import figdeck.model.CallResult
+import figdeck.model.Lane
+import figdeck.model.Moment
 import figdeck.model.Outcome
 import figdeck.model.Refusal
 import figdeck.model.RequestRecord
@@ -13,6 +15,8 @@
 import figdeck.model.Work
 import figdeck.query.RouteAccess
 import figdeck.upstream.command.ServiceAnswer
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 
 /** Accepts and runs a call of a plain service. A call that is not idempotent is sent again only if nothing was sent. */
 public suspend fun Services.serveCall(access: RouteAccess, call: Work.ServiceCall): Either<Refusal, CallAnswer> =
@@ -36,14 +40,16 @@
     call: Work.ServiceCall,
     attempts: MutableList<Attempt>,
 ): Either<Refusal, ServiceAnswer> = either {
+    val deadline = clock() + ONLINE_DEADLINE
     val failed = mutableSetOf<UpstreamId>()
     var answer: ServiceAnswer? = null
     var failure: Refusal = Refusal.NoUpstream("route '${call.route}'")
     while (answer == null) {
         val candidates = candidates(access.route.upstreams, failed)
         ensure(candidates.isNotEmpty()) { failure }
-        val upstream = dispatcher.acquire(candidates).bind()
-        when (val result = attemptCall(record, upstream, call, attempts)) {
+        val permit = dispatcher.acquire(dispatchRequest(access, candidates, deadline)).bind()
+        val upstream = permit.upstream
+        when (val result = attemptCall(record, permit, call, attempts)) {
             is CallResult.Done -> answer = result.value
             is CallResult.NotDone -> failed += upstream.id
             is CallResult.Unknown -> {
@@ -56,22 +62,39 @@
     answer
 }
 
+private fun dispatchRequest(access: RouteAccess, candidates: List<Upstream>, deadline: Moment) = DispatchRequest(
+    candidates = candidates,
+    team = access.team?.id,
+    weight = access.team?.weight ?: 1,
+    lane = Lane.ONLINE,
+    cost = 1,
+    affinity = null,
+    deadline = deadline,
+)
+
 private suspend fun Services.attemptCall(
     record: RequestRecord,
-    upstream: Upstream,
+    permit: Permit,
     call: Work.ServiceCall,
     attempts: MutableList<Attempt>,
 ): CallResult<ServiceAnswer> {
     val startedAt = clock().epochMillis
+    val upstream = permit.upstream
+    var use = UseResult.ABANDONED
     val result = try {
-        upstreams.call(upstream, record.id, call)
+        upstreams.call(upstream, record.id, call).also { use = it.use() }
     } finally {
-        dispatcher.release(upstream.id)
+        withContext(NonCancellable) { dispatcher.release(permit, use, 1) }
     }
     attempts += Attempt(upstream.id, record.host, startedAt, result.describe())
     return result
 }
 
+private fun CallResult<ServiceAnswer>.use(): UseResult = when (this) {
+    is CallResult.Done -> UseResult.ANSWERED
+    is CallResult.NotDone, is CallResult.Unknown -> UseResult.FAILED
+}
+
 private fun CallResult<ServiceAnswer>.describe(): String = when (this) {
     is CallResult.Done -> "answered: ${value.status}"
     is CallResult.NotDone -> "not sent: $reason"
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -4,7 +4,9 @@
 import arrow.core.raise.Raise
 import arrow.core.raise.either
 import figdeck.model.Attempt
+import figdeck.model.Lane
 import figdeck.model.ModelPool
+import figdeck.model.Moment
 import figdeck.model.Outcome
 import figdeck.model.Refusal
 import figdeck.model.RequestId
@@ -17,10 +19,16 @@
 import figdeck.upstream.command.Generation
 import figdeck.wire.command.CompletionHead
 import figdeck.wire.command.encodeAnswer
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_ATTEMPTS = 4
 private const val OK = 200
 
+/** How long online work may take from its acceptance. */
+internal val ONLINE_DEADLINE = 120.seconds
+
 /** The whole answer of a chat turn. */
 public data class ChatAnswer(
     public val id: RequestId,
@@ -50,8 +58,8 @@
     val record = newRecord(team, chat)
     journal.accept(record).bind()
     sink.accepted(record.id)
-    val run = ChatRun(record, StringBuilder(), mutableListOf())
-    val result = generate(run, pool, chat, sink)
+    val run = ChatRun(record, clock() + ONLINE_DEADLINE, StringBuilder(), mutableListOf())
+    val result = generate(run, team, pool, chat, sink)
     val outcome = result.fold(
         { Outcome.Failed(it) },
         { Outcome.Completed(OK, "application/json", encodeAnswer(run.head(chat), it.content, it.finishReason)) },
@@ -62,6 +70,7 @@
 
 private class ChatRun(
     val record: RequestRecord,
+    val deadline: Moment,
     val generated: StringBuilder,
     val attempts: MutableList<Attempt>,
 ) {
@@ -70,6 +79,7 @@
 
 private suspend fun Services.generate(
     run: ChatRun,
+    team: Team,
     pool: ModelPool,
     chat: Work.Chat,
     sink: ChatSink,
@@ -80,10 +90,10 @@
         if (candidates.isEmpty()) {
             raise(run.giveUp(pool))
         }
-        val upstream = dispatcher.acquire(candidates).bind()
-        val result = attempt(run, upstream, chat, sink)
+        val permit = dispatcher.acquire(dispatchRequest(run, team, candidates, chat)).bind()
+        val result = attempt(run, permit, chat, sink)
         finished(run, result)?.let { return@either it }
-        failed += upstream.id
+        failed += permit.upstream.id
     }
     raise(run.giveUp(pool))
 }
@@ -98,26 +108,50 @@
     return if (last == null) Refusal.NoUpstream("model '${pool.name}'") else Refusal.UpstreamLost(last.upstream)
 }
 
+private fun Services.dispatchRequest(
+    run: ChatRun,
+    team: Team,
+    candidates: List<Upstream>,
+    chat: Work.Chat,
+) = DispatchRequest(
+    candidates = candidates,
+    team = team.id,
+    weight = team.weight,
+    lane = Lane.ONLINE,
+    cost = chat.maxTokens,
+    affinity = null,
+    deadline = run.deadline,
+)
+
 private suspend fun Services.attempt(
     run: ChatRun,
-    upstream: Upstream,
+    permit: Permit,
     chat: Work.Chat,
     sink: ChatSink,
 ): EngineResult {
     val startedAt = clock().epochMillis
+    val upstream = permit.upstream
     val generation = Generation(upstream, run.record.id, chat, run.generated.toString())
+    var use = UseResult.ABANDONED
+    var cost = 0
     val result = try {
         upstreams.generate(generation) { delta ->
             run.generated.append(delta)
+            cost++
             sink.delta(delta)
-        }
+        }.also { use = it.use() }
     } finally {
-        dispatcher.release(upstream.id)
+        withContext(NonCancellable) { dispatcher.release(permit, use, cost) }
     }
     run.attempts += Attempt(upstream.id, run.record.host, startedAt, result.describe())
     return result
 }
 
+private fun EngineResult.use(): UseResult = when (this) {
+    is EngineResult.Finished -> UseResult.ANSWERED
+    is EngineResult.Refused, is EngineResult.NotSent, is EngineResult.Lost -> UseResult.FAILED
+}
+
 private fun EngineResult.describe(): String = when (this) {
     is EngineResult.Finished -> "finished: $finishReason"
     is EngineResult.Refused -> "refused: $status"
--- a/src/main/kotlin/figdeck/daemon/command/Services.kt
+++ b/src/main/kotlin/figdeck/daemon/command/Services.kt
@@ -7,8 +7,6 @@
 import figdeck.model.Refusal
 import figdeck.model.RequestId
 import figdeck.model.Team
-import figdeck.model.Upstream
-import figdeck.model.UpstreamId
 import figdeck.upstream.command.UpstreamCommands
 
 /**
@@ -18,17 +16,6 @@
  */
 public data class Limits(public val take: suspend (Team) -> Either<Refusal, Unit>)
 
-/**
- * The choice of upstreams.
- *
- * @property acquire takes a slot at one of the candidates.
- * @property release gives it back.
- */
-public data class Dispatcher(
-    public val acquire: suspend (candidates: List<Upstream>) -> Either<Refusal, Upstream>,
-    public val release: suspend (UpstreamId) -> Unit,
-)
-
 /** What serving a request needs, each part to be replaced by itself. */
 public data class Services(
     public val control: Control<ControlState>,
@@ -36,6 +23,7 @@
     public val newRequestId: () -> RequestId,
     public val limits: Limits,
     public val journal: Journal,
+    public val ownership: Ownership,
     public val dispatcher: Dispatcher,
     public val upstreams: UpstreamCommands,
 )
--- /dev/null
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -0,0 +1,209 @@
+package figdeck.process
+
+import arrow.core.getOrElse
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.model.Address
+import figdeck.model.Template
+import figdeck.wire.command.encodeTemplate
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.delay
+import java.io.File
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+const val IP = "127.0.0.1"
+const val OPERATOR_SECRET = "operator-secret"
+private const val LIMIT = 64 * 1024 * 1024
+private const val FIRST_PORT = 20_000
+private const val LAST_PORT = 32_000
+private val nextPort = AtomicInteger(FIRST_PORT + (ProcessHandle.current().pid() * 97 % 10_000).toInt())
+
+/** One process of a fleet under test. */
+data class Member(
+    val name: String,
+    val process: Process,
+    val addresses: List<Address>,
+) {
+    val address: Address get() = addresses.first()
+    val operatorAddress: Address get() = addresses[1]
+    val peerAddress: Address get() = addresses[2]
+
+    /** Ends the process at once, as a lost host would. */
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    /** Asks the process to stop. */
+    fun stop() {
+        process.destroy()
+    }
+
+    fun pause() = signal("STOP")
+
+    fun resume() = signal("CONT")
+
+    private fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
+    }
+}
+
+/** A request as a caller sends it. */
+data class Ask(
+    val method: String,
+    val target: String,
+    val body: String = "",
+    val key: String? = null,
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/** A response as a caller sees it. */
+data class Answer(
+    val status: Int,
+    val headers: Map<String, String>,
+    val body: String,
+)
+
+/** Daemons and stand-ins as separate processes on loopback addresses. Closing it ends each of them. */
+class Fleet : AutoCloseable {
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    private val client = HttpClient(group)
+    private val members = mutableListOf<Member>()
+    private val hook = Thread { members.forEach { it.process.destroyForcibly() } }
+
+    init {
+        Runtime.getRuntime().addShutdownHook(hook)
+    }
+
+    val platform: Member = standIn("platform", "platform")
+
+    fun engine(name: String, vararg flags: String): Member = standIn(name, "engine", *flags)
+
+    fun service(name: String, vararg flags: String): Member = standIn(name, "service", *flags)
+
+    fun daemon(host: String, dataCentre: String = "centre-a", vararg flags: String): Member {
+        val addresses = List(3) { freeAddress() }
+        return start(
+            host,
+            addresses,
+            "serve",
+            "--host=$host",
+            "--data-centre=$dataCentre",
+            "--region=region-a",
+            "--caller-address=${addresses[0]}",
+            "--operator-address=${addresses[1]}",
+            "--peer-address=${addresses[2]}",
+            "--platform-address=${platform.address}",
+            "--peer-secret=peer-secret",
+            "--operator-secret=$OPERATOR_SECRET",
+            "--upstream-secret=upstream-secret",
+            *flags,
+        )
+    }
+
+    /** Switches the platform's faults, as in `outage=true`. */
+    suspend fun platformFaults(query: String) {
+        send(platform.address, Ask("POST", "/faults?$query"))
+    }
+
+    /** Applies [template] through [daemon] and waits until every one of [everywhere] has its revision. */
+    suspend fun apply(daemon: Member, template: Template, everywhere: List<Member> = listOf(daemon)) {
+        val target = "/v1/templates/${template.name}"
+        val answer = send(daemon.operatorAddress, Ask("PUT", target, encodeTemplate(template), OPERATOR_SECRET))
+        check(answer.status == 200) { "the template was refused: ${answer.body}" }
+        val revision = Regex("\"revision\":(\\d+)").find(answer.body)!!.groupValues[1]
+        everywhere.forEach { member ->
+            eventually(10.seconds) {
+                val status = send(member.operatorAddress, Ask("GET", "/v1/status", key = OPERATOR_SECRET))
+                Regex("\"revision\":$revision\\b") in status.body
+            }
+        }
+    }
+
+    /** Sends [ask] to [address]; status 0 stands for a lost or refused connection. */
+    suspend fun send(address: Address, ask: Ask): Answer {
+        val sent = newHeaders().set("Content-Type", "application/json")
+        ask.key?.let { sent.set("Authorization", "Bearer $it") }
+        ask.headers.forEach { (name, value) -> sent.set(name, value) }
+        val request = OutgoingRequest(address, ask.method, ask.target, sent, ask.body.encodeToByteArray())
+        return client.exchange(request) { reply ->
+            val text = reply.body.readAll(LIMIT).getOrElse { ByteArray(0) }.decodeToString()
+            Answer(reply.status, reply.headers.associate { it.key.lowercase() to it.value }, text)
+        }.fold({ Answer(0, emptyMap(), it.reason) }, { it })
+    }
+
+    override fun close() {
+        members.forEach { it.process.destroyForcibly() }
+        members.forEach { it.process.waitFor() }
+        client.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    private fun standIn(name: String, kind: String, vararg flags: String): Member {
+        val address = freeAddress()
+        return start(name, listOf(address), "stand-in", kind, "--address=$address", *flags)
+    }
+
+    private fun start(name: String, addresses: List<Address>, vararg arguments: String): Member {
+        val logs = File("target/process").apply { mkdirs() }
+        val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val process = ProcessBuilder(
+            java,
+            "-Xmx256m",
+            "-XX:+UseSerialGC",
+            "-cp",
+            classPath,
+            "figdeck.MainKt",
+            *arguments
+        )
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(File(logs, "$name-${addresses[0].port}.log")))
+            .start()
+        val member = Member(name, process, addresses)
+        members += member
+        addresses.forEach { awaitListener(it, process) }
+        return member
+    }
+}
+
+/** Waits until [holds], or fails after [limit]. */
+suspend fun eventually(limit: Duration, holds: suspend () -> Boolean) {
+    val start = TimeSource.Monotonic.markNow()
+    while (!holds()) {
+        check(start.elapsedNow() < limit) { "it did not come true within $limit" }
+        delay(20.milliseconds)
+    }
+}
+
+private fun freeAddress(): Address {
+    while (true) {
+        val port = FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), LAST_PORT - FIRST_PORT)
+        val free = runCatching { ServerSocket(port).close() }.isSuccess
+        if (free) {
+            return Address(IP, port)
+        }
+    }
+}
+
+private fun awaitListener(address: Address, process: Process) {
+    repeat(1_000) {
+        check(process.isAlive) { "the process for $address ended with ${process.exitValue()}" }
+        val open = runCatching { Socket().use { it.connect(InetSocketAddress(address.ip, address.port), 100) } }
+        if (open.isSuccess) {
+            return
+        }
+        Thread.sleep(20)
+    }
+    error("nothing listens at $address")
+}
