Batch jobs, thin and whole: submitted, run by segments, read back, cancelled

Ruled out: a table row for each item (4,200 writes/s against several hundred); results under one key for all writers of a group, which a paused owner could replace after the next owner's commit; a job row that counts progress, which every daemon that runs the job would contend for. Change: an upload streams into segment objects; segment rows and hints for their owners follow; the job's row comes last and makes it accepted. An owner runs a segment group by group: an object under a key of its own, then one transaction that checks its fence, the job's version and the segment's version. The state of a job is counted from its segments, so a cancel that comes after the last group changes nothing. Conclusion: ownership is the stub that gives every shard to every host; the segment's version alone keeps two daemons apart until it is replaced.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -11,6 +11,8 @@
 import figdeck.daemon.command.Ownership
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.batch.BatchServices
+import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.directJournal
 import figdeck.daemon.query.followConfiguration
 import figdeck.http.client.HttpClient
@@ -54,8 +56,9 @@
     private val control = Control(initialState(settings.host), clock)
     private val platform = httpPlatform(client, settings)
     private val services = services(random)
+    private val batches = BatchServices(services, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, batches, platform.queries))
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
         HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
@@ -63,6 +66,7 @@
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         scope.launch { followConfiguration(platform, control, clock) }
+        scope.launch { runBatches(batches) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
--- a/src/main/kotlin/figdeck/cli/command/Demo.kt
+++ b/src/main/kotlin/figdeck/cli/command/Demo.kt
@@ -25,8 +25,10 @@
 import figdeck.standin.ServiceStandIn
 import figdeck.wire.command.encodeTemplate
 import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import java.net.ServerSocket
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val IP = "127.0.0.1"
 private const val CALLER_KEY = "demo-key"
@@ -34,6 +36,12 @@
 
 private const val CHAT =
     """{"model":"walks","max_tokens":5,"stream":true,"messages":[{"role":"user","content":"Any slot?"}]}"""
+private const val BATCH =
+    """{"custom_id":"north","body":{"model":"walks","max_tokens":5,"messages":[{"role":"user","content":"North"}]}}
+{"custom_id":"lost","body":{"model":"unknown","messages":[{"role":"user","content":"South"}]}}
+"""
+private const val BATCH_POLLS = 50
+private val BATCH_POLL = 100.milliseconds
 private const val DEMO_RATE = 100.0
 private const val DEMO_BURST = 100
 
@@ -62,16 +70,33 @@
         send(settings.callerAddress, CALLER_KEY, "POST", "/v1/chat/completions", CHAT)
         echo("-- a slot check is answered")
         send(settings.callerAddress, CALLER_KEY, "POST", "/v1/services/slots/check", """{"herd":"north"}""")
+        echo("-- a batch is written and read back")
+        showBatch(settings.callerAddress)
     }
 
-    private suspend fun send(address: Address, key: String, method: String, target: String, body: String) {
+    private suspend fun showBatch(address: Address) {
+        val accepted = send(address, CALLER_KEY, "POST", "/v1/batches", BATCH)
+        val batch = "/v1/batches/" + accepted.substringAfter("\"id\":\"").substringBefore('"')
+        repeat(BATCH_POLLS) {
+            delay(BATCH_POLL)
+            val status = send(address, CALLER_KEY, "GET", batch, "")
+            if ("\"completed\"" in status) {
+                send(address, CALLER_KEY, "GET", "$batch/results", "")
+                return
+            }
+        }
+    }
+
+    private suspend fun send(address: Address, key: String, method: String, target: String, body: String): String {
+        val text = StringBuilder()
         val headers = newHeaders().set("Authorization", "Bearer $key")
         val request = OutgoingRequest(address, method, target, headers, body.encodeToByteArray())
         client.exchange(request) { reply ->
             echo("$method $target: ${reply.status}")
-            reply.body.chunks.collect { echo(it.decodeToString(), trailingNewline = false) }
-            echo("")
+            reply.body.chunks.collect { text.append(it.decodeToString()) }
+            echo(text)
         }.onLeft { echo("$method $target: ${it.reason}") }
+        return text.toString()
     }
 }
 
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/batch/FirstJob.kt
@@ -0,0 +1,17 @@
+package figdeck.command.batch
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.model.BatchId
+import figdeck.model.Refusal
+
+/** The first job that came under a resend key, and the digest of its body. */
+public data class FirstJob(
+    public val id: BatchId,
+    public val digest: String,
+)
+
+/** Leads a resent upload to its [first] job, or refuses a key that came with another body before. */
+public fun resend(first: FirstJob, idempotencyKey: String?, digest: String): Either<Refusal, BatchId> =
+    if (first.digest == digest) first.id.right() else Refusal.KeyReused(idempotencyKey.orEmpty()).left()
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -1,5 +1,7 @@
 package figdeck.control
 
+import figdeck.command.batch.RunningSegments
+import figdeck.command.batch.noSegments
 import figdeck.command.dispatch.DispatchState
 import figdeck.command.limit.TokenBucket
 import figdeck.model.Configuration
@@ -26,6 +28,7 @@
     public val buckets: PersistentMap<TeamId, TokenBucket>,
     public val dispatch: DispatchState,
     public val draining: Boolean,
+    public val batch: RunningSegments,
 )
 
 /** The state of the daemon on [host] before it knows anything. */
@@ -37,4 +40,5 @@
     buckets = persistentMapOf(),
     dispatch = DispatchState(persistentMapOf()),
     draining = false,
+    batch = noSegments,
 )
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
@@ -0,0 +1,33 @@
+package figdeck.daemon.command.batch
+
+import figdeck.daemon.command.Services
+import figdeck.platform.Platform
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val ITEMS_IN_FLIGHT = 256
+
+/**
+ * How batch work is paced on one host.
+ *
+ * @property itemsInFlight the most items that wait for a slot or run at once.
+ * @property pollInterval how often a host with a free place looks for waiting segments.
+ * @property confirmInterval how often a host that runs segments asks which jobs were cancelled.
+ * @property patience how long a write of the platform is tried again before it is given up.
+ * @property noticeLife how long the notice of a cancelled job stays.
+ */
+public data class BatchPace(
+    public val itemsInFlight: Int = ITEMS_IN_FLIGHT,
+    public val pollInterval: Duration = 1.seconds,
+    public val confirmInterval: Duration = 500.milliseconds,
+    public val patience: Duration = 8.seconds,
+    public val noticeLife: Duration = 30.seconds,
+)
+
+/** What batch work needs of its daemon. */
+public data class BatchServices(
+    public val services: Services,
+    public val platform: Platform,
+    public val pace: BatchPace = BatchPace(),
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
@@ -0,0 +1,49 @@
+package figdeck.daemon.command.batch
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.command.batch.cancelKey
+import figdeck.command.batch.cancelledJob
+import figdeck.command.batch.jobKey
+import figdeck.daemon.query.StoredJob
+import figdeck.daemon.query.findBatch
+import figdeck.daemon.query.readJob
+import figdeck.model.BatchStatus
+import figdeck.model.JobMark
+import figdeck.model.Refusal
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.model.TeamId
+import figdeck.model.map
+import figdeck.platform.query.Found
+import figdeck.query.statusOf
+import figdeck.wire.encodeJob
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Cancels the job [id] of [team] and tells where it stands then. Once this returns, no group of the job is committed,
+ * and within two seconds none of its items starts. A job that has ended stays as it is.
+ */
+internal suspend fun BatchServices.cancelBatch(team: TeamId, id: String): Either<Refusal, BatchStatus> = either {
+    val before = platform.queries.findBatch(team, id).bind()
+    val settled = markCancelled(before.stored)
+    ensure(settled != Settled.NotDone && settled != Settled.Unknown) { Refusal.StoreUnavailable(1.seconds) }
+    val after = platform.queries.findBatch(team, id).bind()
+    statusOf(after.stored.job, after.segments)
+}
+
+private suspend fun BatchServices.markCancelled(stored: StoredJob): Settled {
+    val cancelled = cancelledJob(stored.job, services.clock()) ?: return Settled.Committed(stored.version)
+    val id = stored.job.id
+    val transaction = TableTransaction(
+        listOf(RowCheck(jobKey(id), stored.version)),
+        listOf(RowWrite(jobKey(id), encodeJob(cancelled)), RowWrite(cancelKey(id), id.value)),
+    )
+    return platform.commitOnce(transaction, services.clock() + pace.patience, services.clock) {
+        platform.queries.readJob(id).map { read ->
+            Found(read.value?.takeIf { it.job.mark == JobMark.CANCELLED }?.version)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/EngineTry.kt
@@ -0,0 +1,35 @@
+package figdeck.daemon.command.batch
+
+import figdeck.command.batch.TryResult
+import figdeck.daemon.command.Permit
+import figdeck.daemon.command.UseResult
+import figdeck.upstream.command.EngineResult
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
+
+/** Runs [work] until it ends, or cancels it and gives null when the slot is taken back. */
+internal suspend fun untilRevoked(permit: Permit, work: suspend () -> EngineResult): EngineResult? = coroutineScope {
+    val run = async { work() }
+    select {
+        run.onAwait { it }
+        permit.revoked.onAwait {
+            run.cancel()
+            run.join()
+            null
+        }
+    }
+}
+
+internal fun EngineResult?.use(): UseResult = when (this) {
+    null -> UseResult.ABANDONED
+    is EngineResult.Finished -> UseResult.ANSWERED
+    is EngineResult.Refused, is EngineResult.NotSent, is EngineResult.Lost -> UseResult.FAILED
+}
+
+internal fun EngineResult?.toTry(): TryResult = when (this) {
+    null, is EngineResult.NotSent -> TryResult.NotRun
+    is EngineResult.Finished -> TryResult.Finished(finishReason)
+    is EngineResult.Refused -> TryResult.Refused(status)
+    is EngineResult.Lost -> TryResult.Lost
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunBatches.kt
@@ -0,0 +1,76 @@
+package figdeck.daemon.command.batch
+
+import figdeck.command.batch.CANCELS_PREFIX
+import figdeck.control.confirmRunningJobs
+import figdeck.control.startSegments
+import figdeck.control.stopSegment
+import figdeck.daemon.query.readPointers
+import figdeck.model.BatchId
+import figdeck.model.CallResult
+import figdeck.model.SegmentId
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val MAX_NOTICES = 1000
+private val WATCH_INTERVAL = 100.milliseconds
+
+/** Runs this host's segments of batch jobs until cancelled. */
+internal suspend fun runBatches(batches: BatchServices): Unit = coroutineScope {
+    launch { batches.followCancels() }
+    val slots = Semaphore(batches.pace.itemsInFlight)
+    while (true) {
+        batches.startWaiting(this, slots)
+        delay(batches.pace.pollInterval)
+    }
+}
+
+private suspend fun BatchServices.startWaiting(scope: CoroutineScope, slots: Semaphore) {
+    val waiting = platform.queries.readPointers(services.ownership)
+    val chosen = services.control.run { state, now -> startSegments(state, waiting, now) }
+    chosen.forEach { pointer -> scope.launch { runWatched(pointer.id, slots) } }
+}
+
+/** Runs a segment until it ends or is dropped from the running ones. */
+private suspend fun BatchServices.runWatched(id: SegmentId, slots: Semaphore) = coroutineScope {
+    val run = launch { runSegment(id, slots) }
+    val watch = launch { cancelWhenDropped(id, run) }
+    run.join()
+    watch.cancel()
+    withContext(NonCancellable) { services.control.run { state, _ -> stopSegment(state, id) } }
+}
+
+private suspend fun BatchServices.cancelWhenDropped(id: SegmentId, run: Job) {
+    while (run.isActive) {
+        delay(WATCH_INTERVAL)
+        if (id !in services.control.snapshot.batch.running) {
+            run.cancel()
+        }
+    }
+}
+
+/** Keeps the running segments at the notices of cancelled jobs. */
+private suspend fun BatchServices.followCancels() {
+    while (true) {
+        if (services.control.snapshot.batch.running.isNotEmpty()) {
+            confirmJobs()
+        }
+        delay(pace.confirmInterval)
+    }
+}
+
+private suspend fun BatchServices.confirmJobs() {
+    val asked = services.clock()
+    val notices = platform.queries.scanRows(CANCELS_PREFIX, CANCELS_PREFIX, MAX_NOTICES)
+    if (notices is CallResult.Done) {
+        val cancelled = notices.value.map { BatchId(it.value) }.toSet()
+        services.control.run { state, _ -> confirmRunningJobs(state, cancelled, asked) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
@@ -0,0 +1,138 @@
+package figdeck.daemon.command.batch
+
+import arrow.core.Either
+import arrow.core.left
+import figdeck.command.batch.ItemProgress
+import figdeck.command.batch.ItemStep
+import figdeck.command.batch.afterTry
+import figdeck.command.batch.mayStartItem
+import figdeck.daemon.command.DispatchRequest
+import figdeck.daemon.command.Permit
+import figdeck.daemon.command.UseResult
+import figdeck.daemon.command.candidates
+import figdeck.model.ItemAnswer
+import figdeck.model.ItemOutcome
+import figdeck.model.ItemResult
+import figdeck.model.Lane
+import figdeck.model.ModelPool
+import figdeck.model.Refusal
+import figdeck.model.RequestId
+import figdeck.model.SegmentId
+import figdeck.model.Team
+import figdeck.model.TeamId
+import figdeck.model.Work
+import figdeck.query.poolFor
+import figdeck.upstream.command.EngineResult
+import figdeck.upstream.command.Generation
+import figdeck.wire.command.decodeStoredLine
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val FIRST_PAUSE = 50.milliseconds
+private val SLOT_WAIT = 60.seconds
+
+/** An item that may run: its stable name towards engines, whose it is, and which engines serve it. */
+private data class RunnableItem(
+    val segment: SegmentId,
+    val request: RequestId,
+    val team: Team,
+    val pool: ModelPool,
+    val chat: Work.Chat,
+)
+
+/** The name of the item at [index] of a segment: the same whoever runs it, and however often. */
+internal fun itemRequest(segment: SegmentId, index: Int): RequestId =
+    RequestId("${segment.batch}.${segment.number}.$index")
+
+/** Runs the item [stored] to its one result; an impossible item fails at once and alone. */
+internal suspend fun BatchServices.runItem(segment: SegmentId, team: TeamId, index: Int, stored: String): ItemResult {
+    val line = decodeStoredLine(stored)
+    val request = itemRequest(segment, index)
+    val outcome = line.item.fold(
+        { ItemOutcome.Failed(it) },
+        { item -> runnable(segment, team, request, item.chat).fold({ ItemOutcome.Failed(it) }, { generate(it) }) },
+    )
+    return ItemResult(request, line.customId, services.clock().epochMillis, outcome)
+}
+
+private fun BatchServices.runnable(
+    segment: SegmentId,
+    teamId: TeamId,
+    request: RequestId,
+    chat: Work.Chat,
+): Either<Refusal, RunnableItem> {
+    val index = services.control.snapshot.index
+    val team = index.teams[teamId] ?: return Refusal.ModelNotFound(chat.model.value).left()
+    return index.poolFor(team, chat).map { RunnableItem(segment, request, team, it, chat) }
+}
+
+private suspend fun BatchServices.generate(item: RunnableItem): ItemOutcome {
+    var progress = ItemProgress("", 0)
+    var pause = FIRST_PAUSE
+    while (true) {
+        val attempt = attempt(item, progress)
+        when (val step = afterTry(progress, attempt.text, attempt.result.toTry())) {
+            is ItemStep.Ended -> return step.outcome(item)
+            is ItemStep.Again -> {
+                pause = if (step.progress.text.length > progress.text.length) FIRST_PAUSE else nextBackoff(pause)
+                progress = step.progress
+            }
+        }
+        delay(pause)
+    }
+}
+
+private fun ItemStep.Ended.outcome(item: RunnableItem): ItemOutcome =
+    outcome.fold({ ItemOutcome.Failed(it) }, { ItemOutcome.Answered(ItemAnswer(item.chat.model, text, it)) })
+
+/** What one try gave: the whole text so far and how it ended; null when the slot was refused or taken back. */
+private data class ItemAttempt(
+    val text: String,
+    val result: EngineResult?,
+)
+
+private suspend fun BatchServices.attempt(item: RunnableItem, progress: ItemProgress): ItemAttempt {
+    val none = ItemAttempt(progress.text, null)
+    val upstreams = services.candidates(item.pool.upstreams, emptySet())
+    if (upstreams.isEmpty() || !mayStart(item)) {
+        return none
+    }
+    val request = DispatchRequest(
+        candidates = upstreams,
+        team = item.team.id,
+        weight = item.team.weight,
+        lane = Lane.BATCH,
+        cost = item.chat.maxTokens,
+        affinity = null,
+        deadline = services.clock() + SLOT_WAIT,
+    )
+    return services.dispatcher.acquire(request).fold({ none }, { runUnder(it, item, progress) })
+}
+
+private fun BatchServices.mayStart(item: RunnableItem): Boolean =
+    mayStartItem(services.control.snapshot.batch, item.segment, services.clock())
+
+private suspend fun BatchServices.runUnder(permit: Permit, item: RunnableItem, progress: ItemProgress): ItemAttempt {
+    val text = StringBuilder(progress.text)
+    var cost = 0
+    var use = UseResult.ABANDONED
+    try {
+        if (!mayStart(item)) {
+            return ItemAttempt(progress.text, null)
+        }
+        val generation = Generation(permit.upstream, item.request, item.chat, progress.text)
+        val result = untilRevoked(permit) {
+            services.upstreams.generate(generation) { delta ->
+                text.append(delta)
+                cost++
+            }
+        }
+        use = result.use()
+        return ItemAttempt(text.toString(), result)
+    } finally {
+        withContext(NonCancellable) { services.dispatcher.release(permit, use, cost) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
@@ -0,0 +1,114 @@
+package figdeck.daemon.command.batch
+
+import figdeck.command.batch.HeldSegment
+import figdeck.command.batch.commitGroup
+import figdeck.command.batch.completedJob
+import figdeck.command.batch.itemsKey
+import figdeck.command.batch.jobKey
+import figdeck.command.batch.nextGroup
+import figdeck.command.batch.pointerKey
+import figdeck.command.batch.resultsKey
+import figdeck.command.batch.segmentKey
+import figdeck.command.batch.shardOf
+import figdeck.daemon.query.readJob
+import figdeck.daemon.query.readSegment
+import figdeck.daemon.query.readSegments
+import figdeck.model.Fence
+import figdeck.model.GroupResult
+import figdeck.model.ItemOutcome
+import figdeck.model.ItemResult
+import figdeck.model.JobMark
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.SegmentId
+import figdeck.model.TableTransaction
+import figdeck.model.map
+import figdeck.model.valueOrNull
+import figdeck.platform.query.Found
+import figdeck.wire.command.encodeItemResult
+import figdeck.wire.encodeJob
+import figdeck.wire.encodeSegment
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+
+/** Runs the segment [id] from its last durable group, as long as this host owns it and its job is not cancelled. */
+internal suspend fun BatchServices.runSegment(id: SegmentId, slots: Semaphore) {
+    var held = takeUp(id)
+    val items = held?.let { readItems(id) } ?: return
+    while (held != null && !held.segment.isDone) {
+        held = runGroup(held, items, slots)
+    }
+    held?.let { close(it) }
+}
+
+private fun BatchServices.fence(id: SegmentId): Fence? = services.ownership.fenceOf(shardOf(id))
+
+private suspend fun BatchServices.takeUp(id: SegmentId): HeldSegment? {
+    val job = platform.queries.readJob(id.batch).valueOrNull()?.value
+    val segment = platform.queries.readSegment(id).valueOrNull()?.value
+    return when {
+        job == null || segment == null || fence(id) == null -> null
+        job.job.mark == JobMark.ACCEPTED -> HeldSegment(job.job, job.version, segment.segment, segment.version)
+        else -> {
+            platform.commands.commit(TableTransaction(emptyList(), listOf(RowWrite(pointerKey(id), null))))
+            null
+        }
+    }
+}
+
+private suspend fun BatchServices.readItems(id: SegmentId): List<String>? =
+    platform.queries.readObject(itemsKey(id)).valueOrNull()?.value?.decodeToString()?.trimEnd('\n')?.split('\n')
+
+private suspend fun BatchServices.runGroup(held: HeldSegment, items: List<String>, slots: Semaphore): HeldSegment? {
+    val group = nextGroup(held.segment) ?: return held
+    val id = held.segment.id
+    val results = coroutineScope {
+        group.map { index -> async { slots.withPermit { runItem(id, held.job.team, index, items[index]) } } }.awaitAll()
+    }
+    val writer = services.newRequestId().value
+    val key = resultsKey(id, held.segment.groups.size, writer)
+    val lines = results.joinToString("") { encodeItemResult(it) + "\n" }
+    val fence = fence(id)
+    val stored = fence != null && putPatiently(key, lines.encodeToByteArray()).isRight()
+    return if (stored) commit(held, groupResult(key, results, fence), fence) else null
+}
+
+private fun BatchServices.groupResult(key: String, results: List<ItemResult>, fence: Fence) = GroupResult(
+    objectKey = key,
+    items = results.size,
+    failed = results.count { it.outcome is ItemOutcome.Failed },
+    host = services.control.snapshot.host,
+    epoch = fence.epoch,
+    endedAtMillis = services.clock().epochMillis,
+)
+
+/** Makes a group count, or gives null when the segment is no longer this host's to run. */
+private suspend fun BatchServices.commit(held: HeldSegment, result: GroupResult, fence: Fence): HeldSegment? {
+    val commit = commitGroup(held, result, fence)
+    val id = held.segment.id
+    val transaction = TableTransaction(commit.checks, listOf(RowWrite(segmentKey(id), encodeSegment(commit.segment))))
+    val deadline = services.clock() + pace.patience
+    val settled = platform.commitOnce(transaction, deadline, services.clock) {
+        platform.queries.readSegment(id).map { read ->
+            Found(read.value?.takeIf { result in it.segment.groups }?.version)
+        }
+    }
+    if (settled == Settled.Refused) {
+        platform.commands.deleteObject(result.objectKey)
+    }
+    return (settled as? Settled.Committed)?.let { held.copy(segment = commit.segment, version = it.version) }
+}
+
+/** Removes the hint of a done segment, and marks its job completed when it was the last. */
+private suspend fun BatchServices.close(held: HeldSegment) {
+    val segments = platform.queries.readSegments(held.job.id).valueOrNull() ?: return
+    val fence = fence(held.segment.id) ?: return
+    val checks = listOf(fence.check, RowCheck(jobKey(held.job.id), held.jobVersion))
+    val pointer = RowWrite(pointerKey(held.segment.id), null)
+    val completed = completedJob(held.job, segments, services.clock())
+    val writes = listOfNotNull(pointer, completed?.let { RowWrite(jobKey(it.id), encodeJob(it)) })
+    platform.commands.commit(TableTransaction(checks, writes))
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
@@ -0,0 +1,82 @@
+package figdeck.daemon.command.batch
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.command.batch.FirstJob
+import figdeck.command.batch.jobKey
+import figdeck.command.batch.resend
+import figdeck.command.batch.resendKey
+import figdeck.daemon.query.readJob
+import figdeck.model.ABSENT
+import figdeck.model.BatchId
+import figdeck.model.BatchJob
+import figdeck.model.CallResult
+import figdeck.model.JobMark
+import figdeck.model.Refusal
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.model.hashKey
+import figdeck.model.map
+import figdeck.platform.query.Found
+import figdeck.wire.encodeJob
+import kotlin.time.Duration.Companion.seconds
+
+/** Accepts a job once its items and its row are durable, and gives the id of it or of the job that it repeats. */
+internal suspend fun BatchServices.submitBatch(order: BatchOrder): Either<Refusal, BatchId> = either {
+    val id = BatchId(services.newRequestId().value)
+    val upload = storeItems(id, order.body).bind()
+    val job = newJob(id, order, upload)
+    firstJob(job.resendKey).bind()?.let { return@either resend(it, order.idempotencyKey, upload.digest).bind() }
+    storeSegments(id, order.team.id, upload).bind()
+    when (accept(job)) {
+        is Settled.Committed -> id
+        Settled.NotDone -> raise(Refusal.StoreUnavailable(1.seconds))
+        Settled.Unknown -> raise(Refusal.StoreUnavailable(1.seconds))
+        Settled.Refused -> {
+            val first = firstJob(job.resendKey).bind()
+            ensure(first != null) { Refusal.StoreUnavailable(1.seconds) }
+            resend(first, order.idempotencyKey, upload.digest).bind()
+        }
+    }
+}
+
+private fun BatchServices.newJob(id: BatchId, order: BatchOrder, upload: Upload): BatchJob {
+    val mark = order.idempotencyKey?.let { "key/${hashKey(it)}" } ?: "digest/${upload.digest}"
+    val snapshot = services.control.snapshot
+    return BatchJob(
+        id = id,
+        team = order.team.id,
+        digest = upload.digest,
+        resendKey = resendKey(order.team.id, mark),
+        host = snapshot.host,
+        revision = snapshot.configuration.revision,
+        acceptedAtMillis = services.clock().epochMillis,
+        segments = upload.segmentItems.size,
+        items = upload.segmentItems.sum(),
+        mark = JobMark.ACCEPTED,
+        endedAtMillis = null,
+    )
+}
+
+private suspend fun BatchServices.accept(job: BatchJob): Settled {
+    val transaction = TableTransaction(
+        listOf(RowCheck(jobKey(job.id), ABSENT), RowCheck(job.resendKey, ABSENT)),
+        listOf(RowWrite(jobKey(job.id), encodeJob(job)), RowWrite(job.resendKey, job.id.value)),
+    )
+    val deadline = services.clock() + pace.patience
+    return platform.commitOnce(transaction, deadline, services.clock) {
+        platform.queries.readJob(job.id).map { Found(it.value?.version) }
+    }
+}
+
+private suspend fun BatchServices.firstJob(resendKey: String): Either<Refusal, FirstJob?> = either {
+    val deadline = services.clock() + pace.patience
+    val row = retryUntil(deadline, services.clock) { platform.queries.readRow(resendKey) }
+    ensure(row is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
+    val id = row.value.value?.let { BatchId(it.value) } ?: return@either null
+    val job = retryUntil(deadline, services.clock) { platform.queries.readJob(id) }
+    ensure(job is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
+    job.value.value?.let { FirstJob(id, it.job.digest) }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/ReadBatch.kt
@@ -0,0 +1,83 @@
+package figdeck.daemon.query
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.command.batch.jobKey
+import figdeck.command.batch.segmentKey
+import figdeck.command.batch.segmentsPrefix
+import figdeck.model.BatchId
+import figdeck.model.BatchJob
+import figdeck.model.CallResult
+import figdeck.model.JobMark
+import figdeck.model.Refusal
+import figdeck.model.Segment
+import figdeck.model.SegmentId
+import figdeck.model.TeamId
+import figdeck.model.map
+import figdeck.platform.query.Found
+import figdeck.platform.query.PlatformQueries
+import figdeck.wire.decodeJob
+import figdeck.wire.decodeSegment
+import kotlin.time.Duration.Companion.seconds
+
+private const val PAGE = 500
+
+/** A job and the version of its row. */
+internal data class StoredJob(
+    val job: BatchJob,
+    val version: Long,
+)
+
+/** A segment and the version of its row. */
+internal data class StoredSegment(
+    val segment: Segment,
+    val version: Long,
+)
+
+/** A job and how far its segments have come, in item order. */
+internal data class JobCourse(
+    val stored: StoredJob,
+    val segments: List<Segment>,
+)
+
+internal suspend fun PlatformQueries.readJob(id: BatchId): CallResult<Found<StoredJob>> =
+    readRow(jobKey(id)).map { found -> Found(found.value?.let { StoredJob(decodeJob(it.value), it.version) }) }
+
+internal suspend fun PlatformQueries.readSegment(id: SegmentId): CallResult<Found<StoredSegment>> =
+    readRow(
+        segmentKey(id)
+    ).map { found -> Found(found.value?.let { StoredSegment(decodeSegment(it.value), it.version) }) }
+
+/** Reads all segments of [id] in item order. */
+internal suspend fun PlatformQueries.readSegments(id: BatchId): CallResult<List<Segment>> {
+    val prefix = segmentsPrefix(id)
+    val segments = mutableListOf<Segment>()
+    var after = prefix
+    while (true) {
+        val page = scanRows(prefix, after, PAGE)
+        if (page !is CallResult.Done) {
+            return page.map { segments }
+        }
+        page.value.mapTo(segments) { decodeSegment(it.value) }
+        after = page.value.lastOrNull()?.key ?: after
+        if (page.value.size < PAGE) {
+            return CallResult.Done(segments)
+        }
+    }
+}
+
+/** The job [id] of [team] and its course; a job of another team is not found. */
+internal suspend fun PlatformQueries.findBatch(team: TeamId, id: String): Either<Refusal, JobCourse> = either {
+    val batchId = runCatching { BatchId(id) }.getOrNull()
+    ensure(batchId != null) { notFound(id) }
+    val found = readJob(batchId)
+    ensure(found is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
+    val stored = found.value.value
+    ensure(stored != null && stored.job.team == team && stored.job.mark != JobMark.ABANDONED) { notFound(id) }
+    val segments = readSegments(batchId)
+    ensure(segments is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
+    JobCourse(stored, segments.value)
+}
+
+private fun notFound(id: String) = Refusal.NotFound("batch '$id'")
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -1,17 +1,20 @@
 package figdeck.traffic
 
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.batch.BatchServices
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.platform.query.PlatformQueries
 import figdeck.traffic.command.SERVICES_PREFIX
 import figdeck.traffic.command.chatHandler
 import figdeck.traffic.command.serviceHandler
+import figdeck.traffic.query.BATCHES_PREFIX
 import figdeck.traffic.query.RESULTS_PREFIX
 import figdeck.traffic.query.resultHandler
 
 /** What callers can ask of a daemon. */
-internal fun callerApi(services: Services, queries: PlatformQueries): HttpHandler {
+internal fun callerApi(services: Services, batches: BatchServices, queries: PlatformQueries): HttpHandler {
+    val batch = batchApi(batches, queries)
     val chat = chatHandler(services)
     val service = serviceHandler(services)
     val result = resultHandler(services.control, queries)
@@ -22,6 +25,7 @@
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
             call.path.startsWith(SERVICES_PREFIX) -> service(call, responder)
             call.method == "GET" && call.path.startsWith(RESULTS_PREFIX) -> result(call, responder)
+            call.path == "/v1/batches" || call.path.startsWith(BATCHES_PREFIX) -> batch(call, responder)
             else -> responder.refuse(Refusal.NotFound("${call.method} ${call.path}"))
         }
     }
--- a/src/main/kotlin/figdeck/wire/command/ChatCodec.kt
+++ b/src/main/kotlin/figdeck/wire/command/ChatCodec.kt
@@ -71,6 +71,11 @@
     val dto = lenientJson.decode(ChatDto.serializer(), text)
         .mapLeft { Refusal.BadRequest("body", "not a chat completion request ($it): send JSON") }
         .bind()
+    dto.toChat().bind()
+}
+
+internal fun ChatDto.toChat(): Either<Refusal, Work.Chat> = either {
+    val dto = this@toChat
     val model = runCatching { ModelName(dto.model.orEmpty()) }.getOrNull()
     ensure(model != null) { Refusal.BadRequest("model", "missing or not a name: name a model of the team") }
     val messages = dto.messages.orEmpty()
--- a/src/test/kotlin/figdeck/process/WholePathSpec.kt
+++ b/src/test/kotlin/figdeck/process/WholePathSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldEndWith
+import kotlin.time.Duration.Companion.seconds
 
 const val STADO_KEY = "stado-key"
 
@@ -48,6 +49,27 @@
 /** A chat turn under [key]. */
 fun chat(body: String, key: String = STADO_KEY): Ask = Ask("POST", "/v1/chat/completions", body, key)
 
+/** A line of an upload. */
+fun batchLine(customId: String, prompt: String, maxTokens: Int = 5): String =
+    """{"custom_id":"$customId","body":${chatBody(prompt, maxTokens)}}"""
+
+/** Submits [lines] as a job through [daemon] and gives its path. */
+suspend fun Fleet.submit(daemon: Member, lines: List<String>, headers: Map<String, String> = emptyMap()): String {
+    val answer = send(daemon.address, Ask("POST", "/v1/batches", lines.joinToString("\n"), STADO_KEY, headers))
+    check(answer.status == 202) { "the job was refused: ${answer.status} ${answer.body}" }
+    return "/v1/batches/" + answer.body.substringAfter("\"id\":\"").substringBefore('"')
+}
+
+/** Reads [path] as the team's caller. */
+suspend fun Fleet.read(daemon: Member, path: String): Answer = send(daemon.address, Ask("GET", path, key = STADO_KEY))
+
+/** The caller's id and the content, or the kind of failure, of each line of a job's results. */
+fun outcomes(results: String): List<String> = results.lines().filter { it.isNotEmpty() }.map { line ->
+    val id = Regex("\"custom_id\":\"([^\"]*)\"").find(line)?.groupValues?.get(1)
+    val end = Regex("\"(?:content|type)\":\"([^\"]*)\"").find(line)?.groupValues?.get(1)
+    "$id: $end"
+}
+
 class WholePathSpec : DescribeSpec({
     val fleet = Fleet()
     val engines = listOf(fleet.engine("engine-1"), fleet.engine("engine-2"))
@@ -81,6 +103,20 @@
             fleet.send(service.address, Ask("GET", "/runs")).body shouldBe "1 /check {\"herd\":1}"
         }
 
+        it("run a batch job, readable from either host") {
+            val broken = """{"custom_id":"broken","body":{"model":"walks","max_tokens":"many"}}"""
+            val lines = listOf(batchLine("a", "Any slot?"), broken, "{", batchLine("b", "Any slot?", 1_000_000))
+            val batch = fleet.submit(daemons[0], lines)
+            eventually(10.seconds) { "\"completed\"" in fleet.read(daemons[1], batch).body }
+            fleet.read(daemons[0], batch).body shouldContain "\"items\":4,\"finished\":4,\"failed\":3"
+            outcomes(fleet.read(daemons[1], "$batch/results").body) shouldBe listOf(
+                "a: the ridge past mossy gates ",
+                "broken: bad_request",
+                "null: bad_request",
+                "b: too_many_tokens",
+            )
+        }
+
         it("refuse an unknown key, and say that nothing ran") {
             val answer = fleet.send(daemons[0].address, chat(chatBody("x"), "stolen"))
             answer.status shouldBe 401
