A planned stop that cuts no request; a platform stand-in with a write cap and a lagging hosts list

Cause: SIGTERM ended the process with its streams. Ruled out: refusing new requests on kept connections while draining, which cuts a caller that is inside its rights. Change: the listener closes, every response asks its peer to close, idle connections stay for 2 s since a call may be on its way, streams end, then the process ends. Before: the hook ended the process at once. Left: connections in the kernel's queue when the listener closes are reset; the balancer sees it as a refused connection.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -2,6 +2,7 @@
 
 import figdeck.control.Control
 import figdeck.control.ControlState
+import figdeck.control.beginDrain
 import figdeck.control.initialState
 import figdeck.control.releaseSlot
 import figdeck.control.reserveSlot
@@ -16,6 +17,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
+import figdeck.log.PartLog
 import figdeck.model.ABSENT
 import figdeck.model.Clock
 import figdeck.model.Epoch
@@ -42,6 +44,13 @@
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private val log = PartLog("daemon")
+private val DRAIN_GRACE = 2.seconds
+
+/** The longest time that a planned stop waits for calls in progress. */
+internal val DRAIN_LIMIT = 150.seconds
 
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
@@ -68,6 +77,14 @@
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
     }
 
+    /** Stops as planned: no call in progress is cut. */
+    suspend fun drain() {
+        log.info { "draining, ${callerServer.activeCalls} calls in progress" }
+        control.run { state, _ -> beginDrain(state) }
+        callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        log.info { "drained" }
+    }
+
     override fun close() {
         scope.cancel()
         callerServer.close()
--- a/src/main/kotlin/figdeck/cli/command/Serve.kt
+++ b/src/main/kotlin/figdeck/cli/command/Serve.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
+import figdeck.cli.DRAIN_LIMIT
 import figdeck.cli.Daemon
 import figdeck.cli.RawSettings
 import figdeck.cli.Settings
@@ -13,6 +14,8 @@
 import figdeck.log.PartLog
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** The exit code of a daemon whose settings are faulty. */
 internal const val EXIT_BAD_SETTINGS = 2
@@ -58,11 +61,20 @@
 
     private fun runDaemon(settings: Settings) {
         val stopping = CompletableDeferred<Unit>()
-        Runtime.getRuntime().addShutdownHook(Thread { stopping.complete(Unit) })
+        val stopped = CountDownLatch(1)
+        val hook = Thread {
+            stopping.complete(Unit)
+            stopped.await(DRAIN_LIMIT.inWholeSeconds, TimeUnit.SECONDS)
+        }
+        Runtime.getRuntime().addShutdownHook(hook)
         Daemon(settings, newEventLoops()).use { daemon ->
             daemon.start()
             log.info { "host ${settings.host} serves callers at ${settings.callerAddress}" }
-            runBlocking { stopping.await() }
+            runBlocking {
+                stopping.await()
+                daemon.drain()
+            }
         }
+        stopped.countDown()
     }
 }
--- a/src/main/kotlin/figdeck/cli/command/StandIn.kt
+++ b/src/main/kotlin/figdeck/cli/command/StandIn.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import figdeck.cli.newEventLoops
 import figdeck.http.server.HttpHandler
@@ -16,12 +17,14 @@
 import figdeck.model.systemClock
 import figdeck.standin.EnginePace
 import figdeck.standin.EngineStandIn
+import figdeck.standin.PlatformLimits
 import figdeck.standin.PlatformStandIn
 import figdeck.standin.ServiceStandIn
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 
+private const val DEFAULT_WRITES = 400
 private const val DEFAULT_PREFILL_MILLIS = 5L
 private const val DEFAULT_TOKEN_MICROS = 2_000L
 
@@ -48,10 +51,14 @@
 }
 
 private class PlatformCommand : StandInCommand("platform") {
+    private val writesPerSecond by option(help = "Writes a second that it bears.").int().default(DEFAULT_WRITES)
+    private val listLagMillis by option(help = "How late the hosts list shows a change, in ms.").long().default(0)
+
     override fun help(context: Context): String = "The platform's table, objects and hosts list."
 
     override fun run() {
-        serve(PlatformStandIn(systemClock).handler)
+        val limits = PlatformLimits(writesPerSecond, listLagMillis.milliseconds)
+        serve(PlatformStandIn(systemClock, limits).handler)
     }
 }
 
--- a/src/main/kotlin/figdeck/http/server/HttpServer.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpServer.kt
@@ -11,10 +11,16 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.util.concurrent.GlobalEventExecutor
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val ACCEPT_BACKLOG = 1024
+private val DRAIN_CHECK_INTERVAL = 20.milliseconds
 
 /** A listener that runs [handler] for each call, on the event loop of the call's connection. */
 public class HttpServer(
@@ -23,11 +29,11 @@
     private val handler: HttpHandler,
 ) : AutoCloseable {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
-    private val active = AtomicInteger()
+    private val load = ServerLoad(AtomicInteger(), AtomicBoolean())
     private var listener: Channel? = null
 
     /** The number of calls that are being answered. */
-    public val activeCalls: Int get() = active.get()
+    public val activeCalls: Int get() = load.active.get()
 
     /** Starts to listen and returns the bound address; port 0 in [ip]:[port] takes a free one. */
     public fun listen(ip: String, port: Int): Address {
@@ -51,6 +57,22 @@
         listener?.close()?.sync()
     }
 
+    /**
+     * Stops accepting connections, lets the calls in progress end and tells peers with kept connections to go
+     * elsewhere. Idle connections stay open for [grace], because a call may be on its way; the whole lasts [limit] at
+     * most.
+     */
+    public suspend fun drain(grace: Duration, limit: Duration) {
+        stopAccepting()
+        load.draining.set(true)
+        withTimeoutOrNull(limit) {
+            delay(grace)
+            while (activeCalls > 0) {
+                delay(DRAIN_CHECK_INTERVAL)
+            }
+        }
+    }
+
     override fun close() {
         stopAccepting()
         connections.close().awaitUninterruptibly()
@@ -62,7 +84,7 @@
             channel.pipeline()
                 .addLast(StrictRequestDecoder(limits))
                 .addLast(HttpResponseEncoder())
-                .addLast(ServerConnection(limits, active, handler))
+                .addLast(ServerConnection(limits, load, handler))
         }
     }
 }
--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -22,12 +22,11 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import java.io.IOException
-import java.util.concurrent.atomic.AtomicInteger
 
 /** The calls of one connection, one after another, on the connection's event loop. */
 internal class ServerConnection(
     private val limits: HttpServerLimits,
-    private val active: AtomicInteger,
+    private val load: ServerLoad,
     private val handler: HttpHandler,
 ) : ChannelInboundHandlerAdapter() {
     private val waiting = ArrayDeque<HttpObject>()
@@ -91,14 +90,14 @@
         deadline.start(limits.bodyTotalTimeout)
         val queue = ChunkQueue(limits.bodyIdleTimeout) { ctx.channel().read() }
         chunks = queue
-        val exchange = ServerExchange(ctx, request, queue)
+        val exchange = ServerExchange(ctx, request, queue) { load.draining.get() }
         val call = httpCall(request.method().name(), request.uri(), request.headers(), queue.body)
         current = scope.launch {
-            active.incrementAndGet()
+            load.active.incrementAndGet()
             try {
                 exchange.run { handler(call, exchange.responder) }
             } finally {
-                active.decrementAndGet()
+                load.active.decrementAndGet()
                 finish(ctx, exchange.keepsAlive && queue.isComplete)
             }
         }
--- a/src/main/kotlin/figdeck/http/server/ServerExchange.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerExchange.kt
@@ -27,6 +27,7 @@
     private val ctx: ChannelHandlerContext,
     request: HttpRequest,
     private val chunks: ChunkQueue,
+    private val isDraining: () -> Boolean,
 ) {
     private val requestKeepsAlive = HttpUtil.isKeepAlive(request)
     private var started = false
@@ -34,7 +35,9 @@
 
     val responder: HttpResponder = HttpResponder(::start, ::write, ::full)
 
-    val keepsAlive: Boolean get() = requestKeepsAlive && ended
+    private var closes = false
+
+    val keepsAlive: Boolean get() = !closes && ended
 
     @Suppress("TooGenericExceptionCaught") // A handler's fault must end its own call and no other.
     suspend fun run(handle: suspend () -> Unit) {
@@ -89,7 +92,8 @@
     }
 
     private fun markConnection(headers: HttpHeaders) {
-        if (!requestKeepsAlive || !chunks.isComplete) {
+        closes = !requestKeepsAlive || !chunks.isComplete || isDraining()
+        if (closes) {
             headers.set(HttpHeaderNames.CONNECTION, "close")
         }
     }
--- a/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
@@ -22,12 +22,16 @@
 private const val OK = 200
 private const val NOT_FOUND = 404
 private const val CONFLICT = 409
+private const val TOO_MANY = 429
 private const val OUTAGE = 503
 private const val MAX_BODY_BYTES = 64 * 1024 * 1024
 private const val MAX_SCAN = 10_000
 
 /** A stand-in for the platform: its table, objects and hosts list, with faults that can be switched while it runs. */
-internal class PlatformStandIn(clock: Clock) : AutoCloseable {
+internal class PlatformStandIn(
+    clock: Clock,
+    private val limits: PlatformLimits = PlatformLimits(),
+) : AutoCloseable {
     private val control = Control(emptyPlatform, clock)
 
     val handler: HttpHandler = { call, responder -> handle(call, responder) }
@@ -49,7 +53,8 @@
             responder.full(OUTAGE, newHeaders(), ByteArray(0))
             return
         }
-        val reply = serve(call, body)
+        val admitted = !isWrite(call) || control.run { state, now -> admitWrite(state, limits, now) }
+        val reply = if (admitted) serve(call, body) else StandInReply(TOO_MANY, ByteArray(0))
         if (faults.loseReplies) {
             throw IOException("the reply is lost on purpose")
         }
@@ -116,13 +121,16 @@
     private suspend fun serveHosts(call: HttpCall, body: ByteArray): StandInReply {
         if (call.method == "PUT") {
             val hosts = decodeHosts(body.decodeToString())
-            control.run { state, _ -> Step(state.copy(hosts = hosts), Unit) }
+            control.run { state, now -> changeHosts(state, hosts, now) }
         }
-        val hosts = control.run { state, _ -> Step(state, state.hosts) }
+        val hosts = control.run { state, now -> Step(state, visibleHosts(state, limits, now)) }
         return StandInReply(OK, encodeHosts(hosts).encodeToByteArray())
     }
 }
 
+private fun isWrite(call: HttpCall): Boolean =
+    call.path == "/table/commit" || (call.path == "/objects" && call.method != "GET")
+
 private data class StandInReply(
     val status: Int,
     val body: ByteArray,
--- a/src/main/kotlin/figdeck/standin/PlatformState.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformState.kt
@@ -1,14 +1,20 @@
 package figdeck.standin
 
 import figdeck.command.Step
+import figdeck.command.limit.TokenBucket
+import figdeck.command.limit.fullBucket
+import figdeck.command.limit.take
 import figdeck.model.ABSENT
 import figdeck.model.CommitReply
+import figdeck.model.Limit
 import figdeck.model.ListedHost
+import figdeck.model.Moment
 import figdeck.model.Row
 import figdeck.model.TableTransaction
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import java.util.TreeMap
+import kotlin.time.Duration
 
 /** The faults that the platform's stand-in shows while they are switched on. */
 internal data class PlatformFaults(
@@ -17,17 +23,52 @@
     val loseReplies: Boolean = false,
 )
 
+/**
+ * How much the platform's stand-in bears.
+ *
+ * @property writesPerSecond transactions and object writes a second; more are refused untouched.
+ * @property listLag how late the hosts list shows a change.
+ */
+internal data class PlatformLimits(
+    val writesPerSecond: Int = 400,
+    val listLag: Duration = Duration.ZERO,
+)
+
 /** All that the platform's stand-in keeps. The rows are held in key order, for scans. */
 internal data class PlatformState(
     val version: Long,
     val rows: TreeMap<String, Row>,
     val objects: PersistentMap<String, ByteArray>,
     val hosts: List<ListedHost>,
+    val shownHosts: List<ListedHost>,
+    val hostsChangedAt: Moment?,
+    val writes: TokenBucket?,
     val faults: PlatformFaults,
 )
 
 internal val emptyPlatform: PlatformState
-    get() = PlatformState(ABSENT, TreeMap(), persistentMapOf(), emptyList(), PlatformFaults())
+    get() = PlatformState(ABSENT, TreeMap(), persistentMapOf(), emptyList(), emptyList(), null, null, PlatformFaults())
+
+/** Counts a write at [now], or refuses it when there were too many. */
+internal fun admitWrite(state: PlatformState, limits: PlatformLimits, now: Moment): Step<PlatformState, Boolean> {
+    val limit = Limit(limits.writesPerSecond.toDouble(), limits.writesPerSecond)
+    return (state.writes ?: fullBucket(now)).take(1, limit, now).fold(
+        { Step(state, false) },
+        { Step(state.copy(writes = it), true) },
+    )
+}
+
+/** Replaces the hosts list; readers see it after the lag. */
+internal fun changeHosts(state: PlatformState, hosts: List<ListedHost>, now: Moment): Step<PlatformState, Unit> {
+    val shown = if (state.hostsChangedAt == null) hosts else state.hosts
+    return Step(state.copy(hosts = hosts, shownHosts = shown, hostsChangedAt = now), Unit)
+}
+
+/** The hosts list as readers see it at [now]. */
+internal fun visibleHosts(state: PlatformState, limits: PlatformLimits, now: Moment): List<ListedHost> {
+    val changedAt = state.hostsChangedAt
+    return if (changedAt == null || now - changedAt >= limits.listLag) state.hosts else state.shownHosts
+}
 
 /** Applies [transaction] whole, or not at all when a check fails. */
 internal fun commit(state: PlatformState, transaction: TableTransaction): Step<PlatformState, CommitReply> {
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -16,9 +16,7 @@
     val service = serviceHandler(services)
     val result = resultHandler(services.control, queries)
     return { call, responder ->
-        val state = services.control.snapshot
         when {
-            state.draining -> responder.refuse(Refusal.Draining)
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
             call.path.startsWith(SERVICES_PREFIX) -> service(call, responder)
             call.method == "GET" && call.path.startsWith(RESULTS_PREFIX) -> result(call, responder)
