Metrics and a span for each hop, around the ports

Cause: an operator saw nothing of what a daemon does, and a caller's trace ended at the listener. Ruled out: calls of the telemetry library within the decisions; the ports are data classes of function types, so observing is a decorator around them.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -29,6 +29,10 @@
 import figdeck.platform.PlatformHttp
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
@@ -36,6 +40,7 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
+import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -47,6 +52,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val log = PartLog("daemon")
+private const val MILLIS_PER_SECOND = 1000.0
 private val DRAIN_GRACE = 2.seconds
 
 /** The longest time that a planned stop waits for calls in progress. */
@@ -58,19 +64,32 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.host), clock)
-    private val platform = httpPlatform(client, settings)
+    private val telemetry = Telemetry(Meters(), tracer, clock)
+    private val control = Control(initialState(settings.host), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val platform = observed(httpPlatform(client, settings), telemetry)
     private val services = services(random)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val callerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        observed("caller", callerApi(services, platform.queries), telemetry)
+    )
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
+        HttpServer(
+            group,
+            HttpServerLimits(),
+            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+        )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
+        showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
@@ -101,11 +120,19 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = localDispatcher(control),
-        upstreams = httpUpstreams(client, settings),
+        dispatcher = observed(localDispatcher(control), telemetry),
+        upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 }
 
+private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
+    telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
+    telemetry.meters.gauge("figdeck.configuration.age.seconds") {
+        control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+}
+
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
     return Platform(httpCommands(http), httpQueries(http))
--- a/src/main/kotlin/figdeck/cli/RawSettings.kt
+++ b/src/main/kotlin/figdeck/cli/RawSettings.kt
@@ -23,6 +23,7 @@
     val peerSecret: String,
     val operatorSecret: String,
     val upstreamSecret: String,
+    val traceEndpoint: String?,
 )
 
 /** Checks every setting and gives either all faults, each under its flag, or the settings. */
@@ -49,6 +50,7 @@
                 operatorAddress = operator.bind(),
                 platformAddress = platform.bind(),
                 credentials = Credentials(peerSecret, operatorSecret, upstreamSecret),
+                traceEndpoint = traceEndpoint,
             )
         }
     }
--- a/src/main/kotlin/figdeck/cli/Settings.kt
+++ b/src/main/kotlin/figdeck/cli/Settings.kt
@@ -5,7 +5,11 @@
 import figdeck.model.HostId
 import figdeck.model.Region
 
-/** What a daemon knows from its flags and environment variables. */
+/**
+ * What a daemon knows from its flags and environment variables.
+ *
+ * @property traceEndpoint where spans are exported to; null for nowhere.
+ */
 public data class Settings(
     public val host: HostId,
     public val dataCentre: DataCentre,
@@ -15,6 +19,7 @@
     public val operatorAddress: Address,
     public val platformAddress: Address,
     public val credentials: Credentials,
+    public val traceEndpoint: String?,
 )
 
 /**
--- a/src/main/kotlin/figdeck/cli/command/Demo.kt
+++ b/src/main/kotlin/figdeck/cli/command/Demo.kt
@@ -89,6 +89,7 @@
     operatorAddress = freeAddress(),
     platformAddress = platform,
     credentials = Credentials("demo-peers", OPERATOR_SECRET, "demo-upstream"),
+    traceEndpoint = null,
 )
 
 private fun demoTemplate(engine: Address, service: Address): String {
--- a/src/main/kotlin/figdeck/cli/command/Serve.kt
+++ b/src/main/kotlin/figdeck/cli/command/Serve.kt
@@ -34,6 +34,8 @@
     private val operatorSecret by option(help = "Secret of operators.").default("")
     private val upstreamSecret by option(help = "Secret shown to upstreams.").default("")
 
+    private val traceEndpoint by option(help = "Where spans go by OTLP over HTTP, as a URL; nowhere when not set.")
+
     override fun help(context: Context): String = "Run a daemon."
 
     override fun run() {
@@ -57,6 +59,7 @@
         peerSecret = peerSecret,
         operatorSecret = operatorSecret,
         upstreamSecret = upstreamSecret,
+        traceEndpoint = traceEndpoint,
     )
 
     private fun runDaemon(settings: Settings) {
--- a/src/main/kotlin/figdeck/control/Control.kt
+++ b/src/main/kotlin/figdeck/control/Control.kt
@@ -6,12 +6,17 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.withContext
 import java.util.concurrent.Executors
+import kotlin.time.Duration
 
 /**
  * The one control thread. It alone replaces the control state; every other thread reads [snapshot], which is
- * immutable, and posts commands with [run].
+ * immutable, and posts commands with [run]. Each command's wait for the thread is told to [onDelay].
  */
-public class Control<S : Any>(initial: S, private val clock: Clock) : AutoCloseable {
+public class Control<S : Any>(
+    initial: S,
+    private val clock: Clock,
+    private val onDelay: (Duration) -> Unit = {},
+) : AutoCloseable {
     private val dispatcher = Executors.newSingleThreadExecutor { work ->
         Thread(work, "figdeck-control").apply { isDaemon = true }
     }.asCoroutineDispatcher()
@@ -22,10 +27,15 @@
         private set
 
     /** Runs [command] on the control thread at the present time and suspends until it has been decided. */
-    public suspend fun <R> run(command: (S, Moment) -> Step<S, R>): R = withContext(dispatcher) {
-        val step = command(snapshot, clock())
-        snapshot = step.state
-        step.result
+    public suspend fun <R> run(command: (S, Moment) -> Step<S, R>): R {
+        val posted = clock()
+        return withContext(dispatcher) {
+            val now = clock()
+            onDelay(now - posted)
+            val step = command(snapshot, now)
+            snapshot = step.state
+            step.result
+        }
     }
 
     override fun close() {
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -6,6 +6,7 @@
 import figdeck.http.BodyLost
 import figdeck.http.awaitChannel
 import figdeck.model.Address
+import figdeck.telemetry.injectTrace
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
@@ -41,6 +42,7 @@
         request: OutgoingRequest,
         use: suspend (HttpReply) -> R,
     ): Either<ExchangeFailure, R> {
+        injectTrace(request.headers)
         val channel = try {
             acquire(request)
         } catch (e: IOException) {
--- /dev/null
+++ b/src/main/kotlin/figdeck/telemetry/CallNotes.kt
@@ -0,0 +1,19 @@
+package figdeck.telemetry
+
+import figdeck.model.TeamId
+import kotlin.coroutines.AbstractCoroutineContextElement
+import kotlin.coroutines.CoroutineContext
+import kotlin.coroutines.coroutineContext
+
+/** What becomes known of a call while it is handled, for whoever observes it. */
+internal class CallNotes : AbstractCoroutineContextElement(CallNotes) {
+    @Volatile
+    var team: TeamId? = null
+
+    companion object Key : CoroutineContext.Key<CallNotes>
+}
+
+/** Notes that the running call is [team]'s. */
+internal suspend fun noteTeam(team: TeamId?) {
+    coroutineContext[CallNotes]?.team = team
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/telemetry/ObservedPlatform.kt
@@ -0,0 +1,48 @@
+package figdeck.telemetry
+
+import figdeck.model.CallResult
+import figdeck.platform.Platform
+import figdeck.platform.command.PlatformCommands
+import figdeck.platform.query.PlatformQueries
+import io.opentelemetry.api.trace.SpanKind
+
+private const val STORE_TIMER = "figdeck.store"
+
+/** [platform] with each call timed and in a span of its own. */
+internal fun observed(platform: Platform, telemetry: Telemetry): Platform {
+    val commands = platform.commands
+    val queries = platform.queries
+    return Platform(
+        PlatformCommands(
+            commit = { telemetry.storeCall("commit") { commands.commit(it) } },
+            putObject = { key, bytes -> telemetry.storeCall("put") { commands.putObject(key, bytes) } },
+            deleteObject = { telemetry.storeCall("delete") { commands.deleteObject(it) } },
+        ),
+        PlatformQueries(
+            readRow = { telemetry.storeCall("read") { queries.readRow(it) } },
+            scanRows = { prefix, after, limit ->
+                telemetry.storeCall("scan") { queries.scanRows(prefix, after, limit) }
+            },
+            readObject = { telemetry.storeCall("get") { queries.readObject(it) } },
+            listHosts = { telemetry.storeCall("hosts") { queries.listHosts() } },
+        ),
+    )
+}
+
+private suspend fun <T> Telemetry.storeCall(
+    name: String,
+    call: suspend () -> CallResult<T>,
+): CallResult<T> = tracer.inSpan("store $name", SpanKind.CLIENT, currentTrace()) { span ->
+    val start = clock()
+    val result = call()
+    span.setAttribute("outcome", result.outcome)
+    meters.timed(STORE_TIMER, clock() - start, listOf("call", name, "outcome", result.outcome))
+    result
+}
+
+private val CallResult<*>.outcome: String
+    get() = when (this) {
+        is CallResult.Done -> "done"
+        is CallResult.NotDone -> "not_done"
+        is CallResult.Unknown -> "unknown"
+    }
--- /dev/null
+++ b/src/main/kotlin/figdeck/telemetry/Tracers.kt
@@ -0,0 +1,28 @@
+package figdeck.telemetry
+
+import io.opentelemetry.api.common.AttributeKey
+import io.opentelemetry.api.common.Attributes
+import io.opentelemetry.api.trace.Tracer
+import io.opentelemetry.api.trace.TracerProvider
+import io.opentelemetry.exporter.otlp.http.trace.OtlpHttpSpanExporter
+import io.opentelemetry.sdk.resources.Resource
+import io.opentelemetry.sdk.trace.SdkTracerProvider
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor
+
+private const val SCOPE = "figdeck"
+
+/** A tracer that exports to [endpoint] by OTLP over HTTP, or one that keeps nothing when there is no endpoint. */
+internal fun tracerFor(host: String, endpoint: String?): Tracer {
+    if (endpoint == null) {
+        return TracerProvider.noop().get(SCOPE)
+    }
+    val exporter = OtlpHttpSpanExporter.builder().setEndpoint(endpoint).build()
+    val names = mapOf("service.name" to SCOPE, "host.name" to host)
+    val attributes = Attributes.builder()
+    names.forEach { (key, value) -> attributes.put(AttributeKey.stringKey(key), value) }
+    return SdkTracerProvider.builder()
+        .setResource(Resource.create(attributes.build()))
+        .addSpanProcessor(BatchSpanProcessor.builder(exporter).build())
+        .build()
+        .get(SCOPE)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/telemetry/Tracing.kt
@@ -0,0 +1,48 @@
+package figdeck.telemetry
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.opentelemetry.api.trace.Span
+import io.opentelemetry.api.trace.SpanKind
+import io.opentelemetry.api.trace.StatusCode
+import io.opentelemetry.api.trace.Tracer
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator
+import io.opentelemetry.context.Context
+import io.opentelemetry.context.propagation.TextMapGetter
+import io.opentelemetry.context.propagation.TextMapSetter
+import kotlinx.coroutines.withContext
+
+private val propagator = W3CTraceContextPropagator.getInstance()
+private val setter = TextMapSetter<HttpHeaders> { headers, key, value -> headers?.set(key, value) }
+
+private object HeaderGetter : TextMapGetter<HttpHeaders> {
+    override fun keys(carrier: HttpHeaders): Iterable<String> = carrier.names()
+
+    override fun get(carrier: HttpHeaders?, key: String): String? = carrier?.get(key)
+}
+
+/** The trace context that [headers] carry as `traceparent`. */
+internal fun traceOf(headers: HttpHeaders): Context = propagator.extract(Context.root(), headers, HeaderGetter)
+
+/** Writes the trace context of the running coroutine into [headers] as `traceparent`. */
+internal suspend fun injectTrace(headers: HttpHeaders) {
+    propagator.inject(currentTrace(), headers, setter)
+}
+
+/** Runs [block] within a span named [name] under [parent]; the span ends with it, marked when it throws. */
+@Suppress("TooGenericExceptionCaught") // Whatever ends the block ends its span.
+internal suspend fun <R> Tracer.inSpan(
+    name: String,
+    kind: SpanKind,
+    parent: Context,
+    block: suspend (Span) -> R,
+): R {
+    val span = spanBuilder(name).setParent(parent).setSpanKind(kind).startSpan()
+    return try {
+        withContext(TraceElement(parent.with(span))) { block(span) }
+    } catch (e: Throwable) {
+        span.setStatus(StatusCode.ERROR, e.message.orEmpty())
+        throw e
+    } finally {
+        span.end()
+    }
+}
--- a/src/main/kotlin/figdeck/traffic/Responses.kt
+++ b/src/main/kotlin/figdeck/traffic/Responses.kt
@@ -5,9 +5,11 @@
 import figdeck.http.server.HttpResponder
 import figdeck.model.Refusal
 import figdeck.model.RequestId
+import figdeck.telemetry.REFUSAL_HEADER
 import figdeck.wire.encodeRefusal
 import figdeck.wire.retryAfterSeconds
 import figdeck.wire.status
+import figdeck.wire.type
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 
@@ -33,7 +35,7 @@
 
 /** Sends [refusal] with its status and, where waiting helps, `Retry-After`. */
 internal suspend fun HttpResponder.refuse(refusal: Refusal) {
-    val headers = jsonHeaders()
+    val headers = jsonHeaders().set(REFUSAL_HEADER, refusal.type)
     refusal.retryAfterSeconds?.let { headers.set(HttpHeaderNames.RETRY_AFTER, it) }
     full(refusal.status, headers, encodeRefusal(refusal).encodeToByteArray())
 }
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -18,6 +18,7 @@
 import figdeck.model.Work
 import figdeck.query.poolFor
 import figdeck.query.teamOf
+import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.STATUS_OK
 import figdeck.traffic.bearerKey
@@ -53,6 +54,7 @@
 private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, ChatOrder> = either {
     val index = control.snapshot.index
     val team = index.teamOf(call.bearerKey()).bind()
+    noteTeam(team.id)
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     val chat = decodeChat(body.decodeToString()).bind()
     ChatOrder(team, index.poolFor(team, chat).bind(), chat)
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -12,6 +12,7 @@
 import figdeck.model.Refusal
 import figdeck.model.Work
 import figdeck.query.accessTo
+import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.bearerKey
 import figdeck.traffic.refuse
@@ -37,6 +38,7 @@
 private suspend fun Services.serve(call: HttpCall): Either<Refusal, CallAnswer> = either {
     val below = call.path.removePrefix(SERVICES_PREFIX)
     val access = control.snapshot.index.accessTo(below.substringBefore('/'), call.bearerKey()).bind()
+    noteTeam(access.team?.id)
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     val work = Work.ServiceCall(
         route = access.route.name,
--- /dev/null
+++ b/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
@@ -0,0 +1,133 @@
+package figdeck.telemetry
+
+import figdeck.cli.Credentials
+import figdeck.cli.Daemon
+import figdeck.cli.Settings
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.HttpServer
+import figdeck.http.server.HttpServerLimits
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.HostId
+import figdeck.model.Region
+import figdeck.model.hashKey
+import figdeck.model.systemClock
+import figdeck.model.template
+import figdeck.standin.EnginePace
+import figdeck.standin.EngineStandIn
+import figdeck.standin.PlatformStandIn
+import figdeck.wire.command.encodeTemplate
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.opentelemetry.sdk.common.CompletableResultCode
+import io.opentelemetry.sdk.trace.SdkTracerProvider
+import io.opentelemetry.sdk.trace.data.SpanData
+import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor
+import io.opentelemetry.sdk.trace.export.SpanExporter
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+
+private const val CALLER_TRACE = "0af7651916cd43dd8448eb211c80319c"
+private const val CALLER_SPAN = "b7ad6b7169203331"
+private const val OPERATOR = "operator-secret"
+
+private class KeptSpans : SpanExporter {
+    val spans = CopyOnWriteArrayList<SpanData>()
+
+    override fun export(batch: Collection<SpanData>): CompletableResultCode {
+        spans += batch
+        return CompletableResultCode.ofSuccess()
+    }
+
+    override fun flush(): CompletableResultCode = CompletableResultCode.ofSuccess()
+
+    override fun shutdown(): CompletableResultCode = CompletableResultCode.ofSuccess()
+}
+
+private fun freeAddress() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+
+private fun settings(platform: Address) = Settings(
+    host = HostId("host-1"),
+    dataCentre = DataCentre("centre-a"),
+    region = Region("region-a"),
+    callerAddress = freeAddress(),
+    peerAddress = freeAddress(),
+    operatorAddress = freeAddress(),
+    platformAddress = platform,
+    credentials = Credentials("peer-secret", OPERATOR, "upstream-secret"),
+    traceEndpoint = null,
+)
+
+private fun traceTemplate(engine: Address) = template("t") {
+    upstream("engine-1") {
+        address = engine.toString()
+        dataCentre = "centre-a"
+    }
+    model("walks") { upstreams = listOf("engine-1") }
+    team("stado") {
+        key("k", hashKey("stado-key").hex)
+        ratePerSecond = 10.0
+        burst = 10
+        models = listOf("walks")
+    }
+}.fold({ error(it.joinToString()) }, { encodeTemplate(it) })
+
+class TracingSpec : DescribeSpec({
+    val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    val client = HttpClient(group)
+
+    afterSpec {
+        client.close()
+        group.shutdownGracefully()
+    }
+
+    fun listen(handler: HttpHandler): Address = HttpServer(group, HttpServerLimits(), handler).listen("127.0.0.1", 0)
+
+    suspend fun send(address: Address, method: String, target: String, key: String, body: String): String {
+        val headers = newHeaders()
+            .set("Authorization", "Bearer $key")
+            .set("traceparent", "00-$CALLER_TRACE-$CALLER_SPAN-01")
+        val request = OutgoingRequest(address, method, target, headers, body.encodeToByteArray())
+        return client.exchange(request) { reply -> reply.body.readAll(1_000_000).fold({ "" }, { it.decodeToString() }) }
+            .fold({ it.reason }, { it })
+    }
+
+    describe("a chat turn") {
+        it("has a span for each hop, linked from the caller to the upstream, and the metrics count it") {
+            val kept = KeptSpans()
+            val provider = SdkTracerProvider.builder().addSpanProcessor(SimpleSpanProcessor.create(kept)).build()
+            val seen = CopyOnWriteArrayList<String>()
+            val engine = EngineStandIn(EnginePace(), systemClock)
+            val engineAddress = listen { call, responder ->
+                call.headers.get("traceparent")?.let { seen += it }
+                engine.handler(call, responder)
+            }
+            val settings = settings(listen(PlatformStandIn(systemClock).handler))
+            Daemon(settings, group, tracer = provider.get("figdeck")).use { daemon ->
+                daemon.start()
+                send(settings.operatorAddress, "PUT", "/v1/templates/t", OPERATOR, traceTemplate(engineAddress))
+                val chat = """{"model":"walks","max_tokens":3,"messages":[{"role":"user","content":"x"}]}"""
+                send(settings.callerAddress, "POST", "/v1/chat/completions", "stado-key", chat) shouldContain "content"
+                send(settings.callerAddress, "POST", "/v1/chat/completions", "wrong", chat) shouldContain "unknown_key"
+                val metrics = send(settings.operatorAddress, "GET", "/metrics", OPERATOR, "")
+                metrics shouldContain "figdeck_refusals_total{team=\"none\",type=\"unknown_key\"} 1.0"
+                metrics shouldContain "figdeck_upstream_first_token_seconds_count 1"
+            }
+            val mine = kept.spans.filter { it.traceId == CALLER_TRACE }
+            val entry = mine.first { it.name == "caller POST" && it.attributes.toString().contains("200") }
+            entry.parentSpanId shouldBe CALLER_SPAN
+            val children = mine.filter { it.parentSpanId == entry.spanId }
+            children.map { it.name } shouldContainAll listOf("store commit", "dispatch wait", "upstream generate")
+            val hop = children.first { it.name == "upstream generate" }
+            seen.single() shouldBe "00-$CALLER_TRACE-${hop.spanId}-01"
+        }
+    }
+})
