--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -2,6 +2,7 @@
 
 import figdeck.control.Control
 import figdeck.control.ControlState
+import figdeck.control.beginDrain
 import figdeck.control.initialState
 import figdeck.control.releaseSlot
 import figdeck.control.reserveSlot
@@ -18,6 +19,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
+import figdeck.log.PartLog
 import figdeck.model.ABSENT
 import figdeck.model.Clock
 import figdeck.model.Epoch
@@ -29,6 +31,10 @@
 import figdeck.platform.PlatformHttp
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
@@ -36,6 +42,7 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
+import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -44,6 +51,14 @@
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private val log = PartLog("daemon")
+private const val MILLIS_PER_SECOND = 1000.0
+private val DRAIN_GRACE = 2.seconds
+
+/** The longest time that a planned stop waits for calls in progress. */
+internal val DRAIN_LIMIT = 150.seconds
 
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
@@ -51,20 +66,33 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.host), clock)
-    private val platform = httpPlatform(client, settings)
+    private val telemetry = Telemetry(Meters(), tracer, clock)
+    private val control = Control(initialState(settings.host), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val platform = observed(httpPlatform(client, settings), telemetry)
     private val services = services(random)
     private val batches = BatchServices(services, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, batches, platform.queries))
+    private val callerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        observed("caller", callerApi(services, batches, platform.queries), telemetry)
+    )
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
+        HttpServer(
+            group,
+            HttpServerLimits(),
+            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+        )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
+        showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
         scope.launch { runBatches(batches) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
@@ -72,6 +100,14 @@
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
     }
 
+    /** Stops as planned: no call in progress is cut. */
+    suspend fun drain() {
+        log.info { "draining, ${callerServer.activeCalls} calls in progress" }
+        control.run { state, _ -> beginDrain(state) }
+        callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        log.info { "drained" }
+    }
+
     override fun close() {
         scope.cancel()
         callerServer.close()
@@ -88,11 +124,19 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = localDispatcher(control),
-        upstreams = httpUpstreams(client, settings),
+        dispatcher = observed(localDispatcher(control), telemetry),
+        upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 }
 
+private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
+    telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
+    telemetry.meters.gauge("figdeck.configuration.age.seconds") {
+        control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+}
+
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
     return Platform(httpCommands(http), httpQueries(http))
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunBatches.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunBatches.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.batch
 
 import figdeck.command.batch.CANCELS_PREFIX
+import figdeck.command.batch.MAX_SEGMENTS
 import figdeck.control.confirmRunningJobs
 import figdeck.control.startSegments
 import figdeck.control.stopSegment
@@ -27,11 +28,18 @@
     launch { batches.followCancels() }
     val slots = Semaphore(batches.pace.itemsInFlight)
     while (true) {
-        batches.startWaiting(this, slots)
+        if (batches.hasPlace()) {
+            batches.startWaiting(this, slots)
+        }
         delay(batches.pace.pollInterval)
     }
 }
 
+private fun BatchServices.hasPlace(): Boolean {
+    val state = services.control.snapshot
+    return !state.draining && state.batch.running.size < MAX_SEGMENTS
+}
+
 private suspend fun BatchServices.startWaiting(scope: CoroutineScope, slots: Semaphore) {
     val waiting = platform.queries.readPointers(services.ownership)
     val chosen = services.control.run { state, now -> startSegments(state, waiting, now) }
