A refusal for work whose acceptance is not known in time

Cause: a submission whose commit reply is lost, and can't be read back while the table is down, must not be told 'not run'. Ruled out: StoreUnavailable, which says ran: no; holding the caller for the whole outage. Change: Refusal.Unconfirmed with ran: unknown and Retry-After; a resend gives the first one's id. Conclusion: for every front that settles lost replies by reading back.

--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -91,6 +91,13 @@
         override val message: String get() = "the work can't be kept now: send again after the time in Retry-After"
     }
 
+    /** The platform's service did not tell in time whether it keeps the work. */
+    public data class Unconfirmed(override val retryAfter: Duration) : Refusal {
+        override val message: String
+            get() = "it is not known yet whether the work was kept: send the same again to get the first one's id"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
     /** The daemon is stopping. */
     public data object Draining : Refusal {
         override val message: String get() = "this host is stopping: send again, and another host will answer"
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -44,6 +44,7 @@
         is Refusal.UpstreamLost -> "upstream_lost"
         Refusal.StaleConfiguration -> "stale_configuration"
         is Refusal.StoreUnavailable -> "store_unavailable"
+        is Refusal.Unconfirmed -> "unconfirmed"
         Refusal.Draining -> "draining"
         is Refusal.KeyReused -> "key_reused"
         Refusal.Cancelled -> "cancelled"
@@ -63,7 +64,7 @@
         is Refusal.UpstreamLost, is Refusal.Recorded -> BAD_GATEWAY
         is Refusal.KeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
-        is Refusal.StoreUnavailable, Refusal.Draining -> UNAVAILABLE
+        is Refusal.StoreUnavailable, is Refusal.Unconfirmed, Refusal.Draining -> UNAVAILABLE
     }
 
 internal val Ran.text: String get() = name.lowercase()
