--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -1,16 +1,15 @@
 package figdeck.cli
 
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.emptyDispatch
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.initialState
-import figdeck.control.releaseSlot
-import figdeck.control.reserveSlot
 import figdeck.control.takeToken
-import figdeck.daemon.command.Dispatcher
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
-import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.SlotDispatcher
 import figdeck.daemon.command.directJournal
 import figdeck.daemon.query.followConfiguration
 import figdeck.http.client.HttpClient
@@ -34,7 +33,6 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -51,8 +49,9 @@
     random: Random = Random.Default,
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.host), clock)
+    private val control = Control(initialState(settings), clock)
     private val platform = httpPlatform(client, settings)
+    private val slots = SlotDispatcher(control, dispatchPolicy(), random)
     private val services = services(random)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
@@ -63,6 +62,7 @@
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         scope.launch { followConfiguration(platform, control, clock) }
+        scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -84,11 +84,16 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = localDispatcher(control),
+        dispatcher = slots.dispatcher,
         upstreams = httpUpstreams(client, settings),
     )
 }
 
+private fun initialState(settings: Settings): ControlState =
+    initialState(settings.host).copy(dispatch = emptyDispatch(settings.dataCentre))
+
+private fun dispatchPolicy(): DispatchPolicy = DispatchPolicy()
+
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
     return Platform(httpCommands(http), httpQueries(http))
@@ -102,17 +107,6 @@
     )
 }
 
-private fun localDispatcher(control: Control<ControlState>): Dispatcher {
-    val count = AtomicLong()
-    return Dispatcher(
-        acquire = { request ->
-            control.run { state, _ -> reserveSlot(state, request.candidates) }
-                .map { Permit(count.incrementAndGet(), it, CompletableDeferred()) }
-        },
-        release = { permit, _, _ -> control.run { state, _ -> releaseSlot(state, permit.upstream.id) } },
-    )
-}
-
 /** Every shard is this host's: fit for a fleet of one. */
 private fun soleOwnership(): Ownership = Ownership(
     fenceOf = { shard -> Fence(Epoch(1), RowCheck("shard/$shard", ABSENT)) },
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -0,0 +1,147 @@
+package figdeck.command.dispatch
+
+import figdeck.command.Step
+import figdeck.model.Lane
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import figdeck.model.UpstreamId
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** A request for a slot under a [ticket] of its own; [draw] makes its random choices repeatable. */
+public data class Arrival(
+    public val ticket: Long,
+    public val request: DispatchRequest,
+    public val draw: Long,
+)
+
+/** The end of the use of a slot; [cost] is the tokens that it really cost. */
+public data class Release(
+    public val ticket: Long,
+    public val use: UseResult,
+    public val cost: Int,
+    public val draw: Long,
+)
+
+/** Gives [arrival] a slot, a place in a queue, or a refusal. */
+public fun admit(state: DispatchState, arrival: Arrival, policy: DispatchPolicy, now: Moment): DispatchStep {
+    val budget = state.retryBudget.spend(arrival.request.attempt)
+    return if (budget == null) {
+        Step(state, refused(arrival, Refusal.Overloaded("retrying", 1.seconds)))
+    } else {
+        place(state.copy(retryBudget = budget), arrival, policy, now)
+    }
+}
+
+/** Takes [release]'s slot back and gives it on. */
+public fun release(state: DispatchState, release: Release, policy: DispatchPolicy, now: Moment): DispatchStep {
+    val id = state.tickets[release.ticket]
+    val upstream = id?.let { state.upstreams[it] }
+    val running = upstream?.running?.get(release.ticket) ?: return withdraw(state, release.ticket, policy, now)
+    val freed = upstream.free(running, release, now)
+    val left = state.copy(tickets = state.tickets.remove(release.ticket)).with(freed)
+    return if (freed.usableSlots(now) == 0) {
+        moveWaiting(left, freed, release.draw, policy, now)
+    } else {
+        pumpAt(left, id, policy, now)
+    }
+}
+
+/** Takes [ticket] out of its queue or slot: its holder is gone. */
+public fun withdraw(state: DispatchState, ticket: Long, policy: DispatchPolicy, now: Moment): DispatchStep {
+    val id = state.tickets[ticket]
+    val upstream = id?.let { state.upstreams[it] } ?: return Step(state, emptyList())
+    val left = state.copy(tickets = state.tickets.remove(ticket)).with(upstream.without(ticket))
+    return pumpAt(left, id, policy, now)
+}
+
+/** Gives out what time alone has freed: paused upstreams to be tried again and headroom no longer needed. */
+public fun tick(state: DispatchState, policy: DispatchPolicy, now: Moment): DispatchStep =
+    state.upstreams.values
+        .filter { it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty() }
+        .fold(Step(state, emptyList())) { step, upstream ->
+            val next = pumpAt(step.state, upstream.upstream.id, policy, now)
+            Step(next.state, step.result + next.result)
+        }
+
+private fun place(state: DispatchState, arrival: Arrival, policy: DispatchPolicy, now: Moment): DispatchStep {
+    val request = arrival.request
+    val views = state.views(request, policy, now)
+    if (views.isEmpty()) {
+        return Step(state, refused(arrival, Refusal.Overloaded("every upstream", state.nextProbe(request, now))))
+    }
+    val chosen = state.known(policy.choose(views, request, arrival.draw).upstream, now)
+    val wait = chosen.expectedWait(request, now)
+    val late = now + wait - request.deadline
+    return if (wait > Duration.ZERO && late > Duration.ZERO) {
+        Step(state, refused(arrival, Refusal.Overloaded("upstream '${chosen.upstream.id}'", late)))
+    } else {
+        enqueue(state, chosen, arrival, policy, now)
+    }
+}
+
+private fun enqueue(
+    state: DispatchState,
+    chosen: UpstreamState,
+    arrival: Arrival,
+    policy: DispatchPolicy,
+    now: Moment,
+): DispatchStep {
+    val lane = arrival.request.lane
+    val queue = chosen.queue(lane)
+    val queued = chosen.observeArrival(lane, policy, now)
+        .withQueue(lane, queue.copy(waiting = queue.waiting.add(Waiting(arrival.ticket, arrival.request))))
+    val pumped = pump(queued, policy, now)
+    val bounded = pushOut(pumped.state, lane, policy)
+    val placed = state.copy(tickets = state.tickets.put(arrival.ticket, chosen.upstream.id)).with(bounded.state)
+    val victim = bounded.result ?: return Step(placed, pumped.result)
+    val wait = chosen.hold * (queue.ahead(victim.request.team) + 1) / chosen.upstream.slots
+    val refusal = Refusal.Overloaded("upstream '${chosen.upstream.id}'", wait)
+    return Step(
+        placed.copy(tickets = placed.tickets.remove(victim.ticket)),
+        pumped.result + DispatchEffect.Refused(victim.ticket, refusal),
+    )
+}
+
+/** Sends the queues of an upstream that was just left to other candidates. */
+private fun moveWaiting(
+    state: DispatchState,
+    from: UpstreamState,
+    draw: Long,
+    policy: DispatchPolicy,
+    now: Moment,
+): DispatchStep {
+    val waiting = from.online.waiting + from.batch.waiting
+    val emptied = from.copy(
+        online = from.online.copy(waiting = from.online.waiting.clear()),
+        batch = from.batch.copy(waiting = from.batch.waiting.clear()),
+    )
+    val random = Random(draw)
+    return waiting.fold(Step(state.with(emptied), emptyList())) { step, next ->
+        val cleared = step.state.copy(tickets = step.state.tickets.remove(next.ticket))
+        val placed = place(cleared, Arrival(next.ticket, next.request, random.nextLong()), policy, now)
+        Step(placed.state, step.result + placed.result)
+    }
+}
+
+private fun pumpAt(state: DispatchState, id: UpstreamId, policy: DispatchPolicy, now: Moment): DispatchStep {
+    val upstream = state.upstreams[id] ?: return Step(state, emptyList())
+    val fed = steal(state, upstream, policy, now)
+    val pumped = pump(fed.upstreams.getValue(id), policy, now)
+    return Step(fed.with(pumped.state), pumped.result)
+}
+
+private fun refused(arrival: Arrival, refusal: Refusal): List<DispatchEffect> =
+    listOf(DispatchEffect.Refused(arrival.ticket, refusal))
+
+private fun UpstreamState.observeArrival(lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamState {
+    val batchHeld = held(Lane.BATCH)
+    val delayed = batchHeld > 0 && occupied >= usableSlots(now)
+    val follows = lane == Lane.ONLINE && (batchHeld > 0 || headroom.slots > 0)
+    return if (follows) {
+        copy(headroom = headroom.after(delayed, upstream.slots, policy.headroom, now))
+    } else {
+        this
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
@@ -0,0 +1,41 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Upstream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val CROSS_CENTRE = 3.milliseconds
+
+/**
+ * An upstream as the choice among candidates sees it.
+ *
+ * @property load the slots that are held or wanted by work of at least the request's urgency.
+ * @property delay how long the request would wait there, with the way to another data centre.
+ */
+public data class UpstreamView(
+    public val upstream: Upstream,
+    public val load: Double,
+    public val delay: Duration,
+)
+
+/** Chooses one of the views, of which there is at least one; `draw` makes random choices repeatable. */
+public typealias ChoicePolicy = (views: List<UpstreamView>, request: DispatchRequest, draw: Long) -> UpstreamView
+
+/** Chooses whom to serve next from a queue that is not empty. */
+public typealias OrderPolicy = (LaneQueue) -> Waiting
+
+/**
+ * How slots are given out.
+ *
+ * @property onlineQueuePerSlot how many online requests may wait for each slot.
+ * @property batchQueuePerSlot how many batch requests may wait for each slot.
+ * @property crossCentre what the way to another data centre and back costs.
+ */
+public data class DispatchPolicy(
+    public val choose: ChoicePolicy = affineChoice,
+    public val order: OrderPolicy = ::fairOrder,
+    public val headroom: HeadroomPolicy = HeadroomPolicy(),
+    public val onlineQueuePerSlot: Int = 8,
+    public val batchQueuePerSlot: Int = 4,
+    public val crossCentre: Duration = CROSS_CENTRE,
+)
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -1,31 +1,67 @@
 package figdeck.command.dispatch
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import figdeck.command.Step
-import figdeck.model.Refusal
+import figdeck.model.DataCentre
+import figdeck.model.Lane
+import figdeck.model.Moment
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import kotlinx.collections.immutable.PersistentMap
-import kotlin.time.Duration.Companion.seconds
-
-/** What this daemon has in flight at each upstream. */
-public data class DispatchState(public val inFlight: PersistentMap<UpstreamId, Int>)
-
-/** Takes a slot at the least filled of [candidates]. */
-public fun reserve(state: DispatchState, candidates: List<Upstream>): Step<DispatchState, Either<Refusal, Upstream>> {
-    val chosen = candidates
-        .filter { state.load(it.id) < it.slots }
-        .minByOrNull { state.load(it.id).toDouble() / it.slots }
-        ?: return Step(state, Refusal.Overloaded("every upstream", 1.seconds).left())
-    return Step(DispatchState(state.inFlight.put(chosen.id, state.load(chosen.id) + 1)), chosen.right())
-}
+import kotlinx.collections.immutable.persistentMapOf
+import kotlin.time.Duration
+
+private const val BATCH_LOAD = 0.25
+
+/**
+ * The slots and queues of the upstreams that this host owns.
+ *
+ * @property tickets where each waiting or running ticket stands.
+ */
+public data class DispatchState(
+    public val dataCentre: DataCentre?,
+    public val upstreams: PersistentMap<UpstreamId, UpstreamState>,
+    public val tickets: PersistentMap<Long, UpstreamId>,
+    public val retryBudget: RetryBudget,
+)
+
+/** What follows from a decision on slots. */
+public typealias DispatchStep = Step<DispatchState, List<DispatchEffect>>
+
+/** The state of a host in [dataCentre] before any work came. */
+public fun emptyDispatch(dataCentre: DataCentre? = null): DispatchState =
+    DispatchState(dataCentre, persistentMapOf(), persistentMapOf(), fullRetryBudget)
 
-/** Gives a slot of [upstream] back. */
-public fun release(state: DispatchState, upstream: UpstreamId): DispatchState {
-    val left = state.load(upstream) - 1
-    return DispatchState(if (left > 0) state.inFlight.put(upstream, left) else state.inFlight.remove(upstream))
+/** What is known of [upstream], with the slots and address that the configuration gives it now. */
+public fun DispatchState.known(upstream: Upstream, now: Moment): UpstreamState =
+    upstreams[upstream.id]?.copy(upstream = upstream) ?: idleUpstream(upstream, now)
+
+/** This state with another state of one upstream. */
+internal fun DispatchState.with(state: UpstreamState): DispatchState =
+    copy(upstreams = upstreams.put(state.upstream.id, state))
+
+/** The candidates of [request] that admit work now, as its choice sees them. */
+internal fun DispatchState.views(
+    request: DispatchRequest,
+    policy: DispatchPolicy,
+    now: Moment,
+): List<UpstreamView> = request.candidates
+    .map { known(it, now) }
+    .filter { it.usableSlots(now) > 0 && !(it.health.isProbing && it.occupied > 0) }
+    .map { state ->
+        val away = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentre
+        val load = state.loadFor(request.lane)
+        UpstreamView(state.upstream, load, state.expectedWait(request, now) + away)
+    }
+
+/** How long [request] would wait for a slot. */
+internal fun UpstreamState.expectedWait(request: DispatchRequest, now: Moment): Duration {
+    val inTheWay = if (request.lane == Lane.ONLINE) held(Lane.ONLINE) else occupied
+    val ahead = queue(request.lane).ahead(request.team)
+    val free = usableSlots(now) - inTheWay
+    return if (ahead < free) Duration.ZERO else hold * (ahead + 1) / upstream.slots
 }
 
-private fun DispatchState.load(upstream: UpstreamId): Int = inFlight[upstream] ?: 0
+private fun UpstreamState.loadFor(lane: Lane): Double = when (lane) {
+    Lane.ONLINE -> held(Lane.ONLINE) + online.waiting.size + BATCH_LOAD * held(Lane.BATCH)
+    Lane.BATCH -> (occupied + online.waiting.size + batch.waiting.size).toDouble()
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/Headroom.kt
@@ -0,0 +1,50 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Moment
+import kotlin.math.ceil
+import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+private const val HALF = 0.5
+
+/**
+ * How many slots batch work leaves free for online arrivals.
+ *
+ * @property slots the amount at [at]; it decays from then on.
+ */
+public data class Headroom(
+    public val slots: Double,
+    public val at: Moment,
+)
+
+/**
+ * How headroom follows the delay of online arrivals.
+ *
+ * @property delayedPart the part of online arrivals that may find no free slot because of batch work.
+ * @property step how far one delayed arrival raises the headroom, in slots.
+ * @property halfLife how long it takes to halve without online arrivals.
+ */
+public data class HeadroomPolicy(
+    public val delayedPart: Double = 0.05,
+    public val step: Double = 0.5,
+    public val halfLife: Duration = 5.seconds,
+)
+
+/** The slots kept free at [now]. */
+public fun Headroom.at(now: Moment, policy: HeadroomPolicy): Double =
+    slots * HALF.pow((now - at).toDouble(DurationUnit.SECONDS) / policy.halfLife.toDouble(DurationUnit.SECONDS))
+
+/** The whole slots kept free at [now]. */
+public fun Headroom.wholeSlots(now: Moment, policy: HeadroomPolicy): Int =
+    ceil(at(now, policy) - policy.step).toInt().coerceAtLeast(0)
+
+/**
+ * The headroom after an online arrival that batch work [delayed] or not. In balance, just
+ * [HeadroomPolicy.delayedPart] of the arrivals are delayed.
+ */
+public fun Headroom.after(delayed: Boolean, most: Int, policy: HeadroomPolicy, now: Moment): Headroom {
+    val change = if (delayed) policy.step * (1 - policy.delayedPart) else -policy.step * policy.delayedPart
+    return Headroom((at(now, policy) + change).coerceIn(0.0, most.toDouble()), now)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/Health.kt
@@ -0,0 +1,52 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val FAILURES_TO_LEAVE = 3
+private const val GROWTH = 2
+private const val JITTER = 0.5
+private val FIRST_PAUSE = 500.milliseconds
+private val LONGEST_PAUSE = 15.seconds
+
+/**
+ * Whether an upstream may get work.
+ *
+ * @property failures how many uses failed in a row.
+ * @property pausedUntil when a left upstream is tried again; null while it is in use.
+ * @property pause how long the latest pause was before jitter.
+ */
+public data class Health(
+    public val failures: Int,
+    public val pausedUntil: Moment?,
+    public val pause: Duration,
+)
+
+/** The health of an upstream that has not failed. */
+public val healthy: Health = Health(0, null, FIRST_PAUSE)
+
+/** Whether work may be sent now, if only a probe. */
+public fun Health.admits(now: Moment): Boolean = pausedUntil == null || now >= pausedUntil
+
+/** Whether the upstream was left and has not answered since. */
+public val Health.isProbing: Boolean get() = pausedUntil != null
+
+/** The health after a use ended with [result]; [draw] between 0 and 1 spreads the probes of many hosts. */
+public fun Health.after(result: UseResult, draw: Double, now: Moment): Health = when (result) {
+    UseResult.ANSWERED -> healthy
+    UseResult.ABANDONED -> this
+    UseResult.FAILED -> failed(draw, now)
+}
+
+private fun Health.failed(draw: Double, now: Moment): Health {
+    val count = failures + 1
+    val next = if (isProbing) minOf(pause * GROWTH, LONGEST_PAUSE) else FIRST_PAUSE
+    return when {
+        count < FAILURES_TO_LEAVE -> copy(failures = count)
+        // Uses that started before the upstream was left say nothing new when they fail.
+        pausedUntil != null && now < pausedUntil -> copy(failures = count)
+        else -> Health(count, now + next * (1 + JITTER * draw), next)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/Leave.kt
@@ -0,0 +1,69 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Lane
+import figdeck.model.Moment
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** This upstream after [running] gave its slot back: accounts corrected, health and holding time noted. */
+internal fun UpstreamState.free(running: Running, release: Release, now: Moment): UpstreamState {
+    val request = running.request
+    val queue = queue(request.lane)
+    val corrected = queue.shares.correct(request.team, release.cost - request.cost, request.weight)
+    val observed = if (release.use == UseResult.ANSWERED) observeHold(now - running.since) else this
+    return observed
+        .withQueue(request.lane, queue.copy(shares = corrected))
+        .copy(
+            running = this.running.remove(running.ticket),
+            health = health.after(release.use, Random(release.draw).nextDouble(), now),
+        )
+}
+
+/** This upstream without [ticket], wherever it stood; nothing is charged for work that never ran. */
+internal fun UpstreamState.without(ticket: Long): UpstreamState = copy(
+    running = running.remove(ticket),
+    online = online.without(ticket),
+    batch = batch.without(ticket),
+)
+
+private fun LaneQueue.without(ticket: Long): LaneQueue =
+    if (waiting.any { it.ticket == ticket }) {
+        copy(waiting = waiting.filter { it.ticket != ticket }.toPersistentList())
+    } else {
+        this
+    }
+
+/** Fills the empty queue of a free upstream from the longest queue of the same lane that may run there. */
+internal fun steal(state: DispatchState, to: UpstreamState, policy: DispatchPolicy, now: Moment): DispatchState =
+    Lane.entries.fold(state) { current, lane ->
+        val here = current.upstreams.getValue(to.upstream.id)
+        val kept = if (lane == Lane.BATCH) here.headroom.wholeSlots(now, policy.headroom) else 0
+        val idle = here.queue(lane).waiting.isEmpty() && here.usableSlots(now) - here.occupied > kept
+        if (idle) current.moveOne(lane, here, policy) else current
+    }
+
+private fun DispatchState.moveOne(lane: Lane, to: UpstreamState, policy: DispatchPolicy): DispatchState {
+    val from = upstreams.values
+        .filter { it.upstream.id != to.upstream.id && it.queue(lane).waiting.any { w -> w.fits(to) } }
+        .maxByOrNull { it.queue(lane).waiting.size }
+        ?: return this
+    val queue = from.queue(lane)
+    val fitting = queue.copy(waiting = queue.waiting.filter { it.fits(to) }.toPersistentList())
+    val moved = policy.order(fitting)
+    val target = to.queue(lane)
+    return with(from.withQueue(lane, queue.copy(waiting = queue.waiting.remove(moved))))
+        .with(to.withQueue(lane, target.copy(waiting = target.waiting.add(moved))))
+        .copy(tickets = tickets.put(moved.ticket, to.upstream.id))
+}
+
+private fun Waiting.fits(upstream: UpstreamState): Boolean =
+    request.candidates.any { it.id == upstream.upstream.id }
+
+/** How long until the first of the candidates is tried again. */
+internal fun DispatchState.nextProbe(request: DispatchRequest, now: Moment): Duration = request.candidates
+    .mapNotNull { upstreams[it.id]?.health?.pausedUntil }
+    .minOfOrNull { it - now }
+    ?.coerceAtLeast(1.seconds)
+    ?: 1.seconds
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/Pump.kt
@@ -0,0 +1,72 @@
+package figdeck.command.dispatch
+
+import figdeck.command.Step
+import figdeck.model.Lane
+import figdeck.model.Moment
+import kotlinx.collections.immutable.toPersistentList
+
+/** What follows from a decision on one upstream. */
+internal typealias UpstreamStep = Step<UpstreamState, List<DispatchEffect>>
+
+/** Gives out the free slots of one upstream: online work first, pushing batch work out where none is free. */
+internal fun pump(state: UpstreamState, policy: DispatchPolicy, now: Moment): UpstreamStep {
+    var current = state
+    val effects = mutableListOf<DispatchEffect>()
+    var next = nextMove(current, policy, now)
+    while (next != null) {
+        current = next.state
+        effects += next.result
+        next = nextMove(current, policy, now)
+    }
+    return Step(current, effects)
+}
+
+private fun nextMove(state: UpstreamState, policy: DispatchPolicy, now: Moment): UpstreamStep? {
+    val free = state.usableSlots(now) - state.occupied
+    val headroom = state.headroom.wholeSlots(now, policy.headroom)
+    return when {
+        state.online.waiting.isNotEmpty() && free > 0 -> grant(state, Lane.ONLINE, policy, now)
+        state.online.waiting.isNotEmpty() -> revokeOne(state)
+        state.batch.waiting.isNotEmpty() && free > headroom -> grant(state, Lane.BATCH, policy, now)
+        else -> null
+    }
+}
+
+private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep {
+    val queue = state.queue(lane)
+    val next = policy.order(queue)
+    val request = next.request
+    val shares = queue.shares.charge(request.team, request.cost, request.weight)
+    val left = LaneQueue(queue.waiting.remove(next), shares)
+    val running = state.running.put(next.ticket, Running(next.ticket, request, now, revoked = false))
+    return Step(
+        state.withQueue(lane, left).copy(running = running),
+        listOf(DispatchEffect.Granted(next.ticket, state.upstream)),
+    )
+}
+
+/** The batch work that started last has the least to lose. */
+private fun revokeOne(state: UpstreamState): UpstreamStep? {
+    val victim = state.running.values
+        .filter { it.request.lane == Lane.BATCH && !it.revoked }
+        .maxByOrNull { it.since.monotonicNanos }
+        ?: return null
+    val running = state.running.put(victim.ticket, victim.copy(revoked = true))
+    return Step(state.copy(running = running), listOf(DispatchEffect.Revoked(victim.ticket)))
+}
+
+/** Holds the queue of [lane] to its bound: the team with the most waiting per weight loses its newest request. */
+internal fun pushOut(state: UpstreamState, lane: Lane, policy: DispatchPolicy): Step<UpstreamState, Waiting?> {
+    val queue = state.queue(lane)
+    val perSlot = if (lane == Lane.ONLINE) policy.onlineQueuePerSlot else policy.batchQueuePerSlot
+    if (queue.waiting.size <= perSlot * state.upstream.slots) {
+        return Step(state, null)
+    }
+    val longest = queue.waiting
+        .groupBy { it.request.team }
+        .maxBy { (_, waiting) -> waiting.sumOf { it.request.cost.toDouble() / it.request.weight } }
+        .value
+    val victim = longest.last()
+    val left = queue.copy(waiting = queue.waiting.filter { it != victim }.toPersistentList())
+    return Step(state.withQueue(lane, left), victim)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -0,0 +1,97 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Lane
+import figdeck.model.Moment
+import figdeck.model.TeamId
+import figdeck.model.Upstream
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val FIRST_HOLD = 500.milliseconds
+private const val HOLD_WEIGHT = 0.1
+
+/** Work that waits for a slot. */
+public data class Waiting(
+    public val ticket: Long,
+    public val request: DispatchRequest,
+)
+
+/** Work that holds a slot. A revoked holder counts no more: its slot is given on while it leaves. */
+public data class Running(
+    public val ticket: Long,
+    public val request: DispatchRequest,
+    public val since: Moment,
+    public val revoked: Boolean,
+)
+
+/** The queue of one lane before one upstream, and the shares of the teams in it. */
+public data class LaneQueue(
+    public val waiting: PersistentList<Waiting>,
+    public val shares: Shares,
+)
+
+/**
+ * What the owner of an upstream knows of it.
+ *
+ * @property hold how long a slot is held on average.
+ */
+public data class UpstreamState(
+    public val upstream: Upstream,
+    public val running: PersistentMap<Long, Running>,
+    public val online: LaneQueue,
+    public val batch: LaneQueue,
+    public val headroom: Headroom,
+    public val health: Health,
+    public val hold: Duration,
+)
+
+/** The state of an [upstream] that was not used yet. */
+public fun idleUpstream(upstream: Upstream, now: Moment): UpstreamState = UpstreamState(
+    upstream = upstream,
+    running = persistentMapOf(),
+    online = LaneQueue(persistentListOf(), noShares),
+    batch = LaneQueue(persistentListOf(), noShares),
+    headroom = Headroom(0.0, now),
+    health = healthy,
+    hold = FIRST_HOLD,
+)
+
+/** How many slots [lane] holds. */
+public fun UpstreamState.held(lane: Lane): Int = running.values.count { it.request.lane == lane && !it.revoked }
+
+/** How many slots are held. */
+public val UpstreamState.occupied: Int get() = running.values.count { !it.revoked }
+
+/** How many slots may be held now: all, one for a probe, or none. */
+public fun UpstreamState.usableSlots(now: Moment): Int = when {
+    !health.isProbing -> upstream.slots
+    health.admits(now) -> 1
+    else -> 0
+}
+
+/** The queue of [lane]. */
+public fun UpstreamState.queue(lane: Lane): LaneQueue = when (lane) {
+    Lane.ONLINE -> online
+    Lane.BATCH -> batch
+}
+
+/** This state with another queue of [lane]. */
+public fun UpstreamState.withQueue(lane: Lane, queue: LaneQueue): UpstreamState = when (lane) {
+    Lane.ONLINE -> copy(online = queue)
+    Lane.BATCH -> copy(batch = queue)
+}
+
+/** This state after a slot was held for [held]. */
+public fun UpstreamState.observeHold(held: Duration): UpstreamState =
+    copy(hold = hold * (1 - HOLD_WEIGHT) + held * HOLD_WEIGHT)
+
+/** How many waiting requests would be served before a new one of [team]: each other team takes turns with it. */
+public fun LaneQueue.ahead(team: TeamId?): Int {
+    val byTeam = waiting.groupingBy { it.request.team }.eachCount()
+    val own = byTeam[team] ?: 0
+    return byTeam.values.sumOf { minOf(it, own + 1) }
+}
--- a/src/main/kotlin/figdeck/control/Commands.kt
+++ b/src/main/kotlin/figdeck/control/Commands.kt
@@ -3,16 +3,12 @@
 import arrow.core.Either
 import arrow.core.left
 import figdeck.command.Step
-import figdeck.command.dispatch.release
-import figdeck.command.dispatch.reserve
 import figdeck.command.limit.fullBucket
 import figdeck.command.limit.take
 import figdeck.model.Configuration
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Team
-import figdeck.model.Upstream
-import figdeck.model.UpstreamId
 import figdeck.query.indexOf
 
 /** Notes that a question sent at [asked] found [read] in force; an older revision never replaces a newer one. */
@@ -32,18 +28,5 @@
     )
 }
 
-/** Reserves a slot at one of [candidates]. */
-internal fun reserveSlot(
-    state: ControlState,
-    candidates: List<Upstream>,
-): Step<ControlState, Either<Refusal, Upstream>> {
-    val step = reserve(state.dispatch, candidates)
-    return Step(state.copy(dispatch = step.state), step.result)
-}
-
-/** Gives the slot at [upstream] back. */
-internal fun releaseSlot(state: ControlState, upstream: UpstreamId): Step<ControlState, Unit> =
-    Step(state.copy(dispatch = release(state.dispatch, upstream)), Unit)
-
 /** Stops the taking of new work. */
 internal fun beginDrain(state: ControlState): Step<ControlState, Unit> = Step(state.copy(draining = true), Unit)
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -1,6 +1,7 @@
 package figdeck.control
 
 import figdeck.command.dispatch.DispatchState
+import figdeck.command.dispatch.emptyDispatch
 import figdeck.command.limit.TokenBucket
 import figdeck.model.Configuration
 import figdeck.model.HostId
@@ -35,6 +36,6 @@
     index = indexOf(emptyConfiguration),
     confirmedAt = null,
     buckets = persistentMapOf(),
-    dispatch = DispatchState(persistentMapOf()),
+    dispatch = emptyDispatch(),
     draining = false,
 )
--- a/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -11,7 +11,6 @@
 import figdeck.model.Refusal
 import figdeck.model.RequestRecord
 import figdeck.model.Upstream
-import figdeck.model.UpstreamId
 import figdeck.model.Work
 import figdeck.query.RouteAccess
 import figdeck.upstream.command.ServiceAnswer
@@ -41,28 +40,33 @@
     attempts: MutableList<Attempt>,
 ): Either<Refusal, ServiceAnswer> = either {
     val deadline = clock() + ONLINE_DEADLINE
-    val failed = mutableSetOf<UpstreamId>()
+    var past = FailedAttempts()
     var answer: ServiceAnswer? = null
-    var failure: Refusal = Refusal.NoUpstream("route '${call.route}'")
     while (answer == null) {
-        val candidates = candidates(access.route.upstreams, failed)
-        ensure(candidates.isNotEmpty()) { failure }
-        val permit = dispatcher.acquire(dispatchRequest(access, candidates, deadline)).bind()
-        val upstream = permit.upstream
+        val candidates = candidates(access.route.upstreams, past.failed)
+        val repeatable = past.lastLost == null || call.idempotent
+        val exhausted = past.failed.isNotEmpty() && clock() >= deadline
+        ensure(candidates.isNotEmpty() && repeatable && !exhausted) {
+            past.truthful(Refusal.NoUpstream("route '${call.route}'"))
+        }
+        val request = dispatchRequest(access, candidates, deadline, attempts.size)
+        val permit = dispatcher.acquire(request).mapLeft { past.truthful(it) }.bind()
+        val upstream = permit.upstream.id
         when (val result = attemptCall(record, permit, call, attempts)) {
             is CallResult.Done -> answer = result.value
-            is CallResult.NotDone -> failed += upstream.id
-            is CallResult.Unknown -> {
-                failure = Refusal.UpstreamLost(upstream.id)
-                ensure(call.idempotent) { failure }
-                failed += upstream.id
-            }
+            is CallResult.NotDone -> past = past.notRun(upstream)
+            is CallResult.Unknown -> past = past.lost(upstream)
         }
     }
     answer
 }
 
-private fun dispatchRequest(access: RouteAccess, candidates: List<Upstream>, deadline: Moment) = DispatchRequest(
+private fun dispatchRequest(
+    access: RouteAccess,
+    candidates: List<Upstream>,
+    deadline: Moment,
+    attempt: Int,
+) = DispatchRequest(
     candidates = candidates,
     team = access.team?.id,
     weight = access.team?.weight ?: 1,
@@ -70,6 +74,7 @@
     cost = 1,
     affinity = null,
     deadline = deadline,
+    attempt = attempt,
 )
 
 private suspend fun Services.attemptCall(
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -1,8 +1,11 @@
 package figdeck.daemon.command
 
 import arrow.core.Either
-import arrow.core.raise.Raise
+import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.right
+import figdeck.command.dispatch.prefixAffinity
 import figdeck.model.Attempt
 import figdeck.model.Lane
 import figdeck.model.ModelPool
@@ -21,6 +24,7 @@
 import figdeck.wire.command.encodeAnswer
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_ATTEMPTS = 4
@@ -83,29 +87,43 @@
     pool: ModelPool,
     chat: Work.Chat,
     sink: ChatSink,
-): Either<Refusal, ChatAnswer> = either {
-    val failed = mutableSetOf<UpstreamId>()
-    repeat(MAX_ATTEMPTS) {
-        val candidates = candidates(pool.upstreams, failed)
-        if (candidates.isEmpty()) {
-            raise(run.giveUp(pool))
+): Either<Refusal, ChatAnswer> {
+    var past = FailedAttempts()
+    var ended: Either<Refusal, ChatAnswer>? = null
+    while (ended == null) {
+        val permit = nextPermit(run, past) {
+            dispatchRequest(run, team, candidates(pool.upstreams, past.failed), chat)
+        }
+        when (permit) {
+            is Either.Left -> ended = past.truthful(permit.value).left()
+            is Either.Right -> {
+                val upstream = permit.value.upstream.id
+                val result = attempt(run, permit.value, chat, sink)
+                ended = run.ended(result)
+                past = if (result is EngineResult.Lost) past.lost(upstream) else past.notRun(upstream)
+            }
         }
-        val permit = dispatcher.acquire(dispatchRequest(run, team, candidates, chat)).bind()
-        val result = attempt(run, permit, chat, sink)
-        finished(run, result)?.let { return@either it }
-        failed += permit.upstream.id
     }
-    raise(run.giveUp(pool))
+    return ended
 }
 
-private fun Raise<Refusal>.finished(run: ChatRun, result: EngineResult): ChatAnswer? = when (result) {
-    is EngineResult.Finished -> ChatAnswer(run.record.id, run.generated.toString(), result.finishReason)
-    is EngineResult.Refused, is EngineResult.NotSent, is EngineResult.Lost -> null
+private suspend fun Services.nextPermit(
+    run: ChatRun,
+    past: FailedAttempts,
+    request: () -> DispatchRequest,
+): Either<Refusal, Permit> = either {
+    val wanted = request()
+    val exhausted = run.attempts.size >= MAX_ATTEMPTS || past.failed.isNotEmpty() && clock() >= run.deadline
+    ensure(wanted.candidates.isNotEmpty() && !exhausted) { Refusal.NoUpstream("the model") }
+    dispatcher.acquire(wanted).bind()
 }
 
-private fun ChatRun.giveUp(pool: ModelPool): Refusal {
-    val last = attempts.lastOrNull { it.result.startsWith("lost") }
-    return if (last == null) Refusal.NoUpstream("model '${pool.name}'") else Refusal.UpstreamLost(last.upstream)
+/** The answer or the refusal that ends the request, or null if another engine may still answer. */
+private fun ChatRun.ended(result: EngineResult): Either<Refusal, ChatAnswer>? = when (result) {
+    is EngineResult.Finished -> ChatAnswer(record.id, generated.toString(), result.finishReason).right()
+    is EngineResult.Refused -> Refusal.BadRequest("messages", "the engine refuses the item with ${result.status}")
+        .takeIf { result.isItemFault }?.left()
+    is EngineResult.NotSent, is EngineResult.Lost -> null
 }
 
 private fun Services.dispatchRequest(
@@ -119,8 +137,9 @@
     weight = team.weight,
     lane = Lane.ONLINE,
     cost = chat.maxTokens,
-    affinity = null,
+    affinity = prefixAffinity(chat),
     deadline = run.deadline,
+    attempt = run.attempts.size,
 )
 
 private suspend fun Services.attempt(
@@ -129,27 +148,31 @@
     chat: Work.Chat,
     sink: ChatSink,
 ): EngineResult {
-    val startedAt = clock().epochMillis
+    val startedAt = clock()
     val upstream = permit.upstream
     val generation = Generation(upstream, run.record.id, chat, run.generated.toString())
     var use = UseResult.ABANDONED
     var cost = 0
     val result = try {
-        upstreams.generate(generation) { delta ->
-            run.generated.append(delta)
-            cost++
-            sink.delta(delta)
-        }.also { use = it.use() }
+        val outcome = withTimeoutOrNull(run.deadline - startedAt) {
+            upstreams.generate(generation) { delta ->
+                run.generated.append(delta)
+                cost++
+                sink.delta(delta)
+            }
+        }
+        outcome?.also { use = it.use() } ?: EngineResult.Lost("the deadline has passed")
     } finally {
         withContext(NonCancellable) { dispatcher.release(permit, use, cost) }
     }
-    run.attempts += Attempt(upstream.id, run.record.host, startedAt, result.describe())
+    run.attempts += Attempt(upstream.id, run.record.host, startedAt.epochMillis, result.describe())
     return result
 }
 
 private fun EngineResult.use(): UseResult = when (this) {
     is EngineResult.Finished -> UseResult.ANSWERED
-    is EngineResult.Refused, is EngineResult.NotSent, is EngineResult.Lost -> UseResult.FAILED
+    is EngineResult.Refused -> if (isItemFault) UseResult.ANSWERED else UseResult.FAILED
+    is EngineResult.NotSent, is EngineResult.Lost -> UseResult.FAILED
 }
 
 private fun EngineResult.describe(): String = when (this) {
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -0,0 +1,98 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.dispatch.Arrival
+import figdeck.command.dispatch.DispatchEffect
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.DispatchState
+import figdeck.command.dispatch.DispatchStep
+import figdeck.command.dispatch.Release
+import figdeck.command.dispatch.admit
+import figdeck.command.dispatch.release
+import figdeck.command.dispatch.tick
+import figdeck.command.dispatch.withdraw
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.onSlots
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val TICK = 50.milliseconds
+
+/** Carries the decisions on slots to those who wait for them. */
+internal class SlotDispatcher(
+    private val control: Control<ControlState>,
+    private val policy: DispatchPolicy,
+    private val random: Random,
+) {
+    private val holders = ConcurrentHashMap<Long, Holder>()
+    private val lastTicket = AtomicLong()
+
+    val dispatcher: Dispatcher = Dispatcher(::acquire, ::release)
+
+    /** Gives out what time alone frees, until cancelled. */
+    suspend fun followTime(interval: Duration = TICK) {
+        while (true) {
+            delay(interval)
+            val waiting = control.snapshot.dispatch.upstreams.values
+                .any { it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty() }
+            if (waiting) {
+                decide { state, now -> tick(state, policy, now) }
+            }
+        }
+    }
+
+    private suspend fun acquire(request: DispatchRequest): Either<Refusal, Permit> {
+        val ticket = lastTicket.incrementAndGet()
+        val holder = Holder(CompletableDeferred(), CompletableDeferred())
+        holders[ticket] = holder
+        return try {
+            decide { state, now -> admit(state, Arrival(ticket, request, random.nextLong()), policy, now) }
+            holder.granted.await().onLeft { holders.remove(ticket) }
+        } catch (e: CancellationException) {
+            holders.remove(ticket)
+            decide { state, now -> withdraw(state, ticket, policy, now) }
+            throw e
+        }
+    }
+
+    private suspend fun release(permit: Permit, use: UseResult, cost: Int) {
+        holders.remove(permit.id)
+        decide { state, now -> release(state, Release(permit.id, use, cost, random.nextLong()), policy, now) }
+    }
+
+    /** Not cancellable: a decision that was made must reach those whom it concerns. */
+    private suspend fun decide(decision: (DispatchState, Moment) -> DispatchStep) {
+        withContext(NonCancellable) {
+            control.run { state, now -> onSlots(state) { decision(it, now) } }.forEach { carryOut(it) }
+        }
+    }
+
+    private fun carryOut(effect: DispatchEffect) {
+        val holder = holders[effect.ticket] ?: return
+        when (effect) {
+            is DispatchEffect.Granted ->
+                holder.granted.complete(Permit(effect.ticket, effect.upstream, holder.revoked).right())
+            is DispatchEffect.Revoked -> holder.revoked.complete(Unit)
+            is DispatchEffect.Refused -> holder.granted.complete(effect.refusal.left())
+        }
+    }
+}
+
+/** Who waits for a ticket, or holds a slot under it. */
+private class Holder(
+    val granted: CompletableDeferred<Either<Refusal, Permit>>,
+    val revoked: CompletableDeferred<Unit>,
+)
--- a/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
+++ b/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
@@ -18,7 +18,7 @@
 
 private const val OK = 200
 private const val REASON_LIMIT_BYTES = 4096
-private val HEAD_TIMEOUT = 10.seconds
+private val HEAD_TIMEOUT = 3.seconds
 private val IDLE_TIMEOUT = 5.seconds
 
 /** Runs [generation] over the chat-completion protocol as a stream, under figdeck's own [credential]. */
--- /dev/null
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -0,0 +1,220 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.Lane
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import figdeck.model.TeamId
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.UpstreamKind
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val start = Moment(0, 0)
+
+private fun upstream(name: String, slots: Int = 2, centre: String = "centre-a") = Upstream(
+    UpstreamId(name),
+    Address("127.0.0.1", 1),
+    DataCentre(centre),
+    UpstreamKind.ENGINE,
+    slots,
+    honoursFencing = false,
+)
+
+private fun request(
+    candidates: List<Upstream>,
+    team: String = "stado",
+    lane: Lane = Lane.ONLINE,
+    cost: Int = 10,
+    weight: Int = 1,
+) = DispatchRequest(candidates, TeamId(team), weight, lane, cost, null, start + 60.seconds)
+
+/** Runs decisions in turn and keeps what they brought about. */
+private class Desk(val policy: DispatchPolicy = DispatchPolicy()) {
+    var state = emptyDispatch(DataCentre("centre-a"))
+    var now = start
+    val effects = mutableListOf<DispatchEffect>()
+    private var last = 0L
+
+    fun ask(request: DispatchRequest): Long = (++last).also { ticket ->
+        step { admit(it, Arrival(ticket, request, ticket), policy, now) }
+    }
+
+    fun end(ticket: Long, use: UseResult = UseResult.ANSWERED, cost: Int = 10) =
+        step { release(it, Release(ticket, use, cost, ticket), policy, now) }
+
+    fun leave(ticket: Long) = step { withdraw(it, ticket, policy, now) }
+
+    fun grants() = effects.filterIsInstance<DispatchEffect.Granted>().map { it.ticket }
+
+    fun place(ticket: Long) =
+        effects.filterIsInstance<DispatchEffect.Granted>().last { it.ticket == ticket }.upstream.id.value
+
+    fun step(decide: (DispatchState) -> DispatchStep) {
+        val step = decide(state)
+        state = step.state
+        effects += step.result
+    }
+}
+
+class DispatchSpec : DescribeSpec({
+    val one = listOf(upstream("engine-1"))
+    val two = listOf(upstream("engine-1"), upstream("engine-2"))
+
+    describe("online work before batch work") {
+        it("pushes out the batch work that started last, and starts at once") {
+            val desk = Desk()
+            desk.ask(request(one, lane = Lane.BATCH))
+            desk.now = start + 1.milliseconds
+            desk.ask(request(one, lane = Lane.BATCH))
+            val online = desk.ask(request(one))
+            desk.effects.drop(2) shouldBe
+                listOf(DispatchEffect.Revoked(2), DispatchEffect.Granted(online, one.first()))
+        }
+
+        it("leaves no batch work a slot while online work waits") {
+            val desk = Desk()
+            val running = List(2) { desk.ask(request(one)) }
+            desk.ask(request(one, lane = Lane.BATCH))
+            val waiting = desk.ask(request(one))
+            desk.end(running[0])
+            desk.grants() shouldBe running + waiting
+        }
+
+        it("keeps more slots free the more arrivals batch work delays, and fewer as time goes by") {
+            val policy = HeadroomPolicy()
+            val raised = Headroom(0.0, start).after(true, 8, policy, start).after(true, 8, policy, start)
+            raised.slots shouldBe (0.95 plusOrMinus 1e-9)
+            raised.wholeSlots(start, policy) shouldBe 1
+            raised.wholeSlots(start + 5.seconds, policy) shouldBe 0
+        }
+    }
+
+    describe("shares of teams") {
+        it("serve weights in proportion, counted in tokens") {
+            val desk = Desk(DispatchPolicy(onlineQueuePerSlot = 100))
+            val first = List(2) { desk.ask(request(one, "first")) }
+            val heavy = List(30) { desk.ask(request(one, "heavy", weight = 2, cost = 10)) }
+            repeat(30) { desk.ask(request(one, "light", weight = 1, cost = 20)) }
+            first.forEach { desk.end(it) }
+            repeat(18) { desk.end(desk.grants()[2 + it], cost = if (desk.grants()[2 + it] in heavy) 10 else 20) }
+            desk.grants().drop(2).count { it in heavy } shouldBe 16
+        }
+
+        it("charge what work really cost") {
+            val corrected = noShares.charge(TeamId("a"), 10, 2).correct(TeamId("a"), 30, 2)
+            corrected.account(TeamId("a")) shouldBe 20.0
+        }
+
+        it("take a place in a full queue from the team with the most waiting") {
+            val desk = Desk(DispatchPolicy(onlineQueuePerSlot = 2))
+            val hot = List(6) { desk.ask(request(one, "hot")) }
+            val small = desk.ask(request(one, "small"))
+            val refused = desk.effects.filterIsInstance<DispatchEffect.Refused>().single()
+            refused.ticket shouldBe hot.last()
+            refused.refusal.shouldBeInstanceOf<Refusal.Overloaded>().retryAfter shouldBe 1250.milliseconds
+            desk.end(hot[0])
+            desk.grants().last() shouldBe small
+        }
+    }
+
+    describe("a hopeless request") {
+        it("is refused at once, with the time until it would have hope") {
+            val desk = Desk()
+            repeat(4) { desk.ask(request(one)) }
+            desk.ask(request(one).copy(deadline = start + 100.milliseconds))
+            val refusal = Refusal.Overloaded("upstream 'engine-1'", 650.milliseconds)
+            desk.effects.last() shouldBe DispatchEffect.Refused(5, refusal)
+        }
+    }
+
+    describe("the choice of an upstream") {
+        it("stays in the data centre until waiting there costs more than the way to another") {
+            val desk = Desk()
+            val both = listOf(upstream("near", 1), upstream("far", 1, "centre-b"))
+            desk.place(desk.ask(request(both))) shouldBe "near"
+            desk.place(desk.ask(request(both))) shouldBe "far"
+        }
+
+        it("sends a prefix to one place until that is loaded above its share") {
+            val views = List(8) { UpstreamView(upstream("engine-$it", 8), 1.0, Duration.ZERO) }
+            val turn = request(views.map { it.upstream }).copy(affinity = 42L)
+            val preferred = affineChoice(views, turn, 1)
+            (1L..20L).map { affineChoice(views, turn, it) }.toSet() shouldBe setOf(preferred)
+            val hot = views.map { if (it == preferred) it.copy(load = 6.0) else it }
+            preferred.upstream.id.value shouldNotBe "engine-5"
+            affineChoice(hot, turn, 1).upstream.id.value shouldBe "engine-5"
+        }
+
+        it("gives a freed slot to work that waits before another upstream") {
+            val desk = Desk()
+            val running = List(4) { desk.ask(request(two)) }
+            val waiting = desk.ask(request(two))
+            val queuedAt = desk.state.tickets.getValue(waiting).value
+            desk.end(running.first { desk.place(it) != queuedAt })
+            desk.grants().last() shouldBe waiting
+        }
+    }
+
+    describe("a failing upstream") {
+        it("is left after three failures in a row, its queue moved on, and tried again by one request alone") {
+            val desk = Desk(DispatchPolicy(choose = { views, _, _ -> views.first() }))
+            val bad = listOf(upstream("bad", 3))
+            val running = List(3) { desk.ask(request(bad)) }
+            val waiting = List(3) { desk.ask(request(bad + upstream("good", 1))) }
+            running.forEach { desk.end(it, UseResult.FAILED, 0) }
+            waiting.map { desk.place(it) } shouldBe listOf("bad", "bad", "good")
+            waiting.take(2).forEach { desk.end(it, UseResult.FAILED, 0) }
+            desk.now = start + 760.milliseconds
+            val probe = desk.ask(request(bad))
+            desk.grants().last() shouldBe probe
+            val second = desk.ask(request(bad))
+            desk.effects.last().shouldBeInstanceOf<DispatchEffect.Refused>().ticket shouldBe second
+            desk.end(probe)
+            val third = desk.ask(request(bad))
+            desk.grants().last() shouldBe third
+        }
+
+        it("is tried again after a pause that doubles") {
+            val left = healthy.copy(failures = 2).after(UseResult.FAILED, 0.0, start)
+            left.pausedUntil shouldBe start + 500.milliseconds
+            val again = left.after(UseResult.FAILED, 0.0, start + 500.milliseconds)
+            again.pausedUntil shouldBe start + 1500.milliseconds
+        }
+
+        it("can't be retried beyond a fifth of all requests") {
+            var budget: RetryBudget? = RetryBudget(0.0)
+            var retries = 0
+            repeat(100) {
+                budget = budget?.spend(0)
+                budget?.spend(1)?.let {
+                    budget = it
+                    retries++
+                }
+            }
+            retries shouldBeGreaterThan 18
+            (retries <= 20) shouldBe true
+        }
+    }
+
+    describe("a holder that leaves") {
+        it("frees its slot or its place in the queue") {
+            val desk = Desk()
+            val running = List(2) { desk.ask(request(one)) }
+            val waiting = List(2) { desk.ask(request(one)) }
+            desk.leave(waiting[0])
+            desk.leave(running[0])
+            desk.grants() shouldBe running + waiting[1]
+            desk.state.tickets.keys shouldBe setOf(running[1], waiting[1])
+        }
+    }
+})
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/FailedAttemptsSpec.kt
@@ -0,0 +1,30 @@
+package figdeck.daemon.command
+
+import figdeck.model.Refusal
+import figdeck.model.UpstreamId
+import figdeck.upstream.command.EngineResult
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+class FailedAttemptsSpec : DescribeSpec({
+    val overloaded = Refusal.Overloaded("every upstream", 1.seconds)
+
+    describe("a refusal after failed attempts") {
+        it("stands while nothing can have run") {
+            FailedAttempts().notRun(UpstreamId("a")).truthful(overloaded) shouldBe overloaded
+        }
+
+        it("says that the effect is unknown once an attempt was lost") {
+            val past = FailedAttempts().lost(UpstreamId("a")).notRun(UpstreamId("b"))
+            past.truthful(overloaded) shouldBe Refusal.UpstreamLost(UpstreamId("a"))
+        }
+    }
+
+    describe("a refusal by the engine") {
+        it("is the item's fault with a 4xx, unless the engine is busy or slow") {
+            val statuses = listOf(400, 422, 408, 429, 503)
+            statuses.filter { EngineResult.Refused(it, "").isItemFault } shouldBe listOf(400, 422)
+        }
+    }
+})
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
@@ -0,0 +1,78 @@
+package figdeck.daemon.command
+
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.control.Control
+import figdeck.control.initialState
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.HostId
+import figdeck.model.Lane
+import figdeck.model.TeamId
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.UpstreamKind
+import figdeck.model.systemClock
+import figdeck.process.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+class SlotDispatcherSpec : DescribeSpec({
+    val engine = Upstream(
+        UpstreamId("engine-1"),
+        Address("127.0.0.1", 1),
+        DataCentre("centre-a"),
+        UpstreamKind.ENGINE,
+        1,
+        honoursFencing = false,
+    )
+
+    fun request(lane: Lane) = DispatchRequest(
+        listOf(engine),
+        TeamId("stado"),
+        1,
+        lane,
+        10,
+        null,
+        systemClock() + 60.seconds,
+    )
+
+    describe("a permit") {
+        val control = Control(initialState(HostId("host-1")), systemClock)
+        val dispatcher = SlotDispatcher(control, DispatchPolicy(), Random(5)).dispatcher
+        afterSpec { control.close() }
+
+        suspend fun acquire(lane: Lane) = dispatcher.acquire(request(lane)).getOrNull()!!
+
+        it("is handed to the next in line when its holder releases it") {
+            coroutineScope {
+                val first = acquire(Lane.ONLINE)
+                val second = async { acquire(Lane.ONLINE) }
+                dispatcher.release(first, UseResult.ANSWERED, 10)
+                dispatcher.release(second.await(), UseResult.ANSWERED, 10)
+            }
+        }
+
+        it("is revoked when online work comes, which doesn't wait for the release") {
+            val batch = acquire(Lane.BATCH)
+            val online = acquire(Lane.ONLINE)
+            batch.revoked.isCompleted shouldBe true
+            listOf(batch, online).forEach { dispatcher.release(it, UseResult.ANSWERED, 10) }
+        }
+
+        it("leaks no slot when those who wait for it are cancelled") {
+            coroutineScope {
+                val held = acquire(Lane.ONLINE)
+                val waiting = List(8) { async { acquire(Lane.ONLINE) } }
+                eventually(5.seconds) { control.snapshot.dispatch.tickets.size == 9 }
+                waiting.forEach { it.cancelAndJoin() }
+                dispatcher.release(held, UseResult.ANSWERED, 10)
+                control.snapshot.dispatch.tickets.size shouldBe 0
+            }
+        }
+    }
+})
