--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -4,6 +4,7 @@
 import figdeck.command.dispatch.emptyDispatch
 import figdeck.control.Control
 import figdeck.control.ControlState
+import figdeck.control.beginDrain
 import figdeck.control.initialState
 import figdeck.control.takeToken
 import figdeck.daemon.command.Limits
@@ -15,6 +16,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
+import figdeck.log.PartLog
 import figdeck.model.ABSENT
 import figdeck.model.Clock
 import figdeck.model.Epoch
@@ -26,6 +28,10 @@
 import figdeck.platform.PlatformHttp
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
@@ -33,6 +39,7 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
+import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -40,6 +47,14 @@
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private val log = PartLog("daemon")
+private const val MILLIS_PER_SECOND = 1000.0
+private val DRAIN_GRACE = 2.seconds
+
+/** The longest time that a planned stop waits for calls in progress. */
+internal val DRAIN_LIMIT = 150.seconds
 
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
@@ -47,20 +62,33 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings), clock)
-    private val platform = httpPlatform(client, settings)
-    private val slots = SlotDispatcher(control, dispatchPolicy(), random)
+    private val telemetry = Telemetry(Meters(), tracer, clock)
+    private val control = Control(initialState(settings), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val platform = observed(httpPlatform(client, settings), telemetry)
+    private val slots = SlotDispatcher(control, DispatchPolicy(), random)
     private val services = services(random)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val callerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        observed("caller", callerApi(services, platform.queries), telemetry)
+    )
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
+        HttpServer(
+            group,
+            HttpServerLimits(),
+            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+        )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
+        showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
         scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
@@ -68,6 +96,14 @@
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
     }
 
+    /** Stops as planned: no call in progress is cut. */
+    suspend fun drain() {
+        log.info { "draining, ${callerServer.activeCalls} calls in progress" }
+        control.run { state, _ -> beginDrain(state) }
+        callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        log.info { "drained" }
+    }
+
     override fun close() {
         scope.cancel()
         callerServer.close()
@@ -84,15 +120,21 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = slots.dispatcher,
-        upstreams = httpUpstreams(client, settings),
+        dispatcher = observed(slots.dispatcher, telemetry),
+        upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 }
 
 private fun initialState(settings: Settings): ControlState =
     initialState(settings.host).copy(dispatch = emptyDispatch(settings.dataCentre))
 
-private fun dispatchPolicy(): DispatchPolicy = DispatchPolicy()
+private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
+    telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
+    telemetry.meters.gauge("figdeck.configuration.age.seconds") {
+        control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+}
 
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
