--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -3,6 +3,7 @@
 import figdeck.command.batch.RunningSegments
 import figdeck.command.batch.noSegments
 import figdeck.command.dispatch.DispatchState
+import figdeck.command.dispatch.emptyDispatch
 import figdeck.command.limit.TokenBucket
 import figdeck.model.Configuration
 import figdeck.model.HostId
@@ -38,7 +39,7 @@
     index = indexOf(emptyConfiguration),
     confirmedAt = null,
     buckets = persistentMapOf(),
-    dispatch = DispatchState(persistentMapOf()),
+    dispatch = emptyDispatch(),
     draining = false,
     batch = noSegments,
 )
