A listener that lets a sender read its refusal and leaves a peer that reads nothing

Cause: a 413 before the end of a body reset the connection, and a caller that read nothing held its call for ever.

--- a/src/main/kotlin/figdeck/http/server/HttpServerLimits.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpServerLimits.kt
@@ -15,6 +15,7 @@
  * @property headerTimeout the time from connecting, or from the previous response, until a request head is whole.
  * @property bodyIdleTimeout the longest pause within a request body.
  * @property bodyTotalTimeout the time within which a request body must be whole.
+ * @property writeTimeout the longest time for which a peer may read nothing of a response.
  */
 public data class HttpServerLimits(
     public val headerBytes: Int = DEFAULT_HEADER_BYTES,
@@ -22,4 +23,5 @@
     public val headerTimeout: Duration = 60.seconds,
     public val bodyIdleTimeout: Duration = 10.seconds,
     public val bodyTotalTimeout: Duration = 10.minutes,
+    public val writeTimeout: Duration = 30.seconds,
 )
--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -90,7 +90,7 @@
         deadline.start(limits.bodyTotalTimeout)
         val queue = ChunkQueue(limits.bodyIdleTimeout) { ctx.channel().read() }
         chunks = queue
-        val exchange = ServerExchange(ctx, request, queue) { load.draining.get() }
+        val exchange = ServerExchange(ctx, request, queue, limits.writeTimeout) { load.draining.get() }
         val call = httpCall(request.method().name(), request.uri(), request.headers(), queue.body)
         current = scope.launch {
             load.active.incrementAndGet()
@@ -120,10 +120,12 @@
     }
 
     private fun finish(ctx: ChannelHandlerContext, reuse: Boolean) {
+        val bodyLeft = chunks?.isComplete == false
         current = null
         chunks = null
         if (!reuse || !ctx.channel().isActive) {
-            ctx.close()
+            deadline.cancel()
+            closeAfterBody(ctx, bodyLeft)
             return
         }
         deadline.start(limits.headerTimeout)
@@ -143,6 +145,14 @@
     }
 }
 
+private fun closeAfterBody(ctx: ChannelHandlerContext, bodyLeft: Boolean) {
+    if (bodyLeft && ctx.channel().isActive) {
+        ctx.pipeline().replace(ctx.handler(), null, DiscardingClose())
+    } else {
+        ctx.close()
+    }
+}
+
 private fun expire(ctx: ChannelHandlerContext, chunks: ChunkQueue?) {
     when {
         chunks == null -> ctx.close()
@@ -169,4 +179,4 @@
 }
 
 /** The peer went away before its response was whole. */
-internal class PeerGone : IOException("the peer hung up")
+internal class PeerGone(reason: String) : IOException(reason)
--- a/src/main/kotlin/figdeck/http/server/ServerExchange.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerExchange.kt
@@ -17,7 +17,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
+import kotlin.time.Duration
 
 private const val INTERNAL_ERROR = 500
 private val log = PartLog("http")
@@ -27,6 +29,7 @@
     private val ctx: ChannelHandlerContext,
     request: HttpRequest,
     private val chunks: ChunkQueue,
+    private val writeTimeout: Duration,
     private val isDraining: () -> Boolean,
 ) {
     private val requestKeepsAlive = HttpUtil.isKeepAlive(request)
@@ -98,13 +101,19 @@
         }
     }
 
+    private fun stalled(): PeerGone {
+        closes = true
+        ctx.close()
+        return PeerGone("the peer read nothing for $writeTimeout")
+    }
+
     private suspend fun write(message: Any) {
         if (!ctx.channel().isActive) {
-            throw PeerGone()
+            throw PeerGone("the peer hung up")
         }
         val written = ctx.writeAndFlush(message)
         if (!ctx.channel().isWritable || message is DefaultFullHttpResponse) {
-            written.awaitChannel()
+            withTimeoutOrNull(writeTimeout) { written.awaitChannel() } ?: throw stalled()
         }
     }
 }
--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -13,9 +13,12 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val IP = "127.0.0.1"
@@ -113,6 +116,56 @@
             }
         }
 
+        it("lets a peer that is still sending read why its body is refused") {
+            val refusing: HttpHandler = { call, responder ->
+                call.body.readAll(10)
+                responder.full(413, newHeaders(), "too large".encodeToByteArray())
+            }
+            serving(refusing) { address ->
+                val body = "x".repeat(3_000_000)
+                exchangeRaw(address, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n\r\n$body")
+                    .lines().last() shouldBe "too large"
+            }
+        }
+
+        it("breaks off a response that its peer does not read, with bounded memory held for it") {
+            val written = AtomicInteger()
+            val flooding: HttpHandler = { _, responder ->
+                responder.start(200, newHeaders())
+                while (true) {
+                    responder.write(ByteArray(100_000))
+                    written.incrementAndGet()
+                }
+            }
+            serving(flooding, HttpServerLimits(writeTimeout = 300.milliseconds)) { address ->
+                Socket(address.ip, address.port).use { socket ->
+                    socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".encodeToByteArray())
+                    delay(1_000)
+                    val held = written.get()
+                    delay(300)
+                    written.get() shouldBe held
+                }
+            }
+        }
+
+        it("cancels the handler of a peer that hangs up") {
+            val ended = CompletableDeferred<Unit>()
+            val waiting: HttpHandler = { _, _ ->
+                try {
+                    delay(60_000)
+                } finally {
+                    ended.complete(Unit)
+                }
+            }
+            serving(waiting) { address ->
+                Socket(address.ip, address.port).use { socket ->
+                    socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".encodeToByteArray())
+                    delay(100)
+                }
+                withTimeout(2_000) { ended.await() }
+            }
+        }
+
         it("closes a connection whose request head does not come") {
             serving(echo, HttpServerLimits(headerTimeout = 100.milliseconds)) { address ->
                 exchangeRaw(address, "GET / HT") shouldBe ""
