--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -8,12 +8,18 @@
 import figdeck.control.reserveSlot
 import figdeck.control.takeToken
 import figdeck.daemon.command.Dispatcher
+import figdeck.daemon.command.GroupCommit
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.directJournal
+import figdeck.daemon.command.awaitWork
+import figdeck.daemon.command.groupJournal
+import figdeck.daemon.command.holdJournal
+import figdeck.daemon.command.paceJournal
+import figdeck.daemon.command.takeOverJournals
 import figdeck.daemon.query.followConfiguration
+import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
@@ -41,6 +47,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -52,6 +59,8 @@
 /** The longest time that a planned stop waits for calls in progress. */
 internal val DRAIN_LIMIT = 150.seconds
 
+private const val ID_RADIX = 36
+
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
     private val settings: Settings,
@@ -62,9 +71,11 @@
     private val client = HttpClient(group)
     private val control = Control(initialState(settings.host), clock)
     private val platform = httpPlatform(client, settings)
-    private val services = services(random)
+    private val groups = GroupCommit(control, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val services = services(random)
+    private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
+    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services))
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
         HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
@@ -72,6 +83,9 @@
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         scope.launch { followConfiguration(platform, control, clock) }
+        scope.launch { services.holdJournal(platform, groups, newIncarnation) }
+        scope.launch { services.takeOverJournals(platform, { emptyList() }, newIncarnation) }
+        scope.launch { paceJournal(platform, control) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -82,6 +96,7 @@
         log.info { "draining, ${callerServer.activeCalls} calls in progress" }
         control.run { state, _ -> beginDrain(state) }
         callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        services.awaitWork(DRAIN_LIMIT)
         log.info { "drained" }
     }
 
@@ -97,9 +112,11 @@
     private fun services(random: Random): Services = Services(
         control = control,
         clock = clock,
-        newRequestId = requestIds(settings, random),
+        newRequestId = requestIds(settings, clock, random),
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
-        journal = directJournal(platform),
+        journal = groupJournal(control, platform, groups),
+        records = tableRecords(platform.queries),
+        work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = soleOwnership(),
         dispatcher = localDispatcher(control),
         upstreams = httpUpstreams(client, settings),
@@ -136,9 +153,12 @@
     ownerOf = { null },
 )
 
-/** Request ids that are unique across hosts and across restarts of one host. */
-private fun requestIds(settings: Settings, random: Random): () -> RequestId {
-    val start = random.nextLong().toULong().toString(radix = 36)
+/** Request ids that are unique across hosts and across restarts of one host, and rise with time. */
+private fun requestIds(settings: Settings, clock: Clock, random: Random): () -> RequestId {
+    val start = random.nextInt().toUInt().toString(ID_RADIX)
     val count = AtomicLong()
-    return { RequestId("${settings.host}.$start.${count.incrementAndGet()}") }
+    return {
+        val time = clock().epochMillis.toString(ID_RADIX)
+        RequestId("$time.${settings.host}.$start.${count.incrementAndGet()}")
+    }
 }
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/journal/NextOrder.kt
@@ -0,0 +1,67 @@
+package figdeck.command.journal
+
+import figdeck.command.Step
+import figdeck.model.Moment
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration
+
+private const val MAX_GROUP_ROWS = 96
+private const val MAX_GROUP_SIZE = 1024 * 1024
+
+/** Decides what the writer does [now]; a group once formed is sent again unchanged until it is settled. */
+public fun nextOrder(state: JournalState, now: Moment): Step<JournalState, JournalOrder> {
+    val pause = state.notBefore?.let { it - now } ?: Duration.ZERO
+    val writer = state.writer
+    val group = state.inFlight
+    return when {
+        pause > Duration.ZERO && (writer == null || group != null || state.pending.isNotEmpty()) ->
+            Step(state, JournalOrder.Pause(pause))
+        writer == null -> Step(state, JournalOrder.Claim)
+        group != null && group.superseded -> Step(state, JournalOrder.ReadMarker(writer.marker.key))
+        group != null -> Step(state, JournalOrder.Commit(group.transaction))
+        state.pending.isEmpty() -> Step(state, JournalOrder.Rest)
+        else -> formGroup(state, writer, now)
+    }
+}
+
+private fun formGroup(state: JournalState, writer: JournalWriter, now: Moment): Step<JournalState, JournalOrder> {
+    val entries = choose(state.pending)
+    val left = state.pending - entries.toSet()
+    val tag = "${writer.fence.epoch}.${writer.groups + 1}"
+    val group = Group(tag, entries, transactionOf(writer, tag, entries), now, inDoubt = false, superseded = false)
+    val next = state.copy(
+        writer = writer.copy(groups = writer.groups + 1),
+        pending = left.toPersistentList(),
+        pendingSize = state.pendingSize - entries.sumOf { it.size },
+        inFlight = group,
+    )
+    return Step(next, JournalOrder.Commit(group.transaction))
+}
+
+/** The first entries that fit; of entries that write the same row, one goes and the later ones wait. */
+private fun choose(pending: List<JournalEntry>): List<JournalEntry> {
+    val chosen = mutableListOf<JournalEntry>()
+    val written = mutableSetOf<String>()
+    var rows = 0
+    var size = 0
+    for (entry in pending) {
+        val fits = rows + entry.rowCount <= MAX_GROUP_ROWS && size + entry.size <= MAX_GROUP_SIZE
+        if (chosen.isNotEmpty() && !fits) {
+            break
+        }
+        if (entry.writes.none { it.key in written }) {
+            chosen += entry
+            rows += entry.rowCount
+            size += entry.size
+        }
+        written += entry.writes.map { it.key }
+    }
+    return chosen
+}
+
+private fun transactionOf(writer: JournalWriter, tag: String, entries: List<JournalEntry>) = TableTransaction(
+    checks = listOf(writer.fence.check, writer.marker) + entries.flatMap { it.checks }.distinct(),
+    writes = listOf(RowWrite(writer.marker.key, tag)) + entries.flatMap { it.writes },
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/journal/SettleGroup.kt
@@ -0,0 +1,107 @@
+package figdeck.command.journal
+
+import figdeck.command.Step
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Moment
+import figdeck.model.Row
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private const val MAX_DOUBLINGS = 6
+private val LONGEST_BACK_OFF = 1.seconds
+
+/** A step of the journal that settles entries. */
+public typealias SettleStep = Step<JournalState, List<SettledEntry>>
+
+/** Settles the group in flight by the [reply] to its commit, as far as that tells. */
+public fun settleCommit(state: JournalState, reply: CallResult<CommitReply>, now: Moment): SettleStep {
+    val group = state.inFlight ?: return Step(state, emptyList())
+    return when (reply) {
+        is CallResult.Done -> when (val decided = reply.value) {
+            is CommitReply.Committed -> kept(state, group, decided.version)
+            is CommitReply.Conflict -> conflicted(state, group, decided.keys.toSet())
+        }
+        is CallResult.NotDone -> Step(
+            if (group.inDoubt) state.backedOff(now) else returned(state, group, now),
+            emptyList()
+        )
+        is CallResult.Unknown -> Step(state.backedOff(now).copy(inFlight = group.copy(inDoubt = true)), emptyList())
+    }
+}
+
+/** Settles the group in flight by the marker row that was read [reply]. */
+public fun settleMarker(state: JournalState, reply: CallResult<Row?>, now: Moment): SettleStep {
+    val group = state.inFlight ?: return Step(state, emptyList())
+    return when (reply) {
+        is CallResult.Done -> {
+            val row = reply.value
+            if (row?.value == group.tag) kept(state, group, row.version) else fenced(state, group)
+        }
+        is CallResult.NotDone, is CallResult.Unknown -> Step(state.backedOff(now), emptyList())
+    }
+}
+
+/** The state after a call to the table failed at [now]. */
+public fun JournalState.backedOff(now: Moment): JournalState {
+    val failed = failures + 1
+    return copy(failures = failed, notBefore = now + backOff(interval, failed))
+}
+
+private fun backOff(interval: Duration, failures: Int): Duration =
+    (interval * (1 shl minOf(failures, MAX_DOUBLINGS))).coerceAtMost(LONGEST_BACK_OFF)
+
+private fun kept(state: JournalState, group: Group, version: Long): SettleStep {
+    val writer = state.writer?.let { it.copy(marker = it.marker.copy(version = version)) }
+    val next = state.copy(
+        writer = writer,
+        inFlight = null,
+        notBefore = group.startedAt + state.interval,
+        failures = 0,
+    )
+    return Step(next, group.entries.map { SettledEntry(it.number, EntryFate.Kept) })
+}
+
+private fun conflicted(state: JournalState, group: Group, keys: Set<String>): SettleStep {
+    val writer = state.writer
+    return when {
+        writer == null || writer.fence.check.key in keys -> fenced(state, group)
+        writer.marker.key in keys -> Step(state.copy(inFlight = group.copy(superseded = true)), emptyList())
+        else -> without(state, group, keys)
+    }
+}
+
+/** Entries that expected something else fail alone; the others go into the next group. */
+private fun without(state: JournalState, group: Group, keys: Set<String>): SettleStep {
+    val (failed, others) = group.entries.partition { entry -> entry.checks.any { it.key in keys } }
+    val fates = failed.map { entry ->
+        SettledEntry(entry.number, EntryFate.Conflicted(entry.checks.map { it.key }.filter { it in keys }))
+    }
+    return Step(state.requeue(others).copy(notBefore = null, failures = 0), fates)
+}
+
+private fun returned(state: JournalState, group: Group, now: Moment): JournalState =
+    state.backedOff(now).requeue(group.entries)
+
+private fun JournalState.requeue(entries: List<JournalEntry>) = copy(
+    inFlight = null,
+    pending = (entries + pending).toPersistentList(),
+    pendingSize = pendingSize + entries.sumOf { it.size },
+)
+
+private fun fenced(state: JournalState, group: Group): SettleStep {
+    val doubtful = group.inDoubt || group.superseded
+    val fate = if (doubtful) EntryFate.FencedInDoubt else EntryFate.Fenced
+    val fates = group.entries.map { SettledEntry(it.number, fate) } +
+        state.pending.map { SettledEntry(it.number, EntryFate.Fenced) }
+    val next = state.copy(
+        writer = null,
+        inFlight = null,
+        pending = persistentListOf(),
+        pendingSize = 0,
+        notBefore = null,
+    )
+    return Step(next, fates)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/journal/SubmitEntry.kt
@@ -0,0 +1,41 @@
+package figdeck.command.journal
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.Step
+import figdeck.model.Refusal
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration.Companion.seconds
+
+private const val MAX_PENDING_ENTRIES = 4096
+private const val MAX_PENDING_SIZE = 16L * 1024 * 1024
+private val RETRY_AFTER = 1.seconds
+
+/** Queues an acceptance, unless the journal is full or can't be written now. */
+public fun submitAcceptance(state: JournalState, entry: JournalEntry): Step<JournalState, Either<Refusal, Unit>> {
+    val full = state.pending.size >= MAX_PENDING_ENTRIES || state.pendingSize + entry.size > MAX_PENDING_SIZE
+    return if (full || state.writer?.fence?.epoch != entry.epoch) {
+        Step(state, Refusal.StoreUnavailable(RETRY_AFTER).left())
+    } else {
+        Step(state.with(entry), Unit.right())
+    }
+}
+
+/**
+ * Queues what follows an acceptance; false if the journal was lost since.
+ *
+ * It has no bound of its own: as many requests can be open as were accepted before the table failed.
+ */
+public fun submitProgress(state: JournalState, entry: JournalEntry): Step<JournalState, Boolean> =
+    if (state.writer?.fence?.epoch == entry.epoch) Step(state.with(entry), true) else Step(state, false)
+
+/** Takes the entry [number] back; false if it was sent already and may stand. */
+public fun withdraw(state: JournalState, number: Long): Step<JournalState, Boolean> {
+    val entry = state.pending.find { it.number == number } ?: return Step(state, false)
+    val left = state.pending.filterNot { it.number == number }.toPersistentList()
+    return Step(state.copy(pending = left, pendingSize = state.pendingSize - entry.size), true)
+}
+
+private fun JournalState.with(entry: JournalEntry) =
+    copy(pending = pending.add(entry), pendingSize = pendingSize + entry.size)
--- a/src/main/kotlin/figdeck/control/Commands.kt
+++ b/src/main/kotlin/figdeck/control/Commands.kt
@@ -5,6 +5,7 @@
 import figdeck.command.Step
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.reserve
+import figdeck.command.journal.JournalState
 import figdeck.command.limit.fullBucket
 import figdeck.command.limit.take
 import figdeck.model.Configuration
@@ -47,3 +48,12 @@
 
 /** Stops the taking of new work. */
 internal fun beginDrain(state: ControlState): Step<ControlState, Unit> = Step(state.copy(draining = true), Unit)
+
+/** Changes the journal's part of the state. */
+internal fun <R> changeJournal(
+    state: ControlState,
+    change: (JournalState) -> Step<JournalState, R>,
+): Step<ControlState, R> {
+    val step = change(state.journal)
+    return Step(state.copy(journal = step.state), step.result)
+}
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -1,6 +1,9 @@
 package figdeck.control
 
 import figdeck.command.dispatch.DispatchState
+import figdeck.command.journal.JournalState
+import figdeck.command.journal.groupInterval
+import figdeck.command.journal.initialJournal
 import figdeck.command.limit.TokenBucket
 import figdeck.model.Configuration
 import figdeck.model.HostId
@@ -26,6 +29,7 @@
     public val buckets: PersistentMap<TeamId, TokenBucket>,
     public val dispatch: DispatchState,
     public val draining: Boolean,
+    public val journal: JournalState,
 )
 
 /** The state of the daemon on [host] before it knows anything. */
@@ -37,4 +41,5 @@
     buckets = persistentMapOf(),
     dispatch = DispatchState(persistentMapOf()),
     draining = false,
+    journal = initialJournal(groupInterval(1)),
 )
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/AcceptedWork.kt
@@ -0,0 +1,92 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.model.Attempt
+import figdeck.model.Epoch
+import figdeck.model.Outcome
+import figdeck.model.Refusal
+import figdeck.model.RequestId
+import figdeck.model.RequestRecord
+import figdeck.model.ResendKey
+import figdeck.model.Team
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.Work
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val IDLE_PAUSE = 20.milliseconds
+
+/** The epoch of a daemon that holds no journal; nothing is accepted under it. */
+private val NO_EPOCH = Epoch(0)
+
+/** What came of running a request again. */
+internal data class RunAgain(
+    val attempts: List<Attempt>,
+    val result: Either<Refusal, Outcome>,
+)
+
+/** Accepts [record] and tells [sink]; gives its id, or the id of the request of which it is a resend. */
+internal suspend fun Services.accept(record: RequestRecord, sink: WorkSink): Either<Refusal, RequestId> {
+    val accepted = when (val acceptance = journal.accept(record)) {
+        Acceptance.Accepted -> record.id.right()
+        is Acceptance.Resent -> acceptance.first.right()
+        is Acceptance.Refused -> acceptance.refusal.left()
+    }
+    sink.accepted(accepted)
+    return accepted
+}
+
+/** Records how [record] ended; the result stands for the caller unless another host decides it now. */
+internal suspend fun <T> Services.finish(
+    record: RequestRecord,
+    attempts: List<Attempt>,
+    result: Either<Refusal, T>,
+    outcomeOf: (T) -> Outcome,
+): Either<Refusal, T> {
+    val outcome = result.fold({ Outcome.Failed(it) }, outcomeOf)
+    val ended = record.copy(attempts = attempts, endedAtMillis = clock().epochMillis, outcome = outcome)
+    return when (journal.finish(ended)) {
+        Ending.KEPT, Ending.QUEUED -> result
+        Ending.TAKEN_OVER -> Refusal.TakenOver(record.id).left()
+    }
+}
+
+/** The upstreams named by [ids] that are configured and not in [failed]. */
+internal fun Services.candidates(ids: List<UpstreamId>, failed: Set<UpstreamId>): List<Upstream> {
+    val index = control.snapshot.index
+    return ids.filterNot { it in failed }.mapNotNull { index.upstreams[it] }
+}
+
+/** The record of [work] as it is accepted now. */
+internal fun Services.newRecord(id: RequestId, team: Team?, work: Work, resend: ResendKey?): RequestRecord {
+    val state = control.snapshot
+    return RequestRecord(
+        id = id,
+        team = team?.id,
+        work = work,
+        host = state.host,
+        epoch = state.journal.writer?.fence?.epoch ?: NO_EPOCH,
+        revision = state.configuration.revision,
+        acceptedAtMillis = clock().epochMillis,
+        resend = resend,
+        attempts = emptyList(),
+        endedAtMillis = null,
+        outcome = null,
+    )
+}
+
+/** Waits until all accepted work has ended and its outcomes are durable, but not longer than [limit]. */
+internal suspend fun Services.awaitWork(limit: Duration) {
+    withTimeoutOrNull(limit) {
+        work.coroutineContext.job.children.forEach { it.join() }
+        while (control.snapshot.journal.let { it.inFlight != null || it.pending.isNotEmpty() }) {
+            delay(IDLE_PAUSE)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/ClaimFailure.kt
@@ -0,0 +1,4 @@
+package figdeck.daemon.command
+
+/** The journal of a host could not be claimed now. */
+internal data class ClaimFailure(val reason: String)
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/ClaimJournal.kt
@@ -0,0 +1,67 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.command.journal.journalKey
+import figdeck.command.journal.markerKey
+import figdeck.model.ABSENT
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.HostId
+import figdeck.model.JournalOwner
+import figdeck.model.Row
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.platform.Platform
+import figdeck.wire.encodeJournalOwner
+
+/** What each first group of an owner finds in the marker row. */
+private const val FIRST_MARKER = "claimed"
+
+/** Makes [owner] the owner of the journal of [host], whoever owned it; gives the table version of the claim. */
+internal suspend fun claimJournal(
+    platform: Platform,
+    host: HostId,
+    owner: JournalOwner,
+): Either<ClaimFailure, Long> = either {
+    val read = platform.queries.readRow(journalKey(host))
+    ensure(read is CallResult.Done) { ClaimFailure("the journal's row can't be read") }
+    replaceOwner(platform, host, read.value.value, owner).bind()
+}
+
+/** Makes [owner] the owner of the journal of [host] if its row still is [current]; of two that race, one wins. */
+internal suspend fun replaceOwner(
+    platform: Platform,
+    host: HostId,
+    current: Row?,
+    owner: JournalOwner,
+): Either<ClaimFailure, Long> = either {
+    val key = journalKey(host)
+    val claim = TableTransaction(
+        checks = listOf(RowCheck(key, current?.version ?: ABSENT)),
+        writes = listOf(RowWrite(key, encodeJournalOwner(owner)), RowWrite(markerKey(host), FIRST_MARKER)),
+    )
+    when (val reply = platform.commands.commit(claim)) {
+        is CallResult.Done -> when (val decided = reply.value) {
+            is CommitReply.Committed -> decided.version
+            is CommitReply.Conflict -> readBack(platform, key, owner).bind()
+        }
+        is CallResult.NotDone -> raise(ClaimFailure(reply.reason))
+        is CallResult.Unknown -> readBack(platform, key, owner).bind()
+    }
+}
+
+/** The version of the claim if it stands after all. */
+private suspend fun readBack(
+    platform: Platform,
+    key: String,
+    owner: JournalOwner
+): Either<ClaimFailure, Long> = either {
+    val read = platform.queries.readRow(key)
+    ensure(read is CallResult.Done) { ClaimFailure("the claim can't be read back") }
+    val row = read.value.value
+    ensure(row != null && row.value == encodeJournalOwner(owner)) { ClaimFailure("another owner came first") }
+    row.version
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/GroupCommit.kt
@@ -0,0 +1,94 @@
+package figdeck.daemon.command
+
+import figdeck.command.Step
+import figdeck.command.journal.EntryFate
+import figdeck.command.journal.JournalEntry
+import figdeck.command.journal.JournalOrder
+import figdeck.command.journal.JournalState
+import figdeck.command.journal.SettleStep
+import figdeck.command.journal.nextOrder
+import figdeck.command.journal.settleCommit
+import figdeck.command.journal.settleMarker
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.changeJournal
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Moment
+import figdeck.model.TableTransaction
+import figdeck.model.map
+import figdeck.platform.Platform
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Writes the entries of a daemon's journal in groups, one transaction after another. */
+internal class GroupCommit(
+    private val control: Control<ControlState>,
+    private val platform: Platform,
+) {
+    private val fates = ConcurrentHashMap<Long, CompletableDeferred<EntryFate>>()
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private val numbers = AtomicLong()
+
+    /** A number that no other entry has. */
+    fun nextNumber(): Long = numbers.incrementAndGet()
+
+    /** Queues [entry] by [submit]; its fate comes once it is settled. Null if [submit] did not queue it. */
+    suspend fun <R> submit(
+        entry: JournalEntry,
+        isQueued: (R) -> Boolean,
+        submit: (JournalState, JournalEntry) -> Step<JournalState, R>,
+    ): Submission<R> {
+        val fate = CompletableDeferred<EntryFate>()
+        fates[entry.number] = fate
+        val result = control.run { state, _ -> changeJournal(state) { submit(it, entry) } }
+        if (isQueued(result)) {
+            wakeUp.trySend(Unit)
+        } else {
+            fates.remove(entry.number)
+        }
+        return Submission(result, fate)
+    }
+
+    /** Writes groups until cancelled; [claim] makes the journal this daemon's whenever it is not. */
+    suspend fun run(claim: suspend () -> Unit) {
+        while (true) {
+            when (val order = control.run { state, now -> changeJournal(state) { nextOrder(it, now) } }) {
+                JournalOrder.Claim -> claim()
+                JournalOrder.Rest -> wakeUp.receive()
+                is JournalOrder.Pause -> delay(order.duration)
+                is JournalOrder.Commit -> commit(order.transaction)
+                is JournalOrder.ReadMarker -> readMarker(order.key)
+            }
+        }
+    }
+
+    private suspend fun commit(transaction: TableTransaction) {
+        val reply: CallResult<CommitReply> = try {
+            platform.commands.commit(transaction)
+        } catch (e: IllegalArgumentException) {
+            CallResult.Unknown("the reply can't be read: ${e.message}")
+        }
+        settle { state, now -> settleCommit(state, reply, now) }
+    }
+
+    private suspend fun readMarker(key: String) {
+        val reply = platform.queries.readRow(key).map { it.value }
+        settle { state, now -> settleMarker(state, reply, now) }
+    }
+
+    private suspend fun settle(decide: (JournalState, Moment) -> SettleStep) {
+        val settled = control.run { state, now -> changeJournal(state) { decide(it, now) } }
+        settled.forEach { fates.remove(it.number)?.complete(it.fate) }
+    }
+}
+
+/** The [result] of queueing an entry and its [fate] to come. */
+internal data class Submission<R>(
+    val result: R,
+    val fate: Deferred<EntryFate>,
+)
--- a/src/main/kotlin/figdeck/daemon/command/Journal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/Journal.kt
@@ -1,46 +1,47 @@
 package figdeck.daemon.command
 
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import figdeck.model.ABSENT
-import figdeck.model.CallResult
+import figdeck.model.Intent
 import figdeck.model.Refusal
 import figdeck.model.RequestId
 import figdeck.model.RequestRecord
 import figdeck.model.RowCheck
-import figdeck.model.RowWrite
-import figdeck.model.TableTransaction
-import figdeck.platform.Platform
-import figdeck.wire.encodeRecord
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Keeps what was accepted and how it ended.
  *
- * @property accept returns once the acceptance is durable; a refusal means that it is not and never will be.
- * @property finish returns once the outcome is durable.
+ * @property accept returns once the acceptance is settled.
+ * @property intend returns once the intent to send a call that must not be repeated is durable.
+ * @property finish returns once the outcome is durable, or after a bounded wait for that.
+ * @property finishRecovered records how a request of a journal that was taken over ended; [RowCheck] fences it.
  */
 public data class Journal(
-    public val accept: suspend (RequestRecord) -> Either<Refusal, Unit>,
-    public val finish: suspend (RequestRecord) -> Unit,
+    public val accept: suspend (RequestRecord) -> Acceptance,
+    public val intend: suspend (RequestRecord, Intent) -> Either<Refusal, Unit>,
+    public val finish: suspend (RequestRecord) -> Ending,
+    public val finishRecovered: suspend (RequestRecord, RowCheck) -> Ending,
 )
 
-internal fun requestKey(id: RequestId): String = "request/$id"
-
-/** A journal that writes each record by itself. */
-internal fun directJournal(platform: Platform): Journal = Journal(
-    accept = { record ->
-        val key = requestKey(record.id)
-        val write = TableTransaction(listOf(RowCheck(key, ABSENT)), listOf(RowWrite(key, encodeRecord(record))))
-        when (platform.commands.commit(write)) {
-            is CallResult.Done -> Unit.right()
-            is CallResult.NotDone -> Refusal.StoreUnavailable(1.seconds).left()
-            is CallResult.Unknown -> Refusal.StoreUnavailable(1.seconds).left()
-        }
-    },
-    finish = { record ->
-        val write = RowWrite(requestKey(record.id), encodeRecord(record))
-        platform.commands.commit(TableTransaction(emptyList(), listOf(write)))
-    },
-)
+/** Whether a request was accepted. */
+public sealed interface Acceptance {
+    /** It is durable and has to run. */
+    public data object Accepted : Acceptance
+
+    /** It is a resend of the request [first]. */
+    public data class Resent(public val first: RequestId) : Acceptance
+
+    /** It is not durable and never will be, unless the refusal says that it may run. */
+    public data class Refused(public val refusal: Refusal) : Acceptance
+}
+
+/** What became of the record of an outcome. */
+public enum class Ending {
+    /** It is durable. */
+    KEPT,
+
+    /** It is queued and is written as soon as the table can be reached. */
+    QUEUED,
+
+    /** Another host owns the journal now and decides the outcome. */
+    TAKEN_OVER,
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/JournalEntries.kt
@@ -0,0 +1,67 @@
+package figdeck.daemon.command
+
+import figdeck.command.journal.JournalEntry
+import figdeck.model.ABSENT
+import figdeck.model.Epoch
+import figdeck.model.HostId
+import figdeck.model.Intent
+import figdeck.model.OpenRequest
+import figdeck.model.RequestId
+import figdeck.model.RequestRecord
+import figdeck.model.ResendKey
+import figdeck.model.ResentRequest
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TeamId
+import figdeck.model.hashKey
+import figdeck.wire.encodeOpenRequest
+import figdeck.wire.encodeRecord
+import figdeck.wire.encodeResentRequest
+
+/** The prefix of the rows of all requests; their ids rise with time. */
+internal const val REQUEST_PREFIX = "request/"
+
+internal fun requestKey(id: RequestId): String = "$REQUEST_PREFIX$id"
+
+/** The prefix of the rows of requests that [host] accepted and that have not ended. */
+internal fun openPrefix(host: HostId): String = "open/$host/"
+
+internal fun openKey(host: HostId, id: RequestId): String = "${openPrefix(host)}$id"
+
+/** The row that an idempotency key of [team] leads to. */
+internal fun resendRowKey(team: TeamId, resend: ResendKey): String = "idempotency/$team/${hashKey(resend.key)}"
+
+/** The row of the record's idempotency key, or null without one. */
+internal fun RequestRecord.resendRowKey(): String? {
+    val owner = team ?: return null
+    return resend?.let { resendRowKey(owner, it) }
+}
+
+internal fun acceptanceEntry(number: Long, record: RequestRecord): JournalEntry {
+    val open = OpenRequest(record.id, record.host, record.epoch, intent = null)
+    val resendRow = record.resendRowKey()
+    val first = record.resend?.let { encodeResentRequest(ResentRequest(record.id, it.body)) }
+    return JournalEntry(
+        number = number,
+        epoch = record.epoch,
+        checks = listOfNotNull(resendRow?.let { RowCheck(it, ABSENT) }),
+        writes = listOfNotNull(
+            RowWrite(requestKey(record.id), encodeRecord(record)),
+            RowWrite(openKey(record.host, record.id), encodeOpenRequest(open)),
+            resendRow?.let { RowWrite(it, first) },
+        ),
+    )
+}
+
+internal fun intentEntry(number: Long, record: RequestRecord, intent: Intent): JournalEntry {
+    val open = OpenRequest(record.id, record.host, record.epoch, intent)
+    val write = RowWrite(openKey(record.host, record.id), encodeOpenRequest(open))
+    return JournalEntry(number, record.epoch, checks = emptyList(), writes = listOf(write))
+}
+
+/** Ends [record] under the journal's [epoch], if all of [checks] hold. */
+internal fun endingEntry(number: Long, record: RequestRecord, epoch: Epoch, checks: List<RowCheck>): JournalEntry {
+    val end = RowWrite(requestKey(record.id), encodeRecord(record))
+    val close = RowWrite(openKey(record.host, record.id), null)
+    return JournalEntry(number, epoch, checks, listOf(end, close))
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
@@ -0,0 +1,146 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import figdeck.command.journal.Recovery
+import figdeck.command.journal.recoveryOf
+import figdeck.log.PartLog
+import figdeck.model.CallResult
+import figdeck.model.Epoch
+import figdeck.model.HostId
+import figdeck.model.OpenRequest
+import figdeck.model.Outcome
+import figdeck.model.Refusal
+import figdeck.model.RequestRecord
+import figdeck.model.RowCheck
+import figdeck.model.Work
+import figdeck.model.map
+import figdeck.platform.Platform
+import figdeck.platform.query.PlatformQueries
+import figdeck.query.RouteAccess
+import figdeck.wire.decodeOpenRequest
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val SCAN_PAGE = 500
+private const val MAX_AT_ONCE = 8
+private const val MAX_RERUNS = 60
+private val READ_PAUSE = 200.milliseconds
+private val RERUN_PAUSE = 1.seconds
+private val log = PartLog("recovery")
+
+/**
+ * The requests that a former owner of a journal left open.
+ *
+ * @property host the host that accepted them.
+ * @property fence what must hold for this daemon to end them.
+ * @property before the epoch under which none of them was accepted.
+ */
+internal data class LeftOpen(
+    val host: HostId,
+    val fence: RowCheck,
+    val before: Epoch,
+)
+
+/** Ends every request of [left] as it has to end; false if another owner came in between. */
+internal suspend fun Services.recover(platform: Platform, left: LeftOpen): Boolean {
+    awaitConfiguration()
+    val open = scanOpen(platform.queries, left)
+    if (open.isNotEmpty()) {
+        log.info { "recovers ${open.size} requests that host ${left.host} left open" }
+    }
+    val owned = AtomicBoolean(true)
+    val permits = Semaphore(MAX_AT_ONCE)
+    coroutineScope {
+        open.forEach { request ->
+            launch {
+                permits.withPermit {
+                    if (owned.get() && !recover(request, left.fence)) {
+                        owned.set(false)
+                    }
+                }
+            }
+        }
+    }
+    return owned.get()
+}
+
+private suspend fun Services.awaitConfiguration() {
+    while (control.snapshot.confirmedAt == null) {
+        delay(READ_PAUSE)
+    }
+}
+
+private suspend fun scanOpen(queries: PlatformQueries, left: LeftOpen): List<OpenRequest> {
+    val prefix = openPrefix(left.host)
+    val found = mutableListOf<OpenRequest>()
+    var after = prefix
+    var more = true
+    while (more) {
+        val rows = untilDone { queries.scanRows(prefix, after, SCAN_PAGE) }
+        found += rows.map { decodeOpenRequest(it.value) }.filter { it.epoch < left.before }
+        after = rows.lastOrNull()?.key ?: after
+        more = rows.size == SCAN_PAGE
+    }
+    return found
+}
+
+private suspend fun Services.recover(open: OpenRequest, fence: RowCheck): Boolean {
+    val record = untilDone { records.find(open.id).map { it.value } } ?: return true
+    return when (val recovery = recoveryOf(record, open)) {
+        Recovery.Drop -> true
+        is Recovery.End -> end(record, recovery.outcome, fence)
+        Recovery.RunAgain -> {
+            val rerun = rerun(record)
+            end(record.copy(attempts = rerun.attempts), rerun.result.getOrElse { Outcome.Failed(it) }, fence)
+        }
+    }
+}
+
+private suspend fun Services.end(record: RequestRecord, outcome: Outcome, fence: RowCheck): Boolean {
+    val ended = record.copy(endedAtMillis = clock().epochMillis, outcome = outcome)
+    return journal.finishRecovered(ended, fence) == Ending.KEPT
+}
+
+/** Runs until it gives an answer; what can't be answered in time may have run at the lost host. */
+private suspend fun Services.rerun(record: RequestRecord): RunAgain {
+    var last = RunAgain(record.attempts, Either.Left(Refusal.HostLost(record.host)))
+    repeat(MAX_RERUNS) {
+        last = rerunOnce(record.copy(attempts = last.attempts))
+        if (last.result.isRight()) {
+            return last
+        }
+        delay(RERUN_PAUSE)
+    }
+    return last.copy(result = Either.Left(Refusal.HostLost(record.host)))
+}
+
+private suspend fun Services.rerunOnce(record: RequestRecord): RunAgain {
+    val index = control.snapshot.index
+    val team = index.teams[record.team]
+    val lost = RunAgain(record.attempts, Either.Left(Refusal.HostLost(record.host)))
+    return when (val work = record.work) {
+        is Work.Chat -> {
+            val pool = index.models[work.model]
+            if (team == null || pool == null) lost else rerunChat(record, team, pool, work)
+        }
+        is Work.ServiceCall ->
+            index.routes[work.route]?.let { rerunCall(record, RouteAccess(it, team), work) } ?: lost
+    }
+}
+
+private suspend fun <T> untilDone(call: suspend () -> CallResult<T>): T {
+    while (true) {
+        val result = call()
+        if (result is CallResult.Done) {
+            return result.value
+        }
+        delay(READ_PAUSE)
+    }
+}
--- a/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -3,13 +3,17 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import arrow.core.raise.ensure
+import figdeck.daemon.query.awaitOutcome
 import figdeck.model.Attempt
 import figdeck.model.CallResult
+import figdeck.model.Intent
 import figdeck.model.Lane
 import figdeck.model.Moment
 import figdeck.model.Outcome
 import figdeck.model.Refusal
+import figdeck.model.RequestId
 import figdeck.model.RequestRecord
+import figdeck.model.ResendKey
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.model.Work
@@ -18,21 +22,52 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 
-/** Accepts and runs a call of a plain service. A call that is not idempotent is sent again only if nothing was sent. */
-public suspend fun Services.serveCall(access: RouteAccess, call: Work.ServiceCall): Either<Refusal, CallAnswer> =
-    either {
-        access.team?.let { limits.take(it).bind() }
-        val record = newRecord(access.team, call)
-        journal.accept(record).bind()
+/** A call of a plain service that may be served. [resend] is null if it came without an idempotency key. */
+public data class CallOrder(
+    public val access: RouteAccess,
+    public val call: Work.ServiceCall,
+    public val resend: ResendKey?,
+)
+
+/** The answer of a plain service and the request that it answers. */
+public data class CallAnswer(
+    public val id: RequestId,
+    public val answer: ServiceAnswer,
+)
+
+/** Starts a call of a plain service. One that is not idempotent is sent again only if nothing was sent. */
+public suspend fun Services.startCall(order: CallOrder): Either<Refusal, RunningWork<CallAnswer>> = either {
+    order.access.team?.let { limits.take(it).bind() }
+    start { id, sink -> serveCall(id, order, sink) }
+}
+
+private suspend fun Services.serveCall(
+    id: RequestId,
+    order: CallOrder,
+    sink: WorkSink,
+): Either<Refusal, CallAnswer> = either {
+    val record = newRecord(id, order.access.team, order.call, order.resend)
+    val first = accept(record, sink).bind()
+    if (first == id) {
         val attempts = mutableListOf<Attempt>()
-        val result = runCall(record, access, call, attempts)
-        val outcome = result.fold(
-            { Outcome.Failed(it) },
-            { Outcome.Completed(it.status, it.contentType, it.body) },
-        )
-        journal.finish(record.copy(attempts = attempts, endedAtMillis = clock().epochMillis, outcome = outcome))
-        CallAnswer(record.id, result.bind())
+        val result = runCall(record, order.access, order.call, attempts)
+        val answer = finish(record, attempts, result) { Outcome.CallAnswered(it.status, it.contentType, it.body) }
+        CallAnswer(id, answer.bind())
+    } else {
+        callAnswerOf(first, awaitOutcome(records, first).bind()).bind()
     }
+}
+
+/** Runs the idempotent call of [record] again for whoever reads its result. */
+internal suspend fun Services.rerunCall(
+    record: RequestRecord,
+    access: RouteAccess,
+    call: Work.ServiceCall,
+): RunAgain {
+    val attempts = record.attempts.toMutableList()
+    val result = runCall(record, access, call, attempts)
+    return RunAgain(attempts, result.map { Outcome.CallAnswered(it.status, it.contentType, it.body) })
+}
 
 private suspend fun Services.runCall(
     record: RequestRecord,
@@ -49,7 +84,7 @@
         ensure(candidates.isNotEmpty()) { failure }
         val permit = dispatcher.acquire(dispatchRequest(access, candidates, deadline)).bind()
         val upstream = permit.upstream
-        when (val result = attemptCall(record, permit, call, attempts)) {
+        when (val result = attemptCall(record, permit, call, attempts).bind()) {
             is CallResult.Done -> answer = result.value
             is CallResult.NotDone -> failed += upstream.id
             is CallResult.Unknown -> {
@@ -77,17 +112,21 @@
     permit: Permit,
     call: Work.ServiceCall,
     attempts: MutableList<Attempt>,
-): CallResult<ServiceAnswer> {
+): Either<Refusal, CallResult<ServiceAnswer>> = either {
     val startedAt = clock().epochMillis
     val upstream = permit.upstream
+    val host = control.snapshot.host
     var use = UseResult.ABANDONED
     val result = try {
+        if (!call.idempotent) {
+            journal.intend(record, Intent(upstream.id, host, startedAt)).bind()
+        }
         upstreams.call(upstream, record.id, call).also { use = it.use() }
     } finally {
         withContext(NonCancellable) { dispatcher.release(permit, use, 1) }
     }
-    attempts += Attempt(upstream.id, record.host, startedAt, result.describe())
-    return result
+    attempts += Attempt(upstream.id, host, startedAt, result.describe())
+    result
 }
 
 private fun CallResult<ServiceAnswer>.use(): UseResult = when (this) {
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.raise.Raise
 import arrow.core.raise.either
+import figdeck.daemon.query.awaitOutcome
 import figdeck.model.Attempt
 import figdeck.model.Lane
 import figdeck.model.ModelPool
@@ -11,24 +12,34 @@
 import figdeck.model.Refusal
 import figdeck.model.RequestId
 import figdeck.model.RequestRecord
+import figdeck.model.ResendKey
 import figdeck.model.Team
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.model.Work
 import figdeck.upstream.command.EngineResult
 import figdeck.upstream.command.Generation
-import figdeck.wire.command.CompletionHead
-import figdeck.wire.command.encodeAnswer
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_ATTEMPTS = 4
-private const val OK = 200
 
 /** How long online work may take from its acceptance. */
 internal val ONLINE_DEADLINE = 120.seconds
 
+/**
+ * A chat turn that may be served: whose it is, what it asks and which engines serve it.
+ *
+ * @property resend what tells a resend of it; null if it came without an idempotency key.
+ */
+public data class ChatOrder(
+    public val team: Team,
+    public val pool: ModelPool,
+    public val chat: Work.Chat,
+    public val resend: ResendKey?,
+)
+
 /** The whole answer of a chat turn. */
 public data class ChatAnswer(
     public val id: RequestId,
@@ -36,36 +47,38 @@
     public val finishReason: String,
 )
 
-/**
- * Where a chat turn's progress goes.
- *
- * @property accepted is called once the turn is durable, before anything runs.
- * @property delta is called with each piece of the answer, in order and once.
- */
-public data class ChatSink(
-    public val accepted: suspend (RequestId) -> Unit,
-    public val delta: suspend (String) -> Unit,
-)
+/** Starts a chat turn; an engine lost on the way is replaced and the answer resumed. */
+public suspend fun Services.startChat(order: ChatOrder): Either<Refusal, RunningWork<ChatAnswer>> = either {
+    limits.take(order.team).bind()
+    start { id, sink -> serveChat(id, order, sink) }
+}
 
-/** Accepts and runs a chat turn of [team]; an engine lost on the way is replaced and the answer resumed. */
-public suspend fun Services.serveChat(
+private suspend fun Services.serveChat(
+    id: RequestId,
+    order: ChatOrder,
+    sink: WorkSink,
+): Either<Refusal, ChatAnswer> = either {
+    val record = newRecord(id, order.team, order.chat, order.resend)
+    val first = accept(record, sink).bind()
+    if (first == id) {
+        val run = ChatRun(record, clock() + ONLINE_DEADLINE, StringBuilder(), mutableListOf())
+        val result = generate(run, order.team, order.pool, order.chat, sink.delta)
+        finish(record, run.attempts, result) { Outcome.ChatAnswered(it.content, it.finishReason) }.bind()
+    } else {
+        chatAnswerOf(first, awaitOutcome(records, first).bind()).bind().also { sink.delta(it.content) }
+    }
+}
+
+/** Runs the chat turn of [record] again for whoever reads its result. */
+internal suspend fun Services.rerunChat(
+    record: RequestRecord,
     team: Team,
     pool: ModelPool,
     chat: Work.Chat,
-    sink: ChatSink,
-): Either<Refusal, ChatAnswer> = either {
-    limits.take(team).bind()
-    val record = newRecord(team, chat)
-    journal.accept(record).bind()
-    sink.accepted(record.id)
-    val run = ChatRun(record, clock() + ONLINE_DEADLINE, StringBuilder(), mutableListOf())
-    val result = generate(run, team, pool, chat, sink)
-    val outcome = result.fold(
-        { Outcome.Failed(it) },
-        { Outcome.Completed(OK, "application/json", encodeAnswer(run.head(chat), it.content, it.finishReason)) },
-    )
-    journal.finish(record.copy(attempts = run.attempts, endedAtMillis = clock().epochMillis, outcome = outcome))
-    result.bind()
+): RunAgain {
+    val run = ChatRun(record, clock() + ONLINE_DEADLINE, StringBuilder(), record.attempts.toMutableList())
+    val result = generate(run, team, pool, chat) {}
+    return RunAgain(run.attempts, result.map { Outcome.ChatAnswered(it.content, it.finishReason) })
 }
 
 private class ChatRun(
@@ -73,16 +86,14 @@
     val deadline: Moment,
     val generated: StringBuilder,
     val attempts: MutableList<Attempt>,
-) {
-    fun head(chat: Work.Chat): CompletionHead = CompletionHead(record.id, chat.model, record.acceptedAtMillis)
-}
+)
 
 private suspend fun Services.generate(
     run: ChatRun,
     team: Team,
     pool: ModelPool,
     chat: Work.Chat,
-    sink: ChatSink,
+    onDelta: suspend (String) -> Unit,
 ): Either<Refusal, ChatAnswer> = either {
     val failed = mutableSetOf<UpstreamId>()
     repeat(MAX_ATTEMPTS) {
@@ -91,7 +102,7 @@
             raise(run.giveUp(pool))
         }
         val permit = dispatcher.acquire(dispatchRequest(run, team, candidates, chat)).bind()
-        val result = attempt(run, permit, chat, sink)
+        val result = attempt(run, permit, chat, onDelta)
         finished(run, result)?.let { return@either it }
         failed += permit.upstream.id
     }
@@ -127,7 +138,7 @@
     run: ChatRun,
     permit: Permit,
     chat: Work.Chat,
-    sink: ChatSink,
+    onDelta: suspend (String) -> Unit,
 ): EngineResult {
     val startedAt = clock().epochMillis
     val upstream = permit.upstream
@@ -138,12 +149,12 @@
         upstreams.generate(generation) { delta ->
             run.generated.append(delta)
             cost++
-            sink.delta(delta)
+            onDelta(delta)
         }.also { use = it.use() }
     } finally {
         withContext(NonCancellable) { dispatcher.release(permit, use, cost) }
     }
-    run.attempts += Attempt(upstream.id, run.record.host, startedAt, result.describe())
+    run.attempts += Attempt(upstream.id, control.snapshot.host, startedAt, result.describe())
     return result
 }
 
@@ -158,22 +169,3 @@
     is EngineResult.NotSent -> "not sent: $reason"
     is EngineResult.Lost -> "lost: $reason"
 }
-
-/** The upstreams named by [ids] that are configured and not in [failed]. */
-internal fun Services.candidates(ids: List<UpstreamId>, failed: Set<UpstreamId>): List<Upstream> {
-    val index = control.snapshot.index
-    return ids.filterNot { it in failed }.mapNotNull { index.upstreams[it] }
-}
-
-/** The record of [work] as it is accepted now. */
-internal fun Services.newRecord(team: Team?, work: Work): RequestRecord = RequestRecord(
-    id = newRequestId(),
-    team = team?.id,
-    work = work,
-    host = control.snapshot.host,
-    revision = control.snapshot.configuration.revision,
-    acceptedAtMillis = clock().epochMillis,
-    attempts = emptyList(),
-    endedAtMillis = null,
-    outcome = null,
-)
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/AwaitOutcome.kt
@@ -0,0 +1,40 @@
+package figdeck.daemon.query
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.model.CallResult
+import figdeck.model.Outcome
+import figdeck.model.Refusal
+import figdeck.model.RequestId
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val FIRST_PAUSE = 50.milliseconds
+private val LONGEST_PAUSE = 1.seconds
+private val OUTCOME_WAIT = 30.seconds
+
+/** Waits until the request [id], which is being run elsewhere, has ended; gives up after [limit]. */
+internal suspend fun awaitOutcome(
+    records: Records,
+    id: RequestId,
+    limit: Duration = OUTCOME_WAIT,
+): Either<Refusal, Outcome> =
+    withTimeoutOrNull(limit) { pollOutcome(records, id) }?.right() ?: Refusal.StillRunning(id).left()
+
+private suspend fun pollOutcome(records: Records, id: RequestId): Outcome {
+    var pause = FIRST_PAUSE
+    var outcome: Outcome? = null
+    while (outcome == null) {
+        val found = records.find(id) as? CallResult.Done
+        outcome = found?.value?.value?.outcome
+        if (outcome == null) {
+            delay(pause)
+            pause = minOf(pause * 2, LONGEST_PAUSE)
+        }
+    }
+    return outcome
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/Records.kt
@@ -0,0 +1,35 @@
+package figdeck.daemon.query
+
+import figdeck.daemon.command.openKey
+import figdeck.daemon.command.requestKey
+import figdeck.model.CallResult
+import figdeck.model.HostId
+import figdeck.model.OpenRequest
+import figdeck.model.RequestId
+import figdeck.model.RequestRecord
+import figdeck.model.map
+import figdeck.platform.query.Found
+import figdeck.platform.query.PlatformQueries
+import figdeck.wire.decodeOpenRequest
+import figdeck.wire.decodeRecord
+
+/**
+ * The durable records of requests.
+ *
+ * @property find reads the record of a request.
+ * @property findOpen reads the sign that a request of a host has not ended.
+ */
+public data class Records(
+    public val find: suspend (RequestId) -> CallResult<Found<RequestRecord>>,
+    public val findOpen: suspend (HostId, RequestId) -> CallResult<Found<OpenRequest>>,
+)
+
+/** The records in the platform's table. */
+internal fun tableRecords(queries: PlatformQueries): Records = Records(
+    find = { id ->
+        queries.readRow(requestKey(id)).map { found -> Found(found.value?.let { decodeRecord(it.value) }) }
+    },
+    findOpen = { host, id ->
+        queries.readRow(openKey(host, id)).map { found -> Found(found.value?.let { decodeOpenRequest(it.value) }) }
+    },
+)
--- a/src/main/kotlin/figdeck/model/Outcome.kt
+++ b/src/main/kotlin/figdeck/model/Outcome.kt
@@ -2,8 +2,14 @@
 
 /** How an accepted request ended. */
 public sealed interface Outcome {
-    /** It ran and answered with [status] and [body]. */
-    public data class Completed(
+    /** A chat turn ran and answered [content]. */
+    public data class ChatAnswered(
+        public val content: String,
+        public val finishReason: String,
+    ) : Outcome
+
+    /** A call of a plain service ran and answered with [status] and [body]. */
+    public data class CallAnswered(
         public val status: Int,
         public val contentType: String,
         public val body: String,
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -115,6 +115,33 @@
         override val retryAfter: Duration get() = 1.seconds
     }
 
+    /** The commit of the acceptance of [id] has not been settled yet; if it stands, the request will run. */
+    public data class InDoubt(public val id: RequestId) : Refusal {
+        override val message: String
+            get() = "request '$id' may have been accepted: read /v1/results/$id before sending again"
+        override val ran: Ran get() = Ran.UNKNOWN
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** Another host took request [id] over while this one was running it. */
+    public data class TakenOver(public val id: RequestId) : Refusal {
+        override val message: String get() = "another host took request '$id' over: read /v1/results/$id"
+        override val ran: Ran get() = Ran.UNKNOWN
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** The host was lost after it intended to send work that must not be repeated. */
+    public data class HostLost(public val host: HostId) : Refusal {
+        override val message: String
+            get() = "unknown: may have run; host '$host' was lost on the way: check its effect before sending again"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
+    /** The host was lost before it sent the work anywhere. */
+    public data class NotStarted(public val host: HostId) : Refusal {
+        override val message: String get() = "host '$host' was lost before the work was sent: send it again"
+    }
+
     /** A refusal read back from a durable record. */
     public data class Recorded(
         public val type: String,
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/ResendKey.kt
@@ -0,0 +1,18 @@
+package figdeck.model
+
+/**
+ * What tells a resent request from a new one: equal keys of one team with equal bodies are the same request.
+ *
+ * @property key the caller's idempotency key.
+ * @property body the digest of the request's target and body.
+ */
+public data class ResendKey(
+    public val key: String,
+    public val body: KeyHash,
+)
+
+/** The request that first came with an idempotency key, and the digest of its target and [body]. */
+public data class ResentRequest(
+    public val id: RequestId,
+    public val body: KeyHash,
+)
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -3,7 +3,6 @@
 import figdeck.daemon.command.Services
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
-import figdeck.platform.query.PlatformQueries
 import figdeck.traffic.command.SERVICES_PREFIX
 import figdeck.traffic.command.chatHandler
 import figdeck.traffic.command.serviceHandler
@@ -11,10 +10,10 @@
 import figdeck.traffic.query.resultHandler
 
 /** What callers can ask of a daemon. */
-internal fun callerApi(services: Services, queries: PlatformQueries): HttpHandler {
+internal fun callerApi(services: Services): HttpHandler {
     val chat = chatHandler(services)
     val service = serviceHandler(services)
-    val result = resultHandler(services.control, queries)
+    val result = resultHandler(services.control, services.records)
     return { call, responder ->
         when {
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -3,19 +3,19 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import figdeck.daemon.command.ChatAnswer
-import figdeck.daemon.command.ChatSink
+import figdeck.daemon.command.ChatOrder
+import figdeck.daemon.command.RunningWork
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.serveChat
+import figdeck.daemon.command.awaitAcceptance
+import figdeck.daemon.command.awaitResult
+import figdeck.daemon.command.startChat
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpResponder
-import figdeck.model.ModelPool
 import figdeck.model.Refusal
 import figdeck.model.RequestId
-import figdeck.model.Team
-import figdeck.model.Work
 import figdeck.query.poolFor
 import figdeck.query.teamOf
 import figdeck.traffic.REQUEST_ID_HEADER
@@ -35,13 +35,6 @@
 private const val MAX_CHAT_BYTES = 1024 * 1024
 private const val EVENT_STREAM = "text/event-stream"
 
-/** A chat turn that may be served: whose it is, what it asks and which engines serve it. */
-private data class ChatOrder(
-    val team: Team,
-    val pool: ModelPool,
-    val chat: Work.Chat,
-)
-
 /** Handles `POST /v1/chat/completions`. */
 internal fun chatHandler(services: Services): HttpHandler = { call, responder ->
     services.readOrder(call).fold(
@@ -54,13 +47,13 @@
     val index = control.snapshot.index
     val team = index.teamOf(call.bearerKey()).bind()
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
-    val chat = decodeChat(body.decodeToString()).bind()
-    ChatOrder(team, index.poolFor(team, chat).bind(), chat)
+    val text = body.decodeToString()
+    val chat = decodeChat(text).bind()
+    ChatOrder(team, index.poolFor(team, chat).bind(), chat, call.resendKey(team, text).bind())
 }
 
 private suspend fun Services.answer(order: ChatOrder, responder: HttpResponder) {
-    val sink = ChatSink(accepted = {}, delta = {})
-    serveChat(order.team, order.pool, order.chat, sink).fold(
+    finishedChat(order).fold(
         { responder.refuse(it) },
         { answer ->
             val head = head(answer.id, order)
@@ -69,25 +62,39 @@
     )
 }
 
+private suspend fun Services.finishedChat(order: ChatOrder): Either<Refusal, ChatAnswer> = either {
+    val work = startChat(order).bind()
+    work.deltas.cancel()
+    work.awaitAcceptance().bind()
+    work.awaitResult().bind()
+}
+
 private suspend fun Services.stream(order: ChatOrder, responder: HttpResponder) {
-    var accepted: CompletionHead? = null
-    val sink = ChatSink(
-        accepted = { id ->
-            accepted = head(id, order)
-            val headers = newHeaders()
-                .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
-                .set(REQUEST_ID_HEADER, id.value)
-            responder.start(STATUS_OK, headers)
+    startChat(order).fold(
+        { responder.refuse(it) },
+        { work ->
+            work.awaitAcceptance().fold(
+                { responder.refuse(it) },
+                { id -> responder.follow(work, head(id, order)) },
+            )
         },
-        delta = { text -> accepted?.let { responder.event(encodeChunk(it, CompletionChunk(text, null))) } },
     )
-    val result = serveChat(order.team, order.pool, order.chat, sink)
-    val head = accepted
-    if (head == null) {
-        result.onLeft { responder.refuse(it) }
-    } else {
-        responder.endStream(head, result)
+}
+
+/** Passes the progress of [work] on; the work itself goes on when the caller hangs up. */
+private suspend fun HttpResponder.follow(work: RunningWork<ChatAnswer>, head: CompletionHead) {
+    val headers = newHeaders()
+        .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
+        .set(REQUEST_ID_HEADER, head.id.value)
+    start(STATUS_OK, headers)
+    try {
+        for (delta in work.deltas) {
+            event(encodeChunk(head, CompletionChunk(delta, null)))
+        }
+    } finally {
+        work.deltas.cancel()
     }
+    endStream(head, work.awaitResult())
 }
 
 private suspend fun HttpResponder.endStream(head: CompletionHead, result: Either<Refusal, ChatAnswer>) {
--- /dev/null
+++ b/src/main/kotlin/figdeck/traffic/command/IdempotencyKey.kt
@@ -0,0 +1,26 @@
+package figdeck.traffic.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.http.server.HttpCall
+import figdeck.model.Refusal
+import figdeck.model.ResendKey
+import figdeck.model.Team
+import figdeck.model.hashKey
+
+private const val IDEMPOTENCY_HEADER = "Idempotency-Key"
+private const val MAX_KEY_LENGTH = 256
+
+/** What tells a resend of this call with [body]; null if it came without an idempotency key. */
+internal fun HttpCall.resendKey(team: Team?, body: String): Either<Refusal, ResendKey?> = either {
+    headers.get(IDEMPOTENCY_HEADER)?.let { key ->
+        ensure(key.length in 1..MAX_KEY_LENGTH) {
+            Refusal.BadRequest(IDEMPOTENCY_HEADER, "use 1 to $MAX_KEY_LENGTH characters")
+        }
+        ensure(team != null) {
+            Refusal.BadRequest(IDEMPOTENCY_HEADER, "no team came with it: send the team's key too")
+        }
+        ResendKey(key, hashKey("$method $path\n$body"))
+    }
+}
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -3,8 +3,11 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import figdeck.daemon.command.CallAnswer
+import figdeck.daemon.command.CallOrder
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.serveCall
+import figdeck.daemon.command.awaitAcceptance
+import figdeck.daemon.command.awaitResult
+import figdeck.daemon.command.startCall
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -38,13 +41,18 @@
     val below = call.path.removePrefix(SERVICES_PREFIX)
     val access = control.snapshot.index.accessTo(below.substringBefore('/'), call.bearerKey()).bind()
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
-    val work = Work.ServiceCall(
+    val text = body.decodeToString()
+    val service = Work.ServiceCall(
         route = access.route.name,
         method = call.method,
         path = "/" + below.substringAfter('/', ""),
         contentType = call.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty(),
-        body = body.decodeToString(),
+        body = text,
         idempotent = access.route.idempotent,
     )
-    serveCall(access, work).bind()
+    val order = CallOrder(access, service, call.resendKey(access.team, text).bind())
+    val work = startCall(order).bind()
+    work.deltas.cancel()
+    work.awaitAcceptance().bind()
+    work.awaitResult().bind()
 }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -15,6 +15,7 @@
 private const val TOO_MANY = 429
 private const val BAD_GATEWAY = 502
 private const val UNAVAILABLE = 503
+private const val GATEWAY_TIMEOUT = 504
 
 @Serializable
 internal data class RefusalDto(val error: ErrorDto)
@@ -48,6 +49,10 @@
         is Refusal.KeyReused -> "key_reused"
         Refusal.Cancelled -> "cancelled"
         is Refusal.StillRunning -> "still_running"
+        is Refusal.InDoubt -> "in_doubt"
+        is Refusal.TakenOver -> "taken_over"
+        is Refusal.HostLost -> "host_lost"
+        is Refusal.NotStarted -> "not_started"
         is Refusal.Recorded -> type
     }
 
@@ -64,6 +69,8 @@
         is Refusal.KeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
         is Refusal.StoreUnavailable, Refusal.Draining -> UNAVAILABLE
+        is Refusal.InDoubt, is Refusal.TakenOver -> GATEWAY_TIMEOUT
+        is Refusal.HostLost, is Refusal.NotStarted -> BAD_GATEWAY
     }
 
 internal val Ran.text: String get() = name.lowercase()
--- a/src/main/kotlin/figdeck/wire/RequestRecordCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RequestRecordCodec.kt
@@ -1,7 +1,9 @@
 package figdeck.wire
 
 import figdeck.model.Attempt
+import figdeck.model.Epoch
 import figdeck.model.HostId
+import figdeck.model.KeyHash
 import figdeck.model.Message
 import figdeck.model.ModelName
 import figdeck.model.Outcome
@@ -9,6 +11,7 @@
 import figdeck.model.Refusal
 import figdeck.model.RequestId
 import figdeck.model.RequestRecord
+import figdeck.model.ResendKey
 import figdeck.model.Revision
 import figdeck.model.RouteName
 import figdeck.model.TeamId
@@ -22,13 +25,21 @@
     val team: String?,
     val work: WorkDto,
     val host: String,
+    val epoch: Long,
     val revision: Long,
     val acceptedAtMillis: Long,
+    val resend: ResendKeyDto? = null,
     val attempts: List<AttemptDto>,
     val endedAtMillis: Long? = null,
     val outcome: OutcomeDto? = null,
 )
 
+@Serializable
+internal data class ResendKeyDto(
+    val key: String,
+    val body: String,
+)
+
 @Serializable
 internal data class WorkDto(
     val chat: RecordedChatDto? = null,
@@ -69,12 +80,24 @@
 
 @Serializable
 internal data class OutcomeDto(
-    val status: Int? = null,
-    val contentType: String? = null,
-    val body: String? = null,
+    val chat: ChatAnswerDto? = null,
+    val call: CallAnswerDto? = null,
     val failure: FailureDto? = null,
 )
 
+@Serializable
+internal data class ChatAnswerDto(
+    val content: String,
+    val finishReason: String,
+)
+
+@Serializable
+internal data class CallAnswerDto(
+    val status: Int,
+    val contentType: String,
+    val body: String,
+)
+
 @Serializable
 internal data class FailureDto(
     val type: String,
@@ -93,8 +116,10 @@
     team = team?.value,
     work = work.toDto(),
     host = host.value,
+    epoch = epoch.value,
     revision = revision.value,
     acceptedAtMillis = acceptedAtMillis,
+    resend = resend?.let { ResendKeyDto(it.key, it.body.hex) },
     attempts = attempts.map { AttemptDto(it.upstream.value, it.host.value, it.startedAtMillis, it.result) },
     endedAtMillis = endedAtMillis,
     outcome = outcome?.toDto(),
@@ -115,7 +140,8 @@
 }
 
 private fun Outcome.toDto(): OutcomeDto = when (this) {
-    is Outcome.Completed -> OutcomeDto(status, contentType, body)
+    is Outcome.ChatAnswered -> OutcomeDto(chat = ChatAnswerDto(content, finishReason))
+    is Outcome.CallAnswered -> OutcomeDto(call = CallAnswerDto(status, contentType, body))
     is Outcome.Failed -> OutcomeDto(failure = FailureDto(refusal.type, refusal.message, refusal.ran.text))
 }
 
@@ -124,8 +150,10 @@
     team = team?.let { TeamId(it) },
     work = work.toWork(),
     host = HostId(host),
+    epoch = Epoch(epoch),
     revision = Revision(revision),
     acceptedAtMillis = acceptedAtMillis,
+    resend = resend?.let { ResendKey(it.key, KeyHash(it.body)) },
     attempts = attempts.map { Attempt(UpstreamId(it.upstream), HostId(it.host), it.startedAtMillis, it.result) },
     endedAtMillis = endedAtMillis,
     outcome = outcome?.toOutcome(),
@@ -147,9 +175,12 @@
     )
 }
 
-private fun OutcomeDto.toOutcome(): Outcome {
-    if (failure != null) {
-        return Outcome.Failed(Refusal.Recorded(failure.type, failure.message, Ran.valueOf(failure.ran.uppercase())))
-    }
-    return Outcome.Completed(status ?: 0, contentType.orEmpty(), body.orEmpty())
+private fun OutcomeDto.toOutcome(): Outcome = when {
+    chat != null -> Outcome.ChatAnswered(chat.content, chat.finishReason)
+    call != null -> Outcome.CallAnswered(call.status, call.contentType, call.body)
+    else -> Outcome.Failed(
+        requireNotNull(failure) { "the outcome is empty: it was not written by figdeck" }.toRefusal()
+    )
 }
+
+private fun FailureDto.toRefusal() = Refusal.Recorded(type, message, Ran.valueOf(ran.uppercase()))
--- /dev/null
+++ b/src/test/kotlin/figdeck/command/journal/JournalSpec.kt
@@ -0,0 +1,167 @@
+package figdeck.command.journal
+
+import arrow.core.left
+import figdeck.command.Step
+import figdeck.model.ABSENT
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Epoch
+import figdeck.model.HostId
+import figdeck.model.JournalOwner
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import figdeck.model.Row
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val start = Moment(0, 0)
+private val host = HostId("host-1")
+private val open = claimed(initialJournal(20.milliseconds), host, 7)
+
+private fun entry(number: Long, key: String = "request/$number", checks: List<RowCheck> = emptyList()) =
+    JournalEntry(number, Epoch(7), checks, listOf(RowWrite(key, "v$number")))
+
+private fun JournalState.with(vararg entries: JournalEntry) =
+    entries.fold(this) { state, entry -> submitAcceptance(state, entry).state }
+
+/** The journal with a group in flight. */
+private fun sent(vararg entries: JournalEntry): Step<JournalState, JournalOrder> =
+    nextOrder(open.with(*entries), start)
+
+private fun conflict(vararg keys: String) = CallResult.Done(CommitReply.Conflict(keys.toList()))
+
+private fun committed(version: Long) = CallResult.Done(CommitReply.Committed(version))
+
+class JournalSpec : DescribeSpec({
+    describe("a group") {
+        it("goes in one transaction under the fence and the marker") {
+            sent(entry(1), entry(2)).result shouldBe JournalOrder.Commit(
+                TableTransaction(
+                    listOf(RowCheck("journal/host-1", 7), RowCheck("group/host-1", 7)),
+                    listOf(
+                        RowWrite("group/host-1", "7.1"),
+                        RowWrite("request/1", "v1"),
+                        RowWrite("request/2", "v2"),
+                    ),
+                ),
+            )
+        }
+
+        it("has at most 96 rows of entries, and the rest follows an interval later under the moved marker") {
+            val first = sent(*Array(100) { entry(it + 1L) })
+            first.state.inFlight?.entries?.size shouldBe 96
+            val kept = settleCommit(first.state, committed(8), Moment(5_000_000, 5))
+            kept.result.size shouldBe 96
+            nextOrder(kept.state, Moment(5_000_000, 5)).result shouldBe JournalOrder.Pause(15.milliseconds)
+            val second = nextOrder(kept.state, Moment(20_000_000, 20))
+            second.state.inFlight?.entries?.map { it.number } shouldBe listOf(97L, 98L, 99L, 100L)
+            second.state.inFlight?.transaction?.checks?.last() shouldBe RowCheck("group/host-1", 8)
+        }
+
+        it("never writes a row twice: the later entry, and what follows it, waits") {
+            val step = sent(entry(1, "open/x"), entry(2, "open/x"), entry(3))
+            step.state.inFlight?.entries?.map { it.number } shouldBe listOf(1L, 3L)
+            step.state.pending.map { it.number } shouldBe listOf(2L)
+        }
+    }
+
+    describe("the reply to a commit") {
+        val resent = listOf(RowCheck("idempotency/a", ABSENT))
+        val flying = sent(entry(1, checks = resent), entry(2)).state
+
+        it("fails only the entries whose rows were not as they expected") {
+            val step = settleCommit(flying, conflict("idempotency/a"), start)
+            step.result shouldBe listOf(SettledEntry(1, EntryFate.Conflicted(listOf("idempotency/a"))))
+            step.state.pending.map { it.number } shouldBe listOf(2L)
+        }
+
+        it("returns the entries to the queue when nothing was done, and backs off up to a second") {
+            val step = settleCommit(flying, CallResult.NotDone("503"), start)
+            step.result shouldBe emptyList()
+            step.state.pending.map { it.number } shouldBe listOf(1L, 2L)
+            nextOrder(step.state, start).result shouldBe JournalOrder.Pause(40.milliseconds)
+            val late = (1..9).fold(flying) { state, _ -> state.backedOff(start) }
+            nextOrder(late, start).result shouldBe JournalOrder.Pause(1.seconds)
+        }
+
+        it("fences everything when the journal has another owner, and claims it anew") {
+            val step = settleCommit(flying.with(entry(3)), conflict("journal/host-1", "group/host-1"), start)
+            step.result shouldBe listOf(1L, 2L, 3L).map { SettledEntry(it, EntryFate.Fenced) }
+            nextOrder(step.state, start).result shouldBe JournalOrder.Claim
+            submitAcceptance(step.state, entry(4)).result shouldBe Refusal.StoreUnavailable(1.seconds).left()
+            submitProgress(claimed(step.state, host, 9), entry(4)).result shouldBe false
+        }
+    }
+
+    describe("a group whose reply was lost") {
+        val flying = sent(entry(1), entry(2)).state
+        val transaction = flying.inFlight!!.transaction
+        val doubtful = settleCommit(flying, CallResult.Unknown("lost"), start).state
+        val superseded = settleCommit(doubtful, conflict("group/host-1"), start).state
+
+        it("is sent again unchanged, and nothing of it can be withdrawn") {
+            nextOrder(doubtful, start + 40.milliseconds).result shouldBe JournalOrder.Commit(transaction)
+            withdraw(doubtful, 1).result shouldBe false
+        }
+
+        it("stays in doubt when the table does nothing") {
+            val still = settleCommit(doubtful, CallResult.NotDone("503"), start).state
+            still.pending shouldBe emptyList()
+            still.inFlight?.inDoubt shouldBe true
+        }
+
+        it("is settled by its marker when that has moved") {
+            nextOrder(superseded, start + 1.seconds).result shouldBe JournalOrder.ReadMarker("group/host-1")
+            val read = settleMarker(superseded, CallResult.Done(Row("group/host-1", "7.1", 8)), start)
+            read.result shouldBe listOf(1L, 2L).map { SettledEntry(it, EntryFate.Kept) }
+            read.state.writer?.marker shouldBe RowCheck("group/host-1", 8)
+        }
+
+        it("stays in doubt for good when another owner came: it may stand") {
+            val step = settleCommit(doubtful.with(entry(3)), conflict("journal/host-1"), start)
+            step.result shouldBe listOf(
+                SettledEntry(1, EntryFate.FencedInDoubt),
+                SettledEntry(2, EntryFate.FencedInDoubt),
+                SettledEntry(3, EntryFate.Fenced),
+            )
+        }
+    }
+
+    describe("the queue") {
+        it("refuses acceptances when it is full, and takes the ends of what was accepted") {
+            val full = (1..4096L).fold(open) { state, number -> submitAcceptance(state, entry(number)).state }
+            submitAcceptance(full, entry(5000)).result shouldBe Refusal.StoreUnavailable(1.seconds).left()
+            submitProgress(full, entry(5000)).result shouldBe true
+        }
+
+        it("gives back what was not sent") {
+            val step = withdraw(open.with(entry(1), entry(2)), 1)
+            step.result shouldBe true
+            step.state.pending.map { it.number } shouldBe listOf(2L)
+            step.state.pendingSize shouldBe 11
+        }
+    }
+
+    describe("the interval") {
+        it("grows with the hosts, within bounds") {
+            listOf(1, 12, 60, 420).map { groupInterval(it) } shouldBe
+                listOf(20.milliseconds, 40.milliseconds, 200.milliseconds, 500.milliseconds)
+        }
+    }
+
+    describe("the journal of a lost host") {
+        val self = HostId("host-2")
+        val other = HostId("host-3")
+
+        it("is taken over from it, from another lost host and from an ended recovery, but not from a live host") {
+            fun may(owner: HostId) = mayTakeOver(self, host, JournalOwner(owner, "x"), setOf(host, other))
+            listOf(host, other, self, HostId("host-4")).map(::may) shouldBe listOf(true, true, true, false)
+            mayTakeOver(self, self, JournalOwner(self, "x"), setOf(self)) shouldBe false
+        }
+    }
+})
