--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -14,10 +14,10 @@
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.awaitWork
+import figdeck.daemon.command.batch.BatchServices
+import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.groupJournal
-import figdeck.daemon.command.holdJournal
-import figdeck.daemon.command.paceJournal
-import figdeck.daemon.command.takeOverJournals
+import figdeck.daemon.command.keepJournal
 import figdeck.daemon.query.followConfiguration
 import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
@@ -35,6 +35,10 @@
 import figdeck.platform.PlatformHttp
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
@@ -42,6 +46,7 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
+import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -54,6 +59,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val log = PartLog("daemon")
+private const val MILLIS_PER_SECOND = 1000.0
 private val DRAIN_GRACE = 2.seconds
 
 /** The longest time that a planned stop waits for calls in progress. */
@@ -67,25 +73,38 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.host), clock)
-    private val platform = httpPlatform(client, settings)
+    private val telemetry = Telemetry(Meters(), tracer, clock)
+    private val control = Control(initialState(settings.host), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val platform = observed(httpPlatform(client, settings), telemetry)
     private val groups = GroupCommit(control, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
-    private val services = services(random)
     private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services))
+    private val services = services(random)
+    private val batches = BatchServices(services, platform)
+    private val callerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        observed("caller", callerApi(services, batches, platform.queries), telemetry)
+    )
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
+        HttpServer(
+            group,
+            HttpServerLimits(),
+            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+        )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
+        showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
-        scope.launch { services.holdJournal(platform, groups, newIncarnation) }
-        scope.launch { services.takeOverJournals(platform, { emptyList() }, newIncarnation) }
-        scope.launch { paceJournal(platform, control) }
+        scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
+        scope.launch { runBatches(batches) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -114,15 +133,23 @@
         clock = clock,
         newRequestId = requestIds(settings, clock, random),
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
-        journal = groupJournal(control, platform, groups),
+        journal = observed(groupJournal(control, platform, groups), telemetry),
         records = tableRecords(platform.queries),
         work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = soleOwnership(),
-        dispatcher = localDispatcher(control),
-        upstreams = httpUpstreams(client, settings),
+        dispatcher = observed(localDispatcher(control), telemetry),
+        upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 }
 
+private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
+    telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
+    telemetry.meters.gauge("figdeck.configuration.age.seconds") {
+        control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+}
+
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
     return Platform(httpCommands(http), httpQueries(http))
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -1,5 +1,7 @@
 package figdeck.control
 
+import figdeck.command.batch.RunningSegments
+import figdeck.command.batch.noSegments
 import figdeck.command.dispatch.DispatchState
 import figdeck.command.journal.JournalState
 import figdeck.command.journal.groupInterval
@@ -30,6 +32,7 @@
     public val dispatch: DispatchState,
     public val draining: Boolean,
     public val journal: JournalState,
+    public val batch: RunningSegments,
 )
 
 /** The state of the daemon on [host] before it knows anything. */
@@ -42,4 +45,5 @@
     dispatch = DispatchState(persistentMapOf()),
     draining = false,
     journal = initialJournal(groupInterval(1)),
+    batch = noSegments,
 )
--- a/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
@@ -12,6 +12,7 @@
 import figdeck.log.PartLog
 import figdeck.model.CallResult
 import figdeck.model.Epoch
+import figdeck.model.HostId
 import figdeck.model.JournalOwner
 import figdeck.model.RowCheck
 import figdeck.platform.Platform
@@ -24,6 +25,18 @@
 private val HOSTS_INTERVAL = 5.seconds
 private val log = PartLog("journal")
 
+/** Holds this host's journal and takes over those of the hosts that [lostHosts] tells, until cancelled. */
+internal suspend fun Services.keepJournal(
+    platform: Platform,
+    groups: GroupCommit,
+    lostHosts: suspend () -> List<HostId>,
+    newIncarnation: () -> String,
+): Unit = coroutineScope {
+    launch { holdJournal(platform, groups, newIncarnation) }
+    launch { takeOverJournals(platform, lostHosts, newIncarnation) }
+    launch { paceJournal(platform, control) }
+}
+
 /** Claims this host's journal, recovers what its former owner left open and writes the journal until cancelled. */
 internal suspend fun Services.holdJournal(
     platform: Platform,
--- a/src/main/kotlin/figdeck/daemon/command/RunningWork.kt
+++ b/src/main/kotlin/figdeck/daemon/command/RunningWork.kt
@@ -6,12 +6,12 @@
 import figdeck.model.RequestId
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
-import kotlin.coroutines.ContinuationInterceptor
 import kotlin.coroutines.coroutineContext
 import kotlin.time.Duration.Companion.seconds
 
@@ -43,14 +43,13 @@
 public suspend fun <T> RunningWork<T>.awaitResult(): Either<Refusal, T> =
     withTimeoutOrNull(ONLINE_DEADLINE) { result.await() } ?: Refusal.StillRunning(id).left()
 
-/** Starts work under a new id in the daemon's own scope, on the caller's thread. */
+/** Starts work under a new id: a child of the daemon's own scope, in the caller's context otherwise. */
 internal suspend fun <T> Services.start(run: suspend (RequestId, WorkSink) -> Either<Refusal, T>): RunningWork<T> {
     val id = newRequestId()
     val accepted = CompletableDeferred<Either<Refusal, RequestId>>()
     val deltas = Channel<String>(PROGRESS_CAPACITY)
     val sink = WorkSink({ accepted.complete(it) }, { feed(deltas, it) })
-    val thread = checkNotNull(coroutineContext[ContinuationInterceptor]) { "no dispatcher: start work in a coroutine" }
-    val result = work.async(thread) {
+    val result = work.async(coroutineContext.minusKey(Job)) {
         try {
             run(id, sink)
         } finally {
