--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -4,6 +4,9 @@
 import figdeck.command.batch.noSegments
 import figdeck.command.dispatch.DispatchState
 import figdeck.command.dispatch.emptyDispatch
+import figdeck.command.journal.JournalState
+import figdeck.command.journal.groupInterval
+import figdeck.command.journal.initialJournal
 import figdeck.command.limit.TokenBucket
 import figdeck.model.Configuration
 import figdeck.model.HostId
@@ -29,6 +32,7 @@
     public val buckets: PersistentMap<TeamId, TokenBucket>,
     public val dispatch: DispatchState,
     public val draining: Boolean,
+    public val journal: JournalState,
     public val batch: RunningSegments,
 )
 
@@ -41,5 +45,6 @@
     buckets = persistentMapOf(),
     dispatch = emptyDispatch(),
     draining = false,
+    journal = initialJournal(groupInterval(1)),
     batch = noSegments,
 )
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -17,7 +17,7 @@
     val batch = batchApi(batches, queries)
     val chat = chatHandler(services)
     val service = serviceHandler(services)
-    val result = resultHandler(services.control, queries)
+    val result = resultHandler(services.control, services.records)
     return { call, responder ->
         when {
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
