Configuration as a row of revisions: pure edits, compare-and-set, push to peers, keys that stop

Ruled out: keys kept beside the templates (operators drive the system through templates alone); a grant that rewrites its template (the patch of one team is enough); retrying under a fresh id (a lost reply would apply twice).

Change: edits are decided purely over the configuration and stored as patches. A head row holds the revision under compare-and-set, each change a row of its own, a whole copy every 64 revisions an object. A lost reply is settled by sending the same transaction again and reading back; when that can't be done the operator is told that it is unsettled. Daemons poll the head, push to peers and ask peers while the table is in doubt. A key is checked again after a slow body; who holds a withdrawn key sees no more of what still runs.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -6,17 +6,26 @@
 import figdeck.control.releaseSlot
 import figdeck.control.reserveSlot
 import figdeck.control.takeToken
+import figdeck.daemon.command.ConfigurationStore
 import figdeck.daemon.command.Dispatcher
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
+import figdeck.daemon.command.Peer
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.avoidLeaving
 import figdeck.daemon.command.directJournal
-import figdeck.daemon.query.followConfiguration
+import figdeck.daemon.command.httpPeerConfiguration
+import figdeck.daemon.command.spread
+import figdeck.daemon.query.Following
+import figdeck.daemon.query.followHosts
+import figdeck.daemon.query.followPeers
+import figdeck.daemon.query.followTable
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.model.ABSENT
+import figdeck.model.ChangeId
 import figdeck.model.Clock
 import figdeck.model.Epoch
 import figdeck.model.Fence
@@ -28,6 +37,7 @@
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
 import figdeck.traffic.callerApi
+import figdeck.traffic.command.Changing
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
 import figdeck.upstream.command.UpstreamCommands
@@ -49,20 +59,25 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    private val peers: () -> List<Peer> = { emptyList() },
 ) : AutoCloseable {
     private val client = HttpClient(group)
     private val control = Control(initialState(settings.host), clock)
     private val platform = httpPlatform(client, settings)
     private val services = services(random)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val following =
+        Following(platform.queries, control, clock, peers, httpPeerConfiguration(client, settings.credentials.peer))
     private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
-    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
+    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, following))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
+        HttpServer(group, HttpServerLimits(), operatorApi(changing(random), settings.credentials.operator))
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
-        scope.launch { followConfiguration(platform, control, clock) }
+        scope.launch { following.followTable() }
+        scope.launch { following.followPeers() }
+        scope.launch { followHosts(platform.queries, control) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -84,9 +99,15 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = localDispatcher(control),
+        dispatcher = localDispatcher(control).avoidLeaving(control),
         upstreams = httpUpstreams(client, settings),
     )
+
+    private fun changing(random: Random): Changing = Changing(
+        store = ConfigurationStore(platform, control, clock),
+        spread = { change -> following.peerConfiguration.spread(change, peers()) },
+        newChangeId = { ChangeId(random.nextLong().toULong().toString(radix = 36)) },
+    )
 }
 
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
--- a/src/main/kotlin/figdeck/control/Commands.kt
+++ b/src/main/kotlin/figdeck/control/Commands.kt
@@ -15,12 +15,10 @@
 import figdeck.model.UpstreamId
 import figdeck.query.indexOf
 
-/** Notes that a question sent at [asked] found [read] in force; an older revision never replaces a newer one. */
-internal fun confirmConfiguration(state: ControlState, read: Configuration?, asked: Moment): Step<ControlState, Unit> {
-    val newer = read != null && read.revision > state.configuration.revision
-    val current = read == null || read.revision >= state.configuration.revision
-    val followed = if (newer) state.copy(configuration = read, index = indexOf(read)) else state
-    return Step(if (current) followed.copy(confirmedAt = asked) else followed, Unit)
+/** Puts [read] in force if it is newer; an older revision never replaces a newer one. */
+internal fun followConfiguration(state: ControlState, read: Configuration): Step<ControlState, Unit> {
+    val newer = read.revision > state.configuration.revision
+    return Step(if (newer) state.copy(configuration = read, index = indexOf(read)) else state, Unit)
 }
 
 /** Takes one token of [team]. */
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -26,6 +26,7 @@
     public val buckets: PersistentMap<TeamId, TokenBucket>,
     public val dispatch: DispatchState,
     public val draining: Boolean,
+    public val follow: FollowState = initialFollowState,
 )
 
 /** The state of the daemon on [host] before it knows anything. */
--- /dev/null
+++ b/src/main/kotlin/figdeck/control/FollowCommands.kt
@@ -0,0 +1,85 @@
+package figdeck.control
+
+import figdeck.command.Step
+import figdeck.command.template.after
+import figdeck.model.ConfigurationChange
+import figdeck.model.ListedHost
+import figdeck.model.Moment
+import figdeck.model.PeerView
+import figdeck.model.Revision
+import figdeck.model.Upstream
+import figdeck.query.indexOf
+import figdeck.query.weigh
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+
+private const val MAX_RECENT = 64
+
+/** Puts those of [changes] in force that follow the present revision without a gap; the result is the revision then. */
+internal fun applyChanges(state: ControlState, changes: List<ConfigurationChange>): Step<ControlState, Revision> {
+    val next = changes.sortedBy { it.revision }.fold(state.configuration) { configuration, change ->
+        if (change.revision == configuration.revision.next()) configuration.after(change) else configuration
+    }
+    if (next.revision == state.configuration.revision) {
+        return Step(state, next.revision)
+    }
+    val applied = changes.filter { it.revision > state.configuration.revision && it.revision <= next.revision }
+    val recent = (state.follow.recent + applied.sortedBy { it.revision }).takeLast(MAX_RECENT).toPersistentList()
+    val followed = state.copy(
+        configuration = next,
+        index = indexOf(next),
+        follow = state.follow.copy(recent = recent),
+    )
+    return Step(withoutGoneUpstreams(followed), next.revision)
+}
+
+/** Notes that [revision] was the newest when a question was sent at [asked]. */
+internal fun confirmRevision(state: ControlState, revision: Revision, asked: Moment): Step<ControlState, Unit> {
+    val before = state.confirmedAt
+    val newer = before == null || before < asked
+    val confirmed = state.configuration.revision == revision && newer
+    return Step(if (confirmed) state.copy(confirmedAt = asked) else state, Unit)
+}
+
+/** Notes whether the table answers. */
+internal fun noteTable(state: ControlState, inDoubt: Boolean): Step<ControlState, Unit> =
+    Step(state.copy(follow = state.follow.copy(tableInDoubt = inDoubt)), Unit)
+
+/** Weighs what peers answered to a question sent at [asked]; [peers] were asked. */
+internal fun hearPeers(
+    state: ControlState,
+    peers: Int,
+    answers: List<PeerView>,
+    asked: Moment,
+): Step<ControlState, Unit> {
+    val caughtUp = applyChanges(state, answers.flatMap { it.changes }.distinctBy { it.revision }).state
+    val vouched = weigh(caughtUp.configuration.revision, peers, answers)
+    val confirmed = vouched.confirmedAgo
+        ?.let { confirmRevision(caughtUp, caughtUp.configuration.revision, asked + -it).state }
+        ?: caughtUp
+    val agreedAt = if (vouched.outageAgreed && state.follow.tableInDoubt) asked else state.follow.outageAgreedAt
+    return Step(confirmed.copy(follow = confirmed.follow.copy(outageAgreedAt = agreedAt)), Unit)
+}
+
+/** Notes which upstreams are leaving according to the hosts list. */
+internal fun noteLeaving(state: ControlState, hosts: List<ListedHost>): Step<ControlState, Unit> {
+    val going = hosts.filter { it.leaving }
+    val leaving = state.index.upstreams.values.filter { it.isAmong(going) }.map { it.id }
+    return Step(state.copy(follow = state.follow.copy(leaving = leaving.toPersistentSet())), Unit)
+}
+
+/** What this daemon answers a peer that is at [since]. */
+internal fun peerView(state: ControlState, since: Revision, now: Moment): PeerView = PeerView(
+    revision = state.configuration.revision,
+    confirmedAgo = state.confirmedAt?.let { now - it },
+    tableInDoubt = state.follow.tableInDoubt,
+    changes = state.follow.recent.filter { it.revision > since },
+)
+
+private fun Upstream.isAmong(hosts: List<ListedHost>): Boolean =
+    hosts.any { it.name == id.value || it.address == address }
+
+private fun withoutGoneUpstreams(state: ControlState): ControlState {
+    val leaving = state.follow.leaving.filter { it in state.index.upstreams }.toPersistentSet()
+    return state.copy(follow = state.follow.copy(leaving = leaving))
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/AvoidLeaving.kt
@@ -0,0 +1,36 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.model.Refusal
+import figdeck.model.Upstream
+
+/** This dispatcher, but for slots at upstreams that began to leave while the work waited: those are given back. */
+internal fun Dispatcher.avoidLeaving(control: Control<ControlState>): Dispatcher = Dispatcher(
+    acquire = { request -> acquireStaying(control, request) },
+    release = release,
+)
+
+private suspend fun Dispatcher.acquireStaying(
+    control: Control<ControlState>,
+    request: DispatchRequest,
+): Either<Refusal, Permit> = either {
+    var staying: Permit? = null
+    while (staying == null) {
+        val candidates = request.candidates.filterNot { isLeaving(control, it) }
+        ensure(candidates.isNotEmpty()) { Refusal.NoUpstream("this work") }
+        val permit = acquire(request.copy(candidates = candidates)).bind()
+        if (isLeaving(control, permit.upstream)) {
+            release(permit, UseResult.ABANDONED, 0)
+        } else {
+            staying = permit
+        }
+    }
+    staying
+}
+
+private fun isLeaving(control: Control<ControlState>, upstream: Upstream): Boolean =
+    upstream.id in control.snapshot.follow.leaving
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/ChangeConfiguration.kt
@@ -0,0 +1,205 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.command.Step
+import figdeck.command.template.EditRefusal
+import figdeck.command.template.decideEdit
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.applyChanges
+import figdeck.daemon.query.HEAD_KEY
+import figdeck.daemon.query.StoredHead
+import figdeck.daemon.query.catchUp
+import figdeck.daemon.query.changeKey
+import figdeck.daemon.query.readChange
+import figdeck.daemon.query.readChanges
+import figdeck.model.CallResult
+import figdeck.model.ChangeId
+import figdeck.model.Clock
+import figdeck.model.CommitReply
+import figdeck.model.ConfigurationChange
+import figdeck.model.Fault
+import figdeck.model.OperatorName
+import figdeck.model.Revision
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.model.TemplateEdit
+import figdeck.model.TemplatePatch
+import figdeck.platform.Platform
+import figdeck.wire.command.encodeChange
+import figdeck.wire.command.encodeHead
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val MAX_RACES = 32
+private val SETTLE_LIMIT = 8.seconds
+private val SETTLE_PAUSE = 100.milliseconds
+
+/** An edit as an operator sent it; [expected] is the revision that it was made for, where one was named. */
+internal data class ChangeRequest(
+    val id: ChangeId,
+    val operator: OperatorName,
+    val expected: Revision?,
+    val edit: TemplateEdit,
+)
+
+/** Why a change was not accepted, or not surely. */
+internal sealed interface ChangeFailure {
+    /** The edit breaks rules; nothing was applied. */
+    data class Faulty(val faults: List<Fault>) : ChangeFailure
+
+    /** Others changed the configuration first; nothing was applied. */
+    data class Conflict(val present: Revision, val since: List<ConfigurationChange>) : ChangeFailure
+
+    /** The platform's table can't be reached; nothing was applied. */
+    data object Unavailable : ChangeFailure
+
+    /** The table took the change [id] and never answered; it may be in force. */
+    data class Unsettled(val id: ChangeId) : ChangeFailure
+}
+
+/** What changing the configuration needs. */
+internal data class ConfigurationStore(
+    val platform: Platform,
+    val control: Control<ControlState>,
+    val clock: Clock,
+)
+
+private data class DecidedEdit(
+    val at: Revision,
+    val patch: Either<EditRefusal, TemplatePatch>,
+)
+
+private enum class Settled {
+    ACCEPTED,
+    OVERTAKEN,
+}
+
+/** Accepts [request] by compare-and-set on the head row; a lost reply is settled before anything is answered. */
+internal suspend fun ConfigurationStore.change(request: ChangeRequest): Either<ChangeFailure, ConfigurationChange> =
+    either {
+        var accepted: ConfigurationChange? = null
+        var races = 0
+        while (accepted == null) {
+            ensure(races < MAX_RACES) { ChangeFailure.Unavailable }
+            accepted = attempt(this@change, request)
+            races++
+        }
+        accepted
+    }
+
+/** The accepted change, or null when another one came first and the edit may be decided again. */
+private suspend fun Raise<ChangeFailure>.attempt(
+    store: ConfigurationStore,
+    request: ChangeRequest,
+): ConfigurationChange? {
+    val stored = (catchUp(store.platform.queries, store.control, store.clock) as? CallResult.Done)?.value
+    ensure(stored != null) { ChangeFailure.Unavailable }
+    ensure(store.control.snapshot.configuration.revision >= stored.head.revision) { ChangeFailure.Unavailable }
+    val earlier = store.control.snapshot.follow.recent.find { it.id == request.id }
+    return earlier ?: decideAndSettle(store, request, stored)
+}
+
+private suspend fun Raise<ChangeFailure>.decideAndSettle(
+    store: ConfigurationStore,
+    request: ChangeRequest,
+    stored: StoredHead,
+): ConfigurationChange? {
+    val (decidedAt, decided) = store.control.run { state, _ ->
+        val patch = decideEdit(state.configuration, request.edit, request.expected)
+        Step(state, DecidedEdit(state.configuration.revision, patch))
+    }
+    val patch = decided.mapLeft { explain(store, it, request) }.bind()
+    // A change that this host has seen since the head was read has overtaken this one.
+    return if (decidedAt == stored.head.revision) commitEdit(store, request, stored, patch) else null
+}
+
+private suspend fun Raise<ChangeFailure>.commitEdit(
+    store: ConfigurationStore,
+    request: ChangeRequest,
+    stored: StoredHead,
+    patch: TemplatePatch,
+): ConfigurationChange? {
+    val change = request.accepted(stored.head.revision.next(), store.clock().epochMillis, patch)
+    val settled = settle(store, change, transaction(stored, change))
+    if (settled == Settled.ACCEPTED) {
+        store.control.run { state, _ -> applyChanges(state, listOf(change)) }
+    }
+    return change.takeIf { settled == Settled.ACCEPTED }
+}
+
+private fun ChangeRequest.accepted(revision: Revision, atMillis: Long, patch: TemplatePatch) =
+    ConfigurationChange(id, revision, operator, atMillis, summarize(edit), patch)
+
+private fun transaction(stored: StoredHead, change: ConfigurationChange): TableTransaction {
+    val head = stored.head.copy(revision = change.revision)
+    return TableTransaction(
+        checks = listOf(RowCheck(HEAD_KEY, stored.version)),
+        writes = listOf(
+            RowWrite(HEAD_KEY, encodeHead(head)),
+            RowWrite(changeKey(change.revision), encodeChange(change)),
+        ),
+    )
+}
+
+/**
+ * Commits until the table has decided. Sending again is safe: every try checks the same version of the head, so one at
+ * most takes effect, and a conflict after a lost reply is read back to see whose change came first.
+ */
+private suspend fun Raise<ChangeFailure>.settle(
+    store: ConfigurationStore,
+    change: ConfigurationChange,
+    transaction: TableTransaction,
+): Settled {
+    val startedAt = store.clock()
+    var mayHaveRun = false
+    var settled: Settled? = null
+    while (settled == null) {
+        val reply = store.platform.commands.commit(transaction)
+        mayHaveRun = mayHaveRun || reply is CallResult.Unknown
+        ensure(mayHaveRun || reply is CallResult.Done) { ChangeFailure.Unavailable }
+        settled = (reply as? CallResult.Done)?.let { decided(store, change, it.value) }
+        if (settled == null) {
+            ensure(store.clock() - startedAt < SETTLE_LIMIT) { ChangeFailure.Unsettled(change.id) }
+            delay(SETTLE_PAUSE)
+        }
+    }
+    return settled
+}
+
+private suspend fun decided(store: ConfigurationStore, change: ConfigurationChange, reply: CommitReply): Settled? =
+    when (reply) {
+        is CommitReply.Committed -> Settled.ACCEPTED
+        is CommitReply.Conflict -> ownerOf(store, change)
+    }
+
+/**
+ * Whose change stands at that revision, after the head was found to have moved on; null when it can't be read now.
+ * Where none stands, [change] can't take effect any more.
+ */
+private suspend fun ownerOf(store: ConfigurationStore, change: ConfigurationChange): Settled? =
+    when (val read = store.platform.queries.readChange(change.revision)) {
+        is CallResult.Done -> if (read.value?.id == change.id) Settled.ACCEPTED else Settled.OVERTAKEN
+        is CallResult.NotDone, is CallResult.Unknown -> null
+    }
+
+private suspend fun explain(store: ConfigurationStore, refusal: EditRefusal, request: ChangeRequest): ChangeFailure =
+    when (refusal) {
+        is EditRefusal.Faulty -> ChangeFailure.Faulty(refusal.faults)
+        is EditRefusal.Conflict -> {
+            val since = request.expected?.let { store.platform.queries.readChanges(it) } as? CallResult.Done
+            ChangeFailure.Conflict(refusal.present, since?.value.orEmpty())
+        }
+    }
+
+private fun summarize(edit: TemplateEdit): String = when (edit) {
+    is TemplateEdit.Apply -> "applied template ${edit.template.name}"
+    is TemplateEdit.Remove -> "removed template ${edit.name}"
+    is TemplateEdit.GrantKey -> "granted key ${edit.key.id} to team ${edit.team}"
+    is TemplateEdit.WithdrawKey -> "withdrew key ${edit.key}" + edit.team?.let { " of team $it" }.orEmpty()
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/HttpPeerConfiguration.kt
@@ -0,0 +1,63 @@
+package figdeck.daemon.command
+
+import arrow.core.getOrElse
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.model.Address
+import figdeck.model.PeerView
+import figdeck.wire.command.encodeChanges
+import figdeck.wire.query.decodePeerView
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The path at which daemons ask and tell each other of the configuration. */
+internal const val PEER_CONFIGURATION_PATH = "/peer/configuration"
+private const val MAX_VIEW_BYTES = 16 * 1024 * 1024
+private const val OK = 200
+private val ANSWER_LIMIT = 700.milliseconds
+
+/** Asks and tells peers over HTTP with JSON, showing [secret]. */
+internal fun httpPeerConfiguration(client: HttpClient, secret: String): PeerConfiguration = PeerConfiguration(
+    ask = { address, revision ->
+        client.view(
+            address,
+            secret,
+            "GET",
+            "$PEER_CONFIGURATION_PATH?revision=$revision",
+            ""
+        )
+    },
+    push = { address, changes ->
+        client.view(
+            address,
+            secret,
+            "POST",
+            PEER_CONFIGURATION_PATH,
+            encodeChanges(changes)
+        )
+    },
+)
+
+private suspend fun HttpClient.view(
+    address: Address,
+    secret: String,
+    method: String,
+    target: String,
+    body: String,
+): PeerView? {
+    val request = OutgoingRequest(
+        address = address,
+        method = method,
+        target = target,
+        headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer $secret"),
+        body = body.encodeToByteArray(),
+        headTimeout = ANSWER_LIMIT,
+        idleTimeout = ANSWER_LIMIT,
+    )
+    return exchange(request) { reply ->
+        val text = reply.body.readAll(MAX_VIEW_BYTES).getOrElse { ByteArray(0) }.decodeToString()
+        if (reply.status == OK) decodePeerView(text).getOrNull() else null
+    }.getOrNull()
+}
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -159,10 +159,10 @@
     is EngineResult.Lost -> "lost: $reason"
 }
 
-/** The upstreams named by [ids] that are configured and not in [failed]. */
+/** The upstreams named by [ids] that are configured, not leaving and not in [failed]. */
 internal fun Services.candidates(ids: List<UpstreamId>, failed: Set<UpstreamId>): List<Upstream> {
-    val index = control.snapshot.index
-    return ids.filterNot { it in failed }.mapNotNull { index.upstreams[it] }
+    val state = control.snapshot
+    return ids.filterNot { it in failed || it in state.follow.leaving }.mapNotNull { state.index.upstreams[it] }
 }
 
 /** The record of [work] as it is accepted now. */
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/FollowHosts.kt
@@ -0,0 +1,27 @@
+package figdeck.daemon.query
+
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.noteLeaving
+import figdeck.model.CallResult
+import figdeck.platform.query.PlatformQueries
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private val HOSTS_INTERVAL = 1.seconds
+
+/** Keeps the set of leaving upstreams at what the platform's hosts list says, until cancelled. */
+internal suspend fun followHosts(
+    queries: PlatformQueries,
+    control: Control<ControlState>,
+    interval: Duration = HOSTS_INTERVAL,
+) {
+    while (true) {
+        val listed = queries.listHosts()
+        if (listed is CallResult.Done) {
+            control.run { state, _ -> noteLeaving(state, listed.value) }
+        }
+        delay(interval)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/KeyInForce.kt
@@ -0,0 +1,35 @@
+package figdeck.daemon.query
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import figdeck.control.ControlState
+import figdeck.daemon.command.Services
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import figdeck.model.Team
+import figdeck.query.RouteAccess
+import figdeck.query.accessTo
+import figdeck.query.isCurrent
+import figdeck.query.teamOf
+
+/** The team whose [key] came with a request, if this host surely knows at this moment that the key is in force. */
+internal fun Services.teamInForce(key: String?): Either<Refusal, Team> = either {
+    val state = control.snapshot
+    if (key != null) {
+        ensure(state.isCurrent(clock())) { Refusal.StaleConfiguration }
+    }
+    state.index.teamOf(key).bind()
+}
+
+/** Who may call [route] with [key] at this moment. A route open to all is open without any key. */
+internal fun Services.accessInForce(route: String, key: String?): Either<Refusal, RouteAccess> = either {
+    val state = control.snapshot
+    if (key != null) {
+        ensure(state.isCurrent(clock())) { Refusal.StaleConfiguration }
+    }
+    state.index.accessTo(route, key).bind()
+}
+
+/** Whether the configuration of this state is surely the newest or nobody can change it [now]. */
+internal fun ControlState.isCurrent(now: Moment): Boolean = isCurrent(confirmedAt, follow.outageAgreedAt, now)
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/ReadConfiguration.kt
@@ -0,0 +1,92 @@
+package figdeck.daemon.query
+
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.applyChanges
+import figdeck.control.confirmRevision
+import figdeck.control.followConfiguration
+import figdeck.model.ABSENT
+import figdeck.model.CallResult
+import figdeck.model.ConfigurationChange
+import figdeck.model.ConfigurationHead
+import figdeck.model.Moment
+import figdeck.model.Revision
+import figdeck.model.map
+import figdeck.platform.query.PlatformQueries
+import figdeck.wire.command.decodeChange
+import figdeck.wire.command.decodeConfiguration
+import figdeck.wire.command.decodeHead
+
+/** The row that holds the newest revision. */
+internal const val HEAD_KEY = "configuration/head"
+internal const val CHANGE_PREFIX = "configuration/change/"
+private const val SNAPSHOT_PREFIX = "configuration/snapshot/"
+private const val REVISION_DIGITS = 12
+private const val PAGE_ROWS = 100
+
+/** The head of the stored configuration and the version of its row. */
+internal data class StoredHead(
+    val head: ConfigurationHead,
+    val version: Long,
+)
+
+internal fun changeKey(revision: Revision): String =
+    CHANGE_PREFIX + revision.toString().padStart(REVISION_DIGITS, '0')
+
+internal fun snapshotKey(revision: Revision): String = SNAPSHOT_PREFIX + revision
+
+/** Reads the head; before the first change it is revision 0. */
+internal suspend fun PlatformQueries.readHead(): CallResult<StoredHead> = readRow(HEAD_KEY).map { found ->
+    val row = found.value
+    if (row == null) {
+        StoredHead(ConfigurationHead(Revision(0), Revision(0)), ABSENT)
+    } else {
+        StoredHead(decodeHead(row.value), row.version)
+    }
+}
+
+/** Reads the changes after [since], a page at most, oldest first. */
+internal suspend fun PlatformQueries.readChanges(since: Revision): CallResult<List<ConfigurationChange>> =
+    scanRows(CHANGE_PREFIX, changeKey(since), PAGE_ROWS).map { rows ->
+        rows.mapNotNull { row -> decodeChange(row.value).getOrNull() }
+    }
+
+/** Reads the change that made [revision], or null. */
+internal suspend fun PlatformQueries.readChange(revision: Revision): CallResult<ConfigurationChange?> =
+    readRow(changeKey(revision)).map { found -> found.value?.let { decodeChange(it.value).getOrNull() } }
+
+/** Brings the control state to the newest stored revision and confirms it as of the sending of the question. */
+internal suspend fun catchUp(
+    queries: PlatformQueries,
+    control: Control<ControlState>,
+    clock: () -> Moment,
+): CallResult<StoredHead> {
+    val asked = clock()
+    val stored = queries.readHead()
+    if (stored is CallResult.Done) {
+        readSnapshot(queries, control, stored.value.head)
+        readMissing(queries, control, stored.value.head.revision)
+        control.run { state, _ -> confirmRevision(state, stored.value.head.revision, asked) }
+    }
+    return stored
+}
+
+private suspend fun readSnapshot(queries: PlatformQueries, control: Control<ControlState>, head: ConfigurationHead) {
+    if (control.snapshot.configuration.revision < head.snapshot) {
+        val found = queries.readObject(snapshotKey(head.snapshot)) as? CallResult.Done
+        val copy = found?.value?.value?.let { decodeConfiguration(it.decodeToString()).getOrNull() }
+        copy?.let { control.run { state, _ -> followConfiguration(state, it) } }
+    }
+}
+
+private suspend fun readMissing(queries: PlatformQueries, control: Control<ControlState>, newest: Revision) {
+    var present = control.snapshot.configuration.revision
+    while (present < newest) {
+        val changes = (queries.readChanges(present) as? CallResult.Done)?.value ?: return
+        val reached = control.run { state, _ -> applyChanges(state, changes) }
+        if (reached == present) {
+            return
+        }
+        present = reached
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/OperatorName.kt
@@ -0,0 +1,11 @@
+package figdeck.model
+
+/** Names the operator who made a change. */
+@JvmInline
+public value class OperatorName(public val value: String) {
+    init {
+        requireId("operator", value)
+    }
+
+    override fun toString(): String = value
+}
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -24,6 +24,13 @@
         override val message: String get() = "the key is unknown or withdrawn: ask the operators for a new one"
     }
 
+    /** The key was withdrawn while its work ran as [id]. */
+    public data class KeyWithdrawn(public val id: RequestId) : Refusal {
+        override val message: String
+            get() = "the key was withdrawn while request '$id' ran: read /v1/results/$id with another key of the team"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
     /** The request breaks the protocol at [path]. */
     public data class BadRequest(public val path: String, public val remedy: String) : Refusal {
         override val message: String get() = "$path: $remedy"
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -1,6 +1,7 @@
 package figdeck.traffic
 
 import figdeck.daemon.command.Services
+import figdeck.daemon.query.isCurrent
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.platform.query.PlatformQueries
@@ -18,6 +19,8 @@
     return { call, responder ->
         val state = services.control.snapshot
         when {
+            call.bearerKey() != null && !state.isCurrent(services.clock()) ->
+                responder.refuse(Refusal.StaleConfiguration)
             state.draining -> responder.refuse(Refusal.Draining)
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
             call.path.startsWith(SERVICES_PREFIX) -> service(call, responder)
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -1,11 +1,14 @@
 package figdeck.traffic.command
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.raise.either
 import figdeck.daemon.command.ChatAnswer
 import figdeck.daemon.command.ChatSink
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.serveChat
+import figdeck.daemon.query.KeyGuard
+import figdeck.daemon.query.teamInForce
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -17,7 +20,6 @@
 import figdeck.model.Team
 import figdeck.model.Work
 import figdeck.query.poolFor
-import figdeck.query.teamOf
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.STATUS_OK
 import figdeck.traffic.bearerKey
@@ -40,6 +42,7 @@
     val team: Team,
     val pool: ModelPool,
     val chat: Work.Chat,
+    val key: String?,
 )
 
 /** Handles `POST /v1/chat/completions`. */
@@ -51,16 +54,19 @@
 }
 
 private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, ChatOrder> = either {
-    val index = control.snapshot.index
-    val team = index.teamOf(call.bearerKey()).bind()
+    teamInForce(call.bearerKey()).bind()
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     val chat = decodeChat(body.decodeToString()).bind()
-    ChatOrder(team, index.poolFor(team, chat).bind(), chat)
+    // A slow body leaves time for the key to be withdrawn.
+    val team = teamInForce(call.bearerKey()).bind()
+    ChatOrder(team, control.snapshot.index.poolFor(team, chat).bind(), chat, call.bearerKey())
 }
 
 private suspend fun Services.answer(order: ChatOrder, responder: HttpResponder) {
     val sink = ChatSink(accepted = {}, delta = {})
-    serveChat(order.team, order.pool, order.chat, sink).fold(
+    val guard = KeyGuard(this, order.key, order.team.id)
+    val result = serveChat(order.team, order.pool, order.chat, sink)
+    result.flatMap { answer -> guard.check(answer.id).map { answer } }.fold(
         { responder.refuse(it) },
         { answer ->
             val head = head(answer.id, order)
@@ -71,6 +77,7 @@
 
 private suspend fun Services.stream(order: ChatOrder, responder: HttpResponder) {
     var accepted: CompletionHead? = null
+    val guard = KeyGuard(this, order.key, order.team.id)
     val sink = ChatSink(
         accepted = { id ->
             accepted = head(id, order)
@@ -79,17 +86,21 @@
                 .set(REQUEST_ID_HEADER, id.value)
             responder.start(STATUS_OK, headers)
         },
-        delta = { text -> accepted?.let { responder.event(encodeChunk(it, CompletionChunk(text, null))) } },
+        delta = { text -> accepted?.let { responder.guarded(guard, it, CompletionChunk(text, null)) } },
     )
     val result = serveChat(order.team, order.pool, order.chat, sink)
     val head = accepted
     if (head == null) {
         result.onLeft { responder.refuse(it) }
     } else {
-        responder.endStream(head, result)
+        responder.endStream(head, result.flatMap { answer -> guard.check(head.id).map { answer } })
     }
 }
 
+private suspend fun HttpResponder.guarded(guard: KeyGuard, head: CompletionHead, chunk: CompletionChunk) {
+    guard.check(head.id).onRight { event(encodeChunk(head, chunk)) }
+}
+
 private suspend fun HttpResponder.endStream(head: CompletionHead, result: Either<Refusal, ChatAnswer>) {
     result.fold(
         { event(encodeRefusal(it, head.id.value)) },
--- /dev/null
+++ b/src/main/kotlin/figdeck/traffic/command/PeerConfigurationHandler.kt
@@ -0,0 +1,35 @@
+package figdeck.traffic.command
+
+import arrow.core.getOrElse
+import figdeck.control.applyChanges
+import figdeck.control.peerView
+import figdeck.daemon.query.Following
+import figdeck.http.readAll
+import figdeck.http.server.HttpCall
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.parameter
+import figdeck.model.Revision
+import figdeck.traffic.json
+import figdeck.wire.command.decodeChanges
+import figdeck.wire.query.encodePeerView
+
+private const val MAX_PUSH_BYTES = 32 * 1024 * 1024
+
+/** Handles a peer's question or push: puts what it sent in force and answers what this daemon knows. */
+internal fun peerConfigurationHandler(following: Following): HttpHandler = { call, responder ->
+    if (call.method == "POST") {
+        following.take(call)
+    }
+    val since = Revision(call.parameter("revision")?.toLongOrNull()?.coerceAtLeast(0) ?: Long.MAX_VALUE)
+    responder.json(encodePeerView(peerView(following.control.snapshot, since, following.clock())))
+}
+
+/** A push with a gap before it wakes the poll of the table, which reads what is missing. */
+private suspend fun Following.take(call: HttpCall) {
+    val body = call.body.readAll(MAX_PUSH_BYTES).getOrElse { ByteArray(0) }
+    val changes = decodeChanges(body.decodeToString())
+    val reached = control.run { state, _ -> applyChanges(state, changes) }
+    if (changes.any { it.revision > reached }) {
+        nudges.trySend(Unit)
+    }
+}
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -5,13 +5,14 @@
 import figdeck.daemon.command.CallAnswer
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.serveCall
+import figdeck.daemon.query.KeyGuard
+import figdeck.daemon.query.accessInForce
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.model.Work
-import figdeck.query.accessTo
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.bearerKey
 import figdeck.traffic.refuse
@@ -36,8 +37,11 @@
 
 private suspend fun Services.serve(call: HttpCall): Either<Refusal, CallAnswer> = either {
     val below = call.path.removePrefix(SERVICES_PREFIX)
-    val access = control.snapshot.index.accessTo(below.substringBefore('/'), call.bearerKey()).bind()
+    val route = below.substringBefore('/')
+    accessInForce(route, call.bearerKey()).bind()
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
+    // A slow body leaves time for the key to be withdrawn.
+    val access = accessInForce(route, call.bearerKey()).bind()
     val work = Work.ServiceCall(
         route = access.route.name,
         method = call.method,
@@ -46,5 +50,7 @@
         body = body.decodeToString(),
         idempotent = access.route.idempotent,
     )
-    serveCall(access, work).bind()
+    val answered = serveCall(access, work).bind()
+    access.team?.let { KeyGuard(this@serve, call.bearerKey(), it.id).check(answered.id).bind() }
+    answered
 }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -32,6 +32,7 @@
     get() = when (this) {
         Refusal.MissingKey -> "missing_key"
         Refusal.UnknownKey -> "unknown_key"
+        is Refusal.KeyWithdrawn -> "key_withdrawn"
         is Refusal.BadRequest -> "bad_request"
         is Refusal.BodyTooLarge -> "body_too_large"
         is Refusal.ModelNotFound -> "model_not_found"
@@ -54,7 +55,7 @@
 /** The HTTP status of this refusal. */
 internal val Refusal.status: Int
     get() = when (this) {
-        Refusal.MissingKey, Refusal.UnknownKey -> UNAUTHORIZED
+        Refusal.MissingKey, Refusal.UnknownKey, is Refusal.KeyWithdrawn -> UNAUTHORIZED
         is Refusal.BadRequest -> BAD_REQUEST
         is Refusal.BodyTooLarge -> TOO_LARGE
         is Refusal.ModelNotFound, is Refusal.RouteNotFound, is Refusal.NotFound -> NOT_FOUND
--- a/src/main/kotlin/figdeck/wire/command/TemplateCodec.kt
+++ b/src/main/kotlin/figdeck/wire/command/TemplateCodec.kt
@@ -1,14 +1,20 @@
 package figdeck.wire.command
 
 import arrow.core.Either
-import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.right
 import figdeck.model.Fault
 import figdeck.model.Template
 import figdeck.model.TemplateBuilder
 import figdeck.model.template
-import figdeck.wire.decode
+import figdeck.wire.lenientJson
+import figdeck.wire.shape
 import figdeck.wire.strictJson
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonObject
 
 @Serializable
 internal data class TemplateDto(
@@ -62,11 +68,25 @@
     val sha256: String,
 )
 
-/** Reads a template that operators wrote, or tells every fault. */
-internal fun decodeTemplate(text: String): Either<List<Fault>, Template> =
-    strictJson.decode(TemplateDto.serializer(), text)
-        .mapLeft { listOf(Fault("", "not a template ($it): see the example in docs/OPERATIONS.md")) }
-        .flatMap { dto -> template(dto.name) { addAll(dto) } }
+/** Reads a template that operators wrote, or tells every fault by path. */
+internal fun decodeTemplate(text: String): Either<List<Fault>, Template> = either {
+    val element = parseObject(text).mapLeft { listOf(Fault("", it)) }.bind()
+    val shaped = shape(element, TemplateDto.serializer().descriptor)
+    val dto = lenientJson.decodeFromJsonElement(TemplateDto.serializer(), shaped.element)
+    val built = dto.toTemplate()
+    val mended = shaped.faults.map { it.path }.toSet()
+    val faults = shaped.faults + built.fold({ it }, { emptyList() }).filterNot { it.path in mended }
+    ensure(faults.isEmpty()) { faults }
+    built.bind()
+}
+
+private fun parseObject(text: String): Either<String, JsonObject> = try {
+    (lenientJson.parseToJsonElement(text) as? JsonObject)?.right()
+        ?: "the template is no JSON object: see the example in docs/OPERATIONS.md".left()
+} catch (e: SerializationException) {
+    val reason = e.message.orEmpty().lineSequence().first()
+    "the template is not valid JSON ($reason): see the example in docs/OPERATIONS.md".left()
+}
 
 internal fun encodeTemplate(template: Template): String =
     strictJson.encodeToString(TemplateDto.serializer(), template.toDto())
@@ -111,22 +131,9 @@
 
 internal fun Template.toDto(): TemplateDto = TemplateDto(
     name = name.value,
-    upstreams = upstreams.map {
-        val kind = it.kind.name.lowercase()
-        UpstreamDto(it.id.value, it.address.toString(), it.dataCentre.value, kind, it.slots, it.honoursFencing)
-    },
-    models = models.map { ModelPoolDto(it.name.value, it.upstreams.map { id -> id.value }, it.maxTokens) },
-    routes = routes.map { RouteDto(it.name.value, it.upstreams.map { id -> id.value }, it.idempotent, it.open) },
-    teams = teams.map { team ->
-        TeamDto(
-            team = team.id.value,
-            keys = team.keys.map { TeamKeyDto(it.id.value, it.hash.hex) },
-            ratePerSecond = team.limit.ratePerSecond,
-            burst = team.limit.burst,
-            weight = team.weight,
-            models = team.models.map { it.value },
-            routes = team.routes.map { it.value },
-        )
-    },
+    upstreams = upstreams.map { it.toDto() },
+    models = models.map { it.toDto() },
+    routes = routes.map { it.toDto() },
+    teams = teams.map { it.toDto() },
     retentionHours = retention.inWholeHours.toInt(),
 )
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -0,0 +1,173 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.initialState
+import figdeck.daemon.query.CHANGE_PREFIX
+import figdeck.daemon.query.HEAD_KEY
+import figdeck.daemon.query.catchUp
+import figdeck.model.CallResult
+import figdeck.model.ChangeId
+import figdeck.model.CommitReply
+import figdeck.model.ConfigurationChange
+import figdeck.model.HostId
+import figdeck.model.OperatorName
+import figdeck.model.Revision
+import figdeck.model.TableTransaction
+import figdeck.model.TemplateEdit
+import figdeck.model.systemClock
+import figdeck.model.template
+import figdeck.platform.Platform
+import figdeck.platform.command.PlatformCommands
+import figdeck.platform.query.Found
+import figdeck.platform.query.PlatformQueries
+import figdeck.standin.commit
+import figdeck.standin.emptyPlatform
+import figdeck.standin.scan
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/** A table in memory whose commits go through [fault] first. */
+private class FakeTable(private val fault: (Int) -> Fault) {
+    private var state = emptyPlatform
+    private val commits = AtomicInteger()
+    val platform = Platform(
+        PlatformCommands(
+            commit = { commitWithFault(it) },
+            putObject = { key, bytes -> synchronized(this) { put(key, bytes) } },
+            deleteObject = { CallResult.Done(Unit) },
+        ),
+        PlatformQueries(
+            readRow = { key -> synchronized(this) { CallResult.Done(Found(state.rows[key])) } },
+            scanRows = { prefix, after, limit ->
+                synchronized(this) { CallResult.Done(scan(state, prefix, after, limit)) }
+            },
+            readObject = { key -> synchronized(this) { CallResult.Done(Found(state.objects[key])) } },
+            listHosts = { CallResult.Done(emptyList()) },
+        ),
+    )
+
+    fun rows(prefix: String) = synchronized(this) { scan(state, prefix, "", 1_000) }
+
+    fun objectKeys(): Set<String> = synchronized(this) { state.objects.keys }
+
+    private fun put(key: String, bytes: ByteArray): CallResult<Unit> {
+        state = state.copy(objects = state.objects.put(key, bytes))
+        return CallResult.Done(Unit)
+    }
+
+    private fun commitWithFault(transaction: TableTransaction): CallResult<CommitReply> = synchronized(this) {
+        val fault = fault(commits.incrementAndGet())
+        if (fault == Fault.LOST_BEFORE) {
+            return CallResult.Unknown("lost before the table")
+        }
+        if (fault == Fault.OUTAGE) {
+            return CallResult.NotDone("outage")
+        }
+        val step = commit(state, transaction)
+        state = step.state
+        return if (fault == Fault.LOST_AFTER) CallResult.Unknown("reply lost") else CallResult.Done(step.result)
+    }
+}
+
+private enum class Fault { NONE, LOST_BEFORE, LOST_AFTER, OUTAGE }
+
+private fun daemonAt(table: FakeTable, name: String): ConfigurationStore {
+    val control: Control<ControlState> = Control(initialState(HostId(name)), systemClock)
+    return ConfigurationStore(table.platform, control, systemClock)
+}
+
+private fun apply(id: String, expected: Long? = null): ChangeRequest {
+    val built = template("t-$id") { retentionHours = 5 }.fold({ error(it.joinToString()) }, { it })
+    return ChangeRequest(ChangeId(id), OperatorName("jana"), expected?.let { Revision(it) }, TemplateEdit.Apply(built))
+}
+
+private fun Either<ChangeFailure, ConfigurationChange>.revision(): Long? = getOrNull()?.revision?.value
+
+class ChangeConfigurationSpec : DescribeSpec({
+    describe("a lost reply") {
+        it("is settled as accepted, once, when the write took effect") {
+            val table = FakeTable { if (it == 1) Fault.LOST_AFTER else Fault.NONE }
+            daemonAt(table, "a").change(apply("one")).revision() shouldBe 1
+            table.rows(CHANGE_PREFIX).map { it.key } shouldContainExactly listOf("configuration/change/000000000001")
+        }
+
+        it("is settled by writing again when the write did not take effect") {
+            val table = FakeTable { if (it == 1) Fault.LOST_BEFORE else Fault.NONE }
+            daemonAt(table, "a").change(apply("one")).revision() shouldBe 1
+            table.rows(HEAD_KEY).single().value shouldBe """{"revision":1,"snapshot":0}"""
+        }
+
+        it("is told as unsettled, never guessed, when the table doesn't answer again") {
+            val table = FakeTable { if (it == 1) Fault.LOST_AFTER else Fault.OUTAGE }
+            daemonAt(table, "a").change(apply("one")).leftOrNull() shouldBe ChangeFailure.Unsettled(ChangeId("one"))
+        }
+    }
+
+    describe("a table that is out") {
+        it("has the change refused as not applied") {
+            daemonAt(FakeTable { Fault.OUTAGE }, "a").change(apply("one")).leftOrNull() shouldBe
+                ChangeFailure.Unavailable
+        }
+    }
+
+    describe("a change sent twice under one id") {
+        it("is accepted once") {
+            val daemon = daemonAt(FakeTable { Fault.NONE }, "a")
+            daemon.change(apply("one")).revision() shouldBe 1
+            daemon.change(apply("one")).revision() shouldBe 1
+        }
+    }
+
+    describe("racing operators") {
+        it("all get in when they named no revision, each at its own") {
+            val random = Random(11)
+            val table = FakeTable { if (random.nextInt(4) == 0) Fault.LOST_AFTER else Fault.NONE }
+            val daemons = listOf("a", "b", "c").map { daemonAt(table, it) }
+            val revisions = coroutineScope {
+                daemons.flatMapIndexed { d, daemon ->
+                    List(4) { async(Dispatchers.Default) { daemon.change(apply("$d-$it")).revision() } }
+                }.awaitAll()
+            }
+            revisions.filterNotNull().sorted() shouldBe (1L..12L).toList()
+            daemons.forEach { catchUp(it.platform.queries, it.control, it.clock) }
+            daemons.map { it.control.snapshot.configuration }.toSet().size shouldBe 1
+        }
+
+        it("that lose learn what changed since the revision they named") {
+            val table = FakeTable { Fault.NONE }
+            val (first, second) = listOf("a", "b").map { daemonAt(table, it) }
+            first.change(apply("one", expected = 0)).revision() shouldBe 1
+            val lost = second.change(apply("two", expected = 0)).leftOrNull()
+            lost.shouldBeInstanceOf<ChangeFailure.Conflict>()
+            lost.since.map { "${it.revision} ${it.operator}: ${it.summary}" } shouldBe
+                listOf("1 jana: applied template t-one")
+            table.rows(CHANGE_PREFIX).size shouldBe 1
+        }
+    }
+
+    describe("a starting daemon") {
+        it("reads the newest copy and the changes after it") {
+            val table = FakeTable { Fault.NONE }
+            val writer = daemonAt(table, "a")
+            repeat(SNAPSHOT_INTERVAL + 3) {
+                writer.change(apply("c$it"))
+                writer.writeSnapshotIfDue()
+            }
+            table.objectKeys() shouldBe setOf("configuration/snapshot/64")
+            val starting = daemonAt(table, "b")
+            catchUp(starting.platform.queries, starting.control, systemClock)
+            starting.control.snapshot.configuration shouldBe writer.control.snapshot.configuration
+            starting.control.snapshot.follow.recent.size shouldBe 3
+        }
+    }
+})
