--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -2,6 +2,7 @@
 
 import figdeck.control.Control
 import figdeck.control.ControlState
+import figdeck.control.beginDrain
 import figdeck.control.initialState
 import figdeck.control.releaseSlot
 import figdeck.control.reserveSlot
@@ -14,6 +15,8 @@
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.avoidLeaving
+import figdeck.daemon.command.batch.BatchServices
+import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.directJournal
 import figdeck.daemon.command.httpPeerConfiguration
 import figdeck.daemon.command.spread
@@ -24,6 +27,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
+import figdeck.log.PartLog
 import figdeck.model.ABSENT
 import figdeck.model.ChangeId
 import figdeck.model.Clock
@@ -36,6 +40,10 @@
 import figdeck.platform.PlatformHttp
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.command.Changing
 import figdeck.traffic.operatorApi
@@ -44,6 +52,7 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
+import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -52,6 +61,14 @@
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private val log = PartLog("daemon")
+private const val MILLIS_PER_SECOND = 1000.0
+private val DRAIN_GRACE = 2.seconds
+
+/** The longest time that a planned stop waits for calls in progress. */
+internal val DRAIN_LIMIT = 150.seconds
 
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
@@ -60,29 +77,52 @@
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
     private val peers: () -> List<Peer> = { emptyList() },
+    tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.host), clock)
-    private val platform = httpPlatform(client, settings)
+    private val telemetry = Telemetry(Meters(), tracer, clock)
+    private val control = Control(initialState(settings.host), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val platform = observed(httpPlatform(client, settings), telemetry)
     private val services = services(random)
+    private val batches = BatchServices(services, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val following =
         Following(platform.queries, control, clock, peers, httpPeerConfiguration(client, settings.credentials.peer))
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val callerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        observed("caller", callerApi(services, batches, platform.queries), telemetry)
+    )
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, following))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(changing(random), settings.credentials.operator))
+        HttpServer(
+            group,
+            HttpServerLimits(),
+            operatorApi(changing(random), telemetry.meters, settings.credentials.operator),
+        )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
+        showGauges(control, telemetry)
         scope.launch { following.followTable() }
         scope.launch { following.followPeers() }
         scope.launch { followHosts(platform.queries, control) }
+        scope.launch { runBatches(batches) }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
     }
 
+    /** Stops as planned: no call in progress is cut. */
+    suspend fun drain() {
+        log.info { "draining, ${callerServer.activeCalls} calls in progress" }
+        control.run { state, _ -> beginDrain(state) }
+        callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        log.info { "drained" }
+    }
+
     override fun close() {
         scope.cancel()
         callerServer.close()
@@ -99,8 +139,8 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = localDispatcher(control).avoidLeaving(control),
-        upstreams = httpUpstreams(client, settings),
+        dispatcher = observed(localDispatcher(control).avoidLeaving(control), telemetry),
+        upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 
     private fun changing(random: Random): Changing = Changing(
@@ -110,6 +150,14 @@
     )
 }
 
+private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
+    telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
+    telemetry.meters.gauge("figdeck.configuration.age.seconds") {
+        control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+}
+
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
     return Platform(httpCommands(http), httpQueries(http))
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/OperatorOptions.kt
@@ -0,0 +1,29 @@
+package figdeck.cli
+
+import com.github.ajalt.clikt.parameters.groups.OptionGroup
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import figdeck.model.parseAddress
+
+/** What every command of the operators' client takes. */
+internal class OperatorOptions : OptionGroup("Operator options") {
+    val address by option(
+        "--operator-address",
+        envvar = "FIGDECK_OPERATOR_ADDRESS",
+        help = "Operator listener of any daemon, ip:port.",
+    ).convert { parseAddress(it) }.required()
+    val secret by option(
+        "--operator-secret",
+        envvar = "FIGDECK_OPERATOR_SECRET",
+        help = "Secret of operators.",
+    ).required()
+    val operator by option(
+        "--operator",
+        envvar = "FIGDECK_OPERATOR",
+        help = "Your name in the history of changes.",
+    ).default("unnamed")
+    val json by option("--json", help = "Print JSON for machines.").flag()
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/command/KeyGroup.kt
@@ -0,0 +1,64 @@
+package figdeck.cli.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.option
+import figdeck.cli.encoded
+import figdeck.cli.query.KeyList
+import figdeck.model.KeyId
+import figdeck.model.TeamKey
+import figdeck.model.hashKey
+import figdeck.wire.command.encodeKeyGrant
+import java.security.SecureRandom
+import java.util.Base64
+
+private const val KEYS = "/v1/keys"
+private const val KEY_BYTES = 32
+private const val KEY_ID_BYTES = 6
+private const val KEY_PREFIX = "fd_"
+
+/** The group of commands around keys. */
+internal class KeyGroup : CliktCommand("key") {
+    init {
+        subcommands(KeyGrant(), KeyWithdraw(), KeyList())
+    }
+
+    override fun help(context: Context): String = "Grant, withdraw and list callers' keys."
+
+    override fun run() = Unit
+}
+
+private class KeyGrant : ChangeCommand("grant") {
+    private val team by argument(help = "Team that may show the key.")
+    private val id by option(help = "Id of the key; a random one unless set.")
+
+    override fun help(context: Context): String = "Make a key, print it once and store its hash."
+
+    override fun run() {
+        val random = SecureRandom()
+        val key = KEY_PREFIX + random.text(KEY_BYTES)
+        val keyId = KeyId(id ?: "key-${random.hex(KEY_ID_BYTES)}")
+        // The key is printed before it is sent, so that it is at hand even if the daemon's answer is lost.
+        echo("key $keyId of team $team, shown this once: $key", err = operatorOptions.json)
+        change("POST", KEYS, encodeKeyGrant(team, TeamKey(keyId, hashKey(key))))
+    }
+}
+
+private class KeyWithdraw : ChangeCommand("withdraw") {
+    private val keyId by argument(help = "Id of the key.")
+    private val team by option(help = "Team of the key, where several teams have a key of that id.")
+
+    override fun help(context: Context): String = "Stop a key on every host."
+
+    override fun run() {
+        change("DELETE", "$KEYS/${encoded(keyId)}", team = team)
+    }
+}
+
+private fun SecureRandom.bytes(count: Int): ByteArray = ByteArray(count).also { nextBytes(it) }
+
+private fun SecureRandom.text(count: Int): String = Base64.getUrlEncoder().withoutPadding().encodeToString(bytes(count))
+
+private fun SecureRandom.hex(count: Int): String = bytes(count).joinToString("") { "%02x".format(it) }
--- a/src/main/kotlin/figdeck/daemon/command/ChangeConfiguration.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ChangeConfiguration.kt
@@ -14,12 +14,10 @@
 import figdeck.daemon.query.StoredHead
 import figdeck.daemon.query.catchUp
 import figdeck.daemon.query.changeKey
-import figdeck.daemon.query.readChange
 import figdeck.daemon.query.readChanges
 import figdeck.model.CallResult
 import figdeck.model.ChangeId
 import figdeck.model.Clock
-import figdeck.model.CommitReply
 import figdeck.model.ConfigurationChange
 import figdeck.model.Fault
 import figdeck.model.OperatorName
@@ -32,13 +30,8 @@
 import figdeck.platform.Platform
 import figdeck.wire.command.encodeChange
 import figdeck.wire.command.encodeHead
-import kotlinx.coroutines.delay
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_RACES = 32
-private val SETTLE_LIMIT = 8.seconds
-private val SETTLE_PAUSE = 100.milliseconds
 
 /** An edit as an operator sent it; [expected] is the revision that it was made for, where one was named. */
 internal data class ChangeRequest(
@@ -75,11 +68,6 @@
     val patch: Either<EditRefusal, TemplatePatch>,
 )
 
-private enum class Settled {
-    ACCEPTED,
-    OVERTAKEN,
-}
-
 /** Accepts [request] by compare-and-set on the head row; a lost reply is settled before anything is answered. */
 internal suspend fun ConfigurationStore.change(request: ChangeRequest): Either<ChangeFailure, ConfigurationChange> =
     either {
@@ -147,47 +135,6 @@
     )
 }
 
-/**
- * Commits until the table has decided. Sending again is safe: every try checks the same version of the head, so one at
- * most takes effect, and a conflict after a lost reply is read back to see whose change came first.
- */
-private suspend fun Raise<ChangeFailure>.settle(
-    store: ConfigurationStore,
-    change: ConfigurationChange,
-    transaction: TableTransaction,
-): Settled {
-    val startedAt = store.clock()
-    var mayHaveRun = false
-    var settled: Settled? = null
-    while (settled == null) {
-        val reply = store.platform.commands.commit(transaction)
-        mayHaveRun = mayHaveRun || reply is CallResult.Unknown
-        ensure(mayHaveRun || reply is CallResult.Done) { ChangeFailure.Unavailable }
-        settled = (reply as? CallResult.Done)?.let { decided(store, change, it.value) }
-        if (settled == null) {
-            ensure(store.clock() - startedAt < SETTLE_LIMIT) { ChangeFailure.Unsettled(change.id) }
-            delay(SETTLE_PAUSE)
-        }
-    }
-    return settled
-}
-
-private suspend fun decided(store: ConfigurationStore, change: ConfigurationChange, reply: CommitReply): Settled? =
-    when (reply) {
-        is CommitReply.Committed -> Settled.ACCEPTED
-        is CommitReply.Conflict -> ownerOf(store, change)
-    }
-
-/**
- * Whose change stands at that revision, after the head was found to have moved on; null when it can't be read now.
- * Where none stands, [change] can't take effect any more.
- */
-private suspend fun ownerOf(store: ConfigurationStore, change: ConfigurationChange): Settled? =
-    when (val read = store.platform.queries.readChange(change.revision)) {
-        is CallResult.Done -> if (read.value?.id == change.id) Settled.ACCEPTED else Settled.OVERTAKEN
-        is CallResult.NotDone, is CallResult.Unknown -> null
-    }
-
 private suspend fun explain(store: ConfigurationStore, refusal: EditRefusal, request: ChangeRequest): ChangeFailure =
     when (refusal) {
         is EditRefusal.Faulty -> ChangeFailure.Faulty(refusal.faults)
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -1,6 +1,7 @@
 package figdeck.traffic
 
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.query.isCurrent
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
@@ -8,23 +9,24 @@
 import figdeck.traffic.command.SERVICES_PREFIX
 import figdeck.traffic.command.chatHandler
 import figdeck.traffic.command.serviceHandler
+import figdeck.traffic.query.BATCHES_PREFIX
 import figdeck.traffic.query.RESULTS_PREFIX
 import figdeck.traffic.query.resultHandler
 
 /** What callers can ask of a daemon. */
-internal fun callerApi(services: Services, queries: PlatformQueries): HttpHandler {
+internal fun callerApi(services: Services, batches: BatchServices, queries: PlatformQueries): HttpHandler {
+    val batch = batchApi(batches, queries)
     val chat = chatHandler(services)
     val service = serviceHandler(services)
     val result = resultHandler(services.control, queries)
     return { call, responder ->
-        val state = services.control.snapshot
         when {
-            call.bearerKey() != null && !state.isCurrent(services.clock()) ->
+            call.bearerKey() != null && !services.control.snapshot.isCurrent(services.clock()) ->
                 responder.refuse(Refusal.StaleConfiguration)
-            state.draining -> responder.refuse(Refusal.Draining)
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
             call.path.startsWith(SERVICES_PREFIX) -> service(call, responder)
             call.method == "GET" && call.path.startsWith(RESULTS_PREFIX) -> result(call, responder)
+            call.path == "/v1/batches" || call.path.startsWith(BATCHES_PREFIX) -> batch(call, responder)
             else -> responder.refuse(Refusal.NotFound("${call.method} ${call.path}"))
         }
     }
--- a/src/main/kotlin/figdeck/traffic/OperatorApi.kt
+++ b/src/main/kotlin/figdeck/traffic/OperatorApi.kt
@@ -4,12 +4,13 @@
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
+import figdeck.telemetry.Meters
 import figdeck.traffic.command.Changing
 import figdeck.traffic.command.changeHandler
 import figdeck.traffic.command.checkHandler
 import figdeck.traffic.command.readGrant
+import figdeck.traffic.command.readNamedTemplate
 import figdeck.traffic.command.readRemoval
-import figdeck.traffic.command.readTemplate
 import figdeck.traffic.command.readWithdrawal
 import figdeck.traffic.query.historyHandler
 import figdeck.traffic.query.keyListHandler
@@ -31,8 +32,8 @@
 )
 
 /** What operators can ask of a daemon, with the [secret] as bearer key. */
-internal fun operatorApi(changing: Changing, secret: String): HttpHandler {
-    val routes = changeRoutes(changing) + viewRoutes(changing)
+internal fun operatorApi(changing: Changing, meters: Meters, secret: String): HttpHandler {
+    val routes = changeRoutes(changing) + viewRoutes(changing) + metricsRoute(meters)
     return { call, responder ->
         val route = routes.find { it.matches(call) }
         when {
@@ -45,7 +46,7 @@
 
 private fun changeRoutes(changing: Changing): List<OperatorRoute> = listOf(
     OperatorRoute(at("POST", "$TEMPLATES/check"), changing.checkHandler()),
-    OperatorRoute(below("PUT", TEMPLATES_PREFIX), changing.changeHandler(readTemplate)),
+    OperatorRoute(below("PUT", TEMPLATES_PREFIX), changing.changeHandler(readNamedTemplate(TEMPLATES_PREFIX))),
     OperatorRoute(below("DELETE", TEMPLATES_PREFIX), changing.changeHandler(readRemoval(TEMPLATES_PREFIX))),
     OperatorRoute(at("POST", KEYS), changing.changeHandler(readGrant)),
     OperatorRoute(below("DELETE", KEYS_PREFIX), changing.changeHandler(readWithdrawal(KEYS_PREFIX))),
@@ -62,6 +63,10 @@
     )
 }
 
+private fun metricsRoute(meters: Meters) = OperatorRoute(at("GET", "/metrics")) { _, responder ->
+    responder.full(STATUS_OK, newHeaders(), meters.scrape().encodeToByteArray())
+}
+
 private fun at(method: String, path: String): (HttpCall) -> Boolean = { it.method == method && it.path == path }
 
 private fun below(method: String, prefix: String): (HttpCall) -> Boolean =
--- a/src/main/kotlin/figdeck/traffic/command/ChangeHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChangeHandlers.kt
@@ -2,7 +2,9 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.right
 import figdeck.command.Step
 import figdeck.command.template.EditRefusal
 import figdeck.command.template.decideEdit
@@ -75,6 +77,15 @@
     )
 }
 
+/** Reads the template in the body, which must bear the name at the end of the path. */
+internal fun readNamedTemplate(prefix: String): EditReader = { call ->
+    val name = call.path.removePrefix(prefix)
+    readTemplate(call).flatMap { edit ->
+        val named = (edit as? TemplateEdit.Apply)?.template?.name?.value
+        if (named == name) edit.right() else listOf(Fault("name", "the path says '$name': use one name")).left()
+    }
+}
+
 /** Reads the template in the body. */
 internal val readTemplate: EditReader = { call ->
     call.body.readAll(MAX_TEMPLATE_BYTES)
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -20,6 +20,7 @@
 import figdeck.model.Team
 import figdeck.model.Work
 import figdeck.query.poolFor
+import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.STATUS_OK
 import figdeck.traffic.bearerKey
@@ -54,7 +55,7 @@
 }
 
 private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, ChatOrder> = either {
-    teamInForce(call.bearerKey()).bind()
+    noteTeam(teamInForce(call.bearerKey()).bind().id)
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     val chat = decodeChat(body.decodeToString()).bind()
     // A slow body leaves time for the key to be withdrawn.
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -13,6 +13,7 @@
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.model.Work
+import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.bearerKey
 import figdeck.traffic.refuse
@@ -38,7 +39,7 @@
 private suspend fun Services.serve(call: HttpCall): Either<Refusal, CallAnswer> = either {
     val below = call.path.removePrefix(SERVICES_PREFIX)
     val route = below.substringBefore('/')
-    accessInForce(route, call.bearerKey()).bind()
+    noteTeam(accessInForce(route, call.bearerKey()).bind().team?.id)
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     // A slow body leaves time for the key to be withdrawn.
     val access = accessInForce(route, call.bearerKey()).bind()
--- a/src/main/kotlin/figdeck/wire/command/ChangeReplyCodec.kt
+++ b/src/main/kotlin/figdeck/wire/command/ChangeReplyCodec.kt
@@ -4,6 +4,7 @@
 import figdeck.daemon.command.Spread
 import figdeck.model.ConfigurationChange
 import figdeck.model.Fault
+import figdeck.wire.decode
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
 
@@ -68,6 +69,13 @@
 internal fun encodeFailure(failure: ChangeFailure): String =
     lenientJson.encodeToString(ChangeRefusalDto.serializer(), ChangeRefusalDto(failure.toDto()))
 
+internal fun decodeAccepted(text: String): ChangeReplyDto =
+    lenientJson.decodeFromString(ChangeReplyDto.serializer(), text)
+
+/** The error in a daemon's refusal, or null when [text] is none. */
+internal fun decodeChangeRefusal(text: String): ChangeErrorDto? =
+    lenientJson.decode(ChangeRefusalDto.serializer(), text).getOrNull()?.error
+
 /** The HTTP status of a change that was not accepted. */
 internal val ChangeFailure.status: Int
     get() = when (this) {
--- a/src/main/kotlin/figdeck/wire/command/TemplateCodec.kt
+++ b/src/main/kotlin/figdeck/wire/command/TemplateCodec.kt
@@ -7,14 +7,13 @@
 import arrow.core.right
 import figdeck.model.Fault
 import figdeck.model.Template
-import figdeck.model.TemplateBuilder
-import figdeck.model.template
 import figdeck.wire.lenientJson
 import figdeck.wire.shape
 import figdeck.wire.strictJson
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 
 @Serializable
 internal data class TemplateDto(
@@ -80,6 +79,10 @@
     built.bind()
 }
 
+/** The name in a template that may have faults; null when none can be read. */
+internal fun templateName(text: String): String? =
+    parseObject(text).getOrNull()?.get("name")?.let { it as? JsonPrimitive }?.content
+
 private fun parseObject(text: String): Either<String, JsonObject> = try {
     (lenientJson.parseToJsonElement(text) as? JsonObject)?.right()
         ?: "the template is no JSON object: see the example in docs/OPERATIONS.md".left()
@@ -91,44 +94,6 @@
 internal fun encodeTemplate(template: Template): String =
     strictJson.encodeToString(TemplateDto.serializer(), template.toDto())
 
-internal fun TemplateDto.toTemplate(): Either<List<Fault>, Template> = template(name) { addAll(this@toTemplate) }
-
-private fun TemplateBuilder.addAll(dto: TemplateDto) {
-    dto.retentionHours?.let { retentionHours = it }
-    dto.upstreams.forEach(::add)
-    dto.models.forEach(::add)
-    dto.routes.forEach(::add)
-    dto.teams.forEach(::add)
-}
-
-private fun TemplateBuilder.add(dto: UpstreamDto) = upstream(dto.id) {
-    address = dto.address
-    dataCentre = dto.dataCentre
-    kind = dto.kind
-    dto.slots?.let { slots = it }
-    honoursFencing = dto.honoursFencing
-}
-
-private fun TemplateBuilder.add(dto: ModelPoolDto) = model(dto.name) {
-    upstreams = dto.upstreams
-    dto.maxTokens?.let { maxTokens = it }
-}
-
-private fun TemplateBuilder.add(dto: RouteDto) = route(dto.name) {
-    upstreams = dto.upstreams
-    idempotent = dto.idempotent
-    open = dto.open
-}
-
-private fun TemplateBuilder.add(dto: TeamDto) = team(dto.team) {
-    ratePerSecond = dto.ratePerSecond
-    burst = dto.burst
-    weight = dto.weight
-    models = dto.models
-    routes = dto.routes
-    dto.keys.forEach { key(it.id, it.sha256) }
-}
-
 internal fun Template.toDto(): TemplateDto = TemplateDto(
     name = name.value,
     upstreams = upstreams.map { it.toDto() },
--- a/src/main/kotlin/figdeck/wire/query/OperatorViewCodec.kt
+++ b/src/main/kotlin/figdeck/wire/query/OperatorViewCodec.kt
@@ -62,4 +62,15 @@
 internal fun encodeHistory(changes: List<ConfigurationChange>): String =
     lenientJson.encodeToString(ListSerializer(HistoryEntryDto.serializer()), changes.map { it.toEntry() })
 
+internal fun decodeTemplateList(text: String): TemplateListDto =
+    lenientJson.decodeFromString(TemplateListDto.serializer(), text)
+
+internal fun decodeKeyList(text: String): List<KeyEntryDto> =
+    lenientJson.decodeFromString(ListSerializer(KeyEntryDto.serializer()), text)
+
+internal fun decodeHistory(text: String): List<HistoryEntryDto> =
+    lenientJson.decodeFromString(ListSerializer(HistoryEntryDto.serializer()), text)
+
+internal fun decodeStatus(text: String): StatusDto = lenientJson.decodeFromString(StatusDto.serializer(), text)
+
 internal fun encodeStatus(status: StatusDto): String = lenientJson.encodeToString(StatusDto.serializer(), status)
