--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -7,23 +7,32 @@
 import figdeck.control.beginDrain
 import figdeck.control.initialState
 import figdeck.control.takeToken
+import figdeck.daemon.command.ConfigurationStore
 import figdeck.daemon.command.GroupCommit
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
+import figdeck.daemon.command.Peer
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.avoidLeaving
 import figdeck.daemon.command.awaitWork
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.groupJournal
+import figdeck.daemon.command.httpPeerConfiguration
 import figdeck.daemon.command.keepJournal
-import figdeck.daemon.query.followConfiguration
+import figdeck.daemon.command.spread
+import figdeck.daemon.query.Following
+import figdeck.daemon.query.followHosts
+import figdeck.daemon.query.followPeers
+import figdeck.daemon.query.followTable
 import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.log.PartLog
 import figdeck.model.ABSENT
+import figdeck.model.ChangeId
 import figdeck.model.Clock
 import figdeck.model.Epoch
 import figdeck.model.Fence
@@ -39,6 +48,7 @@
 import figdeck.telemetry.observed
 import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
+import figdeck.traffic.command.Changing
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
 import figdeck.upstream.command.UpstreamCommands
@@ -71,6 +81,7 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    private val peers: () -> List<Peer> = { emptyList() },
     tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
@@ -85,23 +96,27 @@
     private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
     private val batches = BatchServices(services, platform)
+    private val following =
+        Following(platform.queries, control, clock, peers, httpPeerConfiguration(client, settings.credentials.peer))
     private val callerServer = HttpServer(
         group,
         HttpServerLimits(),
         observed("caller", callerApi(services, batches, platform.queries), telemetry)
     )
-    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
+    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, following))
     private val operatorServer =
         HttpServer(
             group,
             HttpServerLimits(),
-            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+            operatorApi(changing(random), telemetry.meters, settings.credentials.operator),
         )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         showGauges(control, telemetry)
-        scope.launch { followConfiguration(platform, control, clock) }
+        scope.launch { following.followTable() }
+        scope.launch { following.followPeers() }
+        scope.launch { followHosts(platform.queries, control) }
         scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
         scope.launch { runBatches(batches) }
         scope.launch { slots.followTime() }
@@ -137,9 +152,15 @@
         records = tableRecords(platform.queries),
         work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = soleOwnership(),
-        dispatcher = observed(slots.dispatcher, telemetry),
+        dispatcher = observed(slots.dispatcher.avoidLeaving(control), telemetry),
         upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
+
+    private fun changing(random: Random): Changing = Changing(
+        store = ConfigurationStore(platform, control, clock),
+        spread = { change -> following.peerConfiguration.spread(change, peers()) },
+        newChangeId = { ChangeId(random.nextLong().toULong().toString(radix = 36)) },
+    )
 }
 
 private fun initialState(settings: Settings): ControlState =
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/OperatorCommand.kt
@@ -0,0 +1,104 @@
+package figdeck.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import figdeck.http.client.ExchangeFailure
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.wire.command.ChangeErrorDto
+import figdeck.wire.command.decodeChangeRefusal
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.runBlocking
+import java.net.URLEncoder
+
+private const val MAX_REPLY_BYTES = 64 * 1024 * 1024
+private const val OK = 200
+private const val UNAUTHORIZED = 401
+
+/** A command of the operators' client, which asks a daemon. */
+internal abstract class OperatorCommand(name: String) : CliktCommand(name) {
+    protected val operatorOptions by OperatorOptions()
+
+    /** Sends a question and prints the answer, as [table] draws it or as it came for machines. */
+    protected fun show(method: String, target: String, body: String = "", table: (String) -> List<String>) {
+        val text = ask(method, target, body)
+        if (operatorOptions.json) {
+            echo(text)
+        } else {
+            table(text).forEach { echo(it) }
+        }
+    }
+
+    /** Sends a question and returns the body of its answer; ends the program when the daemon refuses. */
+    protected fun ask(method: String, target: String, body: String = ""): String {
+        val reply = send(method, target, body)
+        if (reply.status != OK) {
+            fail(reply)
+        }
+        return reply.body
+    }
+
+    private fun fail(reply: OperatorReply): Nothing {
+        if (operatorOptions.json && reply.body.isNotEmpty()) {
+            echo(reply.body)
+        }
+        if (reply.status == UNAUTHORIZED) {
+            end("the daemon doesn't know this secret: set --operator-secret", EXIT_REFUSED)
+        }
+        val error = decodeChangeRefusal(reply.body)
+            ?: end("the daemon answered ${reply.status}: look at its log", EXIT_REFUSED)
+        error.lines().forEach { echo(it, err = true) }
+        end(error.message, error.exitCode())
+    }
+
+    private fun send(method: String, target: String, body: String): OperatorReply {
+        val request = OutgoingRequest(
+            address = operatorOptions.address,
+            method = method,
+            target = target,
+            headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer ${operatorOptions.secret}"),
+            body = body.encodeToByteArray(),
+        )
+        val exchanged = HttpClient(newEventLoops()).use { client ->
+            runBlocking {
+                client.exchange(request) { reply ->
+                    val bytes = reply.body.readAll(MAX_REPLY_BYTES).fold({ ByteArray(0) }, { it })
+                    OperatorReply(reply.status, bytes.decodeToString())
+                }
+            }
+        }
+        return exchanged.fold({ lost(it, method) }, { it })
+    }
+
+    private fun lost(failure: ExchangeFailure, method: String): Nothing {
+        val changes = method != "GET"
+        if (failure is ExchangeFailure.Lost && changes) {
+            end("${failure.reason}: look for the change in 'figdeck template history'", EXIT_UNSETTLED)
+        }
+        end("${failure.reason}: name a daemon that runs with --operator-address", EXIT_UNAVAILABLE)
+    }
+
+    private fun end(message: String, code: Int): Nothing {
+        echo("figdeck: $message", err = true)
+        throw ProgramResult(code)
+    }
+}
+
+/** [value] as it stands in a path or query. */
+internal fun encoded(value: String): String = URLEncoder.encode(value, Charsets.UTF_8)
+
+private fun ChangeErrorDto.lines(): List<String> {
+    val faultLines = faults.orEmpty().map { "  ${it.path.ifEmpty { "template" }}: ${it.message}" }
+    val changeLines = changes.orEmpty().map { "  revision ${it.revision} by ${it.operator}: ${it.summary}" }
+    return faultLines + changeLines
+}
+
+private fun ChangeErrorDto.exitCode(): Int = when (type) {
+    "conflict" -> EXIT_CONFLICT
+    "store_unavailable" -> EXIT_UNAVAILABLE
+    "unsettled" -> EXIT_UNSETTLED
+    else -> EXIT_REFUSED
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/command/TemplateGroup.kt
@@ -0,0 +1,56 @@
+package figdeck.cli.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.types.file
+import figdeck.cli.OperatorCommand
+import figdeck.cli.encoded
+import figdeck.cli.query.TemplateHistory
+import figdeck.cli.query.TemplateShow
+import figdeck.wire.command.templateName
+
+private const val TEMPLATES = "/v1/templates"
+
+/** The group of commands around templates. */
+internal class TemplateGroup : CliktCommand("template") {
+    init {
+        subcommands(TemplateCheck(), TemplateApply(), TemplateRemove(), TemplateShow(), TemplateHistory())
+    }
+
+    override fun help(context: Context): String = "Check, apply, remove and show templates."
+
+    override fun run() = Unit
+}
+
+private class TemplateCheck : OperatorCommand("check") {
+    private val file by argument(help = "Template as JSON.").file(mustExist = true, canBeDir = false)
+
+    override fun help(context: Context): String = "Tell every fault of a template; nothing is applied."
+
+    override fun run() {
+        show("POST", "$TEMPLATES/check", file.readText()) { listOf("no fault") }
+    }
+}
+
+private class TemplateApply : ChangeCommand("apply") {
+    private val file by argument(help = "Template as JSON.").file(mustExist = true, canBeDir = false)
+
+    override fun help(context: Context): String = "Put a template in force, in place of the one of its name."
+
+    override fun run() {
+        val text = file.readText()
+        change("PUT", "$TEMPLATES/${encoded(templateName(text) ?: file.nameWithoutExtension)}", text)
+    }
+}
+
+private class TemplateRemove : ChangeCommand("remove") {
+    private val template by argument(help = "Name of the template.")
+
+    override fun help(context: Context): String = "Take a template out of force."
+
+    override fun run() {
+        change("DELETE", "$TEMPLATES/${encoded(template)}")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/query/TemplateQueries.kt
@@ -0,0 +1,55 @@
+package figdeck.cli.query
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import figdeck.cli.OperatorCommand
+import figdeck.cli.encoded
+import figdeck.cli.table
+import figdeck.wire.query.decodeHistory
+import figdeck.wire.query.decodeTemplateList
+import java.time.Instant
+
+/** Shows the templates in force. */
+internal class TemplateShow : OperatorCommand("show") {
+    private val template by argument(help = "Name of one template, which is shown whole.").optional()
+
+    override fun help(context: Context): String = "Show the templates in force, or one of them whole."
+
+    override fun run() {
+        val name = template
+        if (name == null) {
+            show("GET", "/v1/templates") { templateTable(it) }
+        } else {
+            show("GET", "/v1/templates/${encoded(name)}") { listOf(it) }
+        }
+    }
+}
+
+/** Shows what was changed, when and by whom. */
+internal class TemplateHistory : OperatorCommand("history") {
+    private val after by option(help = "Show the changes after this revision.").long().default(0)
+
+    override fun help(context: Context): String = "Show the changes of the configuration, oldest first."
+
+    override fun run() {
+        show("GET", "/v1/changes?after=$after") { historyTable(it) }
+    }
+}
+
+private fun templateTable(text: String): List<String> {
+    val list = decodeTemplateList(text)
+    val rows = list.templates.map { listOf(it.name, "${it.upstreams}", "${it.models}", "${it.routes}", "${it.teams}") }
+    val head = listOf("TEMPLATE", "UPSTREAMS", "MODELS", "ROUTES", "TEAMS")
+    return listOf("revision ${list.revision}") + table(head, rows)
+}
+
+private fun historyTable(text: String): List<String> = table(
+    listOf("REVISION", "TIME", "OPERATOR", "CHANGE", "WHAT"),
+    decodeHistory(text).map {
+        listOf("${it.revision}", Instant.ofEpochMilli(it.atMillis).toString(), it.operator, it.change, it.summary)
+    },
+)
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -34,6 +34,7 @@
     public val draining: Boolean,
     public val journal: JournalState,
     public val batch: RunningSegments,
+    public val follow: FollowState = initialFollowState,
 )
 
 /** The state of the daemon on [host] before it knows anything. */
