--- a/src/main/kotlin/figdeck/command/batch/BatchKeys.kt
+++ b/src/main/kotlin/figdeck/command/batch/BatchKeys.kt
@@ -6,7 +6,7 @@
 import figdeck.model.Shard
 import figdeck.model.TeamId
 
-private const val SHARD_DIGITS = 4
+internal const val SHARD_DIGITS = 4
 private const val SEGMENT_DIGITS = 6
 
 /** The prefix of all hints that a segment waits. */
@@ -43,4 +43,4 @@
 /** The key of the row that leads a resent upload to its first job. */
 public fun resendKey(team: TeamId, mark: String): String = "resend/$team/$mark"
 
-private fun Int.padded(digits: Int): String = toString().padStart(digits, '0')
+internal fun Int.padded(digits: Int): String = toString().padStart(digits, '0')
--- a/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
@@ -15,6 +15,7 @@
  * @property pollInterval how often a host with a free place looks for waiting segments.
  * @property confirmInterval how often a host that runs segments asks which jobs were cancelled.
  * @property patience how long a write of the platform is tried again before it is given up.
+ * @property firstBackoff the pause before the first repetition; each further one is twice as long, up to a limit.
  * @property noticeLife how long the notice of a cancelled job stays.
  */
 public data class BatchPace(
@@ -22,6 +23,7 @@
     public val pollInterval: Duration = 1.seconds,
     public val confirmInterval: Duration = 500.milliseconds,
     public val patience: Duration = 8.seconds,
+    public val firstBackoff: Duration = 50.milliseconds,
     public val noticeLife: Duration = 30.seconds,
 )
 
--- a/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
@@ -29,7 +29,8 @@
 internal suspend fun BatchServices.cancelBatch(team: TeamId, id: String): Either<Refusal, BatchStatus> = either {
     val before = platform.queries.findBatch(team, id).bind()
     val settled = markCancelled(before.stored)
-    ensure(settled != Settled.NotDone && settled != Settled.Unknown) { Refusal.StoreUnavailable(1.seconds) }
+    ensure(settled != Settled.NotDone) { Refusal.StoreUnavailable(1.seconds) }
+    ensure(settled != Settled.Unknown) { Refusal.Unconfirmed(1.seconds) }
     val after = platform.queries.findBatch(team, id).bind()
     statusOf(after.stored.job, after.segments)
 }
@@ -41,7 +42,7 @@
         listOf(RowCheck(jobKey(id), stored.version)),
         listOf(RowWrite(jobKey(id), encodeJob(cancelled)), RowWrite(cancelKey(id), id.value)),
     )
-    return platform.commitOnce(transaction, services.clock() + pace.patience, services.clock) {
+    return commitOnce(transaction, patience()) {
         platform.queries.readJob(id).map { read ->
             Found(read.value?.takeIf { it.job.mark == JobMark.CANCELLED }?.version)
         }
--- a/src/main/kotlin/figdeck/daemon/command/batch/Retry.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/Retry.kt
@@ -2,27 +2,22 @@
 
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
-import figdeck.model.Moment
 import figdeck.model.TableTransaction
-import figdeck.platform.Platform
 import figdeck.platform.query.Found
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val FIRST_BACKOFF = 100.milliseconds
 private val LONGEST_BACKOFF = 5.seconds
 
-/** Repeats an idempotent [call] with growing pauses until it is done or [deadline] has passed. */
-internal suspend fun <T> retryUntil(
-    deadline: Moment,
-    clock: () -> Moment,
+/** Repeats an idempotent [call] with growing pauses until it is done, as long as [goesOn]. */
+internal suspend fun <T> BatchServices.retryWhile(
+    goesOn: () -> Boolean,
     call: suspend () -> CallResult<T>,
 ): CallResult<T> {
-    var backoff = FIRST_BACKOFF
+    var backoff = pace.firstBackoff
     var result = call()
-    while (result !is CallResult.Done && clock() + backoff < deadline) {
+    while (result !is CallResult.Done && goesOn()) {
         delay(backoff)
         backoff = nextBackoff(backoff)
         result = call()
@@ -30,6 +25,12 @@
     return result
 }
 
+/** A condition that holds for the patience of the pace from now on. */
+internal fun BatchServices.patience(): () -> Boolean {
+    val deadline = services.clock() + pace.patience
+    return { services.clock() < deadline }
+}
+
 internal fun nextBackoff(backoff: Duration): Duration = minOf(backoff * 2, LONGEST_BACKOFF)
 
 /** How a transaction ended that is tried until it is settled. */
@@ -52,30 +53,28 @@
  * conflict then means either that an earlier try took effect, which [ours] reads back as the version that it wrote, or
  * that another change came first, which it reads back as null.
  */
-internal suspend fun Platform.commitOnce(
+internal suspend fun BatchServices.commitOnce(
     transaction: TableTransaction,
-    deadline: Moment,
-    clock: () -> Moment,
+    goesOn: () -> Boolean,
     ours: suspend () -> CallResult<Found<Long>>,
 ): Settled {
     var everUnknown = false
-    val reply = retryUntil(deadline, clock) {
-        commands.commit(transaction).also { everUnknown = everUnknown || it is CallResult.Unknown }
+    val reply = retryWhile(goesOn) {
+        platform.commands.commit(transaction).also { everUnknown = everUnknown || it is CallResult.Unknown }
     }
     return when (reply) {
         is CallResult.NotDone, is CallResult.Unknown -> if (everUnknown) Settled.Unknown else Settled.NotDone
         is CallResult.Done -> when (val decided = reply.value) {
             is CommitReply.Committed -> Settled.Committed(decided.version)
-            is CommitReply.Conflict -> if (everUnknown) readBack(deadline, clock, ours) else Settled.Refused
+            is CommitReply.Conflict -> if (everUnknown) readBack(goesOn, ours) else Settled.Refused
         }
     }
 }
 
-private suspend fun readBack(
-    deadline: Moment,
-    clock: () -> Moment,
+private suspend fun BatchServices.readBack(
+    goesOn: () -> Boolean,
     ours: suspend () -> CallResult<Found<Long>>,
-): Settled = when (val read = retryUntil(deadline, clock, ours)) {
+): Settled = when (val read = retryWhile(goesOn, ours)) {
     is CallResult.Done -> read.value.value?.let { Settled.Committed(it) } ?: Settled.Refused
     is CallResult.NotDone, is CallResult.Unknown -> Settled.Unknown
 }
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
@@ -28,10 +28,8 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val FIRST_PAUSE = 50.milliseconds
 private val SLOT_WAIT = 60.seconds
 
 /** An item that may run: its stable name towards engines, whose it is, and which engines serve it. */
@@ -71,13 +69,13 @@
 
 private suspend fun BatchServices.generate(item: RunnableItem): ItemOutcome {
     var progress = ItemProgress("", 0)
-    var pause = FIRST_PAUSE
+    var pause = pace.firstBackoff
     while (true) {
         val attempt = attempt(item, progress)
         when (val step = afterTry(progress, attempt.text, attempt.result.toTry())) {
             is ItemStep.Ended -> return step.outcome(item)
             is ItemStep.Again -> {
-                pause = if (step.progress.text.length > progress.text.length) FIRST_PAUSE else nextBackoff(pause)
+                pause = if (step.progress.text.length > progress.text.length) pace.firstBackoff else nextBackoff(pause)
                 progress = step.progress
             }
         }
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
@@ -10,9 +10,9 @@
 import figdeck.command.batch.resultsKey
 import figdeck.command.batch.segmentKey
 import figdeck.command.batch.shardOf
+import figdeck.daemon.query.isDone
 import figdeck.daemon.query.readJob
 import figdeck.daemon.query.readSegment
-import figdeck.daemon.query.readSegments
 import figdeck.model.Fence
 import figdeck.model.GroupResult
 import figdeck.model.ItemOutcome
@@ -72,7 +72,7 @@
     val key = resultsKey(id, held.segment.groups.size, writer)
     val lines = results.joinToString("") { encodeItemResult(it) + "\n" }
     val fence = fence(id)
-    val stored = fence != null && putPatiently(key, lines.encodeToByteArray()).isRight()
+    val stored = fence != null && putPatiently(key, lines.encodeToByteArray()) { fence(id) != null }.isRight()
     return if (stored) commit(held, groupResult(key, results, fence), fence) else null
 }
 
@@ -90,8 +90,7 @@
     val commit = commitGroup(held, result, fence)
     val id = held.segment.id
     val transaction = TableTransaction(commit.checks, listOf(RowWrite(segmentKey(id), encodeSegment(commit.segment))))
-    val deadline = services.clock() + pace.patience
-    val settled = platform.commitOnce(transaction, deadline, services.clock) {
+    val settled = commitOnce(transaction, { fence(id) != null }) {
         platform.queries.readSegment(id).map { read ->
             Found(read.value?.takeIf { result in it.segment.groups }?.version)
         }
@@ -104,11 +103,11 @@
 
 /** Removes the hint of a done segment, and marks its job completed when it was the last. */
 private suspend fun BatchServices.close(held: HeldSegment) {
-    val segments = platform.queries.readSegments(held.job.id).valueOrNull() ?: return
+    val allDone = platform.queries.isDone(held.job).valueOrNull() ?: return
     val fence = fence(held.segment.id) ?: return
     val checks = listOf(fence.check, RowCheck(jobKey(held.job.id), held.jobVersion))
     val pointer = RowWrite(pointerKey(held.segment.id), null)
-    val completed = completedJob(held.job, segments, services.clock())
+    val completed = if (allDone) completedJob(held.job, services.clock()) else null
     val writes = listOfNotNull(pointer, completed?.let { RowWrite(jobKey(it.id), encodeJob(it)) })
     platform.commands.commit(TableTransaction(checks, writes))
 }
--- a/src/main/kotlin/figdeck/daemon/command/batch/StoreUpload.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/StoreUpload.kt
@@ -43,8 +43,8 @@
     suspend fun store() {
         val segment = SegmentId(id, counts.size)
         counts += cut.items
-        putPatiently(itemsKey(segment), cut.take()).bind()
-        ensure(counts.size * SEGMENT_ITEMS <= MAX_JOB_ITEMS || counts.sum() <= MAX_JOB_ITEMS) {
+        putPatiently(itemsKey(segment), cut.take(), patience()).bind()
+        ensure(counts.sum() <= MAX_JOB_ITEMS) {
             Refusal.BadRequest("body", "more than $MAX_JOB_ITEMS items: split the job")
         }
     }
@@ -78,10 +78,13 @@
     }
 }
 
-/** Writes an object, again and again within the patience of the pace. */
-internal suspend fun BatchServices.putPatiently(key: String, bytes: ByteArray): Either<Refusal, Unit> = either {
-    val deadline = services.clock() + pace.patience
-    val result = retryUntil(deadline, services.clock) { platform.commands.putObject(key, bytes) }
+/** Writes an object, again and again as long as [goesOn]. */
+internal suspend fun BatchServices.putPatiently(
+    key: String,
+    bytes: ByteArray,
+    goesOn: () -> Boolean,
+): Either<Refusal, Unit> = either {
+    val result = retryWhile(goesOn) { platform.commands.putObject(key, bytes) }
     ensure(result is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
 }
 
@@ -97,9 +100,13 @@
             )
         }
         for (some in writes.chunked(SEGMENTS_PER_TRANSACTION)) {
-            val transaction = TableTransaction(emptyList(), some.flatten())
-            val deadline = services.clock() + pace.patience
-            val result = retryUntil(deadline, services.clock) { platform.commands.commit(transaction) }
-            ensure(result is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
+            writePatiently(some.flatten()).bind()
         }
     }
+
+/** Writes rows without conditions, again and again within the patience of the pace. */
+internal suspend fun BatchServices.writePatiently(writes: List<RowWrite>): Either<Refusal, Unit> = either {
+    val transaction = TableTransaction(emptyList(), writes)
+    val result = retryWhile(patience()) { platform.commands.commit(transaction) }
+    ensure(result is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
+}
--- a/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
@@ -5,6 +5,7 @@
 import arrow.core.raise.ensure
 import figdeck.command.batch.FirstJob
 import figdeck.command.batch.jobKey
+import figdeck.command.batch.keptKey
 import figdeck.command.batch.resend
 import figdeck.command.batch.resendKey
 import figdeck.daemon.query.readJob
@@ -26,14 +27,31 @@
 /** Accepts a job once its items and its row are durable, and gives the id of it or of the job that it repeats. */
 internal suspend fun BatchServices.submitBatch(order: BatchOrder): Either<Refusal, BatchId> = either {
     val id = BatchId(services.newRequestId().value)
+    writePatiently(listOf(RowWrite(keptKey(id), id.value))).bind()
     val upload = storeItems(id, order.body).bind()
     val job = newJob(id, order, upload)
-    firstJob(job.resendKey).bind()?.let { return@either resend(it, order.idempotencyKey, upload.digest).bind() }
-    storeSegments(id, order.team.id, upload).bind()
+    val first = firstJob(job.resendKey).bind()
+    if (first == null) {
+        acceptNew(
+            job,
+            order,
+            upload
+        ).bind()
+    } else {
+        resend(first, order.idempotencyKey, upload.digest).bind()
+    }
+}
+
+private suspend fun BatchServices.acceptNew(
+    job: BatchJob,
+    order: BatchOrder,
+    upload: Upload,
+): Either<Refusal, BatchId> = either {
+    storeSegments(job.id, order.team.id, upload).bind()
     when (accept(job)) {
-        is Settled.Committed -> id
+        is Settled.Committed -> job.id
         Settled.NotDone -> raise(Refusal.StoreUnavailable(1.seconds))
-        Settled.Unknown -> raise(Refusal.StoreUnavailable(1.seconds))
+        Settled.Unknown -> raise(Refusal.Unconfirmed(1.seconds))
         Settled.Refused -> {
             val first = firstJob(job.resendKey).bind()
             ensure(first != null) { Refusal.StoreUnavailable(1.seconds) }
@@ -65,18 +83,16 @@
         listOf(RowCheck(jobKey(job.id), ABSENT), RowCheck(job.resendKey, ABSENT)),
         listOf(RowWrite(jobKey(job.id), encodeJob(job)), RowWrite(job.resendKey, job.id.value)),
     )
-    val deadline = services.clock() + pace.patience
-    return platform.commitOnce(transaction, deadline, services.clock) {
+    return commitOnce(transaction, patience()) {
         platform.queries.readJob(job.id).map { Found(it.value?.version) }
     }
 }
 
 private suspend fun BatchServices.firstJob(resendKey: String): Either<Refusal, FirstJob?> = either {
-    val deadline = services.clock() + pace.patience
-    val row = retryUntil(deadline, services.clock) { platform.queries.readRow(resendKey) }
+    val row = retryWhile(patience()) { platform.queries.readRow(resendKey) }
     ensure(row is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
     val id = row.value.value?.let { BatchId(it.value) } ?: return@either null
-    val job = retryUntil(deadline, services.clock) { platform.queries.readJob(id) }
+    val job = retryWhile(patience()) { platform.queries.readJob(id) }
     ensure(job is CallResult.Done) { Refusal.StoreUnavailable(1.seconds) }
     job.value.value?.let { FirstJob(id, it.job.digest) }
 }
--- a/src/main/kotlin/figdeck/daemon/query/ReadBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/query/ReadBatch.kt
@@ -15,6 +15,7 @@
 import figdeck.model.SegmentId
 import figdeck.model.TeamId
 import figdeck.model.map
+import figdeck.model.valueOrNull
 import figdeck.platform.query.Found
 import figdeck.platform.query.PlatformQueries
 import figdeck.wire.decodeJob
@@ -22,6 +23,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val PAGE = 500
+private const val SHORT_PAGE = 20
 
 /** A job and the version of its row. */
 internal data class StoredJob(
@@ -67,6 +69,23 @@
     }
 }
 
+/** Whether every segment of [job] is done; stops at the first that is not. */
+internal suspend fun PlatformQueries.isDone(job: BatchJob): CallResult<Boolean> {
+    val prefix = segmentsPrefix(job.id)
+    var after = prefix
+    var done = 0
+    while (done < job.segments) {
+        val page = scanRows(prefix, after, SHORT_PAGE)
+        val rows = page.valueOrNull() ?: return page.map { false }
+        if (rows.isEmpty() || rows.any { !decodeSegment(it.value).isDone }) {
+            break
+        }
+        done += rows.size
+        after = rows.last().key
+    }
+    return CallResult.Done(done == job.segments)
+}
+
 /** The job [id] of [team] and its course; a job of another team is not found. */
 internal suspend fun PlatformQueries.findBatch(team: TeamId, id: String): Either<Refusal, JobCourse> = either {
     val batchId = runCatching { BatchId(id) }.getOrNull()
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
@@ -0,0 +1,217 @@
+package figdeck.daemon.command.batch
+
+import arrow.core.right
+import figdeck.control.Control
+import figdeck.control.confirmConfiguration
+import figdeck.control.initialState
+import figdeck.control.startSegments
+import figdeck.daemon.command.Dispatcher
+import figdeck.daemon.command.Journal
+import figdeck.daemon.command.Limits
+import figdeck.daemon.command.Ownership
+import figdeck.daemon.command.Permit
+import figdeck.daemon.command.Services
+import figdeck.daemon.query.findBatch
+import figdeck.http.HttpBody
+import figdeck.model.BatchId
+import figdeck.model.BatchStatus
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Configuration
+import figdeck.model.Epoch
+import figdeck.model.Fence
+import figdeck.model.HostId
+import figdeck.model.RequestId
+import figdeck.model.Revision
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.SegmentId
+import figdeck.model.SegmentPointer
+import figdeck.model.TableTransaction
+import figdeck.model.Team
+import figdeck.model.TeamId
+import figdeck.model.hashKey
+import figdeck.model.systemClock
+import figdeck.model.template
+import figdeck.platform.Platform
+import figdeck.platform.command.PlatformCommands
+import figdeck.platform.query.Found
+import figdeck.platform.query.PlatformQueries
+import figdeck.process.batchLine
+import figdeck.query.statusOf
+import figdeck.standin.commit
+import figdeck.standin.emptyPlatform
+import figdeck.standin.scan
+import figdeck.upstream.command.EngineResult
+import figdeck.upstream.command.Generation
+import figdeck.upstream.command.UpstreamCommands
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.sync.Semaphore
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The host ended at this step. */
+class Crash : RuntimeException("the host ended")
+
+/** What happens at one step of a host: at each call of the platform or of an engine. */
+enum class StepFault { CRASH_BEFORE, CRASH_AFTER, LOST_BEFORE, LOST_AFTER }
+
+/** Counts the steps of a host and does something at one of them. */
+class Steps(
+    private val at: Int = -1,
+    private val fault: StepFault? = null,
+    private val before: suspend () -> Unit = {
+    }
+) {
+    var count = 0
+        private set
+
+    suspend fun <T> take(lost: T, effect: suspend () -> T): T {
+        val here = count++ == at
+        if (!here) return effect()
+        before()
+        return when (fault) {
+            null -> effect()
+            StepFault.CRASH_BEFORE -> throw Crash()
+            StepFault.CRASH_AFTER -> {
+                effect()
+                throw Crash()
+            }
+            StepFault.LOST_BEFORE -> lost
+            StepFault.LOST_AFTER -> {
+                effect()
+                lost
+            }
+        }
+    }
+}
+
+private val unknown = CallResult.Unknown("the reply is lost on purpose")
+
+/** A table, objects and an engine that several hosts share; every effect is a step of the host that asks for it. */
+class BatchBench : AutoCloseable {
+    private var state = emptyPlatform
+    private val controls = mutableListOf<Control<*>>()
+    private var epoch = 0L
+
+    /** How often the engine finished each request. */
+    val finished = mutableMapOf<RequestId, Int>()
+    val rows get() = state.rows
+    val objects get() = state.objects
+
+    private fun table(transaction: TableTransaction): CommitReply =
+        commit(state, transaction).also { state = it.state }.result
+
+    private fun platform(steps: Steps) = Platform(
+        PlatformCommands(
+            commit = { steps.take<CallResult<CommitReply>>(unknown) { CallResult.Done(table(it)) } },
+            putObject = { key, bytes ->
+                steps.take<CallResult<Unit>>(unknown) {
+                    state = state.copy(objects = state.objects.put(key, bytes))
+                    CallResult.Done(Unit)
+                }
+            },
+            deleteObject = { key ->
+                steps.take<CallResult<Unit>>(unknown) {
+                    state = state.copy(objects = state.objects.remove(key))
+                    CallResult.Done(Unit)
+                }
+            },
+        ),
+        PlatformQueries(
+            readRow = { key -> steps.take(unknown) { CallResult.Done(Found(state.rows[key])) } },
+            scanRows = { prefix, after, limit ->
+                steps.take(unknown) { CallResult.Done(scan(state, prefix, after, limit)) }
+            },
+            readObject = { key -> steps.take(unknown) { CallResult.Done(Found(state.objects[key])) } },
+            listHosts = { CallResult.Done(emptyList()) },
+        ),
+    )
+
+    private suspend fun generate(generation: Generation, onDelta: suspend (String) -> Unit): EngineResult {
+        val done = generation.generated.count { it == ' ' }
+        for (i in done until generation.chat.maxTokens) onDelta("${generation.chat.messages[0].content}$i ")
+        finished.merge(generation.request, 1, Int::plus)
+        return EngineResult.Finished("stop")
+    }
+
+    /** A host that owns every shard from now on; hosts before it believe that they still do. */
+    suspend fun host(
+        steps: Steps = Steps(),
+        pace: BatchPace = BatchPace(firstBackoff = 1.milliseconds)
+    ): BatchServices {
+        epoch++
+        val name = "host-$epoch"
+        val owned = table(TableTransaction(emptyList(), listOf(RowWrite("owner", name)))) as CommitReply.Committed
+        val fence = Fence(Epoch(epoch), RowCheck("owner", owned.version))
+        val control = Control(initialState(HostId(name)), systemClock)
+        controls += control
+        control.run { state, now -> confirmConfiguration(state, benchConfiguration, now) }
+        var ids = 0
+        val services = Services(
+            control = control,
+            clock = systemClock,
+            newRequestId = { RequestId("$name.${ids++}") },
+            limits = Limits { Unit.right() },
+            journal = Journal({ Unit.right() }, {}),
+            ownership = Ownership({ fence }, { null }),
+            dispatcher = Dispatcher(
+                { Permit(1, it.candidates.first(), CompletableDeferred()).right() },
+                { _, _, _ -> },
+            ),
+            upstreams = UpstreamCommands(
+                { generation, delta -> steps.take(EngineResult.Lost("lost")) { generate(generation, delta) } },
+                { _, _, _ -> unknown },
+            ),
+        )
+        return BatchServices(services, platform(steps), pace)
+    }
+
+    suspend fun status(id: BatchId): BatchStatus =
+        host().platform.queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it })
+            .let { statusOf(it.stored.job, it.segments) }
+
+    /** Every result of the job [id], in order, as a caller reads it. */
+    suspend fun results(id: BatchId): List<String> =
+        host().platform.queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it }).segments
+            .flatMap { segment -> segment.groups.map { state.objects.getValue(it.objectKey).decodeToString() } }
+            .flatMap { it.trimEnd('\n').lines() }
+
+    override fun close() = controls.forEach { it.close() }
+}
+
+private val benchTemplate = template("bench") {
+    upstream("engine") {
+        address = "127.0.0.1:1"
+        dataCentre = "centre-a"
+    }
+    model("walks") { upstreams = listOf("engine") }
+    team("stado") {
+        key("desk", hashKey("key").hex)
+        models = listOf("walks")
+    }
+}.fold({ error(it) }, { it })
+private val benchConfiguration = Configuration(
+    Revision(1),
+    figdeck.model.emptyConfiguration.templates.put(benchTemplate.name, benchTemplate),
+)
+val benchTeam: Team = benchTemplate.teams.single()
+
+fun benchBody(items: Int): HttpBody =
+    HttpBody(flowOf((0 until items).joinToString("\n") { batchLine("c$it", "p$it", 2) }.encodeToByteArray()))
+
+suspend fun BatchServices.submitBench(items: Int, key: String? = null) =
+    submitBatch(BatchOrder(benchTeam, key, benchBody(items)))
+
+/** Runs segment 0 of [id] as the runner loop would start it. */
+suspend fun BatchServices.runFirst(id: BatchId) {
+    val segment = SegmentId(id, 0)
+    services.control.run { state, now ->
+        startSegments(
+            state,
+            listOf(SegmentPointer(segment, TeamId("stado"), 0)),
+            now
+        )
+    }
+    runSegment(segment, Semaphore(pace.itemsInFlight))
+}
