--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -1,17 +1,16 @@
 package figdeck.cli
 
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.emptyDispatch
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.beginDrain
 import figdeck.control.initialState
-import figdeck.control.releaseSlot
-import figdeck.control.reserveSlot
 import figdeck.control.takeToken
-import figdeck.daemon.command.Dispatcher
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
-import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.SlotDispatcher
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.directJournal
@@ -43,7 +42,6 @@
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
 import io.opentelemetry.api.trace.Tracer
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -70,10 +68,11 @@
 ) : AutoCloseable {
     private val client = HttpClient(group)
     private val telemetry = Telemetry(Meters(), tracer, clock)
-    private val control = Control(initialState(settings.host), clock) { delay ->
+    private val control = Control(initialState(settings), clock) { delay ->
         telemetry.meters.timed("figdeck.control.delay", delay)
     }
     private val platform = observed(httpPlatform(client, settings), telemetry)
+    private val slots = SlotDispatcher(control, DispatchPolicy(), random)
     private val services = services(random)
     private val batches = BatchServices(services, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
@@ -95,6 +94,7 @@
         showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
         scope.launch { runBatches(batches) }
+        scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -124,11 +124,14 @@
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
         journal = directJournal(platform),
         ownership = soleOwnership(),
-        dispatcher = observed(localDispatcher(control), telemetry),
+        dispatcher = observed(slots.dispatcher, telemetry),
         upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 }
 
+private fun initialState(settings: Settings): ControlState =
+    initialState(settings.host).copy(dispatch = emptyDispatch(settings.dataCentre))
+
 private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
     telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
     telemetry.meters.gauge("figdeck.configuration.age.seconds") {
@@ -150,17 +153,6 @@
     )
 }
 
-private fun localDispatcher(control: Control<ControlState>): Dispatcher {
-    val count = AtomicLong()
-    return Dispatcher(
-        acquire = { request ->
-            control.run { state, _ -> reserveSlot(state, request.candidates) }
-                .map { Permit(count.incrementAndGet(), it, CompletableDeferred()) }
-        },
-        release = { permit, _, _ -> control.run { state, _ -> releaseSlot(state, permit.upstream.id) } },
-    )
-}
-
 /** Every shard is this host's: fit for a fleet of one. */
 private fun soleOwnership(): Ownership = Ownership(
     fenceOf = { shard -> Fence(Epoch(1), RowCheck("shard/$shard", ABSENT)) },
