--- a/src/main/kotlin/figdeck/command/batch/SegmentProgress.kt
+++ b/src/main/kotlin/figdeck/command/batch/SegmentProgress.kt
@@ -23,10 +23,10 @@
     public val version: Long,
 )
 
-/** The items of the next group by their index in the segment; null when every item has its result. */
-public fun nextGroup(segment: Segment): IntRange? {
+/** The next [size] items at most, by their index in the segment; null when every item has its result. */
+public fun nextGroup(segment: Segment, size: Int = GROUP_ITEMS): IntRange? {
     val first = segment.finished
-    val end = minOf(first + GROUP_ITEMS, segment.items)
+    val end = minOf(first + size, segment.items)
     return if (segment.isDone) null else first until end
 }
 
@@ -38,10 +38,8 @@
 
 /** Moves [held] past the group [result] under [fence]; the table takes it only if nothing has changed meanwhile. */
 public fun commitGroup(held: HeldSegment, result: GroupResult, fence: Fence): GroupCommit {
-    val group = requireNotNull(
-        nextGroup(held.segment)
-    ) { "segment ${held.segment.id} is done: it takes no more groups" }
-    require(result.items == group.count()) { "the group has ${result.items} items: give all ${group.count()}" }
+    val left = held.segment.items - held.segment.finished
+    require(result.items in 1..left) { "the group has ${result.items} items: give 1 to the $left that are left" }
     require(held.job.mark == JobMark.ACCEPTED) { "job ${held.job.id} is ${held.job.mark}: it takes no more groups" }
     val moved = held.segment.copy(groups = held.segment.groups + result)
     val checks = listOf(
--- a/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.batch
 
+import figdeck.command.batch.GROUP_ITEMS
 import figdeck.daemon.command.Services
 import figdeck.platform.Platform
 import kotlin.time.Duration
@@ -12,6 +13,7 @@
  * How batch work is paced on one host.
  *
  * @property itemsInFlight the most items that wait for a slot or run at once.
+ * @property groupItems the most items whose results are kept by one object and one transaction.
  * @property pollInterval how often a host with a free place looks for waiting segments.
  * @property confirmInterval how often a host that runs segments asks which jobs were cancelled.
  * @property patience how long a write of the platform is tried again before it is given up.
@@ -20,6 +22,7 @@
  */
 public data class BatchPace(
     public val itemsInFlight: Int = ITEMS_IN_FLIGHT,
+    public val groupItems: Int = GROUP_ITEMS,
     public val pollInterval: Duration = 1.seconds,
     public val confirmInterval: Duration = 500.milliseconds,
     public val patience: Duration = 8.seconds,
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
@@ -30,6 +30,7 @@
 import kotlinx.coroutines.withContext
 import kotlin.time.Duration.Companion.seconds
 
+private val LONGEST_PAUSE = 1.seconds
 private val SLOT_WAIT = 60.seconds
 
 /** An item that may run: its stable name towards engines, whose it is, and which engines serve it. */
@@ -75,7 +76,8 @@
         when (val step = afterTry(progress, attempt.text, attempt.result.toTry())) {
             is ItemStep.Ended -> return step.outcome(item)
             is ItemStep.Again -> {
-                pause = if (step.progress.text.length > progress.text.length) pace.firstBackoff else nextBackoff(pause)
+                val grew = step.progress.text.length > progress.text.length
+                pause = if (grew) pace.firstBackoff else minOf(nextBackoff(pause), LONGEST_PAUSE)
                 progress = step.progress
             }
         }
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
@@ -63,7 +63,7 @@
     platform.queries.readObject(itemsKey(id)).valueOrNull()?.value?.decodeToString()?.trimEnd('\n')?.split('\n')
 
 private suspend fun BatchServices.runGroup(held: HeldSegment, items: List<String>, slots: Semaphore): HeldSegment? {
-    val group = nextGroup(held.segment) ?: return held
+    val group = nextGroup(held.segment, pace.groupItems) ?: return held
     val id = held.segment.id
     val results = coroutineScope {
         group.map { index -> async { slots.withPermit { runItem(id, held.job.team, index, items[index]) } } }.awaitAll()
--- a/src/test/kotlin/figdeck/daemon/command/batch/SubmitBatchSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/SubmitBatchSpec.kt
@@ -47,6 +47,18 @@
             }
         }
 
+        it("gives the same job when it crosses the first one, at every step") {
+            val all = BatchBench().use { bench -> Steps().also { bench.host(it).submitBench(ITEMS) }.count }
+            for (at in 0 until all) {
+                BatchBench().use { bench ->
+                    var other: BatchId? = null
+                    val crossing = Steps(at) { other = bench.host().submitBench(ITEMS).getOrNull() }
+                    bench.host(crossing).submitBench(ITEMS).getOrNull() shouldBe other
+                    bench.acceptedJobs() shouldBe listOf(other?.value)
+                }
+            }
+        }
+
         it("is refused when the key came with another body") {
             BatchBench().use { bench ->
                 val host = bench.host()
