--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -7,14 +7,18 @@
 import figdeck.control.beginDrain
 import figdeck.control.initialState
 import figdeck.control.takeToken
+import figdeck.daemon.command.GroupCommit
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.awaitWork
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
-import figdeck.daemon.command.directJournal
+import figdeck.daemon.command.groupJournal
+import figdeck.daemon.command.keepJournal
 import figdeck.daemon.query.followConfiguration
+import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
@@ -46,6 +50,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -58,6 +63,8 @@
 /** The longest time that a planned stop waits for calls in progress. */
 internal val DRAIN_LIMIT = 150.seconds
 
+private const val ID_RADIX = 36
+
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
     private val settings: Settings,
@@ -73,9 +80,11 @@
     }
     private val platform = observed(httpPlatform(client, settings), telemetry)
     private val slots = SlotDispatcher(control, DispatchPolicy(), random)
+    private val groups = GroupCommit(control, platform)
+    private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
     private val batches = BatchServices(services, platform)
-    private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val callerServer = HttpServer(
         group,
         HttpServerLimits(),
@@ -93,6 +102,7 @@
     fun start() {
         showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
+        scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
         scope.launch { runBatches(batches) }
         scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
@@ -105,6 +115,7 @@
         log.info { "draining, ${callerServer.activeCalls} calls in progress" }
         control.run { state, _ -> beginDrain(state) }
         callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        services.awaitWork(DRAIN_LIMIT)
         log.info { "drained" }
     }
 
@@ -120,9 +131,11 @@
     private fun services(random: Random): Services = Services(
         control = control,
         clock = clock,
-        newRequestId = requestIds(settings, random),
+        newRequestId = requestIds(settings, clock, random),
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
-        journal = directJournal(platform),
+        journal = observed(groupJournal(control, platform, groups), telemetry),
+        records = tableRecords(platform.queries),
+        work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = soleOwnership(),
         dispatcher = observed(slots.dispatcher, telemetry),
         upstreams = observed(httpUpstreams(client, settings), telemetry),
@@ -159,9 +172,12 @@
     ownerOf = { null },
 )
 
-/** Request ids that are unique across hosts and across restarts of one host. */
-private fun requestIds(settings: Settings, random: Random): () -> RequestId {
-    val start = random.nextLong().toULong().toString(radix = 36)
+/** Request ids that are unique across hosts and across restarts of one host, and rise with time. */
+private fun requestIds(settings: Settings, clock: Clock, random: Random): () -> RequestId {
+    val start = random.nextInt().toUInt().toString(ID_RADIX)
     val count = AtomicLong()
-    return { RequestId("${settings.host}.$start.${count.incrementAndGet()}") }
+    return {
+        val time = clock().epochMillis.toString(ID_RADIX)
+        RequestId("$time.${settings.host}.$start.${count.incrementAndGet()}")
+    }
 }
