The fan-out bench shares one listener

Cause: 420 listeners and their connections ran out of open files in one process.

Change: endpoints are told apart by path.

--- a/src/test/kotlin/figdeck/bench/FanOut.kt
+++ b/src/test/kotlin/figdeck/bench/FanOut.kt
@@ -34,40 +34,48 @@
     val fresh: Boolean,
 )
 
-/** Endpoints on loopback in one process; each passes a change on to its children and then answers its parent. */
-private class Endpoints(group: EventLoopGroup, count: Int, private val way: Way, private val oneWay: Duration) {
+/**
+ * Endpoints on loopback in one process; each passes a change on to its children and then answers its parent. They share
+ * a listener and are told apart by path, so that 420 of them stay within the usual limit of 1,024 open files.
+ */
+private class Endpoints(
+    group: EventLoopGroup,
+    private val count: Int,
+    private val way: Way,
+    private val oneWay: Duration,
+) {
     private val client = HttpClient(group)
-    private val servers = List(count) { i -> HttpServer(group, HttpServerLimits(), handler(i)) }
-    private val addresses: List<Address> = servers.map { it.listen("127.0.0.1", 0) }
+    private val server = HttpServer(group, HttpServerLimits(), handler())
+    private val address: Address = server.listen("127.0.0.1", 0)
     private val change = ByteArray(CHANGE_BYTES) { 'x'.code.toByte() }
 
     suspend fun spread() = send(children(0))
 
     fun close() {
-        servers.forEach { it.close() }
+        server.close()
         client.close()
     }
 
-    private fun handler(i: Int): HttpHandler = { call, responder ->
+    private fun handler(): HttpHandler = { call, responder ->
         call.body.readAll(LIMIT)
         delay(oneWay)
-        send(children(i))
+        send(children(call.path.removePrefix("/").toInt()))
         delay(oneWay)
         responder.full(200, newHeaders(), ByteArray(0))
     }
 
     /** The paper's order: the parent of the process with id i is i div K, here counted from 0. */
     private fun children(i: Int): List<Int> {
-        val fanOut = way.fanOut ?: return if (i == 0) (1 until addresses.size).toList() else emptyList()
-        return (i * fanOut + 1..i * fanOut + fanOut).filter { it < addresses.size }
+        val fanOut = way.fanOut ?: return if (i == 0) (1 until count).toList() else emptyList()
+        return (i * fanOut + 1..i * fanOut + fanOut).filter { it < count }
     }
 
     private suspend fun send(to: List<Int>) {
-        coroutineScope { to.map { async { send(addresses[it]) } }.awaitAll() }
+        coroutineScope { to.map { async { send(it) } }.awaitAll() }
     }
 
-    private suspend fun send(address: Address) {
-        val request = OutgoingRequest(address, "POST", "/", newHeaders(), change, freshConnection = way.fresh)
+    private suspend fun send(to: Int) {
+        val request = OutgoingRequest(address, "POST", "/$to", newHeaders(), change, freshConnection = way.fresh)
         client.exchange(request) { it.body.readAll(LIMIT) }.onLeft { error(it.reason) }
     }
 }
