figdeck bench: the scheduling decisions measured in virtual time beside plain baselines

Cause: no figure chose between the ways to schedule, and three faults of the decisions were unseen. Ruled out: a fixed headroom for online arrivals. Change: the bench; hopeless work is refused with the time it needs to be whole, also from within a queue; headroom follows holders that leave late; batch work keeps to the runner that its prefix prefers while the queue there has room; online work may cross data centres for a cached prefix. Conclusion: prefix affinity of batch work matters more than slots kept free.

--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -6,10 +6,11 @@
 import figdeck.cli.command.Demo
 import figdeck.cli.command.Serve
 import figdeck.cli.command.StandIn
+import figdeck.cli.query.Bench
 
 /** Starts the command that the arguments name. */
 public fun main(args: Array<String>) {
     Figdeck()
-        .subcommands(Serve(), StandIn(), Demo())
+        .subcommands(Serve(), StandIn(), Demo(), Bench())
         .main(args)
 }
--- /dev/null
+++ b/src/main/kotlin/figdeck/bench/Trace.kt
@@ -0,0 +1,111 @@
+package figdeck.bench
+
+import figdeck.model.Lane
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+private const val SHORTEST_ANSWER = 20
+private const val LONGEST_ANSWER = 180
+private const val PREFIX_TOKENS = 400
+private const val OWN_TOKENS = 200
+private const val BURST_FACTOR = 4.0
+private const val HOT_FACTOR = 10.0
+private const val HOT_TEAMS = 2
+private const val HOT_PREFIX_PART = 0.6
+private const val PREFIXES_PER_TEAM = 12
+private val BURST_PERIOD = 20.seconds
+private val BURST_LENGTH = 3.seconds
+
+/** One request of a trace. */
+public data class TraceItem(
+    public val at: Duration,
+    public val team: Int,
+    public val lane: Lane,
+    public val prefix: Int,
+    public val prefixTokens: Int,
+    public val ownTokens: Int,
+    public val answerTokens: Int,
+)
+
+/** The shape of a trace. */
+public enum class Load {
+    /** Arrivals at one rate. */
+    STEADY,
+
+    /** Short bursts at several times the rate. */
+    BURST,
+
+    /** Two teams send ten times their share. */
+    HOT_TEAM,
+
+    /** Most requests share one prompt prefix. */
+    HOT_PREFIX,
+
+    /** Arrivals at one rate, while a runner is lost. */
+    RUNNER_LOSS,
+}
+
+/**
+ * What a trace is drawn from.
+ *
+ * @property ratePerSecond online arrivals of all teams together; in a trace with hot teams, as if none were hot.
+ */
+public data class TraceShape(
+    public val load: Load,
+    public val ratePerSecond: Double,
+    public val teams: Int,
+    public val length: Duration,
+)
+
+/** The online arrivals of [shape], the same for the same [seed]. */
+public fun onlineTrace(shape: TraceShape, seed: Long): List<TraceItem> {
+    val random = Random(seed)
+    val items = mutableListOf<TraceItem>()
+    var at = Duration.ZERO
+    while (at < shape.length) {
+        val rate = shape.rateAt(at)
+        at += (-ln(1 - random.nextDouble()) / rate).seconds
+        items += item(at, shape.team(random), Lane.ONLINE, shape.load, random)
+    }
+    return items
+}
+
+/** One item of a batch that never ends, for [team]. */
+public fun batchItem(at: Duration, team: Int, random: Random): TraceItem =
+    item(at, team, Lane.BATCH, Load.STEADY, random)
+
+/** Whether [team] sends more than its share. */
+public fun isHot(load: Load, team: Int): Boolean = load == Load.HOT_TEAM && team < HOT_TEAMS
+
+private fun TraceShape.rateAt(at: Duration): Double {
+    val intoPeriod = at.toDouble(DurationUnit.SECONDS) % BURST_PERIOD.toDouble(DurationUnit.SECONDS)
+    val bursts = load == Load.BURST && intoPeriod < BURST_LENGTH.toDouble(DurationUnit.SECONDS)
+    val hot = if (load == Load.HOT_TEAM) 1 + HOT_TEAMS * (HOT_FACTOR - 1) / teams else 1.0
+    return ratePerSecond * hot * if (bursts) BURST_FACTOR else 1.0
+}
+
+private fun TraceShape.team(random: Random): Int {
+    val shares = List(teams) { if (isHot(load, it)) HOT_FACTOR else 1.0 }
+    var left = random.nextDouble() * shares.sum()
+    return shares.indexOfFirst { share ->
+        left -= share
+        left < 0
+    }.coerceAtLeast(0)
+}
+
+private fun item(at: Duration, team: Int, lane: Lane, load: Load, random: Random): TraceItem {
+    val shared = load == Load.HOT_PREFIX && random.nextDouble() < HOT_PREFIX_PART
+    val own = 1 + team * PREFIXES_PER_TEAM + random.nextInt(PREFIXES_PER_TEAM)
+    return TraceItem(
+        at = at,
+        team = team,
+        lane = lane,
+        prefix = if (shared) 0 else own,
+        prefixTokens = PREFIX_TOKENS,
+        ownTokens = OWN_TOKENS,
+        answerTokens = random.nextInt(SHORTEST_ANSWER, LONGEST_ANSWER),
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/query/Bench.kt
@@ -0,0 +1,38 @@
+package figdeck.cli.query
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import figdeck.bench.HEADING
+import figdeck.bench.Load
+import figdeck.bench.OVERLOAD_HEADING
+import figdeck.bench.deployments
+import figdeck.bench.measure
+import figdeck.bench.measureOverload
+import figdeck.bench.row
+import figdeck.bench.schedulings
+
+private const val DEFAULT_SEED = 5L
+
+/** Measures the scheduling decisions in virtual time, beside plain baselines. */
+internal class Bench : CliktCommand("bench") {
+    private val seed by option(help = "Seed of the traces.").long().default(DEFAULT_SEED)
+
+    override fun help(context: Context): String = "Measure the scheduling decisions against a model of engines."
+
+    override fun run() {
+        echo(HEADING)
+        for (deployment in deployments) {
+            for (load in Load.entries) {
+                schedulings.forEach { echo(measure(deployment, it, load, seed).row()) }
+            }
+        }
+        echo("")
+        echo(OVERLOAD_HEADING)
+        for (deployment in deployments) {
+            schedulings.forEach { echo(measureOverload(deployment, it, seed).row()) }
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/command/dispatch/Choice.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Choice.kt
@@ -1,11 +1,17 @@
 package figdeck.command.dispatch
 
 import com.dynatrace.hash4j.hashing.Hashing
+import figdeck.model.Lane
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val LOAD_BOUND = 1.25
 private const val PREFERRED = 2
+private const val BATCH_LOAD_BOUND = 4
+
+/** How much later a first token may come for a prompt whose prefix is read already, in place of one read anew. */
+private val CACHED_PREFIX_WORTH = 10.milliseconds
 
 /** Takes the less loaded of two views drawn at random; if work would wait at both, the best of all. */
 public val twoChoices: ChoicePolicy = { views, _, draw -> lessLoadedOfTwo(views, draw) }
@@ -15,7 +21,7 @@
  * prefix spreads over more of them; [twoChoices] otherwise.
  */
 public val affineChoice: ChoicePolicy = { views, request, draw ->
-    request.affinity?.let { preferred(views, it) } ?: lessLoadedOfTwo(views, draw)
+    request.affinity?.let { preferred(views, request.lane, it) } ?: lessLoadedOfTwo(views, draw)
 }
 
 /** Takes any view with the same probability. */
@@ -41,10 +47,17 @@
     return if (best.delay > Duration.ZERO) near.minBy { it.relativeLoad } else best
 }
 
-private fun preferred(views: List<UpstreamView>, prefix: Long): UpstreamView? {
-    val bound = LOAD_BOUND * views.map { it.relativeLoad }.average()
-    val shortest = views.minOf { it.delay }
-    return views.sortedByDescending { rendezvous(prefix, it) }
-        .take(PREFERRED)
-        .find { it.delay <= shortest && it.load <= bound * it.upstream.slots + 1 }
+private fun preferred(views: List<UpstreamView>, lane: Lane, prefix: Long): UpstreamView? {
+    val ranked = views.sortedByDescending { rendezvous(prefix, it) }
+    return when (lane) {
+        Lane.ONLINE -> preferredOnline(ranked)
+        // Batch work can wait, so it keeps to few runners and drives fewer prefixes of online work out of their caches.
+        Lane.BATCH -> ranked.find { it.load < BATCH_LOAD_BOUND * it.upstream.slots }
+    }
+}
+
+private fun preferredOnline(ranked: List<UpstreamView>): UpstreamView? {
+    val bound = LOAD_BOUND * ranked.map { it.relativeLoad }.average()
+    val latest = ranked.minOf { it.delay } + CACHED_PREFIX_WORTH
+    return ranked.take(PREFERRED).find { it.delay <= latest && it.load <= bound * it.upstream.slots + 1 }
 }
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -39,7 +39,7 @@
     val id = state.tickets[release.ticket]
     val upstream = id?.let { state.upstreams[it] }
     val running = upstream?.running?.get(release.ticket) ?: return withdraw(state, release.ticket, policy, now)
-    val freed = upstream.free(running, release, now)
+    val freed = upstream.free(running, release, policy, now)
     val left = state.copy(tickets = state.tickets.remove(release.ticket)).with(freed)
     return if (freed.usableSlots(now) == 0) {
         moveWaiting(left, freed, release.draw, policy, now)
@@ -73,7 +73,7 @@
     }
     val chosen = state.known(policy.choose(views, request, arrival.draw).upstream, now)
     val wait = chosen.expectedWait(request, now)
-    val late = now + wait - request.deadline
+    val late = now + wait + chosen.queue(request.lane).hold * policy.deadlineMargin - request.deadline
     return if (wait > Duration.ZERO && late > Duration.ZERO) {
         Step(state, refused(arrival, Refusal.Overloaded("upstream '${chosen.upstream.id}'", late)))
     } else {
@@ -91,17 +91,12 @@
     val lane = arrival.request.lane
     val queue = chosen.queue(lane)
     val queued = chosen.observeArrival(lane, policy, now)
-        .withQueue(lane, queue.copy(waiting = queue.waiting.add(Waiting(arrival.ticket, arrival.request))))
+        .withQueue(lane, queue.copy(waiting = queue.waiting.add(Waiting(arrival.ticket, arrival.request, now))))
     val pumped = pump(queued, policy, now)
     val bounded = pushOut(pumped.state, lane, policy)
-    val placed = state.copy(tickets = state.tickets.put(arrival.ticket, chosen.upstream.id)).with(bounded.state)
-    val victim = bounded.result ?: return Step(placed, pumped.result)
-    val wait = chosen.hold * (queue.ahead(victim.request.team) + 1) / chosen.upstream.slots
-    val refusal = Refusal.Overloaded("upstream '${chosen.upstream.id}'", wait)
-    return Step(
-        placed.copy(tickets = placed.tickets.remove(victim.ticket)),
-        pumped.result + DispatchEffect.Refused(victim.ticket, refusal),
-    )
+    val placed = state.copy(tickets = state.tickets.put(arrival.ticket, chosen.upstream.id))
+        .after(Step(bounded.state, pumped.result + bounded.result))
+    return Step(placed, pumped.result + bounded.result)
 }
 
 /** Sends the queues of an upstream that was just left to other candidates. */
@@ -129,19 +124,16 @@
     val upstream = state.upstreams[id] ?: return Step(state, emptyList())
     val fed = steal(state, upstream, policy, now)
     val pumped = pump(fed.upstreams.getValue(id), policy, now)
-    return Step(fed.with(pumped.state), pumped.result)
+    return Step(fed.after(pumped), pumped.result)
 }
 
 private fun refused(arrival: Arrival, refusal: Refusal): List<DispatchEffect> =
     listOf(DispatchEffect.Refused(arrival.ticket, refusal))
 
-private fun UpstreamState.observeArrival(lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamState {
-    val batchHeld = held(Lane.BATCH)
-    val delayed = batchHeld > 0 && occupied >= usableSlots(now)
-    val follows = lane == Lane.ONLINE && (batchHeld > 0 || headroom.slots > 0)
-    return if (follows) {
-        copy(headroom = headroom.after(delayed, upstream.slots, policy.headroom, now))
+/** An arrival that pushes batch work out is observed when that work has left. */
+private fun UpstreamState.observeArrival(lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamState =
+    if (lane == Lane.ONLINE && occupied < usableSlots(now)) {
+        observeDelay(delayed = false, policy.headroom, now)
     } else {
         this
     }
-}
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
@@ -29,6 +29,7 @@
  *
  * @property onlineQueuePerSlot how many online requests may wait for each slot.
  * @property batchQueuePerSlot how many batch requests may wait for each slot.
+ * @property deadlineMargin how many average holding times must be left before the deadline of work that had to wait.
  * @property crossCentre what the way to another data centre and back costs.
  */
 public data class DispatchPolicy(
@@ -37,5 +38,6 @@
     public val headroom: HeadroomPolicy = HeadroomPolicy(),
     public val onlineQueuePerSlot: Int = 8,
     public val batchQueuePerSlot: Int = 4,
+    public val deadlineMargin: Double = 2.0,
     public val crossCentre: Duration = CROSS_CENTRE,
 )
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -53,12 +53,18 @@
         UpstreamView(state.upstream, load, state.expectedWait(request, now) + away)
     }
 
+/** This state after [step] on one of its upstreams; refused tickets stand nowhere any more. */
+internal fun DispatchState.after(step: UpstreamStep): DispatchState {
+    val refused = step.result.filterIsInstance<DispatchEffect.Refused>().map { it.ticket }
+    return copy(tickets = refused.fold(tickets) { left, ticket -> left.remove(ticket) }).with(step.state)
+}
+
 /** How long [request] would wait for a slot. */
 internal fun UpstreamState.expectedWait(request: DispatchRequest, now: Moment): Duration {
     val inTheWay = if (request.lane == Lane.ONLINE) held(Lane.ONLINE) else occupied
     val ahead = queue(request.lane).ahead(request.team)
     val free = usableSlots(now) - inTheWay
-    return if (ahead < free) Duration.ZERO else hold * (ahead + 1) / upstream.slots
+    return if (ahead < free) Duration.ZERO else queue(request.lane).hold * (ahead + 1) / upstream.slots
 }
 
 private fun UpstreamState.loadFor(lane: Lane): Double = when (lane) {
--- a/src/main/kotlin/figdeck/command/dispatch/Headroom.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Headroom.kt
@@ -4,6 +4,7 @@
 import kotlin.math.ceil
 import kotlin.math.pow
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -22,11 +23,13 @@
 /**
  * How headroom follows the delay of online arrivals.
  *
- * @property delayedPart the part of online arrivals that may find no free slot because of batch work.
+ * @property leaveWithin how long a revoked holder may share the upstream with the online work that took its slot.
+ * @property delayedPart the part of online arrivals that may be delayed by holders who leave later than that.
  * @property step how far one delayed arrival raises the headroom, in slots.
  * @property halfLife how long it takes to halve without online arrivals.
  */
 public data class HeadroomPolicy(
+    public val leaveWithin: Duration = 20.milliseconds,
     public val delayedPart: Double = 0.05,
     public val step: Double = 0.5,
     public val halfLife: Duration = 5.seconds,
@@ -48,3 +51,7 @@
     val change = if (delayed) policy.step * (1 - policy.delayedPart) else -policy.step * policy.delayedPart
     return Headroom((at(now, policy) + change).coerceIn(0.0, most.toDouble()), now)
 }
+
+/** This state after an online arrival that batch work [delayed] or not. */
+internal fun UpstreamState.observeDelay(delayed: Boolean, policy: HeadroomPolicy, now: Moment): UpstreamState =
+    copy(headroom = headroom.after(delayed, upstream.slots, policy, now))
--- a/src/main/kotlin/figdeck/command/dispatch/Leave.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Leave.kt
@@ -8,19 +8,29 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** This upstream after [running] gave its slot back: accounts corrected, health and holding time noted. */
-internal fun UpstreamState.free(running: Running, release: Release, now: Moment): UpstreamState {
+internal fun UpstreamState.free(
+    running: Running,
+    release: Release,
+    policy: DispatchPolicy,
+    now: Moment,
+): UpstreamState {
     val request = running.request
     val queue = queue(request.lane)
-    val corrected = queue.shares.correct(request.team, release.cost - request.cost, request.weight)
-    val observed = if (release.use == UseResult.ANSWERED) observeHold(now - running.since) else this
-    return observed
-        .withQueue(request.lane, queue.copy(shares = corrected))
+    val corrected = queue.copy(
+        shares = queue.shares.correct(request.team, release.cost - request.cost, request.weight)
+    )
+    val answered = release.use == UseResult.ANSWERED
+    return withQueue(request.lane, if (answered) corrected.observeHold(now - running.since) else corrected)
         .copy(
             running = this.running.remove(running.ticket),
             health = health.after(release.use, Random(release.draw).nextDouble(), now),
         )
+        .observeLeaving(running, policy.headroom, now)
 }
 
+private fun UpstreamState.observeLeaving(running: Running, policy: HeadroomPolicy, now: Moment): UpstreamState =
+    running.revokedAt?.let { observeDelay(now - it > policy.leaveWithin, policy, now) } ?: this
+
 /** This upstream without [ticket], wherever it stood; nothing is charged for work that never ran. */
 internal fun UpstreamState.without(ticket: Long): UpstreamState = copy(
     running = running.remove(ticket),
--- a/src/main/kotlin/figdeck/command/dispatch/Pump.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Pump.kt
@@ -3,6 +3,7 @@
 import figdeck.command.Step
 import figdeck.model.Lane
 import figdeck.model.Moment
+import figdeck.model.Refusal
 import kotlinx.collections.immutable.toPersistentList
 
 /** What follows from a decision on one upstream. */
@@ -24,21 +25,36 @@
 private fun nextMove(state: UpstreamState, policy: DispatchPolicy, now: Moment): UpstreamStep? {
     val free = state.usableSlots(now) - state.occupied
     val headroom = state.headroom.wholeSlots(now, policy.headroom)
-    return when {
+    return expire(state, policy, now) ?: when {
         state.online.waiting.isNotEmpty() && free > 0 -> grant(state, Lane.ONLINE, policy, now)
-        state.online.waiting.isNotEmpty() -> revokeOne(state)
+        state.online.waiting.isNotEmpty() -> revokeOne(state, now)
         state.batch.waiting.isNotEmpty() && free > headroom -> grant(state, Lane.BATCH, policy, now)
         else -> null
     }
 }
 
+/** Refuses work that waited too long to be whole before its deadline. */
+private fun expire(state: UpstreamState, policy: DispatchPolicy, now: Moment): UpstreamStep? {
+    val lane = Lane.entries.find { lane -> state.queue(lane).hopeless(policy, now) != null }
+    val queue = lane?.let { state.queue(it) }
+    val expired = queue?.hopeless(policy, now) ?: return null
+    val refusal = Refusal.Overloaded("upstream '${state.upstream.id}'", queue.hold)
+    return Step(
+        state.withQueue(lane, queue.copy(waiting = queue.waiting.remove(expired))),
+        listOf(DispatchEffect.Refused(expired.ticket, refusal)),
+    )
+}
+
+private fun LaneQueue.hopeless(policy: DispatchPolicy, now: Moment): Waiting? =
+    waiting.find { it.since < now && it.request.deadline < now + hold * policy.deadlineMargin }
+
 private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep {
     val queue = state.queue(lane)
     val next = policy.order(queue)
     val request = next.request
     val shares = queue.shares.charge(request.team, request.cost, request.weight)
-    val left = LaneQueue(queue.waiting.remove(next), shares)
-    val running = state.running.put(next.ticket, Running(next.ticket, request, now, revoked = false))
+    val left = queue.copy(waiting = queue.waiting.remove(next), shares = shares)
+    val running = state.running.put(next.ticket, Running(next.ticket, request, now, revokedAt = null))
     return Step(
         state.withQueue(lane, left).copy(running = running),
         listOf(DispatchEffect.Granted(next.ticket, state.upstream)),
@@ -46,21 +62,21 @@
 }
 
 /** The batch work that started last has the least to lose. */
-private fun revokeOne(state: UpstreamState): UpstreamStep? {
+private fun revokeOne(state: UpstreamState, now: Moment): UpstreamStep? {
     val victim = state.running.values
-        .filter { it.request.lane == Lane.BATCH && !it.revoked }
+        .filter { it.request.lane == Lane.BATCH && it.revokedAt == null }
         .maxByOrNull { it.since.monotonicNanos }
         ?: return null
-    val running = state.running.put(victim.ticket, victim.copy(revoked = true))
+    val running = state.running.put(victim.ticket, victim.copy(revokedAt = now))
     return Step(state.copy(running = running), listOf(DispatchEffect.Revoked(victim.ticket)))
 }
 
 /** Holds the queue of [lane] to its bound: the team with the most waiting per weight loses its newest request. */
-internal fun pushOut(state: UpstreamState, lane: Lane, policy: DispatchPolicy): Step<UpstreamState, Waiting?> {
+internal fun pushOut(state: UpstreamState, lane: Lane, policy: DispatchPolicy): UpstreamStep {
     val queue = state.queue(lane)
     val perSlot = if (lane == Lane.ONLINE) policy.onlineQueuePerSlot else policy.batchQueuePerSlot
     if (queue.waiting.size <= perSlot * state.upstream.slots) {
-        return Step(state, null)
+        return Step(state, emptyList())
     }
     val longest = queue.waiting
         .groupBy { it.request.team }
@@ -68,5 +84,7 @@
         .value
     val victim = longest.last()
     val left = queue.copy(waiting = queue.waiting.filter { it != victim }.toPersistentList())
-    return Step(state.withQueue(lane, left), victim)
+    val wait = queue.hold * (left.ahead(victim.request.team) + 1) / state.upstream.slots
+    val refusal = Refusal.Overloaded("upstream '${state.upstream.id}'", wait)
+    return Step(state.withQueue(lane, left), listOf(DispatchEffect.Refused(victim.ticket, refusal)))
 }
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -13,32 +13,39 @@
 
 private val FIRST_HOLD = 500.milliseconds
 private const val HOLD_WEIGHT = 0.1
+private val emptyQueue = LaneQueue(persistentListOf(), noShares, FIRST_HOLD)
 
 /** Work that waits for a slot. */
 public data class Waiting(
     public val ticket: Long,
     public val request: DispatchRequest,
+    public val since: Moment,
 )
 
-/** Work that holds a slot. A revoked holder counts no more: its slot is given on while it leaves. */
+/**
+ * Work that holds a slot. A revoked holder counts no more: its slot is given on while it leaves.
+ *
+ * @property revokedAt when it was told to leave; null unless it was.
+ */
 public data class Running(
     public val ticket: Long,
     public val request: DispatchRequest,
     public val since: Moment,
-    public val revoked: Boolean,
+    public val revokedAt: Moment?,
 )
 
-/** The queue of one lane before one upstream, and the shares of the teams in it. */
+/**
+ * The queue of one lane before one upstream, and the shares of the teams in it.
+ *
+ * @property hold how long work of this lane holds a slot on average.
+ */
 public data class LaneQueue(
     public val waiting: PersistentList<Waiting>,
     public val shares: Shares,
+    public val hold: Duration,
 )
 
-/**
- * What the owner of an upstream knows of it.
- *
- * @property hold how long a slot is held on average.
- */
+/** What the owner of an upstream knows of it. */
 public data class UpstreamState(
     public val upstream: Upstream,
     public val running: PersistentMap<Long, Running>,
@@ -46,25 +53,24 @@
     public val batch: LaneQueue,
     public val headroom: Headroom,
     public val health: Health,
-    public val hold: Duration,
 )
 
 /** The state of an [upstream] that was not used yet. */
 public fun idleUpstream(upstream: Upstream, now: Moment): UpstreamState = UpstreamState(
     upstream = upstream,
     running = persistentMapOf(),
-    online = LaneQueue(persistentListOf(), noShares),
-    batch = LaneQueue(persistentListOf(), noShares),
+    online = emptyQueue,
+    batch = emptyQueue,
     headroom = Headroom(0.0, now),
     health = healthy,
-    hold = FIRST_HOLD,
 )
 
 /** How many slots [lane] holds. */
-public fun UpstreamState.held(lane: Lane): Int = running.values.count { it.request.lane == lane && !it.revoked }
+public fun UpstreamState.held(lane: Lane): Int =
+    running.values.count { it.request.lane == lane && it.revokedAt == null }
 
 /** How many slots are held. */
-public val UpstreamState.occupied: Int get() = running.values.count { !it.revoked }
+public val UpstreamState.occupied: Int get() = running.values.count { it.revokedAt == null }
 
 /** How many slots may be held now: all, one for a probe, or none. */
 public fun UpstreamState.usableSlots(now: Moment): Int = when {
@@ -85,8 +91,8 @@
     Lane.BATCH -> copy(batch = queue)
 }
 
-/** This state after a slot was held for [held]. */
-public fun UpstreamState.observeHold(held: Duration): UpstreamState =
+/** This queue after work of its lane held a slot for [held]. */
+public fun LaneQueue.observeHold(held: Duration): LaneQueue =
     copy(hold = hold * (1 - HOLD_WEIGHT) + held * HOLD_WEIGHT)
 
 /** How many waiting requests would be served before a new one of [team]: each other team takes turns with it. */
