Leases, shard ownership by epochs, and fleet-wide limits drawn from their owners

Cause: every host held each team's whole limit and every shard, so two hosts passed twice the rate and no fence ever refused a write.

Ruled out: an owner that tracks what each host has left of its grants (needs reports and their ordering), and static shares per host (callers on one host alone would get a twelfth of their rate).

Change: one lease row per host renewed by compare-and-set and counted from the sending; shards preferred by rendezvous hashing, claimed under a rising epoch in transactions that check the former owner's row, released to joining hosts and on leaving. A lapsed lease is ended by the host's guardians, which may promise not to while the table is down. The owner of a team's shard keeps its bucket; other hosts draw tokens that live at most 100 ms, and the bucket is smaller by that time, so no window sees more than rate x time + burst. A request waits for a draw, and is refused with Retry-After where there is no owner.

While an owner is paused its teams are refused until its lease has lapsed.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -6,24 +6,19 @@
 import figdeck.control.initialState
 import figdeck.control.releaseSlot
 import figdeck.control.reserveSlot
-import figdeck.control.takeToken
 import figdeck.daemon.command.Dispatcher
-import figdeck.daemon.command.Limits
-import figdeck.daemon.command.Ownership
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.directJournal
+import figdeck.daemon.command.endLease
+import figdeck.daemon.command.leaveFleet
 import figdeck.daemon.query.followConfiguration
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.log.PartLog
-import figdeck.model.ABSENT
 import figdeck.model.Clock
-import figdeck.model.Epoch
-import figdeck.model.Fence
 import figdeck.model.RequestId
-import figdeck.model.RowCheck
 import figdeck.model.systemClock
 import figdeck.platform.Platform
 import figdeck.platform.PlatformHttp
@@ -60,18 +55,20 @@
     random: Random = Random.Default,
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.host), clock)
+    private val control = Control(initialState(settings.identity()), clock)
     private val platform = httpPlatform(client, settings)
-    private val services = services(random)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val fleet = FleetWiring(control, clock, scope, peerCalls(client, settings), platform, random)
+    private val services = services(random)
     private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
-    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer))
+    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, fleet.handlers))
     private val operatorServer =
         HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         scope.launch { followConfiguration(platform, control, clock) }
+        fleet.start()
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -81,7 +78,9 @@
     suspend fun drain() {
         log.info { "draining, ${callerServer.activeCalls} calls in progress" }
         control.run { state, _ -> beginDrain(state) }
+        fleet.parts.leaveFleet()
         callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        fleet.parts.endLease()
         log.info { "drained" }
     }
 
@@ -98,9 +97,9 @@
         control = control,
         clock = clock,
         newRequestId = requestIds(settings, random),
-        limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
+        limits = fleet.limits(),
         journal = directJournal(platform),
-        ownership = soleOwnership(),
+        ownership = fleet.ownership,
         dispatcher = localDispatcher(control),
         upstreams = httpUpstreams(client, settings),
     )
@@ -130,12 +129,6 @@
     )
 }
 
-/** Every shard is this host's: fit for a fleet of one. */
-private fun soleOwnership(): Ownership = Ownership(
-    fenceOf = { shard -> Fence(Epoch(1), RowCheck("shard/$shard", ABSENT)) },
-    ownerOf = { null },
-)
-
 /** Request ids that are unique across hosts and across restarts of one host. */
 private fun requestIds(settings: Settings, random: Random): () -> RequestId {
     val start = random.nextLong().toULong().toString(radix = 36)
--- a/src/main/kotlin/figdeck/command/limit/TokenBucket.kt
+++ b/src/main/kotlin/figdeck/command/limit/TokenBucket.kt
@@ -8,8 +8,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 
-private const val NANOS_PER_SECOND = 1e9
-
 /**
  * The use of a team's limit as a generic cell rate algorithm sees it.
  *
@@ -20,23 +18,23 @@
 /** A full bucket. */
 public fun fullBucket(now: Moment): TokenBucket = TokenBucket(now.monotonicNanos)
 
-/** An empty bucket: what a new owner assumes, since the previous one may have spent everything. */
-public fun emptyBucket(limit: Limit, now: Moment): TokenBucket =
-    TokenBucket(now.monotonicNanos + limit.burst * limit.nanosPerToken())
+/** An empty bucket of [shape]: what a new owner assumes, since the previous one may have spent everything. */
+public fun emptyBucket(shape: BucketShape, now: Moment): TokenBucket =
+    TokenBucket(now.monotonicNanos + shape.capacityNanos)
+
+/** The bucket after [count] tokens are taken, or how long to wait until that many are there. */
+public fun TokenBucket.take(count: Int, limit: Limit, now: Moment): Either<Duration, TokenBucket> =
+    take(count, limit.plainShape(), now)
 
 /** The bucket after [count] tokens are taken, or how long to wait until that many are there. */
-public fun TokenBucket.take(count: Int, limit: Limit, now: Moment): Either<Duration, TokenBucket> {
-    val interval = limit.nanosPerToken()
-    val taken = maxOf(fullAtNanos, now.monotonicNanos) + count * interval
-    val tooFar = taken - (now.monotonicNanos + limit.burst * interval)
+public fun TokenBucket.take(count: Int, shape: BucketShape, now: Moment): Either<Duration, TokenBucket> {
+    val taken = maxOf(fullAtNanos, now.monotonicNanos) + count * shape.intervalNanos
+    val tooFar = taken - (now.monotonicNanos + shape.capacityNanos)
     return if (tooFar > 0) tooFar.nanoseconds.left() else TokenBucket(taken).right()
 }
 
 /** The whole tokens that can be taken at once. */
-public fun TokenBucket.available(limit: Limit, now: Moment): Int {
-    val interval = limit.nanosPerToken()
-    val room = now.monotonicNanos + limit.burst * interval - maxOf(fullAtNanos, now.monotonicNanos)
-    return (room / interval).coerceAtLeast(0).toInt()
+public fun TokenBucket.available(shape: BucketShape, now: Moment): Int {
+    val room = now.monotonicNanos + shape.capacityNanos - maxOf(fullAtNanos, now.monotonicNanos)
+    return (room / shape.intervalNanos).coerceAtLeast(0).toInt()
 }
-
-private fun Limit.nanosPerToken(): Long = (NANOS_PER_SECOND / ratePerSecond).toLong().coerceAtLeast(1)
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/ownership/Claims.kt
@@ -0,0 +1,61 @@
+package figdeck.command.ownership
+
+import figdeck.model.ABSENT
+import figdeck.model.Epoch
+import figdeck.model.HostId
+import figdeck.model.Moment
+import figdeck.model.Shard
+import kotlinx.collections.immutable.toPersistentMap
+
+/** Takes in a whole scan of the shard rows. */
+public fun observeShards(state: OwnershipState, rows: List<ShardRow>): OwnershipState =
+    state.copy(shards = rows.associateBy { it.shard }.toPersistentMap())
+
+/** The shards that prefer this host and that it doesn't own. */
+public fun OwnershipState.missingShards(): List<Shard> = preferences.shardsOf(self.host).filterNot { it in owned }
+
+/**
+ * Plans to claim up to [most] of the missing shards. A shard is free without an owner, or when its owner's row is gone
+ * or is of another incarnation; the transaction checks that this is still so.
+ */
+public fun planClaims(state: OwnershipState, most: Int, now: Moment): ShardPlan? {
+    val owner = state.ownerHere()
+    val free = state.missingShards().filter { state.isFree(it) }.take(most)
+    return if (owner == null || free.isEmpty() || !state.isLeased(now)) {
+        null
+    } else {
+        ShardPlan(owner.incarnation, free.map { state.claimOf(it, owner) }, state.ownerChecks(free))
+    }
+}
+
+/**
+ * Notes that the claim [plan] took effect at [version]. A shard of which anything newer was read since is left out, to
+ * be claimed anew.
+ */
+public fun confirmClaim(state: OwnershipState, plan: ShardPlan, version: Long, now: Moment): OwnershipState {
+    val current = state.held?.lease?.incarnation == plan.incarnation
+    val rows = plan.rows
+        .filter { current && (state.shards[it.shard]?.version ?: ABSENT) == it.version }
+        .associate { it.shard to it.copy(version = version) }
+    val claimed = rows.mapValues { OwnedShard(it.value.epoch, version, now) }
+    return state.copy(shards = state.shards.putAll(rows), owned = state.owned.putAll(claimed))
+}
+
+/** This host as an owner, while it has a lease. */
+internal fun OwnershipState.ownerHere(): ShardOwner? = held?.let { ShardOwner(self.host, it.lease.incarnation) }
+
+private fun OwnershipState.isFree(shard: Shard): Boolean {
+    val owner = shards[shard]?.owner
+    val ownerRow = owner?.let { hosts[it.host] }
+    return owner == null || owner.host == self.host || ownerRow?.row?.lease?.incarnation != owner.incarnation
+}
+
+private fun OwnershipState.claimOf(shard: Shard, owner: ShardOwner): ShardRow {
+    val row = shards[shard]
+    return ShardRow(shard, owner, row?.epoch?.next() ?: Epoch(1), row?.version ?: ABSENT)
+}
+
+private fun OwnershipState.ownerChecks(free: List<Shard>): Map<HostId, Long> = free
+    .mapNotNull { shards[it]?.owner?.host }
+    .filterNot { it == self.host }
+    .associateWith { hosts[it]?.row?.version ?: ABSENT }
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/ownership/Membership.kt
@@ -0,0 +1,79 @@
+package figdeck.command.ownership
+
+import figdeck.command.Step
+import figdeck.model.HostId
+import figdeck.model.Moment
+import kotlinx.collections.immutable.toPersistentMap
+
+/** Takes in a whole scan of the host rows; the result tells whether the set of hosts changed. */
+public fun observeHosts(state: OwnershipState, rows: List<HostRow>, now: Moment): Step<OwnershipState, Boolean> {
+    val hosts = rows.associate { it.lease.host to seen(state.hosts[it.lease.host], it, now) }
+    return withHosts(state, hosts)
+}
+
+/** Plans the end of every lease that this host has seen lapse. */
+public fun planExpiries(state: OwnershipState, now: Moment): Step<OwnershipState, List<ExpiryPlan>> {
+    val lapsed = state.hosts.values.filter { state.hasLapsed(it, now) }
+    val hosts = state.hosts.putAll(lapsed.associate { it.row.lease.host to it.copy(expirySent = true) })
+    return Step(state.copy(hosts = hosts), lapsed.map { ExpiryPlan(it.row.lease.host, it.row.version) })
+}
+
+/** Notes that the lease of [plan] has ended. */
+public fun confirmExpiry(state: OwnershipState, plan: ExpiryPlan): OwnershipState {
+    val same = state.hosts[plan.host]?.row?.version == plan.version
+    return if (same) withHosts(state, state.hosts.remove(plan.host)).state else state
+}
+
+/**
+ * Promises the [incarnation] of [host] not to end its lease for a lease and a margin from [now] on. Refuses where that
+ * host is unknown, or where an end of its lease has been sent and may still take effect.
+ */
+public fun promise(
+    state: OwnershipState,
+    host: HostId,
+    incarnation: Long,
+    now: Moment,
+): Step<OwnershipState, Boolean> {
+    val seen = state.hosts[host]?.takeIf { it.row.lease.incarnation == incarnation && !it.expirySent }
+    val hosts = if (seen == null) state.hosts else state.hosts.put(host, seen.copy(promisedAt = now))
+    return Step(state.copy(hosts = hosts), seen != null)
+}
+
+/** Notes the promise of [guardian] to a question sent at [sentAt] for [incarnation]. */
+public fun confirmPromise(
+    state: OwnershipState,
+    guardian: HostId,
+    incarnation: Long,
+    sentAt: Moment,
+): OwnershipState {
+    val current = state.held?.lease?.incarnation == incarnation
+    return if (current) state.copy(promises = state.promises.put(guardian, sentAt)) else state
+}
+
+private fun seen(before: SeenHost?, row: HostRow, now: Moment): SeenHost {
+    val sameLife = before?.row?.lease?.incarnation == row.lease.incarnation
+    return if (before != null && before.row.version == row.version) {
+        before
+    } else {
+        SeenHost(row, now, before?.promisedAt.takeIf { sameLife }, expirySent = false)
+    }
+}
+
+private fun withHosts(state: OwnershipState, hosts: Map<HostId, SeenHost>): Step<OwnershipState, Boolean> {
+    val selfLeaving = listOfNotNull(state.self.host.takeIf { state.leaving })
+    val leaving = hosts.filterValues { it.row.lease.leaving }.keys + selfLeaving
+    val staying = (hosts.keys - leaving).ifEmpty { hosts.keys }
+    val changed = staying != state.preferences.hosts
+    val preferences = if (changed) preferencesOf(staying) else state.preferences
+    return Step(state.copy(hosts = hosts.toPersistentMap(), preferences = preferences), changed)
+}
+
+private fun OwnershipState.hasLapsed(seen: SeenHost, now: Moment): Boolean {
+    val guardians = seen.row.lease.guardians
+    val isGuardian = guardians.isEmpty() || self.host in guardians
+    val promisedUntil = seen.promisedAt?.let { it + times.lease + times.margin }
+    val wait = if (isGuardian) times.lease else times.longWait
+    val isOwn = seen.row.lease.incarnation == held?.lease?.incarnation
+    val isPromised = promisedUntil != null && now < promisedUntil
+    return !isOwn && !isPromised && now - seen.firstSeen >= wait + times.margin
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/ownership/ShardRow.kt
@@ -0,0 +1,19 @@
+package figdeck.command.ownership
+
+import figdeck.model.Epoch
+import figdeck.model.HostId
+import figdeck.model.Shard
+
+/** The host and the incarnation of it that own a shard. */
+public data class ShardOwner(
+    public val host: HostId,
+    public val incarnation: Long,
+)
+
+/** A shard's row as it stands at [version]; [owner] is null after a release. */
+public data class ShardRow(
+    public val shard: Shard,
+    public val owner: ShardOwner?,
+    public val epoch: Epoch,
+    public val version: Long,
+)
--- a/src/main/kotlin/figdeck/control/Commands.kt
+++ b/src/main/kotlin/figdeck/control/Commands.kt
@@ -1,16 +1,12 @@
 package figdeck.control
 
 import arrow.core.Either
-import arrow.core.left
 import figdeck.command.Step
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.reserve
-import figdeck.command.limit.fullBucket
-import figdeck.command.limit.take
 import figdeck.model.Configuration
 import figdeck.model.Moment
 import figdeck.model.Refusal
-import figdeck.model.Team
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.query.indexOf
@@ -23,15 +19,6 @@
     return Step(if (current) followed.copy(confirmedAt = asked) else followed, Unit)
 }
 
-/** Takes one token of [team]. */
-internal fun takeToken(state: ControlState, team: Team, now: Moment): Step<ControlState, Either<Refusal, Unit>> {
-    val bucket = state.buckets[team.id] ?: fullBucket(now)
-    return bucket.take(1, team.limit, now).fold(
-        { wait -> Step(state, Refusal.OverRate(team.id, wait).left()) },
-        { taken -> Step(state.copy(buckets = state.buckets.put(team.id, taken)), Either.Right(Unit)) },
-    )
-}
-
 /** Reserves a slot at one of [candidates]. */
 internal fun reserveSlot(
     state: ControlState,
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -1,15 +1,14 @@
 package figdeck.control
 
 import figdeck.command.dispatch.DispatchState
-import figdeck.command.limit.TokenBucket
+import figdeck.command.ownership.HostIdentity
+import figdeck.command.ownership.LeaseTimes
 import figdeck.model.Configuration
 import figdeck.model.HostId
 import figdeck.model.Moment
-import figdeck.model.TeamId
 import figdeck.model.emptyConfiguration
 import figdeck.query.ConfigurationIndex
 import figdeck.query.indexOf
-import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
 /**
@@ -23,18 +22,18 @@
     public val configuration: Configuration,
     public val index: ConfigurationIndex,
     public val confirmedAt: Moment?,
-    public val buckets: PersistentMap<TeamId, TokenBucket>,
+    public val fleet: FleetState,
     public val dispatch: DispatchState,
     public val draining: Boolean,
 )
 
-/** The state of the daemon on [host] before it knows anything. */
-public fun initialState(host: HostId): ControlState = ControlState(
-    host = host,
+/** The state of the daemon on the host [self] before it knows anything. */
+public fun initialState(self: HostIdentity, times: LeaseTimes = LeaseTimes()): ControlState = ControlState(
+    host = self.host,
     configuration = emptyConfiguration,
     index = indexOf(emptyConfiguration),
     confirmedAt = null,
-    buckets = persistentMapOf(),
+    fleet = initialFleet(self, times),
     dispatch = DispatchState(persistentMapOf()),
     draining = false,
 )
--- /dev/null
+++ b/src/main/kotlin/figdeck/control/LimitCommands.kt
@@ -0,0 +1,80 @@
+package figdeck.control
+
+import figdeck.command.Step
+import figdeck.command.limit.Draw
+import figdeck.command.limit.Grant
+import figdeck.command.limit.grant
+import figdeck.command.limit.keep
+import figdeck.command.limit.planExtra
+import figdeck.command.limit.spend
+import figdeck.command.ownership.likelyOwners
+import figdeck.command.ownership.ownedAt
+import figdeck.command.ownership.shardOf
+import figdeck.model.Moment
+import figdeck.model.Shard
+import figdeck.model.Team
+import figdeck.model.TeamId
+
+/** Takes one token of [team] from its bucket if that is here, or from a grant. */
+internal fun takeToken(state: ControlState, team: Team, now: Moment): Step<ControlState, TokenResult> {
+    val draw = Draw(team.id, 1, 0)
+    val granted = grantTokens(state, draw, now)
+    val own = granted.result
+    return when {
+        own == null -> spendGrant(state, team.id, now)
+        own.granted > 0 -> Step(granted.state, TokenResult.Taken)
+        else -> Step(granted.state, TokenResult.Wait(own.wait))
+    }
+}
+
+/** Answers a draw; null where this host doesn't own the team's bucket at [now], or doesn't know the team. */
+internal fun grantTokens(state: ControlState, draw: Draw, now: Moment): Step<ControlState, Grant?> {
+    val owned = state.fleet.ownership.ownedAt(teamShard(draw.team), now)
+    val limit = state.index.teams[draw.team]?.limit
+    if (owned == null || limit == null) {
+        return Step(state, null)
+    }
+    val step = grant(state.fleet.buckets, draw, limit, owned, now)
+    return Step(state.copy(fleet = state.fleet.copy(buckets = step.state)), step.result)
+}
+
+/** How many tokens of each of [teams] to draw beyond those waited for. */
+internal fun planExtras(
+    state: ControlState,
+    teams: Set<TeamId>,
+    now: Moment,
+): Step<ControlState, Map<TeamId, Int>> {
+    var grants = state.fleet.grants
+    val extras = teams.associateWith { team ->
+        val step = planExtra(grants, team, now)
+        grants = step.state
+        step.result
+    }
+    return Step(state.copy(fleet = state.fleet.copy(grants = grants)), extras)
+}
+
+/** Keeps [count] tokens of [team] for requests to come. */
+internal fun keepTokens(
+    state: ControlState,
+    team: TeamId,
+    count: Int,
+    expiresAt: Moment,
+    now: Moment,
+): Step<ControlState, Unit> {
+    val grants = keep(state.fleet.grants, team, count, expiresAt, now)
+    return Step(state.copy(fleet = state.fleet.copy(grants = grants)), Unit)
+}
+
+/** The shard that owns the bucket of [team]. */
+internal fun teamShard(team: TeamId): Shard = shardOf("team", team.value)
+
+private fun spendGrant(state: ControlState, team: TeamId, now: Moment): Step<ControlState, TokenResult> {
+    val step = spend(state.fleet.grants, team, now)
+    val next = state.copy(fleet = state.fleet.copy(grants = step.state))
+    val result = if (step.result) {
+        TokenResult.Taken
+    } else {
+        TokenResult.Ask(state.fleet.ownership.likelyOwners(teamShard(team)))
+    }
+    return Step(next, result)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/FleetLimits.kt
@@ -0,0 +1,90 @@
+package figdeck.daemon.command
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.ownership.HostLease
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.TokenResult
+import figdeck.control.takeToken
+import figdeck.model.Clock
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import figdeck.model.Team
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val SHORTEST_PAUSE = 2.milliseconds
+private val OWNER_PAUSE = 50.milliseconds
+
+/**
+ * How long a request waits before it is refused.
+ *
+ * @property token for a token of its team's bucket.
+ * @property owner for an owner of the bucket, while ownership moves.
+ */
+internal data class LimitPatience(
+    val token: Duration = 500.milliseconds,
+    val owner: Duration = 1_500.milliseconds,
+)
+
+/** The fleet-wide limits: tokens come from this host's buckets, from its grants, or from the bucket's owner. */
+internal fun fleetLimits(
+    control: Control<ControlState>,
+    clock: Clock,
+    draws: PeerDraws,
+    patience: LimitPatience = LimitPatience(),
+): Limits = Limits { team -> LimitWait(control, clock, draws, patience).take(team) }
+
+private class LimitWait(
+    private val control: Control<ControlState>,
+    private val clock: Clock,
+    private val draws: PeerDraws,
+    private val patience: LimitPatience,
+) {
+    private val started = clock()
+
+    suspend fun take(team: Team): Either<Refusal, Unit> {
+        var outcome: Either<Refusal, Unit>? = null
+        while (outcome == null) {
+            outcome = when (val result = tryOnce(team)) {
+                is DrawResult.Granted -> Unit.right().takeIf { clock() < result.expiresAt }
+                is DrawResult.Wait -> pause(result.wait, patience.token, Refusal.OverRate(team.id, result.wait))
+                DrawResult.NoOwner -> pause(OWNER_PAUSE, patience.owner, Refusal.LimitUnavailable(team.id))
+            }
+        }
+        return outcome
+    }
+
+    private suspend fun tryOnce(team: Team): DrawResult =
+        when (val result = control.run { state, now -> takeToken(state, team, now) }) {
+            TokenResult.Taken -> DrawResult.Granted(clock().forever())
+            is TokenResult.Wait -> DrawResult.Wait(result.wait)
+            is TokenResult.Ask -> ask(team, result.owners)
+        }
+
+    private suspend fun ask(team: Team, owners: List<HostLease>): DrawResult {
+        var result: DrawResult = DrawResult.NoOwner
+        for (owner in owners) {
+            result = draws.draw(owner, team.id)
+            if (result != DrawResult.NoOwner) {
+                break
+            }
+        }
+        return result
+    }
+
+    /** Waits for [time], or gives [refusal] where that is longer than the [limit] since the start allows. */
+    private suspend fun pause(time: Duration, limit: Duration, refusal: Refusal): Either<Refusal, Unit>? {
+        val rest = limit - (clock() - started)
+        val refused = time > rest
+        if (!refused) {
+            delay(maxOf(time, SHORTEST_PAUSE))
+        }
+        return if (refused) refusal.left() else null
+    }
+
+    private fun Moment.forever(): Moment = copy(monotonicNanos = Long.MAX_VALUE)
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/KeepLease.kt
@@ -0,0 +1,84 @@
+package figdeck.daemon.command
+
+import figdeck.command.ownership.RenewalPlan
+import figdeck.command.ownership.confirmPromise
+import figdeck.command.ownership.confirmRenewal
+import figdeck.command.ownership.currentGuardians
+import figdeck.command.ownership.planRenewal
+import figdeck.command.ownership.settleRenewals
+import figdeck.command.ownership.withdrawRenewal
+import figdeck.log.PartLog
+import figdeck.model.ABSENT
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Moment
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+private val log = PartLog("lease")
+
+/** Renews this host's lease, until cancelled. */
+internal suspend fun FleetParts.keepLease() {
+    while (true) {
+        if (ownership.attempts.isNotEmpty()) {
+            settle()
+        }
+        renew()
+        delay(ownership.times.renewal)
+    }
+}
+
+/** Asks the guardians for promises whenever the table has failed to confirm a renewal, until cancelled. */
+internal suspend fun FleetParts.keepPromises(clock: () -> Moment) {
+    while (true) {
+        delay(ownership.times.renewal / 2)
+        val held = ownership.held
+        if (held != null && clock() - held.sentAt > ownership.times.renewal * 2) {
+            askPromises(held.lease.incarnation, clock)
+        }
+    }
+}
+
+/** Sends one renewal and settles it. */
+internal suspend fun FleetParts.renew() {
+    val incarnation = newIncarnation()
+    val plan = decide { state, now -> planRenewal(state, incarnation, now) } ?: return
+    when (val reply = platform.commitRenewal(plan)) {
+        is CallResult.Done -> finish(plan, reply.value)
+        is CallResult.NotDone -> change { state, _ -> withdrawRenewal(state, plan) }
+        is CallResult.Unknown -> settle()
+    }
+}
+
+private suspend fun FleetParts.finish(plan: RenewalPlan, reply: CommitReply) {
+    when (reply) {
+        is CommitReply.Committed -> change { state, _ -> confirmRenewal(state, plan, reply.version) }
+        is CommitReply.Conflict -> settle()
+    }
+    if (plan.expected == ABSENT) {
+        woken.trySend(Unit)
+    }
+}
+
+private suspend fun FleetParts.settle() {
+    val before = ownership.held
+    val read = platform.readHost(ownership.self.host)
+    if (read is CallResult.Done) {
+        change { state, _ -> settleRenewals(state, read.value.value) }
+    }
+    if (before != null && ownership.held == null) {
+        log.warn { "host ${ownership.self.host} has lost its lease" }
+    }
+}
+
+private suspend fun FleetParts.askPromises(incarnation: Long, clock: () -> Moment) = coroutineScope {
+    ownership.currentGuardians().mapNotNull { ownership.hosts[it]?.row?.lease }.forEach { guardian ->
+        launch {
+            val sentAt = clock()
+            if (peers.promise(guardian, ownership.self.host, incarnation)) {
+                change { state, _ -> confirmPromise(state, guardian.host, incarnation, sentAt) }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/KeepShards.kt
@@ -0,0 +1,111 @@
+package figdeck.daemon.command
+
+import figdeck.command.Step
+import figdeck.command.ownership.HostLease
+import figdeck.command.ownership.ShardPlan
+import figdeck.command.ownership.beginLeaving
+import figdeck.command.ownership.confirmClaim
+import figdeck.command.ownership.confirmExpiry
+import figdeck.command.ownership.confirmRelease
+import figdeck.command.ownership.missingShards
+import figdeck.command.ownership.observeHosts
+import figdeck.command.ownership.observeShards
+import figdeck.command.ownership.planClaims
+import figdeck.command.ownership.planExpiries
+import figdeck.command.ownership.planLeave
+import figdeck.command.ownership.planRelease
+import figdeck.log.PartLog
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Moment
+import figdeck.model.map
+import figdeck.model.valueOrNull
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.seconds
+
+private const val SHARDS_A_TRANSACTION = 256
+private val LEAVE_LIMIT = 5.seconds
+private val log = PartLog("shards")
+
+/** Follows the fleet's membership, and claims and releases shards by it, until cancelled. */
+internal suspend fun FleetParts.keepShards(clock: () -> Moment) {
+    var scanned: Moment? = null
+    while (true) {
+        val changed = followHosts()
+        val isOld = scanned?.let { clock() - it >= ownership.times.shardScan } ?: true
+        if (changed || isOld || ownership.missingShards().isNotEmpty()) {
+            scanned = clock().takeIf { followShards() }
+        }
+        withTimeoutOrNull(ownership.times.scan) { woken.receive() }
+    }
+}
+
+/** Hands over every shard and gives the lease up; stops trying after a while. */
+internal suspend fun FleetParts.leaveFleet() {
+    change { state, _ -> beginLeaving(state) }
+    withTimeoutOrNull(LEAVE_LIMIT) {
+        renew()
+        releaseShards()
+    }
+}
+
+/** Gives the lease up, so that nobody waits for it to lapse. */
+internal suspend fun FleetParts.endLease() {
+    val plan = decide { state, _ -> planLeave(state) } ?: return
+    withTimeoutOrNull(LEAVE_LIMIT) { platform.commitExpiry(plan) }
+}
+
+private suspend fun FleetParts.followHosts(): Boolean {
+    val rows = platform.scanHosts().valueOrNull() ?: return false
+    val changed = decide { state, now -> observeHosts(state, rows, now) }
+    val expired = decide { state, now -> planExpiries(state, now) }.filter { plan ->
+        val reply = platform.commitExpiry(plan).valueOrNull()
+        (reply is CommitReply.Committed).also { if (it) change { state, _ -> confirmExpiry(state, plan) } }
+    }
+    expired.forEach { log.info { "the lease of host ${it.host} has lapsed" } }
+    return changed || expired.isNotEmpty()
+}
+
+private suspend fun FleetParts.followShards(): Boolean {
+    val rows = platform.scanShards().valueOrNull() ?: return false
+    change { state, _ -> observeShards(state, rows) }
+    claimShards()
+    releaseShards()
+    return true
+}
+
+private suspend fun FleetParts.claimShards() {
+    var plan = decide { state, now -> Step(state, planClaims(state, SHARDS_A_TRANSACTION, now)) }
+    while (plan != null) {
+        val claim = plan
+        val version = commit(claim) ?: return
+        change { state, now -> confirmClaim(state, claim, version, now) }
+        plan = decide { state, now -> Step(state, planClaims(state, SHARDS_A_TRANSACTION, now)) }
+    }
+}
+
+private suspend fun FleetParts.releaseShards() {
+    val receivers = mutableSetOf<HostLease>()
+    var plan = decide { state, _ -> planRelease(state, SHARDS_A_TRANSACTION) }
+    while (plan != null) {
+        val release = plan
+        val version = commit(release)
+        if (version != null) {
+            change { state, _ -> confirmRelease(state, release, version) }
+            receivers += receiversOf(release)
+        }
+        plan = if (version == null) null else decide { state, _ -> planRelease(state, SHARDS_A_TRANSACTION) }
+    }
+    receivers.forEach { peers.wake(it) }
+}
+
+private fun FleetParts.receiversOf(release: ShardPlan): Set<HostLease> = release.rows
+    .mapNotNull { ownership.preferences.ownerOf(it.shard) }
+    .filterNot { it == ownership.self.host }
+    .mapNotNull { ownership.hosts[it]?.row?.lease }
+    .toSet()
+
+private suspend fun FleetParts.commit(plan: ShardPlan): Long? {
+    val reply = platform.commitShards(plan).map { it as? CommitReply.Committed }
+    return (reply as? CallResult.Done)?.value?.version
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/PeerCalls.kt
@@ -0,0 +1,58 @@
+package figdeck.daemon.command
+
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.model.Address
+import figdeck.wire.command.PromiseQuestion
+import figdeck.wire.command.decodeGrants
+import figdeck.wire.command.encodeDraws
+import figdeck.wire.command.encodePromiseQuestion
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal const val DRAW_PATH = "/peer/draw"
+internal const val PROMISE_PATH = "/peer/promise"
+internal const val WAKE_PATH = "/peer/wake"
+private const val OK = 200
+private const val MAX_REPLY_BYTES = 1024 * 1024
+private val DRAW_DEADLINE = 250.milliseconds
+private val PROMISE_DEADLINE = 1_000.milliseconds
+
+/** Calls of other daemons over HTTP with JSON, under the peers' [secret]. */
+internal class PeerCalls(
+    private val client: HttpClient,
+    private val secret: String,
+) {
+    /** Asks for tokens. */
+    val askGrants: AskGrants = { owner, draws ->
+        call(owner.address, DRAW_PATH, encodeDraws(draws), DRAW_DEADLINE)?.let { decodeGrants(it).getOrNull() }
+    }
+
+    /** Asks about ownership. */
+    val ownership: PeerOwnership = PeerOwnership(
+        promise = { guardian, host, incarnation ->
+            val question = encodePromiseQuestion(PromiseQuestion(host, incarnation))
+            call(guardian.address, PROMISE_PATH, question, PROMISE_DEADLINE) != null
+        },
+        wake = { peer -> call(peer.address, WAKE_PATH, "", DRAW_DEADLINE) },
+    )
+
+    private suspend fun call(address: Address, target: String, body: String, deadline: Duration): String? {
+        val request = OutgoingRequest(
+            address = address,
+            method = "POST",
+            target = target,
+            headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer $secret"),
+            body = body.encodeToByteArray(),
+            headTimeout = deadline,
+            idleTimeout = deadline,
+        )
+        return client.exchange(request) { reply ->
+            val text = reply.body.readAll(MAX_REPLY_BYTES).getOrNull()?.decodeToString()
+            text.takeIf { reply.status == OK }
+        }.getOrNull()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/PeerDraws.kt
@@ -0,0 +1,93 @@
+package figdeck.daemon.command
+
+import figdeck.command.limit.Draw
+import figdeck.command.limit.Grant
+import figdeck.command.ownership.HostLease
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.control.keepTokens
+import figdeck.control.planExtras
+import figdeck.model.Address
+import figdeck.model.Clock
+import figdeck.model.Moment
+import figdeck.model.TeamId
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+
+/** What became of one request's wish for a token. */
+internal sealed interface DrawResult {
+    /** A token, to be spent before [expiresAt]. */
+    data class Granted(val expiresAt: Moment) : DrawResult
+
+    /** The bucket is empty for [wait]. */
+    data class Wait(val wait: Duration) : DrawResult
+
+    /** The host asked didn't answer, or doesn't own the bucket. */
+    data object NoOwner : DrawResult
+}
+
+/** Asks a host for tokens; the grants come in the order of the draws, or null without an answer. */
+internal typealias AskGrants = suspend (HostLease, List<Draw>) -> List<Grant?>?
+
+/** Draws tokens from their owners: one question at a time to each, and whatever comes meanwhile goes into the next. */
+internal class PeerDraws(
+    private val scope: CoroutineScope,
+    private val control: Control<ControlState>,
+    private val clock: Clock,
+    private val ask: AskGrants,
+) {
+    private data class Wish(
+        val team: TeamId,
+        val result: CompletableDeferred<DrawResult>,
+    )
+
+    private val wishes = ConcurrentHashMap<Address, Channel<Wish>>()
+
+    /** Draws one token of [team] from [owner]. */
+    suspend fun draw(owner: HostLease, team: TeamId): DrawResult {
+        val wish = Wish(team, CompletableDeferred())
+        queueOf(owner).send(wish)
+        return wish.result.await()
+    }
+
+    private fun queueOf(owner: HostLease): Channel<Wish> = wishes.computeIfAbsent(owner.address) {
+        val queue = Channel<Wish>(Channel.UNLIMITED)
+        scope.launch { serve(owner, queue) }
+        queue
+    }
+
+    private suspend fun serve(owner: HostLease, queue: Channel<Wish>) {
+        for (first in queue) {
+            val batch = listOf(first) + generateSequence { queue.tryReceive().getOrNull() }
+            exchange(owner, batch.groupBy { it.team })
+        }
+    }
+
+    private suspend fun exchange(owner: HostLease, batch: Map<TeamId, List<Wish>>) {
+        val extras = control.run { state, now -> planExtras(state, batch.keys, now) }
+        val draws = batch.map { (team, waiting) -> Draw(team, waiting.size, extras[team] ?: 0) }
+        val sentAt = clock()
+        val grants = ask(owner, draws).orEmpty()
+        draws.forEachIndexed { index, draw ->
+            hand(batch.getValue(draw.team), draw.team, grants.getOrNull(index), sentAt)
+        }
+    }
+
+    private suspend fun hand(waiting: List<Wish>, team: TeamId, grant: Grant?, sentAt: Moment) {
+        if (grant == null) {
+            waiting.forEach { it.result.complete(DrawResult.NoOwner) }
+            return
+        }
+        val expiresAt = sentAt + grant.life
+        waiting.take(grant.granted).forEach { it.result.complete(DrawResult.Granted(expiresAt)) }
+        waiting.drop(grant.granted).forEach { it.result.complete(DrawResult.Wait(grant.wait)) }
+        val left = grant.granted - waiting.size
+        if (left > 0) {
+            control.run { state, now -> keepTokens(state, team, left, expiresAt, now) }
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -62,6 +62,13 @@
             get() = "team '$team' is over its rate: wait ${retryAfter.inWholeMilliseconds} ms and send again"
     }
 
+    /** The host that keeps the limit of [team] can't be reached, or there is none just now. */
+    public data class LimitUnavailable(public val team: TeamId) : Refusal {
+        override val message: String
+            get() = "the limit of team '$team' can't be checked now: send again after a second"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
     /** Too much work waits already. */
     public data class Overloaded(public val what: String, override val retryAfter: Duration) : Refusal {
         override val message: String get() = "$what is overloaded: send again after the time in Retry-After"
--- a/src/main/kotlin/figdeck/traffic/PeerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/PeerApi.kt
@@ -6,11 +6,12 @@
 
 private const val UNAUTHORIZED = 401
 
-/** What daemons ask of each other, with the [secret] as bearer key. */
-internal fun peerApi(secret: String): HttpHandler = { call, responder ->
-    if (matches(call.bearerKey(), secret)) {
-        responder.refuse(Refusal.NotFound("${call.method} ${call.path}"))
-    } else {
-        responder.full(UNAUTHORIZED, newHeaders(), ByteArray(0))
+/** What daemons ask of each other, by path, with the [secret] as bearer key. */
+internal fun peerApi(secret: String, handlers: Map<String, HttpHandler>): HttpHandler = { call, responder ->
+    val handler = handlers[call.path]
+    when {
+        !matches(call.bearerKey(), secret) -> responder.full(UNAUTHORIZED, newHeaders(), ByteArray(0))
+        handler == null -> responder.refuse(Refusal.NotFound("${call.method} ${call.path}"))
+        else -> handler(call, responder)
     }
 }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -39,6 +39,7 @@
         is Refusal.RouteNotFound -> "route_not_found"
         is Refusal.NotFound -> "not_found"
         is Refusal.OverRate -> "over_rate"
+        is Refusal.LimitUnavailable -> "limit_unavailable"
         is Refusal.Overloaded -> "overloaded"
         is Refusal.NoUpstream -> "no_upstream"
         is Refusal.UpstreamLost -> "upstream_lost"
@@ -63,7 +64,7 @@
         is Refusal.UpstreamLost, is Refusal.Recorded -> BAD_GATEWAY
         is Refusal.KeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
-        is Refusal.StoreUnavailable, Refusal.Draining -> UNAVAILABLE
+        is Refusal.StoreUnavailable, is Refusal.LimitUnavailable, Refusal.Draining -> UNAVAILABLE
     }
 
 internal val Ran.text: String get() = name.lowercase()
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/command/PeerCodec.kt
@@ -0,0 +1,76 @@
+package figdeck.wire.command
+
+import arrow.core.Either
+import figdeck.command.limit.Draw
+import figdeck.command.limit.Grant
+import figdeck.model.HostId
+import figdeck.model.TeamId
+import figdeck.wire.decode
+import figdeck.wire.lenientJson
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+import kotlin.time.Duration.Companion.microseconds
+
+@Serializable
+private data class DrawDto(
+    val team: String,
+    val waiting: Int,
+    val extra: Int = 0,
+)
+
+@Serializable
+private data class GrantDto(
+    val granted: Int = 0,
+    @SerialName("wait_us") val waitMicros: Long = 0,
+    @SerialName("life_us") val lifeMicros: Long = 0,
+    val owned: Boolean = true,
+)
+
+@Serializable
+private data class PromiseDto(
+    val host: String,
+    val incarnation: Long,
+)
+
+/** A host's question for a promise not to end its lease. */
+internal data class PromiseQuestion(
+    val host: HostId,
+    val incarnation: Long,
+)
+
+internal fun encodeDraws(draws: List<Draw>): String = lenientJson.encodeToString(
+    ListSerializer(DrawDto.serializer()),
+    draws.map { DrawDto(it.team.value, it.waiting, it.extra) },
+)
+
+internal fun decodeDraws(text: String): Either<String, List<Draw>> =
+    lenientJson.decode(ListSerializer(DrawDto.serializer()), text)
+        .map { draws -> draws.map { Draw(TeamId(it.team), it.waiting, it.extra) } }
+
+/** Grants in the order of the draws; null stands for a team whose bucket isn't here. */
+internal fun encodeGrants(grants: List<Grant?>): String = lenientJson.encodeToString(
+    ListSerializer(GrantDto.serializer()),
+    grants.map { it?.toDto() ?: GrantDto(owned = false) },
+)
+
+internal fun decodeGrants(text: String): Either<String, List<Grant?>> =
+    lenientJson.decode(ListSerializer(GrantDto.serializer()), text).map { grants -> grants.map { it.toGrant() } }
+
+internal fun encodePromiseQuestion(question: PromiseQuestion): String =
+    lenientJson.encodeToString(PromiseDto.serializer(), PromiseDto(question.host.value, question.incarnation))
+
+internal fun decodePromiseQuestion(text: String): Either<String, PromiseQuestion> =
+    lenientJson.decode(PromiseDto.serializer(), text).map { PromiseQuestion(HostId(it.host), it.incarnation) }
+
+private fun Grant.toDto() = GrantDto(granted, wait.inWholeMicroseconds, life.inWholeMicroseconds)
+
+private fun GrantDto.toGrant(): Grant? = if (owned) {
+    Grant(
+        granted,
+        waitMicros.microseconds,
+        lifeMicros.microseconds
+    )
+} else {
+    null
+}
--- /dev/null
+++ b/src/test/kotlin/figdeck/command/ownership/ModelFleet.kt
@@ -0,0 +1,191 @@
+package figdeck.command.ownership
+
+import figdeck.model.HostId
+import figdeck.model.Shard
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+private const val ROUND_MILLIS = 1_000L
+private const val SHARD_SCAN_ROUNDS = 10L
+private const val CHECK_MILLIS = 50L
+private const val CALL_DEADLINE_MILLIS = 2_000L
+private const val LATEST_MILLIS = 7_000L
+
+/** How the faults of a run are drawn; chances are per call or per second and host. */
+data class ModelFaults(
+    val lostCall: Double = 0.05,
+    val lateCall: Double = 0.1,
+    val pause: Double = 0.02,
+    val restart: Double = 0.005,
+    val outages: List<LongRange> = emptyList(),
+)
+
+/** Hosts that run the decisions of ownership against a table, over calls that are late, lost and out of order. */
+class ModelFleet(
+    private val random: Random,
+    count: Int,
+    private val times: LeaseTimes = LeaseTimes(),
+    var faults: ModelFaults = ModelFaults(),
+) {
+    private data class Event(val at: Long, val order: Long, val action: () -> Unit)
+
+    private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
+    private val table = ModelTable()
+    private var millis = 0L
+    private var order = 0L
+    var hosts = List(count) { ModelHost(HostId("host-$it"), "centre-${it % 3}", random, times) }
+
+    /** Every moment at which two hosts held one shard. */
+    val doubles = mutableListOf<String>()
+
+    init {
+        hosts.forEach { start(it) }
+        check()
+    }
+
+    fun runUntil(end: Long) {
+        while (events.isNotEmpty() && events.peek().at <= end) {
+            val event = events.poll()
+            millis = event.at
+            event.action()
+        }
+        millis = end
+    }
+
+    /** How many shards have a leased owner. */
+    fun ownedShards(): Int = owners().size
+
+    private fun owners(): Map<Shard, List<HostId>> = hosts
+        .filter { it.state.isLeased(it.now(millis)) }
+        .flatMap { host -> host.state.owned.keys.map { it to host.id } }
+        .groupBy({ it.first }, { it.second })
+
+    private fun after(delay: Long, action: () -> Unit) {
+        events += Event(millis + delay, order++, action)
+    }
+
+    private fun check() {
+        owners().entries.firstOrNull { it.value.size > 1 }?.let { (shard, hosts) ->
+            doubles += "$millis ms: shard $shard at $hosts"
+        }
+        after(CHECK_MILLIS) { check() }
+    }
+
+    private fun start(host: ModelHost) {
+        after(random.nextLong(ROUND_MILLIS)) { renewRound(host) }
+        after(random.nextLong(ROUND_MILLIS)) { memberRound(host) }
+        after(random.nextLong(ROUND_MILLIS)) { misfortune(host) }
+    }
+
+    private fun misfortune(host: ModelHost) {
+        if (host.dead) return
+        if (random.nextDouble() < faults.pause) {
+            host.pausedUntil = millis + random.nextLong(15_000)
+        }
+        if (random.nextDouble() < faults.restart) {
+            host.dead = true
+            val next = ModelHost(host.id, host.state.self.dataCentre.value, random, times)
+            hosts = hosts.map { if (it === host) next else it }
+            start(next)
+        }
+        after(ROUND_MILLIS) { misfortune(host) }
+    }
+
+    /** Runs [action] on [host] when it isn't paused, unless it has died. */
+    private fun on(host: ModelHost, action: () -> Unit) {
+        when {
+            host.dead -> Unit
+            millis < host.pausedUntil -> after(host.pausedUntil - millis) { on(host, action) }
+            else -> action()
+        }
+    }
+
+    /** Calls the table: [serve] may run late or never; [answer] gets null for an unknown result. */
+    private fun <T : Any> call(host: ModelHost, serve: () -> T?, answer: (T?, Boolean) -> Unit) {
+        val late = random.nextDouble() < faults.lateCall
+        val there = if (late) random.nextLong(LATEST_MILLIS) else random.nextLong(10)
+        val back = if (random.nextDouble() < faults.lateCall) random.nextLong(LATEST_MILLIS) else random.nextLong(10)
+        val lost = random.nextDouble() < faults.lostCall || faults.outages.any { millis in it }
+        val replyLost = random.nextDouble() < faults.lostCall
+        if (lost || replyLost || there + back > CALL_DEADLINE_MILLIS) {
+            if (!lost) after(there) { serve() }
+            after(CALL_DEADLINE_MILLIS) { on(host) { answer(null, false) } }
+        } else {
+            after(there) {
+                val reply = serve()
+                after(back) { on(host) { answer(reply, true) } }
+            }
+        }
+    }
+
+    private fun renewRound(host: ModelHost): Unit = on(host) {
+        after(ROUND_MILLIS) { renewRound(host) }
+        askPromises(host)
+        if (host.state.attempts.isEmpty()) renew(host) else settle(host) { renew(host) }
+    }
+
+    private fun renew(host: ModelHost) {
+        val plan = host.renewal(millis) ?: return
+        call(host, { table.renew(plan) }) { version, answered ->
+            when {
+                version != null -> host.state = confirmRenewal(host.state, plan, version)
+                answered -> settle(host) {}
+            }
+        }
+    }
+
+    private fun settle(host: ModelHost, then: () -> Unit) =
+        call(host, { listOfNotNull(table.host(host.id)) }) { rows, answered ->
+            if (answered) host.state = settleRenewals(host.state, rows?.firstOrNull())
+            then()
+        }
+
+    private fun askPromises(host: ModelHost) {
+        val incarnation = host.state.held?.lease?.incarnation ?: return
+        val sentAt = host.now(millis)
+        host.state.currentGuardians().forEach { id ->
+            val lost = random.nextDouble() < faults.lostCall
+            val guardian = hosts.first { it.id == id }
+            after(random.nextLong(10)) {
+                on(guardian) {
+                    val given = guardian.answersPromise(host.id, incarnation, millis)
+                    if (given && !lost) {
+                        after(random.nextLong(10)) {
+                            on(host) { host.state = confirmPromise(host.state, id, incarnation, sentAt) }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun memberRound(host: ModelHost): Unit = on(host) {
+        after(ROUND_MILLIS) { memberRound(host) }
+        call(host, { table.hostRows() }) { rows, _ ->
+            if (rows != null) {
+                host.state = observeHosts(host.state, rows, host.now(millis)).state
+                host.expiries(millis).forEach { plan ->
+                    call(host, { table.expire(plan) }) { version, _ ->
+                        if (version != null) host.state = confirmExpiry(host.state, plan)
+                    }
+                }
+                val due = millis / ROUND_MILLIS % SHARD_SCAN_ROUNDS == 0L || host.state.missingShards().isNotEmpty()
+                if (due) change(host)
+            }
+        }
+    }
+
+    private fun change(host: ModelHost): Unit = call(host, { table.shardRows() }) { rows, _ ->
+        if (rows != null) host.state = observeShards(host.state, rows)
+        planClaims(host.state, 1024, host.now(millis))?.let { plan ->
+            call(host, { table.change(plan) }) { version, _ ->
+                if (version != null) host.state = confirmClaim(host.state, plan, version, host.now(millis))
+            }
+        }
+        host.release()?.let { plan ->
+            call(host, { table.change(plan) }) { version, _ ->
+                if (version != null) host.state = confirmRelease(host.state, plan, version)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/figdeck/command/ownership/ModelTable.kt
@@ -0,0 +1,44 @@
+package figdeck.command.ownership
+
+import figdeck.model.ABSENT
+import figdeck.model.HostId
+import figdeck.model.Shard
+
+/** The host and shard rows of a table, with compare-and-set on versions. */
+class ModelTable {
+    private val hosts = mutableMapOf<HostId, HostRow>()
+    private val shards = mutableMapOf<Shard, ShardRow>()
+    private var version = 0L
+
+    fun hostRows(): List<HostRow> = hosts.values.toList()
+
+    fun shardRows(): List<ShardRow> = shards.values.toList()
+
+    fun host(id: HostId): HostRow? = hosts[id]
+
+    /** The version of the row after the write, or null after a conflict. */
+    fun renew(plan: RenewalPlan): Long? = writing(hostVersion(plan.lease.host) == plan.expected) {
+        hosts[plan.lease.host] = HostRow(plan.lease, version)
+    }
+
+    fun expire(plan: ExpiryPlan): Long? = writing(hostVersion(plan.host) == plan.version) { hosts.remove(plan.host) }
+
+    fun change(plan: ShardPlan): Long? {
+        val shardsStand = plan.rows.all { (shards[it.shard]?.version ?: ABSENT) == it.version }
+        val ownersStand = plan.ownerChecks.all { (host, expected) -> hostVersion(host) == expected }
+        return writing(shardsStand && ownersStand) {
+            plan.rows.forEach { shards[it.shard] = it.copy(version = version) }
+        }
+    }
+
+    private fun hostVersion(id: HostId): Long = hosts[id]?.version ?: ABSENT
+
+    private fun writing(allowed: Boolean, write: () -> Unit): Long? {
+        if (!allowed) {
+            return null
+        }
+        version++
+        write()
+        return version
+    }
+}
