--- a/src/main/kotlin/figdeck/control/Commands.kt
+++ b/src/main/kotlin/figdeck/control/Commands.kt
@@ -1,15 +1,8 @@
 package figdeck.control
 
-import arrow.core.Either
-import arrow.core.left
 import figdeck.command.Step
 import figdeck.command.journal.JournalState
-import figdeck.command.limit.fullBucket
-import figdeck.command.limit.take
 import figdeck.model.Configuration
-import figdeck.model.Moment
-import figdeck.model.Refusal
-import figdeck.model.Team
 import figdeck.query.indexOf
 
 /** Puts [read] in force if it is newer; an older revision never replaces a newer one. */
@@ -18,15 +11,6 @@
     return Step(if (newer) state.copy(configuration = read, index = indexOf(read)) else state, Unit)
 }
 
-/** Takes one token of [team]. */
-internal fun takeToken(state: ControlState, team: Team, now: Moment): Step<ControlState, Either<Refusal, Unit>> {
-    val bucket = state.buckets[team.id] ?: fullBucket(now)
-    return bucket.take(1, team.limit, now).fold(
-        { wait -> Step(state, Refusal.OverRate(team.id, wait).left()) },
-        { taken -> Step(state.copy(buckets = state.buckets.put(team.id, taken)), Either.Right(Unit)) },
-    )
-}
-
 /** Stops the taking of new work. */
 internal fun beginDrain(state: ControlState): Step<ControlState, Unit> = Step(state.copy(draining = true), Unit)
 
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -7,16 +7,14 @@
 import figdeck.command.journal.JournalState
 import figdeck.command.journal.groupInterval
 import figdeck.command.journal.initialJournal
-import figdeck.command.limit.TokenBucket
+import figdeck.command.ownership.HostIdentity
+import figdeck.command.ownership.LeaseTimes
 import figdeck.model.Configuration
 import figdeck.model.HostId
 import figdeck.model.Moment
-import figdeck.model.TeamId
 import figdeck.model.emptyConfiguration
 import figdeck.query.ConfigurationIndex
 import figdeck.query.indexOf
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 
 /**
  * All that one daemon decides from.
@@ -29,7 +27,7 @@
     public val configuration: Configuration,
     public val index: ConfigurationIndex,
     public val confirmedAt: Moment?,
-    public val buckets: PersistentMap<TeamId, TokenBucket>,
+    public val fleet: FleetState,
     public val dispatch: DispatchState,
     public val draining: Boolean,
     public val journal: JournalState,
@@ -37,14 +35,14 @@
     public val follow: FollowState = initialFollowState,
 )
 
-/** The state of the daemon on [host] before it knows anything. */
-public fun initialState(host: HostId): ControlState = ControlState(
-    host = host,
+/** The state of the daemon on the host [self] before it knows anything. */
+public fun initialState(self: HostIdentity, times: LeaseTimes = LeaseTimes()): ControlState = ControlState(
+    host = self.host,
     configuration = emptyConfiguration,
     index = indexOf(emptyConfiguration),
     confirmedAt = null,
-    buckets = persistentMapOf(),
-    dispatch = emptyDispatch(),
+    fleet = initialFleet(self, times),
+    dispatch = emptyDispatch(self.dataCentre),
     draining = false,
     journal = initialJournal(groupInterval(1)),
     batch = noSegments,
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/LostHosts.kt
@@ -0,0 +1,40 @@
+package figdeck.daemon.query
+
+import figdeck.command.journal.journalKey
+import figdeck.command.ownership.OwnershipState
+import figdeck.command.ownership.hostKey
+import figdeck.command.ownership.shardOf
+import figdeck.control.Control
+import figdeck.control.ControlState
+import figdeck.model.CallResult
+import figdeck.model.HostId
+import figdeck.platform.query.PlatformQueries
+
+private const val JOURNAL_PREFIX = "journal/"
+private const val MAX_JOURNALS = 10_000
+
+/**
+ * The hosts that left a journal and have no row in the table any more, as far as they fall to this host.
+ *
+ * A host claims its journal under its lease, so one whose journal was seen first and whose row is absent afterwards has
+ * lost its lease or has left.
+ */
+internal suspend fun lostHosts(queries: PlatformQueries, control: Control<ControlState>): List<HostId> {
+    val journals = queries.scanRows(JOURNAL_PREFIX, "", MAX_JOURNALS)
+    val ownership = control.snapshot.fleet.ownership
+    if (journals !is CallResult.Done || ownership.held == null) {
+        return emptyList()
+    }
+    return journals.value
+        .map { HostId(it.key.removePrefix(JOURNAL_PREFIX)) }
+        .filter { it !in ownership.hosts && ownership.fallsHere(it) }
+        .filter { host -> queries.hasNoRow(host) }
+}
+
+private fun OwnershipState.fallsHere(host: HostId): Boolean =
+    preferences.ownerOf(shardOf("journal", journalKey(host))) == self.host
+
+private suspend fun PlatformQueries.hasNoRow(host: HostId): Boolean {
+    val read = readRow(hostKey(host))
+    return read is CallResult.Done && read.value.value == null
+}
--- a/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
@@ -3,7 +3,7 @@
 import arrow.core.right
 import figdeck.control.Control
 import figdeck.control.confirmConfiguration
-import figdeck.control.initialState
+import figdeck.control.stateOf
 import figdeck.control.startSegments
 import figdeck.daemon.command.Dispatcher
 import figdeck.daemon.command.Journal
@@ -150,7 +150,7 @@
         owns: Fence = newOwnership(),
     ): BatchServices {
         val name = "host-${controls.size}"
-        val control = Control(initialState(HostId(name)), systemClock)
+        val control = Control(stateOf(name), systemClock)
         controls += control
         control.run { state, now -> confirmConfiguration(state, benchConfiguration, now) }
         var ids = 0
