--- a/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
@@ -12,6 +12,7 @@
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
 import figdeck.daemon.query.findBatch
+import figdeck.daemon.query.tableRecords
 import figdeck.http.HttpBody
 import figdeck.model.BatchId
 import figdeck.model.BatchStatus
@@ -46,8 +47,10 @@
 import figdeck.upstream.command.Generation
 import figdeck.upstream.command.UpstreamCommands
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.sync.Semaphore
+import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The host ended at this step. */
@@ -159,7 +162,9 @@
             clock = systemClock,
             newRequestId = { RequestId("$name.${ids++}") },
             limits = Limits { Unit.right() },
-            journal = Journal({ Unit.right() }, {}),
+            journal = noJournal,
+            records = tableRecords(platform(steps).queries),
+            work = CoroutineScope(EmptyCoroutineContext),
             ownership = Ownership({ owns }, { null }),
             dispatcher = Dispatcher(
                 { Permit(1, it.candidates.first(), CompletableDeferred()).right() },
@@ -186,6 +191,10 @@
     override fun close() = controls.forEach { it.close() }
 }
 
+private val noJournal = Journal({ unused() }, { _, _ -> unused() }, { unused() }, { _, _ -> unused() })
+
+private fun unused(): Nothing = error("batch work keeps no journal")
+
 private val benchTemplate = template("bench") {
     upstream("engine") {
         address = "127.0.0.1:1"
