Proofs of exactly once by processes, explain, and results cleared after their retention

Change: CrashPointSpec counts effects and asserts how many there are. Results past their template's retention are cleared in pages, oldest first, by the host that owns that.

--- /dev/null
+++ b/src/main/kotlin/figdeck/command/journal/Retention.kt
@@ -0,0 +1,36 @@
+package figdeck.command.journal
+
+import figdeck.model.Configuration
+import figdeck.model.RequestRecord
+import figdeck.model.Template
+import figdeck.model.Work
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+
+/** How long a result stays whose template is gone. */
+private val ORPHAN_RETENTION = 72.hours
+
+/** How long the result of [record] stays readable: as long as the template of its team says. */
+public fun retentionOf(record: RequestRecord, configuration: Configuration): Duration =
+    configuration.templates.values.find { it.holds(record) }?.retention ?: ORPHAN_RETENTION
+
+private fun Template.holds(record: RequestRecord): Boolean {
+    val work = record.work
+    return if (record.team == null && work is Work.ServiceCall) {
+        routes.any { it.name == work.route }
+    } else {
+        teams.any { it.id == record.team }
+    }
+}
+
+/** Whether the result of [record] may be cleared at [nowMillis]; what has not ended never may. */
+public fun isExpired(record: RequestRecord, configuration: Configuration, nowMillis: Long): Boolean {
+    val endedAt = record.endedAtMillis ?: return false
+    return nowMillis - endedAt > retentionOf(record, configuration).inWholeMilliseconds
+}
+
+/** Whether nothing accepted at [acceptedAtMillis] or later can have expired at [nowMillis]. */
+public fun isAllKept(acceptedAtMillis: Long, configuration: Configuration, nowMillis: Long): Boolean {
+    val shortest = configuration.templates.values.minOfOrNull { it.retention } ?: ORPHAN_RETENTION
+    return nowMillis - acceptedAtMillis <= minOf(shortest, ORPHAN_RETENTION).inWholeMilliseconds
+}
--- a/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
@@ -25,7 +25,10 @@
 private val HOSTS_INTERVAL = 5.seconds
 private val log = PartLog("journal")
 
-/** Holds this host's journal and takes over those of the hosts that [lostHosts] tells, until cancelled. */
+/**
+ * Holds this host's journal, takes over those of the hosts that [lostHosts] tells and clears expired results, until
+ * cancelled.
+ */
 internal suspend fun Services.keepJournal(
     platform: Platform,
     groups: GroupCommit,
@@ -35,6 +38,7 @@
     launch { holdJournal(platform, groups, newIncarnation) }
     launch { takeOverJournals(platform, lostHosts, newIncarnation) }
     launch { paceJournal(platform, control) }
+    launch { expireResults(platform) }
 }
 
 /** Claims this host's journal, recovers what its former owner left open and writes the journal until cancelled. */
--- a/src/main/kotlin/figdeck/traffic/OperatorApi.kt
+++ b/src/main/kotlin/figdeck/traffic/OperatorApi.kt
@@ -2,12 +2,15 @@
 
 import figdeck.control.Control
 import figdeck.control.ControlState
+import figdeck.daemon.query.tableRecords
 import figdeck.http.newHeaders
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.platform.Platform
 import figdeck.telemetry.Meters
 import figdeck.traffic.command.applyTemplateHandler
+import figdeck.traffic.query.EXPLAIN_PREFIX
+import figdeck.traffic.query.explainHandler
 import java.security.MessageDigest
 
 private const val UNAUTHORIZED = 401
@@ -21,10 +24,12 @@
     secret: String
 ): HttpHandler {
     val apply = applyTemplateHandler(control, platform)
+    val explain = explainHandler(tableRecords(platform.queries))
     return { call, responder ->
         when {
             !matches(call.bearerKey(), secret) -> responder.full(UNAUTHORIZED, newHeaders(), ByteArray(0))
             call.method == "PUT" && call.path.startsWith(TEMPLATES_PREFIX) -> apply(call, responder)
+            call.method == "GET" && call.path.startsWith(EXPLAIN_PREFIX) -> explain(call, responder)
             call.method == "GET" && call.path == "/metrics" ->
                 responder.full(STATUS_OK, newHeaders(), meters.scrape().encodeToByteArray())
             call.method == "GET" && call.path == "/v1/status" ->
--- a/src/main/kotlin/figdeck/wire/JournalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/JournalCodec.kt
@@ -38,11 +38,15 @@
     val body: String,
 )
 
-internal fun encodeOpenRequest(open: OpenRequest): String {
-    val intent = open.intent?.let { IntentDto(it.upstream.value, it.host.value, it.atMillis) }
-    val dto = OpenRequestDto(open.id.value, open.host.value, open.epoch.value, intent)
-    return lenientJson.encodeToString(OpenRequestDto.serializer(), dto)
-}
+internal fun encodeOpenRequest(open: OpenRequest): String =
+    lenientJson.encodeToString(OpenRequestDto.serializer(), open.toDto())
+
+internal fun OpenRequest.toDto() = OpenRequestDto(
+    id.value,
+    host.value,
+    epoch.value,
+    intent?.let { IntentDto(it.upstream.value, it.host.value, it.atMillis) },
+)
 
 internal fun decodeOpenRequest(text: String): OpenRequest {
     val dto = lenientJson.decodeFromString(OpenRequestDto.serializer(), text)
--- a/src/main/kotlin/figdeck/wire/RequestRecordCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RequestRecordCodec.kt
@@ -111,7 +111,7 @@
 internal fun decodeRecord(text: String): RequestRecord =
     lenientJson.decodeFromString(RequestRecordDto.serializer(), text).toRecord()
 
-private fun RequestRecord.toDto() = RequestRecordDto(
+internal fun RequestRecord.toDto() = RequestRecordDto(
     id = id.value,
     team = team?.value,
     work = work.toDto(),
--- a/src/test/kotlin/figdeck/daemon/command/CrashPointSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/CrashPointSpec.kt
@@ -20,12 +20,16 @@
 import figdeck.wire.decodeRecord
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
 import kotlin.time.Duration.Companion.seconds
 
+/** Claiming a journal takes three effects, accepting, sending and ending one each. */
+private const val LEAST_EFFECTS = 5
+
 private val slots: Template = template("evening") {
     upstream("engine-1") {
         address = "127.0.0.1:1"
@@ -91,6 +95,10 @@
         Seen(work.id, accepted, result) to host.effects.seen
     }
 
+/** The number of effects of serving one request without a fault. */
+private suspend fun effectsOf(start: Start): Int =
+    serveOne(MemoryWorld(), null, start).second.also { it shouldBeGreaterThan LEAST_EFFECTS }
+
 /** Recovers what "host-1" left by a host with [fault], and by another if that is lost as well. */
 private suspend fun recoverAll(world: MemoryWorld, fault: Fault?): Int {
     val seen = MemoryHost(world, "host-2", slots, fault).use { host ->
@@ -133,7 +141,7 @@
 
         describe(name) {
             it("ends once, whichever effect the host is lost before or after") {
-                val effects = serveOne(MemoryWorld(), null, start).second
+                val effects = effectsOf(start)
                 for (effect in 0 until effects) {
                     for (after in listOf(false, true)) {
                         val world = MemoryWorld()
@@ -146,7 +154,7 @@
             }
 
             it("ends once, whichever effects its host and then the recovering host are lost before or after") {
-                val effects = serveOne(MemoryWorld(), null, start).second
+                val effects = effectsOf(start)
                 for (first in 0 until effects * 2) {
                     val crash = Fault.Crash(first / 2, after = first % 2 == 1)
                     var second = 0
@@ -163,7 +171,7 @@
             }
 
             it("ends once, whichever reply is lost, before or after the effect") {
-                val effects = serveOne(MemoryWorld(), null, start).second
+                val effects = effectsOf(start)
                 for (effect in 0 until effects) {
                     for (after in listOf(false, true)) {
                         val world = MemoryWorld()
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -116,8 +116,8 @@
         if (lost.isCompleted) {
             awaitCancellation()
         }
-        val now = fault?.takeIf { it.effect == count.getAndIncrement() }
-        return when (now) {
+        val number = count.getAndIncrement()
+        return when (val now = fault?.takeIf { it.effect == number }) {
             null -> CallResult.Done(effect())
             is Fault.LostReply -> {
                 if (now.after) effect()
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -131,15 +131,22 @@
     }
 
     /** Sends [ask] to [address]; status 0 stands for a lost or refused connection. */
-    suspend fun send(address: Address, ask: Ask): Answer {
-        val sent = newHeaders().set("Content-Type", "application/json")
-        ask.key?.let { sent.set("Authorization", "Bearer $it") }
-        ask.headers.forEach { (name, value) -> sent.set(name, value) }
-        val request = OutgoingRequest(address, ask.method, ask.target, sent, ask.body.encodeToByteArray())
-        return client.exchange(request) { reply ->
+    suspend fun send(address: Address, ask: Ask): Answer =
+        client.exchange(ask.to(address)) { reply ->
             val text = reply.body.readAll(LIMIT).getOrElse { ByteArray(0) }.decodeToString()
             Answer(reply.status, reply.headers.associate { it.key.lowercase() to it.value }, text)
         }.fold({ Answer(0, emptyMap(), it.reason) }, { it })
+
+    /** Sends [ask] to [address] and hangs up as soon as it is acknowledged; gives the request's id. */
+    suspend fun acknowledge(address: Address, ask: Ask): String =
+        client.exchange(ask.to(address)) { reply -> reply.headers.get("x-request-id") }
+            .fold({ error(it.reason) }, { checkNotNull(it) { "the request was refused" } })
+
+    private fun Ask.to(address: Address): OutgoingRequest {
+        val sent = newHeaders().set("Content-Type", "application/json")
+        key?.let { sent.set("Authorization", "Bearer $it") }
+        headers.forEach { (name, value) -> sent.set(name, value) }
+        return OutgoingRequest(address, method, target, sent, body.encodeToByteArray())
     }
 
     override fun close() {
--- a/src/test/kotlin/figdeck/process/WholePathSpec.kt
+++ b/src/test/kotlin/figdeck/process/WholePathSpec.kt
@@ -10,8 +10,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 const val STADO_KEY = "stado-key"
+const val KUUSALU_KEY = "kuusalu-key"
 
-/** A template with one team, one model on [engines] and one route on [services]. */
+/** A template with a team that may use everything and one that may use nothing, one model on [engines] and one route on [services]. */
 fun eveningTemplate(
     engines: List<Member>,
     services: List<Member>,
@@ -40,6 +41,7 @@
         models = listOf("walks")
         routes = listOf("slots")
     }
+    team("kuusalu") { key("desk", hashKey(KUUSALU_KEY).hex) }
 }.fold({ error(it.joinToString()) }, { it })
 
 /** A chat turn asking for [maxTokens] tokens. */
