--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -10,6 +10,7 @@
 import figdeck.cli.command.StandIn
 import figdeck.cli.command.TemplateGroup
 import figdeck.cli.query.Bench
+import figdeck.cli.query.Explain
 import figdeck.cli.query.MeasureHop
 import figdeck.cli.query.Status
 
@@ -17,6 +18,6 @@
 public fun main(args: Array<String>) {
     Figdeck()
         .subcommands(Serve(), StandIn(), Demo(), Bench(), MeasureHop())
-        .subcommands(TemplateGroup(), KeyGroup(), Status(), DrainCommand())
+        .subcommands(TemplateGroup(), KeyGroup(), Status(), Explain(), DrainCommand())
         .main(args)
 }
--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -46,6 +46,7 @@
 import figdeck.telemetry.Telemetry
 import figdeck.telemetry.observed
 import figdeck.telemetry.tracerFor
+import figdeck.traffic.Operations
 import figdeck.traffic.callerApi
 import figdeck.traffic.command.Changing
 import figdeck.traffic.command.peerConfigurationHandler
@@ -56,6 +57,7 @@
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
 import io.opentelemetry.api.trace.Tracer
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -83,6 +85,8 @@
     random: Random = Random.Default,
     tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
+    /** Completes when a planned stop is asked for. */
+    val stopRequested = CompletableDeferred<Unit>()
     private val client = HttpClient(group)
     private val telemetry = Telemetry(Meters(), tracer, clock)
     private val control = Control(initialState(settings.identity()), clock) { delay ->
@@ -115,7 +119,7 @@
         HttpServer(
             group,
             HttpServerLimits(),
-            operatorApi(changing(random), telemetry.meters, settings.credentials.operator),
+            operatorApi(operations(random), settings.credentials.operator),
         )
 
     /** Starts the listeners and the work that goes on by itself. */
@@ -181,6 +185,9 @@
         )
     }
 
+    private fun operations(random: Random) =
+        Operations(changing(random), services.records, telemetry.meters) { stopRequested.complete(Unit) }
+
     private fun changing(random: Random): Changing = Changing(
         store = ConfigurationStore(platform, control, clock),
         spread = { change -> following.peerConfiguration.spread(change, peers()) },
--- a/src/main/kotlin/figdeck/cli/command/Serve.kt
+++ b/src/main/kotlin/figdeck/cli/command/Serve.kt
@@ -12,7 +12,6 @@
 import figdeck.cli.check
 import figdeck.cli.newEventLoops
 import figdeck.log.PartLog
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -63,21 +62,20 @@
     )
 
     private fun runDaemon(settings: Settings) {
-        val stopping = CompletableDeferred<Unit>()
-        val stopped = CountDownLatch(1)
-        val hook = Thread {
-            stopping.complete(Unit)
-            stopped.await(DRAIN_LIMIT.inWholeSeconds, TimeUnit.SECONDS)
-        }
-        Runtime.getRuntime().addShutdownHook(hook)
         Daemon(settings, newEventLoops()).use { daemon ->
+            val stopped = CountDownLatch(1)
+            val hook = Thread {
+                daemon.stopRequested.complete(Unit)
+                stopped.await(DRAIN_LIMIT.inWholeSeconds, TimeUnit.SECONDS)
+            }
+            Runtime.getRuntime().addShutdownHook(hook)
             daemon.start()
             log.info { "host ${settings.host} serves callers at ${settings.callerAddress}" }
             runBlocking {
-                stopping.await()
+                daemon.stopRequested.await()
                 daemon.drain()
             }
+            stopped.countDown()
         }
-        stopped.countDown()
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
@@ -22,7 +22,10 @@
 private val HOSTS_INTERVAL = 5.seconds
 private val log = PartLog("journal")
 
-/** Holds this host's journal and takes over those of the hosts that [fleet] tells, until cancelled. */
+/**
+ * Holds this host's journal, takes over those of the hosts that [fleet] tells and clears expired results, until
+ * cancelled.
+ */
 internal suspend fun Services.keepJournal(
     platform: Platform,
     groups: GroupCommit,
@@ -32,6 +35,7 @@
     launch { holdJournal(platform, groups, newIncarnation, fleet.isLeased) }
     launch { takeOverJournals(platform, fleet.lostHosts, newIncarnation) }
     launch { paceJournal(control, fleet.hostCount) }
+    launch { expireResults(platform) }
 }
 
 /** Claims this host's journal, recovers what its former owner left open and writes the journal until cancelled. */
--- a/src/main/kotlin/figdeck/traffic/OperatorApi.kt
+++ b/src/main/kotlin/figdeck/traffic/OperatorApi.kt
@@ -4,7 +4,6 @@
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
-import figdeck.telemetry.Meters
 import figdeck.traffic.command.Changing
 import figdeck.traffic.command.changeHandler
 import figdeck.traffic.command.checkHandler
@@ -12,6 +11,8 @@
 import figdeck.traffic.command.readNamedTemplate
 import figdeck.traffic.command.readRemoval
 import figdeck.traffic.command.readWithdrawal
+import figdeck.traffic.query.EXPLAIN_PREFIX
+import figdeck.traffic.query.explainHandler
 import figdeck.traffic.query.historyHandler
 import figdeck.traffic.query.keyListHandler
 import figdeck.traffic.query.statusHandler
@@ -32,8 +33,8 @@
 )
 
 /** What operators can ask of a daemon, with the [secret] as bearer key. */
-internal fun operatorApi(changing: Changing, meters: Meters, secret: String): HttpHandler {
-    val routes = changeRoutes(changing) + viewRoutes(changing) + metricsRoute(meters)
+internal fun operatorApi(operations: Operations, secret: String): HttpHandler {
+    val routes = changeRoutes(operations.changing) + viewRoutes(operations.changing) + runRoutes(operations)
     return { call, responder ->
         val route = routes.find { it.matches(call) }
         when {
@@ -63,9 +64,16 @@
     )
 }
 
-private fun metricsRoute(meters: Meters) = OperatorRoute(at("GET", "/metrics")) { _, responder ->
-    responder.full(STATUS_OK, newHeaders(), meters.scrape().encodeToByteArray())
-}
+private fun runRoutes(operations: Operations): List<OperatorRoute> = listOf(
+    OperatorRoute(below("GET", EXPLAIN_PREFIX), explainHandler(operations.records)),
+    OperatorRoute(at("GET", "/metrics")) { _, responder ->
+        responder.full(STATUS_OK, newHeaders(), operations.meters.scrape().encodeToByteArray())
+    },
+    OperatorRoute(at("POST", "/v1/drain")) { _, responder ->
+        operations.drain()
+        responder.json("""{"draining":true}""")
+    },
+)
 
 private fun at(method: String, path: String): (HttpCall) -> Boolean = { it.method == method && it.path == path }
 
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -5,6 +5,7 @@
 import figdeck.command.journal.journalKey
 import figdeck.control.Control
 import figdeck.control.changeJournal
+import figdeck.control.confirmRevision
 import figdeck.control.followConfiguration
 import figdeck.control.stateOf
 import figdeck.daemon.query.tableRecords
@@ -116,8 +117,8 @@
         if (lost.isCompleted) {
             awaitCancellation()
         }
-        val now = fault?.takeIf { it.effect == count.getAndIncrement() }
-        return when (now) {
+        val number = count.getAndIncrement()
+        return when (val now = fault?.takeIf { it.effect == number }) {
             null -> CallResult.Done(effect())
             is Fault.LostReply -> {
                 if (now.after) effect()
@@ -159,6 +160,7 @@
     /** Starts to serve and to take over the journals of [lost] hosts. */
     suspend fun start(vararg lost: String) {
         control.run { state, _ -> followConfiguration(state, configuration) }
+        control.run { state, now -> confirmRevision(state, configuration.revision, now) }
         control.run { state, _ -> changeJournal(state) { Step(it.copy(interval = 1.milliseconds), Unit) } }
         scope.launch { services.holdJournal(platform, groups, incarnations) }
         if (lost.isNotEmpty()) {
