--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -9,11 +9,13 @@
 import figdeck.cli.command.Serve
 import figdeck.cli.command.StandIn
 import figdeck.cli.command.TemplateGroup
+import figdeck.cli.query.MeasureHop
 import figdeck.cli.query.Status
 
 /** Starts the command that the arguments name. */
 public fun main(args: Array<String>) {
     Figdeck()
-        .subcommands(Serve(), StandIn(), Demo(), TemplateGroup(), KeyGroup(), Status(), DrainCommand())
+        .subcommands(Serve(), StandIn(), Demo(), MeasureHop())
+        .subcommands(TemplateGroup(), KeyGroup(), Status(), DrainCommand())
         .main(args)
 }
--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -1,29 +1,32 @@
 package figdeck.cli
 
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.emptyDispatch
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.beginDrain
 import figdeck.control.initialState
-import figdeck.control.releaseSlot
-import figdeck.control.reserveSlot
 import figdeck.control.takeToken
 import figdeck.daemon.command.ConfigurationStore
-import figdeck.daemon.command.Dispatcher
+import figdeck.daemon.command.GroupCommit
 import figdeck.daemon.command.Limits
 import figdeck.daemon.command.Ownership
 import figdeck.daemon.command.Peer
-import figdeck.daemon.command.Permit
 import figdeck.daemon.command.Services
+import figdeck.daemon.command.SlotDispatcher
 import figdeck.daemon.command.avoidLeaving
+import figdeck.daemon.command.awaitWork
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
-import figdeck.daemon.command.directJournal
+import figdeck.daemon.command.groupJournal
 import figdeck.daemon.command.httpPeerConfiguration
+import figdeck.daemon.command.keepJournal
 import figdeck.daemon.command.spread
 import figdeck.daemon.query.Following
 import figdeck.daemon.query.followHosts
 import figdeck.daemon.query.followPeers
 import figdeck.daemon.query.followTable
+import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
@@ -53,11 +56,11 @@
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
 import io.opentelemetry.api.trace.Tracer
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -70,6 +73,8 @@
 /** The longest time that a planned stop waits for calls in progress. */
 internal val DRAIN_LIMIT = 150.seconds
 
+private const val ID_RADIX = 36
+
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
     private val settings: Settings,
@@ -81,13 +86,16 @@
 ) : AutoCloseable {
     private val client = HttpClient(group)
     private val telemetry = Telemetry(Meters(), tracer, clock)
-    private val control = Control(initialState(settings.host), clock) { delay ->
+    private val control = Control(initialState(settings), clock) { delay ->
         telemetry.meters.timed("figdeck.control.delay", delay)
     }
     private val platform = observed(httpPlatform(client, settings), telemetry)
+    private val slots = SlotDispatcher(control, DispatchPolicy(), random)
+    private val groups = GroupCommit(control, platform)
+    private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
     private val batches = BatchServices(services, platform)
-    private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val following =
         Following(platform.queries, control, clock, peers, httpPeerConfiguration(client, settings.credentials.peer))
     private val callerServer = HttpServer(
@@ -109,7 +117,9 @@
         scope.launch { following.followTable() }
         scope.launch { following.followPeers() }
         scope.launch { followHosts(platform.queries, control) }
+        scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
         scope.launch { runBatches(batches) }
+        scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -120,6 +130,7 @@
         log.info { "draining, ${callerServer.activeCalls} calls in progress" }
         control.run { state, _ -> beginDrain(state) }
         callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        services.awaitWork(DRAIN_LIMIT)
         log.info { "drained" }
     }
 
@@ -135,21 +146,26 @@
     private fun services(random: Random): Services = Services(
         control = control,
         clock = clock,
-        newRequestId = requestIds(settings, random),
+        newRequestId = requestIds(settings, clock, random),
         limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
-        journal = directJournal(platform),
+        journal = observed(groupJournal(control, platform, groups), telemetry),
+        records = tableRecords(platform.queries),
+        work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = soleOwnership(),
-        dispatcher = observed(localDispatcher(control).avoidLeaving(control), telemetry),
+        dispatcher = observed(slots.dispatcher.avoidLeaving(control), telemetry),
         upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 
     private fun changing(random: Random): Changing = Changing(
         store = ConfigurationStore(platform, control, clock),
         spread = { change -> following.peerConfiguration.spread(change, peers()) },
-        newChangeId = { ChangeId(random.nextLong().toULong().toString(radix = 36)) },
+        newChangeId = { ChangeId(random.nextLong().toULong().toString(ID_RADIX)) },
     )
 }
 
+private fun initialState(settings: Settings): ControlState =
+    initialState(settings.host).copy(dispatch = emptyDispatch(settings.dataCentre))
+
 private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
     telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
     telemetry.meters.gauge("figdeck.configuration.age.seconds") {
@@ -171,26 +187,18 @@
     )
 }
 
-private fun localDispatcher(control: Control<ControlState>): Dispatcher {
-    val count = AtomicLong()
-    return Dispatcher(
-        acquire = { request ->
-            control.run { state, _ -> reserveSlot(state, request.candidates) }
-                .map { Permit(count.incrementAndGet(), it, CompletableDeferred()) }
-        },
-        release = { permit, _, _ -> control.run { state, _ -> releaseSlot(state, permit.upstream.id) } },
-    )
-}
-
 /** Every shard is this host's: fit for a fleet of one. */
 private fun soleOwnership(): Ownership = Ownership(
     fenceOf = { shard -> Fence(Epoch(1), RowCheck("shard/$shard", ABSENT)) },
     ownerOf = { null },
 )
 
-/** Request ids that are unique across hosts and across restarts of one host. */
-private fun requestIds(settings: Settings, random: Random): () -> RequestId {
-    val start = random.nextLong().toULong().toString(radix = 36)
+/** Request ids that are unique across hosts and across restarts of one host, and rise with time. */
+private fun requestIds(settings: Settings, clock: Clock, random: Random): () -> RequestId {
+    val start = random.nextInt().toUInt().toString(ID_RADIX)
     val count = AtomicLong()
-    return { RequestId("${settings.host}.$start.${count.incrementAndGet()}") }
+    return {
+        val time = clock().epochMillis.toString(ID_RADIX)
+        RequestId("$time.${settings.host}.$start.${count.incrementAndGet()}")
+    }
 }
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -3,10 +3,14 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.raise.either
+import arrow.core.right
 import figdeck.daemon.command.ChatAnswer
-import figdeck.daemon.command.ChatSink
+import figdeck.daemon.command.ChatOrder
+import figdeck.daemon.command.RunningWork
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.serveChat
+import figdeck.daemon.command.awaitAcceptance
+import figdeck.daemon.command.awaitResult
+import figdeck.daemon.command.startChat
 import figdeck.daemon.query.KeyGuard
 import figdeck.daemon.query.teamInForce
 import figdeck.http.newHeaders
@@ -14,11 +18,8 @@
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpResponder
-import figdeck.model.ModelPool
 import figdeck.model.Refusal
 import figdeck.model.RequestId
-import figdeck.model.Team
-import figdeck.model.Work
 import figdeck.query.poolFor
 import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
@@ -38,36 +39,34 @@
 private const val MAX_CHAT_BYTES = 1024 * 1024
 private const val EVENT_STREAM = "text/event-stream"
 
-/** A chat turn that may be served: whose it is, what it asks and which engines serve it. */
-private data class ChatOrder(
-    val team: Team,
-    val pool: ModelPool,
-    val chat: Work.Chat,
-    val key: String?,
-)
-
 /** Handles `POST /v1/chat/completions`. */
 internal fun chatHandler(services: Services): HttpHandler = { call, responder ->
     services.readOrder(call).fold(
         { responder.refuse(it) },
-        { order -> if (order.chat.stream) services.stream(order, responder) else services.answer(order, responder) },
+        { order ->
+            val guard = KeyGuard(services, call.bearerKey(), order.team.id)
+            if (order.chat.stream) {
+                services.stream(order, guard, responder)
+            } else {
+                services.answer(order, guard, responder)
+            }
+        },
     )
 }
 
 private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, ChatOrder> = either {
     noteTeam(teamInForce(call.bearerKey()).bind().id)
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
-    val chat = decodeChat(body.decodeToString()).bind()
+    val text = body.decodeToString()
+    val chat = decodeChat(text).bind()
     // A slow body leaves time for the key to be withdrawn.
     val team = teamInForce(call.bearerKey()).bind()
-    ChatOrder(team, control.snapshot.index.poolFor(team, chat).bind(), chat, call.bearerKey())
+    val pool = control.snapshot.index.poolFor(team, chat).bind()
+    ChatOrder(team, pool, chat, call.resendKey(team, text).bind())
 }
 
-private suspend fun Services.answer(order: ChatOrder, responder: HttpResponder) {
-    val sink = ChatSink(accepted = {}, delta = {})
-    val guard = KeyGuard(this, order.key, order.team.id)
-    val result = serveChat(order.team, order.pool, order.chat, sink)
-    result.flatMap { answer -> guard.check(answer.id).map { answer } }.fold(
+private suspend fun Services.answer(order: ChatOrder, guard: KeyGuard, responder: HttpResponder) {
+    finishedChat(order).flatMap { answer -> guard.check(answer.id).map { answer } }.fold(
         { responder.refuse(it) },
         { answer ->
             val head = head(answer.id, order)
@@ -76,30 +75,42 @@
     )
 }
 
-private suspend fun Services.stream(order: ChatOrder, responder: HttpResponder) {
-    var accepted: CompletionHead? = null
-    val guard = KeyGuard(this, order.key, order.team.id)
-    val sink = ChatSink(
-        accepted = { id ->
-            accepted = head(id, order)
-            val headers = newHeaders()
-                .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
-                .set(REQUEST_ID_HEADER, id.value)
-            responder.start(STATUS_OK, headers)
+private suspend fun Services.finishedChat(order: ChatOrder): Either<Refusal, ChatAnswer> = either {
+    val work = startChat(order).bind()
+    work.deltas.cancel()
+    work.awaitAcceptance().bind()
+    work.awaitResult().bind()
+}
+
+private suspend fun Services.stream(order: ChatOrder, guard: KeyGuard, responder: HttpResponder) {
+    startChat(order).fold(
+        { responder.refuse(it) },
+        { work ->
+            work.awaitAcceptance().fold(
+                { responder.refuse(it) },
+                { id -> responder.follow(work, guard, head(id, order)) },
+            )
         },
-        delta = { text -> accepted?.let { responder.guarded(guard, it, CompletionChunk(text, null)) } },
     )
-    val result = serveChat(order.team, order.pool, order.chat, sink)
-    val head = accepted
-    if (head == null) {
-        result.onLeft { responder.refuse(it) }
-    } else {
-        responder.endStream(head, result.flatMap { answer -> guard.check(head.id).map { answer } })
-    }
 }
 
-private suspend fun HttpResponder.guarded(guard: KeyGuard, head: CompletionHead, chunk: CompletionChunk) {
-    guard.check(head.id).onRight { event(encodeChunk(head, chunk)) }
+/** Passes the progress of [work] on; the work itself goes on when the caller hangs up. */
+private suspend fun HttpResponder.follow(work: RunningWork<ChatAnswer>, guard: KeyGuard, head: CompletionHead) {
+    val headers = newHeaders()
+        .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
+        .set(REQUEST_ID_HEADER, head.id.value)
+    start(STATUS_OK, headers)
+    var shown: Either<Refusal, Unit> = Unit.right()
+    try {
+        for (delta in work.deltas) {
+            shown = guard.check(head.id)
+            shown.onLeft { break }
+            event(encodeChunk(head, CompletionChunk(delta, null)))
+        }
+    } finally {
+        work.deltas.cancel()
+    }
+    endStream(head, shown.flatMap { work.awaitResult() }.flatMap { answer -> guard.check(head.id).map { answer } })
 }
 
 private suspend fun HttpResponder.endStream(head: CompletionHead, result: Either<Refusal, ChatAnswer>) {
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -3,8 +3,11 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import figdeck.daemon.command.CallAnswer
+import figdeck.daemon.command.CallOrder
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.serveCall
+import figdeck.daemon.command.awaitAcceptance
+import figdeck.daemon.command.awaitResult
+import figdeck.daemon.command.startCall
 import figdeck.daemon.query.KeyGuard
 import figdeck.daemon.query.accessInForce
 import figdeck.http.newHeaders
@@ -41,17 +44,22 @@
     val route = below.substringBefore('/')
     noteTeam(accessInForce(route, call.bearerKey()).bind().team?.id)
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
+    val text = body.decodeToString()
     // A slow body leaves time for the key to be withdrawn.
     val access = accessInForce(route, call.bearerKey()).bind()
-    val work = Work.ServiceCall(
+    val service = Work.ServiceCall(
         route = access.route.name,
         method = call.method,
         path = "/" + below.substringAfter('/', ""),
         contentType = call.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty(),
-        body = body.decodeToString(),
+        body = text,
         idempotent = access.route.idempotent,
     )
-    val answered = serveCall(access, work).bind()
+    val order = CallOrder(access, service, call.resendKey(access.team, text).bind())
+    val work = startCall(order).bind()
+    work.deltas.cancel()
+    work.awaitAcceptance().bind()
+    val answered = work.awaitResult().bind()
     access.team?.let { KeyGuard(this@serve, call.bearerKey(), it.id).check(answered.id).bind() }
     answered
 }
