--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -9,13 +9,14 @@
 import figdeck.cli.command.Serve
 import figdeck.cli.command.StandIn
 import figdeck.cli.command.TemplateGroup
+import figdeck.cli.query.Bench
 import figdeck.cli.query.MeasureHop
 import figdeck.cli.query.Status
 
 /** Starts the command that the arguments name. */
 public fun main(args: Array<String>) {
     Figdeck()
-        .subcommands(Serve(), StandIn(), Demo(), MeasureHop())
+        .subcommands(Serve(), StandIn(), Demo(), Bench(), MeasureHop())
         .subcommands(TemplateGroup(), KeyGroup(), Status(), DrainCommand())
         .main(args)
 }
--- a/src/main/kotlin/figdeck/daemon/command/AcceptedWork.kt
+++ b/src/main/kotlin/figdeck/daemon/command/AcceptedWork.kt
@@ -57,7 +57,7 @@
     }
 }
 
-/** The upstreams named by [ids] that are configured and not in [failed]. */
+/** The upstreams named by [ids] that are configured, not leaving and not in [failed]. */
 internal fun Services.candidates(ids: List<UpstreamId>, failed: Set<UpstreamId>): List<Upstream> {
     val state = control.snapshot
     return ids.filterNot { it in failed || it in state.follow.leaving }.mapNotNull { state.index.upstreams[it] }
--- a/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.batch
 
+import figdeck.command.batch.GROUP_ITEMS
 import figdeck.daemon.command.Services
 import figdeck.platform.Platform
 import kotlin.time.Duration
@@ -12,16 +13,20 @@
  * How batch work is paced on one host.
  *
  * @property itemsInFlight the most items that wait for a slot or run at once.
+ * @property groupItems the most items whose results are kept by one object and one transaction.
  * @property pollInterval how often a host with a free place looks for waiting segments.
  * @property confirmInterval how often a host that runs segments asks which jobs were cancelled.
  * @property patience how long a write of the platform is tried again before it is given up.
+ * @property firstBackoff the pause before the first repetition; each further one is twice as long, up to a limit.
  * @property noticeLife how long the notice of a cancelled job stays.
  */
 public data class BatchPace(
     public val itemsInFlight: Int = ITEMS_IN_FLIGHT,
+    public val groupItems: Int = GROUP_ITEMS,
     public val pollInterval: Duration = 1.seconds,
     public val confirmInterval: Duration = 500.milliseconds,
     public val patience: Duration = 8.seconds,
+    public val firstBackoff: Duration = 50.milliseconds,
     public val noticeLife: Duration = 30.seconds,
 )
 
--- a/src/main/kotlin/figdeck/daemon/query/KeyGuard.kt
+++ b/src/main/kotlin/figdeck/daemon/query/KeyGuard.kt
@@ -38,7 +38,7 @@
     }
 
     private suspend fun decide(request: RequestId): Either<Refusal, Unit> = either {
-        awaitCurrent().bind()
+        awaitCurrent(request).bind()
         val index = services.control.snapshot.index
         if (index !== checked) {
             val holder = index.teamOf(key).getOrNull()?.id
@@ -47,10 +47,10 @@
         }
     }
 
-    private suspend fun awaitCurrent(): Either<Refusal, Unit> = either {
+    private suspend fun awaitCurrent(request: RequestId): Either<Refusal, Unit> = either {
         val start = services.clock()
         while (!services.control.snapshot.isCurrent(services.clock())) {
-            ensure(services.clock() - start < HOLD_LIMIT) { Refusal.StaleConfiguration }
+            ensure(services.clock() - start < HOLD_LIMIT) { Refusal.StillRunning(request) }
             delay(HOLD_PAUSE)
         }
     }
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -39,22 +39,21 @@
 private const val MAX_CHAT_BYTES = 1024 * 1024
 private const val EVENT_STREAM = "text/event-stream"
 
+/** A chat turn and the watch over the key that came with it. */
+private data class GuardedChat(
+    val order: ChatOrder,
+    val guard: KeyGuard,
+)
+
 /** Handles `POST /v1/chat/completions`. */
 internal fun chatHandler(services: Services): HttpHandler = { call, responder ->
     services.readOrder(call).fold(
         { responder.refuse(it) },
-        { order ->
-            val guard = KeyGuard(services, call.bearerKey(), order.team.id)
-            if (order.chat.stream) {
-                services.stream(order, guard, responder)
-            } else {
-                services.answer(order, guard, responder)
-            }
-        },
+        { chat -> if (chat.order.chat.stream) services.stream(chat, responder) else services.answer(chat, responder) },
     )
 }
 
-private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, ChatOrder> = either {
+private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, GuardedChat> = either {
     noteTeam(teamInForce(call.bearerKey()).bind().id)
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     val text = body.decodeToString()
@@ -62,14 +61,15 @@
     // A slow body leaves time for the key to be withdrawn.
     val team = teamInForce(call.bearerKey()).bind()
     val pool = control.snapshot.index.poolFor(team, chat).bind()
-    ChatOrder(team, pool, chat, call.resendKey(team, text).bind())
+    val guard = KeyGuard(this@readOrder, call.bearerKey(), team.id)
+    GuardedChat(ChatOrder(team, pool, chat, call.resendKey(team, text).bind()), guard)
 }
 
-private suspend fun Services.answer(order: ChatOrder, guard: KeyGuard, responder: HttpResponder) {
-    finishedChat(order).flatMap { answer -> guard.check(answer.id).map { answer } }.fold(
+private suspend fun Services.answer(chat: GuardedChat, responder: HttpResponder) {
+    finishedChat(chat.order).flatMap { answer -> chat.guard.check(answer.id).map { answer } }.fold(
         { responder.refuse(it) },
         { answer ->
-            val head = head(answer.id, order)
+            val head = head(answer.id, chat.order)
             responder.json(encodeAnswer(head, answer.content, answer.finishReason), requestId = answer.id)
         },
     )
@@ -82,20 +82,20 @@
     work.awaitResult().bind()
 }
 
-private suspend fun Services.stream(order: ChatOrder, guard: KeyGuard, responder: HttpResponder) {
-    startChat(order).fold(
+private suspend fun Services.stream(chat: GuardedChat, responder: HttpResponder) {
+    startChat(chat.order).fold(
         { responder.refuse(it) },
         { work ->
             work.awaitAcceptance().fold(
                 { responder.refuse(it) },
-                { id -> responder.follow(work, guard, head(id, order)) },
+                { id -> responder.follow(work, head(id, chat.order), chat.guard) },
             )
         },
     )
 }
 
 /** Passes the progress of [work] on; the work itself goes on when the caller hangs up. */
-private suspend fun HttpResponder.follow(work: RunningWork<ChatAnswer>, guard: KeyGuard, head: CompletionHead) {
+private suspend fun HttpResponder.follow(work: RunningWork<ChatAnswer>, head: CompletionHead, guard: KeyGuard) {
     val headers = newHeaders()
         .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
         .set(REQUEST_ID_HEADER, head.id.value)
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -44,9 +44,9 @@
     val route = below.substringBefore('/')
     noteTeam(accessInForce(route, call.bearerKey()).bind().team?.id)
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
-    val text = body.decodeToString()
     // A slow body leaves time for the key to be withdrawn.
     val access = accessInForce(route, call.bearerKey()).bind()
+    val text = body.decodeToString()
     val service = Work.ServiceCall(
         route = access.route.name,
         method = call.method,
--- a/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -37,7 +37,7 @@
 import kotlin.random.Random
 
 /** A table in memory whose commits go through [fault] first. */
-private class FakeTable(private val fault: (Int) -> CommitFault) {
+private class FakeTable(private val fault: (Int) -> WriteFault) {
     private var state = emptyPlatform
     private val commits = AtomicInteger()
     val platform = Platform(
@@ -67,19 +67,19 @@
 
     private fun commitWithFault(transaction: TableTransaction): CallResult<CommitReply> = synchronized(this) {
         val fault = fault(commits.incrementAndGet())
-        if (fault == CommitFault.LOST_BEFORE) {
+        if (fault == WriteFault.LOST_BEFORE) {
             return CallResult.Unknown("lost before the table")
         }
-        if (fault == CommitFault.OUTAGE) {
+        if (fault == WriteFault.OUTAGE) {
             return CallResult.NotDone("outage")
         }
         val step = commit(state, transaction)
         state = step.state
-        return if (fault == CommitFault.LOST_AFTER) CallResult.Unknown("reply lost") else CallResult.Done(step.result)
+        return if (fault == WriteFault.LOST_AFTER) CallResult.Unknown("reply lost") else CallResult.Done(step.result)
     }
 }
 
-private enum class CommitFault { NONE, LOST_BEFORE, LOST_AFTER, OUTAGE }
+private enum class WriteFault { NONE, LOST_BEFORE, LOST_AFTER, OUTAGE }
 
 private fun daemonAt(table: FakeTable, name: String): ConfigurationStore {
     val control: Control<ControlState> = Control(initialState(HostId(name)), systemClock)
@@ -96,33 +96,33 @@
 class ChangeConfigurationSpec : DescribeSpec({
     describe("a lost reply") {
         it("is settled as accepted, once, when the write took effect") {
-            val table = FakeTable { if (it == 1) CommitFault.LOST_AFTER else CommitFault.NONE }
+            val table = FakeTable { if (it == 1) WriteFault.LOST_AFTER else WriteFault.NONE }
             daemonAt(table, "a").change(apply("one")).revision() shouldBe 1
             table.rows(CHANGE_PREFIX).map { it.key } shouldContainExactly listOf("configuration/change/000000000001")
         }
 
         it("is settled by writing again when the write did not take effect") {
-            val table = FakeTable { if (it == 1) CommitFault.LOST_BEFORE else CommitFault.NONE }
+            val table = FakeTable { if (it == 1) WriteFault.LOST_BEFORE else WriteFault.NONE }
             daemonAt(table, "a").change(apply("one")).revision() shouldBe 1
             table.rows(HEAD_KEY).single().value shouldBe """{"revision":1,"snapshot":0}"""
         }
 
         it("is told as unsettled, never guessed, when the table doesn't answer again") {
-            val table = FakeTable { if (it == 1) CommitFault.LOST_AFTER else CommitFault.OUTAGE }
+            val table = FakeTable { if (it == 1) WriteFault.LOST_AFTER else WriteFault.OUTAGE }
             daemonAt(table, "a").change(apply("one")).leftOrNull() shouldBe ChangeFailure.Unsettled(ChangeId("one"))
         }
     }
 
     describe("a table that is out") {
         it("has the change refused as not applied") {
-            daemonAt(FakeTable { CommitFault.OUTAGE }, "a").change(apply("one")).leftOrNull() shouldBe
+            daemonAt(FakeTable { WriteFault.OUTAGE }, "a").change(apply("one")).leftOrNull() shouldBe
                 ChangeFailure.Unavailable
         }
     }
 
     describe("a change sent twice under one id") {
         it("is accepted once") {
-            val daemon = daemonAt(FakeTable { CommitFault.NONE }, "a")
+            val daemon = daemonAt(FakeTable { WriteFault.NONE }, "a")
             daemon.change(apply("one")).revision() shouldBe 1
             daemon.change(apply("one")).revision() shouldBe 1
         }
@@ -131,7 +131,7 @@
     describe("racing operators") {
         it("all get in when they named no revision, each at its own") {
             val random = Random(11)
-            val table = FakeTable { if (random.nextInt(4) == 0) CommitFault.LOST_AFTER else CommitFault.NONE }
+            val table = FakeTable { if (random.nextInt(4) == 0) WriteFault.LOST_AFTER else WriteFault.NONE }
             val daemons = listOf("a", "b", "c").map { daemonAt(table, it) }
             val revisions = coroutineScope {
                 daemons.flatMapIndexed { d, daemon ->
@@ -144,7 +144,7 @@
         }
 
         it("that lose learn what changed since the revision they named") {
-            val table = FakeTable { CommitFault.NONE }
+            val table = FakeTable { WriteFault.NONE }
             val (first, second) = listOf("a", "b").map { daemonAt(table, it) }
             first.change(apply("one", expected = 0)).revision() shouldBe 1
             val lost = second.change(apply("two", expected = 0)).leftOrNull()
@@ -157,7 +157,7 @@
 
     describe("a starting daemon") {
         it("reads the newest copy and the changes after it") {
-            val table = FakeTable { CommitFault.NONE }
+            val table = FakeTable { WriteFault.NONE }
             val writer = daemonAt(table, "a")
             repeat(SNAPSHOT_INTERVAL + 3) {
                 writer.change(apply("c$it"))
