--- a/src/main/kotlin/figdeck/bench/Load.kt
+++ b/src/main/kotlin/figdeck/bench/OpenLoad.kt
@@ -19,7 +19,7 @@
 private const val OK = 200
 
 /** An open-loop load: requests start at [ratePerSecond] for [length], whether or not earlier ones have ended. */
-internal data class Load(
+internal data class OpenLoad(
     val ratePerSecond: Int,
     val length: Duration,
 )
@@ -38,7 +38,7 @@
 )
 
 /** Runs [load] of requests like [request] and waits for the last answer. */
-internal suspend fun HttpClient.run(load: Load, clock: Clock, request: () -> OutgoingRequest): LoadResult {
+internal suspend fun HttpClient.run(load: OpenLoad, clock: Clock, request: () -> OutgoingRequest): LoadResult {
     val tally = Tally(clock)
     val start = clock()
     coroutineScope {
--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -1,16 +1,16 @@
 package figdeck.cli
 
 import figdeck.command.dispatch.DispatchPolicy
-import figdeck.command.dispatch.emptyDispatch
+import figdeck.command.ownership.isLeased
+import figdeck.command.ownership.otherHosts
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.beginDrain
 import figdeck.control.initialState
-import figdeck.control.takeToken
 import figdeck.daemon.command.ConfigurationStore
 import figdeck.daemon.command.GroupCommit
-import figdeck.daemon.command.Limits
-import figdeck.daemon.command.Ownership
+import figdeck.daemon.command.JournalFleet
+import figdeck.daemon.command.PEER_CONFIGURATION_PATH
 import figdeck.daemon.command.Peer
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.SlotDispatcher
@@ -18,26 +18,25 @@
 import figdeck.daemon.command.awaitWork
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
+import figdeck.daemon.command.endLease
 import figdeck.daemon.command.groupJournal
 import figdeck.daemon.command.httpPeerConfiguration
 import figdeck.daemon.command.keepJournal
+import figdeck.daemon.command.leaveFleet
 import figdeck.daemon.command.spread
 import figdeck.daemon.query.Following
 import figdeck.daemon.query.followHosts
 import figdeck.daemon.query.followPeers
 import figdeck.daemon.query.followTable
+import figdeck.daemon.query.lostHosts
 import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.log.PartLog
-import figdeck.model.ABSENT
 import figdeck.model.ChangeId
 import figdeck.model.Clock
-import figdeck.model.Epoch
-import figdeck.model.Fence
 import figdeck.model.RequestId
-import figdeck.model.RowCheck
 import figdeck.model.systemClock
 import figdeck.platform.Platform
 import figdeck.platform.PlatformHttp
@@ -49,6 +48,7 @@
 import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.command.Changing
+import figdeck.traffic.command.peerConfigurationHandler
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
 import figdeck.upstream.command.UpstreamCommands
@@ -81,29 +81,36 @@
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
-    private val peers: () -> List<Peer> = { emptyList() },
     tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
     private val telemetry = Telemetry(Meters(), tracer, clock)
-    private val control = Control(initialState(settings), clock) { delay ->
+    private val control = Control(initialState(settings.identity()), clock) { delay ->
         telemetry.meters.timed("figdeck.control.delay", delay)
     }
     private val platform = observed(httpPlatform(client, settings), telemetry)
     private val slots = SlotDispatcher(control, DispatchPolicy(), random)
     private val groups = GroupCommit(control, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val fleet = FleetWiring(control, clock, scope, peerCalls(client, settings), platform, random)
     private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
     private val batches = BatchServices(services, platform)
     private val following =
-        Following(platform.queries, control, clock, peers, httpPeerConfiguration(client, settings.credentials.peer))
+        Following(platform.queries, control, clock, ::peers, httpPeerConfiguration(client, settings.credentials.peer))
     private val callerServer = HttpServer(
         group,
         HttpServerLimits(),
-        observed("caller", callerApi(services, batches, platform.queries), telemetry)
+        observed("caller", callerApi(services, batches, platform.queries), telemetry),
+    )
+    private val peerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        peerApi(
+            settings.credentials.peer,
+            fleet.handlers + (PEER_CONFIGURATION_PATH to peerConfigurationHandler(following)),
+        ),
     )
-    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, following))
     private val operatorServer =
         HttpServer(
             group,
@@ -114,10 +121,11 @@
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         showGauges(control, telemetry)
+        fleet.start()
         scope.launch { following.followTable() }
         scope.launch { following.followPeers() }
         scope.launch { followHosts(platform.queries, control) }
-        scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
+        scope.launch { keepJournal() }
         scope.launch { runBatches(batches) }
         scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
@@ -129,8 +137,10 @@
     suspend fun drain() {
         log.info { "draining, ${callerServer.activeCalls} calls in progress" }
         control.run { state, _ -> beginDrain(state) }
+        fleet.parts.leaveFleet()
         callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
         services.awaitWork(DRAIN_LIMIT)
+        fleet.parts.endLease()
         log.info { "drained" }
     }
 
@@ -147,15 +157,30 @@
         control = control,
         clock = clock,
         newRequestId = requestIds(settings, clock, random),
-        limits = Limits { team -> control.run { state, now -> takeToken(state, team, now) } },
+        limits = fleet.limits(),
         journal = observed(groupJournal(control, platform, groups), telemetry),
         records = tableRecords(platform.queries),
         work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
-        ownership = soleOwnership(),
+        ownership = fleet.ownership,
         dispatcher = observed(slots.dispatcher.avoidLeaving(control), telemetry),
         upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 
+    private fun peers(): List<Peer> = control.snapshot.fleet.ownership.otherHosts().map { Peer(it.host, it.address) }
+
+    private suspend fun keepJournal() {
+        services.keepJournal(
+            platform = platform,
+            groups = groups,
+            fleet = JournalFleet(
+                isLeased = { control.snapshot.fleet.ownership.isLeased(clock()) },
+                hostCount = { control.snapshot.fleet.ownership.hosts.size },
+                lostHosts = { lostHosts(platform.queries, control) },
+            ),
+            newIncarnation = newIncarnation,
+        )
+    }
+
     private fun changing(random: Random): Changing = Changing(
         store = ConfigurationStore(platform, control, clock),
         spread = { change -> following.peerConfiguration.spread(change, peers()) },
@@ -163,9 +188,6 @@
     )
 }
 
-private fun initialState(settings: Settings): ControlState =
-    initialState(settings.host).copy(dispatch = emptyDispatch(settings.dataCentre))
-
 private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
     telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
     telemetry.meters.gauge("figdeck.configuration.age.seconds") {
@@ -187,12 +209,6 @@
     )
 }
 
-/** Every shard is this host's: fit for a fleet of one. */
-private fun soleOwnership(): Ownership = Ownership(
-    fenceOf = { shard -> Fence(Epoch(1), RowCheck("shard/$shard", ABSENT)) },
-    ownerOf = { null },
-)
-
 /** Request ids that are unique across hosts and across restarts of one host, and rise with time. */
 private fun requestIds(settings: Settings, clock: Clock, random: Random): () -> RequestId {
     val start = random.nextInt().toUInt().toString(ID_RADIX)
--- a/src/main/kotlin/figdeck/cli/query/MeasureHop.kt
+++ b/src/main/kotlin/figdeck/cli/query/MeasureHop.kt
@@ -7,8 +7,8 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
-import figdeck.bench.Load
 import figdeck.bench.LoadResult
+import figdeck.bench.OpenLoad
 import figdeck.bench.percentile
 import figdeck.bench.run
 import figdeck.cli.newEventLoops
@@ -57,7 +57,7 @@
     }
 
     private suspend fun measure(client: HttpClient, address: Address, target: String, length: Int): LoadResult =
-        client.run(Load(rate, length.seconds), systemClock) {
+        client.run(OpenLoad(rate, length.seconds), systemClock) {
             val headers = newHeaders().set("Authorization", "Bearer $key").set("Content-Type", "application/json")
             OutgoingRequest(address, "POST", target, headers, body.encodeToByteArray())
         }
--- a/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
@@ -1,7 +1,7 @@
 package figdeck.daemon.command
 
+import arrow.core.left
 import figdeck.command.Step
-import figdeck.command.journal.JournalState
 import figdeck.command.journal.claimFailed
 import figdeck.command.journal.claimed
 import figdeck.command.journal.groupInterval
@@ -10,31 +10,28 @@
 import figdeck.control.ControlState
 import figdeck.control.changeJournal
 import figdeck.log.PartLog
-import figdeck.model.CallResult
 import figdeck.model.Epoch
-import figdeck.model.HostId
 import figdeck.model.JournalOwner
 import figdeck.model.RowCheck
 import figdeck.platform.Platform
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 private val HOSTS_INTERVAL = 5.seconds
 private val log = PartLog("journal")
 
-/** Holds this host's journal and takes over those of the hosts that [lostHosts] tells, until cancelled. */
+/** Holds this host's journal and takes over those of the hosts that [fleet] tells, until cancelled. */
 internal suspend fun Services.keepJournal(
     platform: Platform,
     groups: GroupCommit,
-    lostHosts: suspend () -> List<HostId>,
+    fleet: JournalFleet,
     newIncarnation: () -> String,
 ): Unit = coroutineScope {
-    launch { holdJournal(platform, groups, newIncarnation) }
-    launch { takeOverJournals(platform, lostHosts, newIncarnation) }
-    launch { paceJournal(platform, control) }
+    launch { holdJournal(platform, groups, newIncarnation, fleet.isLeased) }
+    launch { takeOverJournals(platform, fleet.lostHosts, newIncarnation) }
+    launch { paceJournal(control, fleet.hostCount) }
 }
 
 /** Claims this host's journal, recovers what its former owner left open and writes the journal until cancelled. */
@@ -42,10 +39,13 @@
     platform: Platform,
     groups: GroupCommit,
     newIncarnation: () -> String,
+    isLeased: () -> Boolean = { true },
 ): Unit = coroutineScope {
     val host = control.snapshot.host
     groups.run {
-        claimJournal(platform, host, JournalOwner(host, newIncarnation())).fold(
+        val owner = JournalOwner(host, newIncarnation())
+        val claim = if (isLeased()) claimJournal(platform, host, owner) else ClaimFailure("no lease yet").left()
+        claim.fold(
             { failure ->
                 log.debug { "the journal could not be claimed: ${failure.reason}" }
                 control.run { state, now -> changeJournal(state) { Step(claimFailed(it, now), Unit) } }
@@ -61,21 +61,10 @@
 }
 
 /** Keeps the time between groups in step with the number of hosts, until cancelled. */
-internal suspend fun paceJournal(
-    platform: Platform,
-    control: Control<ControlState>,
-    pause: Duration = HOSTS_INTERVAL,
-) {
+private suspend fun paceJournal(control: Control<ControlState>, hostCount: () -> Int) {
     while (true) {
-        val listed = platform.queries.listHosts()
-        if (listed is CallResult.Done) {
-            val interval = groupInterval(listed.value.size)
-            control.run { state, _ ->
-                changeJournal(
-                    state
-                ) { Step<JournalState, Unit>(it.copy(interval = interval), Unit) }
-            }
-        }
-        delay(pause)
+        val interval = groupInterval(hostCount().coerceAtLeast(1))
+        control.run { state, _ -> changeJournal(state) { Step(it.copy(interval = interval), Unit) } }
+        delay(HOSTS_INTERVAL)
     }
 }
--- a/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -3,7 +3,7 @@
 import arrow.core.Either
 import figdeck.control.Control
 import figdeck.control.ControlState
-import figdeck.control.initialState
+import figdeck.control.stateOf
 import figdeck.daemon.query.CHANGE_PREFIX
 import figdeck.daemon.query.HEAD_KEY
 import figdeck.daemon.query.catchUp
@@ -82,7 +82,7 @@
 private enum class WriteFault { NONE, LOST_BEFORE, LOST_AFTER, OUTAGE }
 
 private fun daemonAt(table: FakeTable, name: String): ConfigurationStore {
-    val control: Control<ControlState> = Control(initialState(HostId(name)), systemClock)
+    val control: Control<ControlState> = Control(stateOf(name), systemClock)
     return ConfigurationStore(table.platform, control, systemClock)
 }
 
--- a/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
@@ -2,7 +2,7 @@
 
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.control.Control
-import figdeck.control.initialState
+import figdeck.control.stateOf
 import figdeck.model.Address
 import figdeck.model.DataCentre
 import figdeck.model.HostId
@@ -42,7 +42,7 @@
     )
 
     describe("a permit") {
-        val control = Control(initialState(HostId("host-1")), systemClock)
+        val control = Control(stateOf("host-1"), systemClock)
         val dispatcher = SlotDispatcher(control, DispatchPolicy(), Random(5)).dispatcher
         afterSpec { control.close() }
 
