--- a/src/main/kotlin/figdeck/daemon/query/Following.kt
+++ b/src/main/kotlin/figdeck/daemon/query/Following.kt
@@ -65,7 +65,9 @@
 internal suspend fun Following.followPeers() {
     while (true) {
         delay(ASK_INTERVAL)
-        if (control.snapshot.follow.tableInDoubt) {
+        val state = control.snapshot
+        // A host that has not read the host rows yet would take itself for the whole fleet.
+        if (state.follow.tableInDoubt && state.fleet.ownership.hosts.isNotEmpty()) {
             askPeers()
         }
     }
