--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -191,7 +191,7 @@
     private fun changing(random: Random): Changing = Changing(
         store = ConfigurationStore(platform, control, clock),
         spread = { change -> following.peerConfiguration.spread(change, peers()) },
-        newChangeId = { ChangeId(random.nextLong().toULong().toString(radix = 36)) },
+        newChangeId = { ChangeId(random.nextLong().toULong().toString(ID_RADIX)) },
     )
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/AvoidLeaving.kt
+++ b/src/main/kotlin/figdeck/daemon/command/AvoidLeaving.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import arrow.core.raise.ensure
+import figdeck.command.dispatch.DispatchRequest
+import figdeck.command.dispatch.UseResult
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.model.Refusal
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.raise.either
+import arrow.core.right
 import figdeck.daemon.command.ChatAnswer
 import figdeck.daemon.command.ChatOrder
 import figdeck.daemon.command.RunningWork
@@ -99,18 +100,17 @@
         .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
         .set(REQUEST_ID_HEADER, head.id.value)
     start(STATUS_OK, headers)
+    var shown: Either<Refusal, Unit> = Unit.right()
     try {
         for (delta in work.deltas) {
-            guarded(guard, head, CompletionChunk(delta, null))
+            shown = guard.check(head.id)
+            shown.onLeft { break }
+            event(encodeChunk(head, CompletionChunk(delta, null)))
         }
     } finally {
         work.deltas.cancel()
     }
-    endStream(head, work.awaitResult().flatMap { answer -> guard.check(head.id).map { answer } })
-}
-
-private suspend fun HttpResponder.guarded(guard: KeyGuard, head: CompletionHead, chunk: CompletionChunk) {
-    guard.check(head.id).onRight { event(encodeChunk(head, chunk)) }
+    endStream(head, shown.flatMap { work.awaitResult() }.flatMap { answer -> guard.check(head.id).map { answer } })
 }
 
 private suspend fun HttpResponder.endStream(head: CompletionHead, result: Either<Refusal, ChatAnswer>) {
--- /dev/null
+++ b/src/test/kotlin/figdeck/process/ConfigurationSpec.kt
@@ -0,0 +1,218 @@
+package figdeck.process
+
+import figdeck.model.ListedHost
+import figdeck.model.Template
+import figdeck.model.hashKey
+import figdeck.wire.command.encodeTemplate
+import figdeck.wire.encodeHosts
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val EVERYWHERE_LIMIT = 2.seconds
+private val WITHDRAWAL_LIMIT = 3.seconds
+
+private suspend fun Fleet.operator(daemon: Member, method: String, target: String, body: String = "") =
+    send(daemon.operatorAddress, Ask(method, target, body, OPERATOR_SECRET))
+
+private suspend fun Fleet.put(daemon: Member, template: Template, query: String = ""): Answer =
+    operator(daemon, "PUT", "/v1/templates/${template.name}$query", encodeTemplate(template))
+
+private fun Answer.revision(): Long? = Regex("\"revision\":(\\d+)").find(body)?.groupValues?.get(1)?.toLong()
+
+private suspend fun Fleet.revisionOf(daemon: Member): Long? = operator(daemon, "GET", "/v1/status").revision()
+
+/** The time until every one of [daemons] has [revision]. */
+private suspend fun Fleet.timeUntil(revision: Long, daemons: List<Member>): Duration {
+    val start = TimeSource.Monotonic.markNow()
+    daemons.forEach { daemon -> eventually(10.seconds) { revisionOf(daemon)!! >= revision } }
+    return start.elapsedNow()
+}
+
+class ConfigurationSpec : DescribeSpec({
+    val fleet = Fleet()
+    val engines = listOf(fleet.engine("engine-1", "--token-micros=20000"), fleet.engine("engine-2"))
+    val service = fleet.service("slots-1")
+    val evening = eveningTemplate(engines, listOf(service))
+    val daemons = mutableListOf(fleet.daemon("host-1"), fleet.daemon("host-2", "centre-b"), fleet.daemon("host-3"))
+
+    beforeSpec { fleet.apply(daemons[0], evening, daemons) }
+    afterSpec { fleet.close() }
+
+    suspend fun grant(id: String, key: String) {
+        val grant = """{"team":"stado","id":"$id","sha256":"${hashKey(key).hex}"}"""
+        val revision = fleet.operator(daemons[0], "POST", "/v1/keys", grant).revision()!!
+        fleet.timeUntil(revision, daemons)
+    }
+
+    describe("a change accepted by one daemon") {
+        it("is in force on all within 2 s") {
+            val times = List(5) { i ->
+                val answer = fleet.put(
+                    daemons[i % 3],
+                    evening.copy(teams = evening.teams.map { it.copy(weight = i + 2) })
+                )
+                fleet.timeUntil(answer.revision()!!, daemons)
+            }
+            println("a change is in force on 3 daemons after $times")
+            times.max() shouldBeLessThan EVERYWHERE_LIMIT
+        }
+
+        it("is in force on all within 2 s while the table is slow") {
+            fleet.platformFaults("slowMillis=200")
+            val revision = fleet.put(daemons[1], evening).revision()!!
+            val time = fleet.timeUntil(revision, daemons)
+            fleet.platformFaults("slowMillis=0")
+            println("with a table slow by 200 ms after $time")
+            time shouldBeLessThan EVERYWHERE_LIMIT
+        }
+
+        it("is accepted once although the table's replies are lost") {
+            val before = fleet.revisionOf(daemons[0])!!
+            val answer = coroutineScope {
+                fleet.platformFaults("loseReplies=true")
+                val asked = async { fleet.put(daemons[0], evening, "?change=lost-reply") }
+                delay(50.milliseconds)
+                fleet.platformFaults("loseReplies=false")
+                asked.await()
+            }
+            if (answer.status == 200) {
+                answer.revision() shouldBe before + 1
+            } else {
+                // The head could not be read, and so nothing was written.
+                answer.body shouldContain "\"ran\":\"no\""
+                fleet.revisionOf(daemons[0]) shouldBe before
+            }
+        }
+
+        it("stays in force over the loss and the start of a daemon") {
+            val revision = fleet.put(daemons[2], evening).revision()!!
+            fleet.timeUntil(revision, daemons)
+            daemons[2].kill()
+            daemons[2] = fleet.daemon("host-3")
+            fleet.timeUntil(revision, daemons) shouldBeLessThan EVERYWHERE_LIMIT
+            fleet.revisionOf(daemons[2]) shouldBe revision
+        }
+    }
+
+    describe("operators who race") {
+        it("get one change in, and the others learn what changed") {
+            val before = fleet.revisionOf(daemons[0])!!
+            val answers = coroutineScope {
+                List(6) { i ->
+                    async { fleet.put(daemons[i % 3], evening, "?expected=$before&operator=op-$i") }
+                }.awaitAll()
+            }
+            answers.map { it.status }.sorted() shouldContainExactly listOf(200, 409, 409, 409, 409, 409)
+            val lost = answers.filter { it.status == 409 }
+            lost.forEach { it.body shouldContain "\"summary\":\"applied template evening\"" }
+            fleet.timeUntil(before + 1, daemons)
+            fleet.revisionOf(daemons[0]) shouldBe before + 1
+        }
+    }
+
+    describe("a faulty template") {
+        it("is refused whole, every fault by path, and nothing is applied") {
+            val before = fleet.revisionOf(daemons[0])
+            val answer = fleet.operator(
+                daemons[0],
+                "PUT",
+                "/v1/templates/x",
+                """{"name":"x","nonsense":1,"teams":[{}]}"""
+            )
+            answer.status shouldBe 422
+            listOf("nonsense", "teams[0].team", "teams[0].ratePerSecond", "teams[0].burst").forEach {
+                answer.body shouldContain "\"path\":\"$it\""
+            }
+            fleet.revisionOf(daemons[0]) shouldBe before
+        }
+    }
+
+    describe("a withdrawn key") {
+        it("stops on every daemon within 3 s") {
+            grant("guest", "guest-key")
+            val ask = Ask("POST", "/v1/services/slots/check", "{}", "guest-key")
+            daemons.forEach { fleet.send(it.address, ask).status shouldBe 200 }
+            fleet.operator(daemons[0], "DELETE", "/v1/keys/guest").status shouldBe 200
+            val start = TimeSource.Monotonic.markNow()
+            val last = coroutineScope {
+                daemons.map { daemon -> async { lastServed(fleet, daemon, ask, start) } }.awaitAll()
+            }
+            println("a withdrawn key was last served after $last")
+            last.max() shouldBeLessThan WITHDRAWAL_LIMIT
+        }
+
+        it("ends its streams within 3 s, and the result stays readable by the team") {
+            grant("watcher", "watcher-key")
+            coroutineScope {
+                val body = chatBody("a long walk", maxTokens = 400, stream = true)
+                val started = TimeSource.Monotonic.markNow()
+                val streams = List(4) { async { fleet.send(daemons[it % 3].address, chat(body, "watcher-key")) } }
+                delay(500.milliseconds)
+                fleet.operator(daemons[1], "DELETE", "/v1/keys/watcher").status shouldBe 200
+                val answers = streams.awaitAll()
+                started.elapsedNow() shouldBeLessThan WITHDRAWAL_LIMIT + 500.milliseconds
+                val cut = answers.filter { "key_withdrawn" in it.body }
+                println("${cut.size} of 4 streams were cut, after ${started.elapsedNow()}")
+                (cut.size > 0) shouldBe true
+                cut.forEach { it.body shouldNotContain "\"finish_reason\":\"stop\"" }
+                val id = cut.first().headers.getValue("x-request-id")
+                eventually(20.seconds) {
+                    fleet.send(daemons[0].address, Ask("GET", "/v1/results/$id", key = STADO_KEY)).status == 200
+                }
+            }
+        }
+    }
+
+    describe("an upstream that the hosts list shows as leaving") {
+        it("gets no new work after 3 s") {
+            val leaving = engines.map {
+                ListedHost(
+                    it.name,
+                    it.address,
+                    evening.upstreams[0].dataCentre,
+                    it == engines[0]
+                )
+            }
+            fleet.send(fleet.platform.address, Ask("PUT", "/hosts", encodeHosts(leaving)))
+            delay(3.seconds)
+            val before = runs(fleet, engines[0])
+            repeat(12) { fleet.send(daemons[it % 3].address, chat(chatBody("walk $it"))).status shouldBe 200 }
+            runs(fleet, engines[0]) shouldBe before
+        }
+    }
+})
+
+/** When [ask] was last served after [start]; it is sent until it was refused for a second. */
+private suspend fun lastServed(
+    fleet: Fleet,
+    daemon: Member,
+    ask: Ask,
+    start: TimeSource.Monotonic.ValueTimeMark
+): Duration {
+    var last = Duration.ZERO
+    while (start.elapsedNow() - last < 1.seconds) {
+        val sent = start.elapsedNow()
+        if (fleet.send(daemon.address, ask).status == 200) {
+            last = sent
+        }
+        delay(10.milliseconds)
+    }
+    return last
+}
+
+private suspend fun runs(fleet: Fleet, engine: Member): String = fleet.send(
+    engine.address,
+    Ask("GET", "/load")
+).body.substringAfter("\"started\":")
