--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -7,10 +7,11 @@
 import figdeck.cli.command.Serve
 import figdeck.cli.command.StandIn
 import figdeck.cli.query.Bench
+import figdeck.cli.query.MeasureHop
 
 /** Starts the command that the arguments name. */
 public fun main(args: Array<String>) {
     Figdeck()
-        .subcommands(Serve(), StandIn(), Demo(), Bench())
+        .subcommands(Serve(), StandIn(), Demo(), Bench(), MeasureHop())
         .main(args)
 }
--- a/src/main/kotlin/figdeck/bench/Simulation.kt
+++ b/src/main/kotlin/figdeck/bench/Simulation.kt
@@ -30,7 +30,7 @@
         if (scenario.batch) {
             startBatch()
         }
-        if (scenario.shape.load == Load.RUNNER_LOSS) {
+        if (scenario.shape.load == TraceKind.RUNNER_LOSS) {
             time.after(LOST_AT) { flights.loseRunner(0) }
             time.after(BACK_AT) { fleet.restore(0) }
         }
--- a/src/main/kotlin/figdeck/control/Commands.kt
+++ b/src/main/kotlin/figdeck/control/Commands.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import figdeck.command.Step
+import figdeck.command.journal.JournalState
 import figdeck.command.limit.fullBucket
 import figdeck.command.limit.take
 import figdeck.model.Configuration
@@ -30,3 +31,12 @@
 
 /** Stops the taking of new work. */
 internal fun beginDrain(state: ControlState): Step<ControlState, Unit> = Step(state.copy(draining = true), Unit)
+
+/** Changes the journal's part of the state. */
+internal fun <R> changeJournal(
+    state: ControlState,
+    change: (JournalState) -> Step<JournalState, R>,
+): Step<ControlState, R> {
+    val step = change(state.journal)
+    return Step(state.copy(journal = step.state), step.result)
+}
--- a/src/test/kotlin/figdeck/bench/MeasureSpec.kt
+++ b/src/test/kotlin/figdeck/bench/MeasureSpec.kt
@@ -14,7 +14,7 @@
 
     describe("the chosen scheduling") {
         it("keeps the online tail with batch work, which gets most of what online work leaves") {
-            val line = measure(stado, chosen, Load.STEADY, SEED)
+            val line = measure(stado, chosen, TraceKind.STEADY, SEED)
             line.harm shouldBeLessThan 1.05
             line.batchPart!! shouldBeGreaterThan 85.0
             line.wrongful shouldBe 0
@@ -27,13 +27,13 @@
 
     describe("a measurement") {
         it("repeats with its seed") {
-            val line = measure(stado, chosen, Load.BURST, SEED)
-            measure(stado, chosen, Load.BURST, SEED) shouldBe line
-            measure(stado, chosen, Load.BURST, SEED + 1) shouldNotBe line
+            val line = measure(stado, chosen, TraceKind.BURST, SEED)
+            measure(stado, chosen, TraceKind.BURST, SEED) shouldBe line
+            measure(stado, chosen, TraceKind.BURST, SEED + 1) shouldNotBe line
         }
 
         it("shows what batch work does to online work without priorities") {
-            val line = measure(stado, schedulings.last(), Load.STEADY, SEED)
+            val line = measure(stado, schedulings.last(), TraceKind.STEADY, SEED)
             line.harm shouldBeGreaterThan 10.0
         }
     }
--- a/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
+++ b/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
@@ -22,6 +22,7 @@
 import figdeck.standin.PlatformStandIn
 import figdeck.wire.command.encodeTemplate
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldContainAll
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -125,7 +126,9 @@
             val entry = mine.first { it.name == "caller POST" && it.attributes.toString().contains("200") }
             entry.parentSpanId shouldBe CALLER_SPAN
             val children = mine.filter { it.parentSpanId == entry.spanId }
-            children.map { it.name } shouldContainAll listOf("store commit", "dispatch wait", "upstream generate")
+            children.map { it.name } shouldContainAll
+                listOf("journal accept", "dispatch wait", "upstream generate", "journal finish")
+            kept.spans.map { it.name } shouldContain "store commit"
             val hop = children.first { it.name == "upstream generate" }
             seen.single() shouldBe "00-$CALLER_TRACE-${hop.spanId}-01"
         }
