Work taken over by idle upstreams, an engine stand-in that fails, and proofs with failing engines

Cause: an idle upstream that nobody used yet took over nothing, so that batch work waited beside free slots; a request run again after the loss of its host counted its earlier attempts against the retry budget; batch items carried no prefix affinity; nothing proved what callers see of failing engines. Ruled out: cancelling the turn of a caller that leaves; an accepted turn completes and its result stays readable. Change: the passing of time lets idle upstreams take over; attempts count from the run; batch deadlines bound the wait alone; the stand-in has a bounded prefix cache, lagging reports, counts, faults and fencing numbers. Conclusion: one failing engine costs callers a few seconds once.

--- a/src/main/kotlin/figdeck/cli/command/StandIn.kt
+++ b/src/main/kotlin/figdeck/cli/command/StandIn.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
@@ -68,12 +69,13 @@
     private val sequenceMicros by option(
         help = "Added to a token's time by each running sequence, in µs."
     ).long().default(0)
+    private val honoursFencing by option(help = "Refuse orders with an old fencing number.").flag()
 
     override fun help(context: Context): String = "A model engine that batches continuously."
 
     override fun run() {
         val pace = EnginePace(prefillMillis.milliseconds, tokenMicros.microseconds, sequenceMicros.microseconds)
-        serve(EngineStandIn(pace, systemClock).handler)
+        serve(EngineStandIn(pace, systemClock, honoursFencing).handler)
     }
 }
 
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -30,7 +30,7 @@
     return if (budget == null) {
         Step(state, refused(arrival, Refusal.Overloaded("retrying", 1.seconds)))
     } else {
-        place(state.copy(retryBudget = budget), arrival, policy, now)
+        place(state.copy(retryBudget = budget).knowing(arrival.request.candidates, now), arrival, policy, now)
     }
 }
 
@@ -56,14 +56,15 @@
     return pumpAt(left, id, policy, now)
 }
 
-/** Gives out what time alone has freed: paused upstreams to be tried again and headroom no longer needed. */
+/**
+ * Gives out what time alone has freed: paused upstreams to be tried again, headroom no longer needed and slots that
+ * work before other upstreams may take.
+ */
 public fun tick(state: DispatchState, policy: DispatchPolicy, now: Moment): DispatchStep =
-    state.upstreams.values
-        .filter { it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty() }
-        .fold(Step(state, emptyList())) { step, upstream ->
-            val next = pumpAt(step.state, upstream.upstream.id, policy, now)
-            Step(next.state, step.result + next.result)
-        }
+    state.upstreams.keys.fold(Step(state, emptyList())) { step, upstream ->
+        val next = pumpAt(step.state, upstream, policy, now)
+        Step(next.state, step.result + next.result)
+    }
 
 private fun place(state: DispatchState, arrival: Arrival, policy: DispatchPolicy, now: Moment): DispatchStep {
     val request = arrival.request
@@ -73,7 +74,7 @@
     }
     val chosen = state.known(policy.choose(views, request, arrival.draw).upstream, now)
     val wait = chosen.expectedWait(request, now)
-    val late = now + wait + chosen.queue(request.lane).hold * policy.deadlineMargin - request.deadline
+    val late = now + wait + chosen.queue(request.lane).timeNeeded(request.lane, policy) - request.deadline
     return if (wait > Duration.ZERO && late > Duration.ZERO) {
         Step(state, refused(arrival, Refusal.Overloaded("upstream '${chosen.upstream.id}'", late)))
     } else {
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -35,6 +35,10 @@
 public fun DispatchState.known(upstream: Upstream, now: Moment): UpstreamState =
     upstreams[upstream.id]?.copy(upstream = upstream) ?: idleUpstream(upstream, now)
 
+/** This state with all of [candidates], so that idle ones can take over work that waits before others. */
+internal fun DispatchState.knowing(candidates: List<Upstream>, now: Moment): DispatchState =
+    candidates.fold(this) { state, upstream -> state.with(state.known(upstream, now)) }
+
 /** This state with another state of one upstream. */
 internal fun DispatchState.with(state: UpstreamState): DispatchState =
     copy(upstreams = upstreams.put(state.upstream.id, state))
@@ -59,6 +63,12 @@
     return copy(tickets = refused.fold(tickets) { left, ticket -> left.remove(ticket) }).with(step.state)
 }
 
+/** How long before its deadline work of [lane] must start. Batch items carry a deadline for the wait alone. */
+internal fun LaneQueue.timeNeeded(lane: Lane, policy: DispatchPolicy): Duration = when (lane) {
+    Lane.ONLINE -> hold * policy.deadlineMargin
+    Lane.BATCH -> Duration.ZERO
+}
+
 /** How long [request] would wait for a slot. */
 internal fun UpstreamState.expectedWait(request: DispatchRequest, now: Moment): Duration {
     val inTheWay = if (request.lane == Lane.ONLINE) held(Lane.ONLINE) else occupied
--- a/src/main/kotlin/figdeck/command/dispatch/Pump.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Pump.kt
@@ -46,7 +46,7 @@
 }
 
 private fun LaneQueue.hopeless(policy: DispatchPolicy, now: Moment): Waiting? =
-    waiting.find { it.since < now && it.request.deadline < now + hold * policy.deadlineMargin }
+    waiting.find { it.since < now && it.request.deadline < now + timeNeeded(it.request.lane, policy) }
 
 private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep {
     val queue = state.queue(lane)
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -103,6 +103,7 @@
     while (ended == null) {
         val permit = nextPermit(run, past) {
             dispatchRequest(run, team, candidates(pool.upstreams, past.failed), chat)
+                .copy(attempt = past.failed.size)
         }
         when (permit) {
             is Either.Left -> ended = past.truthful(permit.value).left()
@@ -123,7 +124,7 @@
     request: () -> DispatchRequest,
 ): Either<Refusal, Permit> = either {
     val wanted = request()
-    val exhausted = run.attempts.size >= MAX_ATTEMPTS || past.failed.isNotEmpty() && clock() >= run.deadline
+    val exhausted = past.failed.size >= MAX_ATTEMPTS || past.failed.isNotEmpty() && clock() >= run.deadline
     ensure(wanted.candidates.isNotEmpty() && !exhausted) { Refusal.NoUpstream("the model") }
     dispatcher.acquire(wanted).bind()
 }
@@ -149,7 +150,6 @@
     cost = chat.maxTokens,
     affinity = prefixAffinity(chat),
     deadline = run.deadline,
-    attempt = run.attempts.size,
 )
 
 private suspend fun Services.attempt(
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
@@ -6,6 +6,7 @@
 import figdeck.command.batch.ItemStep
 import figdeck.command.batch.afterTry
 import figdeck.command.batch.mayStartItem
+import figdeck.command.dispatch.prefixAffinity
 import figdeck.daemon.command.DispatchRequest
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.UseResult
@@ -106,7 +107,7 @@
         weight = item.team.weight,
         lane = Lane.BATCH,
         cost = item.chat.maxTokens,
-        affinity = null,
+        affinity = prefixAffinity(item.chat),
         deadline = services.clock() + SLOT_WAIT,
     )
     return services.dispatcher.acquire(request).fold({ none }, { runUnder(it, item, progress) })
--- a/src/main/kotlin/figdeck/standin/EngineStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/EngineStandIn.kt
@@ -1,11 +1,14 @@
 package figdeck.standin
 
 import arrow.core.getOrElse
+import figdeck.command.Step
+import figdeck.control.Control
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpResponder
+import figdeck.http.server.parameter
 import figdeck.model.Clock
 import figdeck.model.ModelName
 import figdeck.model.RequestId
@@ -16,13 +19,18 @@
 import figdeck.wire.command.encodeChunk
 import figdeck.wire.decode
 import figdeck.wire.lenientJson
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
-import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.withContext
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val OK = 200
 private const val BAD_REQUEST = 400
+private const val CONFLICT = 409
+private const val FENCE_HEADER = "X-Fence"
 private const val MAX_BODY_BYTES = 1024 * 1024
 private val WORDS = listOf("walk", "gently", "up", "the", "ridge", "past", "mossy", "gates", "and", "rest")
 
@@ -37,19 +45,40 @@
 internal class EngineStandIn(
     private val pace: EnginePace,
     private val clock: Clock,
-) {
-    private val running = AtomicInteger()
-    private val started = AtomicInteger()
+    private val honoursFencing: Boolean = false,
+) : AutoCloseable {
+    private val control = Control(idleEngine, clock)
 
     val handler: HttpHandler = { call, responder ->
         when (call.path) {
             "/v1/chat/completions" -> generate(call, responder)
-            "/load" -> responder.full(OK, newHeaders(), report().encodeToByteArray())
+            "/load" -> responder.counts(control.run { state, now -> reportLoad(state, now) })
+            "/counts" -> responder.counts(control.snapshot.counts)
+            "/faults" -> setFaults(call, responder)
+            "/orders" -> order(call, responder)
             else -> responder.full(BAD_REQUEST, newHeaders(), ByteArray(0))
         }
     }
 
-    private fun report(): String = """{"running":${running.get()},"started":${started.get()}}"""
+    override fun close() {
+        control.close()
+    }
+
+    private suspend fun setFaults(call: HttpCall, responder: HttpResponder) {
+        val faults = EngineFaults(
+            silent = call.parameter("silent").toBoolean(),
+            slowMillis = call.parameter("slowMillis")?.toLong() ?: 0,
+            resetAfter = call.parameter("resetAfter")?.toInt(),
+        )
+        control.run { state, _ -> Step(state.copy(faults = faults), Unit) }
+        responder.full(OK, newHeaders(), ByteArray(0))
+    }
+
+    private suspend fun order(call: HttpCall, responder: HttpResponder) {
+        val number = call.headers.get(FENCE_HEADER)?.toLongOrNull() ?: 0
+        val taken = control.run { state, _ -> takeOrder(state, number, honoursFencing) }
+        responder.full(if (taken) OK else CONFLICT, newHeaders(), ByteArray(0))
+    }
 
     private suspend fun generate(call: HttpCall, responder: HttpResponder) {
         val text = call.body.readAll(MAX_BODY_BYTES).getOrElse { ByteArray(0) }.decodeToString()
@@ -58,32 +87,48 @@
             responder.full(BAD_REQUEST, newHeaders(), ByteArray(0))
             return
         }
-        started.incrementAndGet()
-        running.incrementAndGet()
+        val prefix = chat.messages.orEmpty().firstOrNull().hashCode()
+        val cached = control.run { state, _ -> startGeneration(state, prefix) }
+        var whole = false
         try {
-            stream(chat, responder)
+            stream(chat, if (cached) Duration.ZERO else pace.prefill, responder)
+            whole = true
         } finally {
-            running.decrementAndGet()
+            withContext(NonCancellable) { control.run { state, _ -> endGeneration(state, cancelled = !whole) } }
         }
     }
 
-    private suspend fun stream(chat: ChatDto, responder: HttpResponder) {
+    private suspend fun stream(chat: ChatDto, prefill: Duration, responder: HttpResponder) {
         val head = CompletionHead(RequestId("standin"), ModelName(chat.model.orEmpty()), clock().epochMillis)
-        val resumed = chat.resumeFrom.orEmpty()
+        val resumed = chat.resumeFrom.orEmpty().count { it == ' ' }
         val seed = chat.messages.orEmpty().joinToString { it.content }.hashCode()
+        val faults = control.snapshot.faults
+        if (faults.silent) {
+            awaitCancellation()
+        }
         responder.start(OK, newHeaders().set("content-type", "text/event-stream"))
-        delay(pace.prefill)
-        for (i in resumed.count { it == ' ' } until (chat.maxTokens ?: 1)) {
-            delay(pace.perToken + pace.perSequence * running.get())
+        delay(prefill + faults.slowMillis.milliseconds)
+        for (i in resumed until (chat.maxTokens ?: 1)) {
+            if (i - resumed == control.snapshot.faults.resetAfter) {
+                throw IOException("the answer is broken off on purpose")
+            }
+            delay(pace.perToken + pace.perSequence * control.snapshot.counts.running)
             responder.event(encodeChunk(head, CompletionChunk(word(seed, i) + " ", null)))
         }
         responder.event(encodeChunk(head, CompletionChunk("", "stop")))
         responder.event(DONE_EVENT)
     }
+}
 
-    private suspend fun HttpResponder.event(data: String) {
-        write("data: $data\n\n".encodeToByteArray())
+private suspend fun HttpResponder.counts(counts: EngineCounts) {
+    val report = with(counts) {
+        """{"running":$running,"started":$started,"cancelled":$cancelled,"prefixHits":$prefixHits}"""
     }
+    full(OK, newHeaders(), report.encodeToByteArray())
+}
+
+private suspend fun HttpResponder.event(data: String) {
+    write("data: $data\n\n".encodeToByteArray())
 }
 
 private fun word(seed: Int, index: Int): String = WORDS[Math.floorMod(seed + index, WORDS.size)]
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -178,6 +178,16 @@
         }
     }
 
+    describe("an idle upstream") {
+        it("takes over what waits before another, when time passes") {
+            val desk = Desk(DispatchPolicy(choose = { views, _, _ -> views.first() }))
+            repeat(2) { desk.ask(request(two)) }
+            val waiting = desk.ask(request(two))
+            desk.step { tick(it, desk.policy, desk.now) }
+            desk.place(waiting) shouldBe "engine-2"
+        }
+    }
+
     describe("a failing upstream") {
         it("is left after three failures in a row, its queue moved on, and tried again by one request alone") {
             val desk = Desk(DispatchPolicy(choose = { views, _, _ -> views.first() }))
--- /dev/null
+++ b/src/test/kotlin/figdeck/process/FailingUpstreamsSpec.kt
@@ -0,0 +1,100 @@
+package figdeck.process
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+private const val CALLERS = 24
+private const val TOKENS = 12
+
+/** Switches the faults of an engine's stand-in, as in `silent=true`. */
+private suspend fun Fleet.engineFaults(engine: Member, query: String = "") {
+    send(engine.address, Ask("POST", "/faults?$query"))
+}
+
+private suspend fun Fleet.count(engine: Member, name: String): Int {
+    val counts = send(engine.address, Ask("GET", "/counts")).body
+    return counts.substringAfter("\"$name\":").substringBefore(',').trimEnd('}').toInt()
+}
+
+private fun content(answer: Answer): String =
+    answer.body.substringAfter("\"content\":\"").substringBefore('"')
+
+class FailingUpstreamsSpec : DescribeSpec({
+    val fleet = Fleet()
+    val engines = List(3) { fleet.engine("engine-$it", "--token-micros=10000") }
+    val service = fleet.service("slots-1")
+    val daemon = fleet.daemon("host-1")
+
+    suspend fun turns(count: Int = CALLERS, maxTokens: Int = TOKENS): List<Answer> = coroutineScope {
+        List(count) { async { fleet.send(daemon.address, chat(chatBody("Is herd $it free?", maxTokens))) } }.awaitAll()
+    }
+
+    beforeSpec { fleet.apply(daemon, eveningTemplate(engines, listOf(service))) }
+    afterSpec { fleet.close() }
+    afterTest { engines.forEach { fleet.engineFaults(it) } }
+
+    describe("callers before engines of which one or two fail") {
+        it("get the same whole answers when the engines break them off, no token twice and none of another's") {
+            val expected = turns().map { content(it) }
+            expected.distinct().size shouldBeGreaterThan 5
+            engines.take(2).forEach { fleet.engineFaults(it, "resetAfter=3") }
+            val answers = turns()
+            answers.map { it.status }.distinct() shouldBe listOf(200)
+            answers.map { content(it) } shouldBe expected
+        }
+
+        it("wait for an engine that never answers for a few seconds alone") {
+            val expected = turns().map { content(it) }
+            fleet.engineFaults(engines[0], "silent=true")
+            val first = measureTime { turns().map { content(it) } shouldBe expected }
+            first.inWholeMilliseconds shouldBeLessThan 6_000
+            val left = measureTime { turns().map { content(it) } shouldBe expected }
+            left.inWholeMilliseconds shouldBeLessThan 2_500
+        }
+
+        it("get their own answers, whole, when an engine is slower than its timeout") {
+            val expected = turns().map { content(it) }
+            fleet.engineFaults(engines[1], "slowMillis=6000")
+            turns().map { content(it) } shouldBe expected
+        }
+    }
+
+    describe("a caller that leaves") {
+        it("leaves no work behind: its accepted turn ends, once") {
+            val started = engines.sumOf { fleet.count(it, "started") }
+            withTimeoutOrNull(500.milliseconds) {
+                fleet.send(daemon.address, chat(chatBody("A long walk", 100)))
+            } shouldBe null
+            eventually(5.seconds) { engines.sumOf { fleet.count(it, "running") } == 0 }
+            engines.sumOf { fleet.count(it, "started") } shouldBe started + 1
+        }
+    }
+
+    describe("online turns while batch work takes every slot") {
+        it("start at once, and the job still answers each item once") {
+            val lines = List(60) { batchLine("note-$it", "Route note $it", 200) }
+            val job = fleet.submit(daemon, lines)
+            eventually(20.seconds) { engines.sumOf { fleet.count(it, "running") } >= 24 }
+            val slowest = (1..10).maxOf {
+                measureTime { fleet.send(daemon.address, chat(chatBody("Any slot?"))).status shouldBe 200 }
+            }
+            slowest.inWholeMilliseconds shouldBeLessThan 1_000
+            engines.sumOf { fleet.count(it, "cancelled") } shouldBeGreaterThan 1
+            eventually(60.seconds) {
+                fleet.send(daemon.address, Ask("GET", job, key = STADO_KEY)).body.contains("\"completed\"")
+            }
+            val status = fleet.send(daemon.address, Ask("GET", job, key = STADO_KEY)).body
+            status shouldContain "\"items\":60,\"finished\":60,\"failed\":0"
+        }
+    }
+})
