--- a/src/main/kotlin/figdeck/bench/Table.kt
+++ b/src/main/kotlin/figdeck/bench/Table.kt
@@ -24,7 +24,7 @@
  */
 public data class Line(
     public val deployment: String,
-    public val load: Load,
+    public val load: TraceKind,
     public val scheduling: String,
     public val batchPart: Double?,
     public val tail: Duration,
@@ -42,7 +42,7 @@
 )
 
 /** Measures [scheduling] under [load]. */
-public fun measure(deployment: Deployment, scheduling: Scheduling, load: Load, seed: Long): Line {
+public fun measure(deployment: Deployment, scheduling: Scheduling, load: TraceKind, seed: Long): Line {
     val shape = TraceShape(load, RATE_AT_HALF, deployment.teams, LENGTH)
     val scenario = Scenario(deployment, scheduling, shape, batch = true, seed = seed)
     val both = Simulation(scenario).run()
@@ -65,14 +65,14 @@
 private fun part(got: Long, left: Long, capacity: Long): Double? =
     if (left > capacity * LITTLE) PERCENT * got / left else null
 
-private fun worstBatchShare(batch: Measures, load: Load): Double {
+private fun worstBatchShare(batch: Measures, load: TraceKind): Double {
     val inside = batch.teams.filterIndexed { team, _ -> !isHot(load, team) }
     return inside.minOf { it.batchTokens }.toDouble() * batch.teams.size / batch.batchTokens
 }
 
 /** Measures the goodput of [scheduling] under overload. */
 public fun measureOverload(deployment: Deployment, scheduling: Scheduling, seed: Long): OverloadLine {
-    val shape = TraceShape(Load.STEADY, RATE_AT_CAPACITY, deployment.teams, LENGTH)
+    val shape = TraceShape(TraceKind.STEADY, RATE_AT_CAPACITY, deployment.teams, LENGTH)
     val scenario = Scenario(deployment, scheduling, shape, batch = false, seed = seed)
     val full = Simulation(scenario).run()
     val over = Simulation(scenario.copy(shape = shape.copy(ratePerSecond = OVERLOAD * RATE_AT_CAPACITY))).run()
--- a/src/main/kotlin/figdeck/bench/Trace.kt
+++ b/src/main/kotlin/figdeck/bench/Trace.kt
@@ -31,7 +31,7 @@
 )
 
 /** The shape of a trace. */
-public enum class Load {
+public enum class TraceKind {
     /** Arrivals at one rate. */
     STEADY,
 
@@ -54,7 +54,7 @@
  * @property ratePerSecond online arrivals of all teams together; in a trace with hot teams, as if none were hot.
  */
 public data class TraceShape(
-    public val load: Load,
+    public val load: TraceKind,
     public val ratePerSecond: Double,
     public val teams: Int,
     public val length: Duration,
@@ -75,15 +75,15 @@
 
 /** One item of a batch that never ends, for [team]. */
 public fun batchItem(at: Duration, team: Int, random: Random): TraceItem =
-    item(at, team, Lane.BATCH, Load.STEADY, random)
+    item(at, team, Lane.BATCH, TraceKind.STEADY, random)
 
 /** Whether [team] sends more than its share. */
-public fun isHot(load: Load, team: Int): Boolean = load == Load.HOT_TEAM && team < HOT_TEAMS
+public fun isHot(load: TraceKind, team: Int): Boolean = load == TraceKind.HOT_TEAM && team < HOT_TEAMS
 
 private fun TraceShape.rateAt(at: Duration): Double {
     val intoPeriod = at.toDouble(DurationUnit.SECONDS) % BURST_PERIOD.toDouble(DurationUnit.SECONDS)
-    val bursts = load == Load.BURST && intoPeriod < BURST_LENGTH.toDouble(DurationUnit.SECONDS)
-    val hot = if (load == Load.HOT_TEAM) 1 + HOT_TEAMS * (HOT_FACTOR - 1) / teams else 1.0
+    val bursts = load == TraceKind.BURST && intoPeriod < BURST_LENGTH.toDouble(DurationUnit.SECONDS)
+    val hot = if (load == TraceKind.HOT_TEAM) 1 + HOT_TEAMS * (HOT_FACTOR - 1) / teams else 1.0
     return ratePerSecond * hot * if (bursts) BURST_FACTOR else 1.0
 }
 
@@ -96,8 +96,8 @@
     }.coerceAtLeast(0)
 }
 
-private fun item(at: Duration, team: Int, lane: Lane, load: Load, random: Random): TraceItem {
-    val shared = load == Load.HOT_PREFIX && random.nextDouble() < HOT_PREFIX_PART
+private fun item(at: Duration, team: Int, lane: Lane, load: TraceKind, random: Random): TraceItem {
+    val shared = load == TraceKind.HOT_PREFIX && random.nextDouble() < HOT_PREFIX_PART
     val own = 1 + team * PREFIXES_PER_TEAM + random.nextInt(PREFIXES_PER_TEAM)
     return TraceItem(
         at = at,
--- a/src/main/kotlin/figdeck/cli/query/Bench.kt
+++ b/src/main/kotlin/figdeck/cli/query/Bench.kt
@@ -6,8 +6,8 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
 import figdeck.bench.HEADING
-import figdeck.bench.Load
 import figdeck.bench.OVERLOAD_HEADING
+import figdeck.bench.TraceKind
 import figdeck.bench.deployments
 import figdeck.bench.measure
 import figdeck.bench.measureOverload
@@ -25,7 +25,7 @@
     override fun run() {
         echo(HEADING)
         for (deployment in deployments) {
-            for (load in Load.entries) {
+            for (load in TraceKind.entries) {
                 schedulings.forEach { echo(measure(deployment, it, load, seed).row()) }
             }
         }
