--- a/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
@@ -5,6 +5,7 @@
 import figdeck.platform.Platform
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 private const val ITEMS_IN_FLIGHT = 256
@@ -18,6 +19,7 @@
  * @property confirmInterval how often a host that runs segments asks which jobs were cancelled.
  * @property patience how long a write of the platform is tried again before it is given up.
  * @property firstBackoff the pause before the first repetition; each further one is twice as long, up to a limit.
+ * @property sweepInterval how often a host clears what has outlived its use.
  * @property noticeLife how long the notice of a cancelled job stays.
  */
 public data class BatchPace(
@@ -27,6 +29,7 @@
     public val confirmInterval: Duration = 500.milliseconds,
     public val patience: Duration = 8.seconds,
     public val firstBackoff: Duration = 50.milliseconds,
+    public val sweepInterval: Duration = 1.minutes,
     public val noticeLife: Duration = 30.seconds,
 )
 
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunBatches.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunBatches.kt
@@ -26,6 +26,7 @@
 /** Runs this host's segments of batch jobs until cancelled. */
 internal suspend fun runBatches(batches: BatchServices): Unit = coroutineScope {
     launch { batches.followCancels() }
+    launch { batches.sweepBatches() }
     val slots = Semaphore(batches.pace.itemsInFlight)
     while (true) {
         if (batches.hasPlace()) {
--- a/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
@@ -14,6 +14,7 @@
 import figdeck.model.BatchJob
 import figdeck.model.CallResult
 import figdeck.model.JobMark
+import figdeck.model.KeptJob
 import figdeck.model.Refusal
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
@@ -22,12 +23,14 @@
 import figdeck.model.map
 import figdeck.platform.query.Found
 import figdeck.wire.encodeJob
+import figdeck.wire.encodeKept
 import kotlin.time.Duration.Companion.seconds
 
 /** Accepts a job once its items and its row are durable, and gives the id of it or of the job that it repeats. */
 internal suspend fun BatchServices.submitBatch(order: BatchOrder): Either<Refusal, BatchId> = either {
     val id = BatchId(services.newRequestId().value)
-    writePatiently(listOf(RowWrite(keptKey(id), id.value))).bind()
+    val kept = KeptJob(id, order.team.id, services.clock().epochMillis)
+    writePatiently(listOf(RowWrite(keptKey(id), encodeKept(kept)))).bind()
     val upload = storeItems(id, order.body).bind()
     val job = newJob(id, order, upload)
     val first = firstJob(job.resendKey).bind()
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/batch/SweepBatches.kt
@@ -0,0 +1,77 @@
+package figdeck.daemon.command.batch
+
+import figdeck.command.batch.CANCELS_PREFIX
+import figdeck.command.batch.Disposal
+import figdeck.command.batch.KEPT_PREFIX
+import figdeck.command.batch.abandonCheck
+import figdeck.command.batch.disposalOf
+import figdeck.command.batch.jobKey
+import figdeck.command.batch.keeperShard
+import figdeck.command.batch.keptPrefix
+import figdeck.command.batch.retentionOf
+import figdeck.daemon.query.readJob
+import figdeck.daemon.query.readOwned
+import figdeck.model.BatchId
+import figdeck.model.BatchJob
+import figdeck.model.CallResult
+import figdeck.model.JobMark
+import figdeck.model.KeptJob
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.model.valueOrNull
+import figdeck.wire.decodeKept
+import figdeck.wire.encodeJob
+import kotlinx.coroutines.delay
+
+private const val MAX_NOTICES = 1000
+
+/** Clears what batch jobs have left behind in this host's shards, until cancelled. */
+internal suspend fun BatchServices.sweepBatches() {
+    while (true) {
+        delay(pace.sweepInterval)
+        clearNotices()
+        platform.queries.readOwned(services.ownership, KEPT_PREFIX, ::keptPrefix).forEach { sweep(decodeKept(it.value)) }
+    }
+}
+
+/** Removes the notices of cancelled jobs that every host has had the time to see. */
+internal suspend fun BatchServices.clearNotices() {
+    val seen = platform.queries.scanRows(CANCELS_PREFIX, CANCELS_PREFIX, MAX_NOTICES).valueOrNull().orEmpty()
+    val mine = seen.filter { services.ownership.fenceOf(keeperShard(BatchId(it.value))) != null }
+    if (mine.isNotEmpty()) {
+        delay(pace.noticeLife)
+        writePatiently(mine.map { RowWrite(it.key, null) })
+    }
+}
+
+/** Does with [kept] what its age asks for. */
+internal suspend fun BatchServices.sweep(kept: KeptJob) {
+    val read = platform.queries.readJob(kept.id)
+    if (read !is CallResult.Done) {
+        return
+    }
+    val job = read.value.value?.job
+    val retention = retentionOf(services.control.snapshot.configuration, kept.team)
+    when (disposalOf(kept, job, retention, services.clock())) {
+        Disposal.KEEP -> Unit
+        Disposal.ABANDON -> abandon(kept)
+        Disposal.CLEAR -> job?.let { clear(it) }
+    }
+}
+
+private suspend fun BatchServices.abandon(kept: KeptJob) {
+    val job = BatchJob(
+        id = kept.id,
+        team = kept.team,
+        digest = "",
+        resendKey = "",
+        host = services.control.snapshot.host,
+        revision = services.control.snapshot.configuration.revision,
+        acceptedAtMillis = kept.writtenAtMillis,
+        segments = 0,
+        items = 0,
+        mark = JobMark.ABANDONED,
+        endedAtMillis = services.clock().epochMillis,
+    )
+    platform.commands.commit(TableTransaction(listOf(abandonCheck(kept)), listOf(RowWrite(jobKey(kept.id), encodeJob(job)))))
+}
--- a/src/main/kotlin/figdeck/model/BatchJob.kt
+++ b/src/main/kotlin/figdeck/model/BatchJob.kt
@@ -35,3 +35,10 @@
     public val mark: JobMark,
     public val endedAtMillis: Long?,
 )
+
+/** The sign that something of a job stands in the platform's services, written before anything else of it. */
+public data class KeptJob(
+    public val id: BatchId,
+    public val team: TeamId,
+    public val writtenAtMillis: Long,
+)
--- a/src/main/kotlin/figdeck/wire/BatchRowCodec.kt
+++ b/src/main/kotlin/figdeck/wire/BatchRowCodec.kt
@@ -6,6 +6,7 @@
 import figdeck.model.GroupResult
 import figdeck.model.HostId
 import figdeck.model.JobMark
+import figdeck.model.KeptJob
 import figdeck.model.Revision
 import figdeck.model.Segment
 import figdeck.model.SegmentId
@@ -54,6 +55,20 @@
     val writtenAtMillis: Long,
 )
 
+@Serializable
+private data class KeptDto(
+    val batch: String,
+    val team: String,
+    val writtenAtMillis: Long,
+)
+
+internal fun encodeKept(kept: KeptJob): String =
+    lenientJson.encodeToString(KeptDto.serializer(), KeptDto(kept.id.value, kept.team.value, kept.writtenAtMillis))
+
+internal fun decodeKept(text: String): KeptJob = lenientJson.decodeFromString(KeptDto.serializer(), text).let {
+    KeptJob(BatchId(it.batch), TeamId(it.team), it.writtenAtMillis)
+}
+
 internal fun encodeJob(job: BatchJob): String = lenientJson.encodeToString(
     JobRowDto.serializer(),
     JobRowDto(
--- a/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
@@ -2,7 +2,7 @@
 
 import arrow.core.right
 import figdeck.control.Control
-import figdeck.control.confirmConfiguration
+import figdeck.control.followConfiguration
 import figdeck.control.initialState
 import figdeck.control.startSegments
 import figdeck.daemon.command.Dispatcher
@@ -155,7 +155,7 @@
         val name = "host-${controls.size}"
         val control = Control(initialState(HostId(name)), systemClock)
         controls += control
-        control.run { state, now -> confirmConfiguration(state, benchConfiguration, now) }
+        control.run { state, _ -> followConfiguration(state, benchConfiguration) }
         var ids = 0
         val services = Services(
             control = control,
@@ -182,10 +182,15 @@
         platform(Steps()).queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it })
             .let { statusOf(it.stored.job, it.segments) }
 
+    /** The objects that hold the results of the job [id]; each writer has its own. */
+    suspend fun resultObjects(id: BatchId): List<String> =
+        platform(Steps()).queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it }).segments
+            .flatMap { segment -> segment.groups.map { it.objectKey } }
+
     /** Every result of the job [id], in order, as a caller reads it. */
     suspend fun results(id: BatchId): List<String> =
-        platform(Steps()).queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it }).segments
-            .flatMap { segment -> segment.groups.map { state.objects.getValue(it.objectKey).decodeToString() } }
+        resultObjects(id)
+            .map { state.objects.getValue(it).decodeToString() }
             .flatMap { it.trimEnd('\n').lines() }
 
     override fun close() = controls.forEach { it.close() }
--- a/src/test/kotlin/figdeck/daemon/command/batch/RunSegmentSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/RunSegmentSpec.kt
@@ -94,10 +94,10 @@
                     var readable = emptyList<String>()
                     val crossing = Steps(at) {
                         runCatching { host(Steps(crash, StepFault.CRASH_AFTER), owns = owner).runFirst(id) }
-                        readable = results(id)
+                        readable = resultObjects(id)
                     }
                     host(crossing, owns = owner).runFirst(id)
-                    results(id).take(readable.size) shouldBe readable
+                    resultObjects(id).take(readable.size) shouldBe readable
                     host().runFirst(id)
                     shouldBeWhole(id)
                 }
