--- a/src/main/kotlin/figdeck/daemon/command/batch/SweepBatches.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/SweepBatches.kt
@@ -30,7 +30,11 @@
     while (true) {
         delay(pace.sweepInterval)
         clearNotices()
-        platform.queries.readOwned(services.ownership, KEPT_PREFIX, ::keptPrefix).forEach { sweep(decodeKept(it.value)) }
+        platform.queries.readOwned(
+            services.ownership,
+            KEPT_PREFIX,
+            ::keptPrefix
+        ).forEach { sweep(decodeKept(it.value)) }
     }
 }
 
@@ -73,5 +77,7 @@
         mark = JobMark.ABANDONED,
         endedAtMillis = services.clock().epochMillis,
     )
-    platform.commands.commit(TableTransaction(listOf(abandonCheck(kept)), listOf(RowWrite(jobKey(kept.id), encodeJob(job)))))
+    platform.commands.commit(
+        TableTransaction(listOf(abandonCheck(kept)), listOf(RowWrite(jobKey(kept.id), encodeJob(job))))
+    )
 }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -41,6 +41,7 @@
         is Refusal.RouteNotFound -> "route_not_found"
         is Refusal.NotFound -> "not_found"
         is Refusal.OverRate -> "over_rate"
+        is Refusal.LimitUnavailable -> "limit_unavailable"
         is Refusal.Overloaded -> "overloaded"
         is Refusal.NoUpstream -> "no_upstream"
         is Refusal.UpstreamLost -> "upstream_lost"
@@ -71,6 +72,7 @@
         is Refusal.KeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
         is Refusal.StoreUnavailable, is Refusal.Unconfirmed, Refusal.Draining -> UNAVAILABLE
+        is Refusal.LimitUnavailable -> UNAVAILABLE
         is Refusal.InDoubt, is Refusal.TakenOver -> GATEWAY_TIMEOUT
         is Refusal.HostLost, is Refusal.NotStarted -> BAD_GATEWAY
     }
--- a/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -3,7 +3,7 @@
 import arrow.core.Either
 import figdeck.control.Control
 import figdeck.control.ControlState
-import figdeck.control.initialState
+import figdeck.control.stateOf
 import figdeck.daemon.query.CHANGE_PREFIX
 import figdeck.daemon.query.HEAD_KEY
 import figdeck.daemon.query.catchUp
@@ -11,7 +11,6 @@
 import figdeck.model.ChangeId
 import figdeck.model.CommitReply
 import figdeck.model.ConfigurationChange
-import figdeck.model.HostId
 import figdeck.model.OperatorName
 import figdeck.model.Revision
 import figdeck.model.TableTransaction
@@ -82,7 +81,7 @@
 private enum class WriteFault { NONE, LOST_BEFORE, LOST_AFTER, OUTAGE }
 
 private fun daemonAt(table: FakeTable, name: String): ConfigurationStore {
-    val control: Control<ControlState> = Control(initialState(HostId(name)), systemClock)
+    val control: Control<ControlState> = Control(stateOf(name), systemClock)
     return ConfigurationStore(table.platform, control, systemClock)
 }
 
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -6,7 +6,7 @@
 import figdeck.control.Control
 import figdeck.control.changeJournal
 import figdeck.control.followConfiguration
-import figdeck.control.initialState
+import figdeck.control.stateOf
 import figdeck.daemon.query.tableRecords
 import figdeck.model.CallResult
 import figdeck.model.Configuration
@@ -137,7 +137,7 @@
     val effects = Effects(fault)
     private val host = HostId(name)
     private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
-    private val control = Control(initialState(host), systemClock)
+    private val control = Control(stateOf(name), systemClock)
     private val platform = world.platform(effects)
     private val groups = GroupCommit(control, platform)
     private val numbers = AtomicInteger()
--- a/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
@@ -2,10 +2,9 @@
 
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.control.Control
-import figdeck.control.initialState
+import figdeck.control.stateOf
 import figdeck.model.Address
 import figdeck.model.DataCentre
-import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.TeamId
 import figdeck.model.Upstream
@@ -42,7 +41,7 @@
     )
 
     describe("a permit") {
-        val control = Control(initialState(HostId("host-1")), systemClock)
+        val control = Control(stateOf("host-1"), systemClock)
         val dispatcher = SlotDispatcher(control, DispatchPolicy(), Random(5)).dispatcher
         afterSpec { control.close() }
 
