--- a/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
@@ -181,10 +181,15 @@
         platform(Steps()).queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it })
             .let { statusOf(it.stored.job, it.segments) }
 
+    /** The objects that hold the results of the job [id]; each writer has its own. */
+    suspend fun resultObjects(id: BatchId): List<String> =
+        platform(Steps()).queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it }).segments
+            .flatMap { segment -> segment.groups.map { it.objectKey } }
+
     /** Every result of the job [id], in order, as a caller reads it. */
     suspend fun results(id: BatchId): List<String> =
-        platform(Steps()).queries.findBatch(benchTeam.id, id.value).fold({ error(it) }, { it }).segments
-            .flatMap { segment -> segment.groups.map { state.objects.getValue(it.objectKey).decodeToString() } }
+        resultObjects(id)
+            .map { state.objects.getValue(it).decodeToString() }
             .flatMap { it.trimEnd('\n').lines() }
 
     override fun close() = controls.forEach { it.close() }
