--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -1,18 +1,23 @@
 package figdeck.cli
 
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.emptyDispatch
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.beginDrain
 import figdeck.control.initialState
-import figdeck.control.releaseSlot
-import figdeck.control.reserveSlot
-import figdeck.daemon.command.Dispatcher
-import figdeck.daemon.command.Permit
+import figdeck.daemon.command.GroupCommit
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.directJournal
+import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.awaitWork
+import figdeck.daemon.command.batch.BatchServices
+import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.endLease
+import figdeck.daemon.command.groupJournal
+import figdeck.daemon.command.keepJournal
 import figdeck.daemon.command.leaveFleet
 import figdeck.daemon.query.followConfiguration
+import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
@@ -24,6 +29,10 @@
 import figdeck.platform.PlatformHttp
 import figdeck.platform.command.httpCommands
 import figdeck.platform.query.httpQueries
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
@@ -31,44 +40,68 @@
 import figdeck.upstream.command.callOverHttp
 import figdeck.upstream.command.generateOverHttp
 import io.netty.channel.EventLoopGroup
-import kotlinx.coroutines.CompletableDeferred
+import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 private val log = PartLog("daemon")
+private const val MILLIS_PER_SECOND = 1000.0
 private val DRAIN_GRACE = 2.seconds
 
 /** The longest time that a planned stop waits for calls in progress. */
 internal val DRAIN_LIMIT = 150.seconds
 
+private const val ID_RADIX = 36
+
 /** A running daemon: its parts, wired from [settings]. */
 internal class Daemon(
     private val settings: Settings,
     private val group: EventLoopGroup,
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
+    tracer: Tracer = tracerFor(settings.host.value, settings.traceEndpoint),
 ) : AutoCloseable {
     private val client = HttpClient(group)
-    private val control = Control(initialState(settings.identity()), clock)
-    private val platform = httpPlatform(client, settings)
+    private val telemetry = Telemetry(Meters(), tracer, clock)
+    private val control = Control(initialState(settings), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val platform = observed(httpPlatform(client, settings), telemetry)
+    private val slots = SlotDispatcher(control, DispatchPolicy(), random)
+    private val groups = GroupCommit(control, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val fleet = FleetWiring(control, clock, scope, peerCalls(client, settings), platform, random)
+    private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
-    private val callerServer = HttpServer(group, HttpServerLimits(), callerApi(services, platform.queries))
+    private val batches = BatchServices(services, platform)
+    private val callerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        observed("caller", callerApi(services, batches, platform.queries), telemetry)
+    )
     private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, fleet.handlers))
     private val operatorServer =
-        HttpServer(group, HttpServerLimits(), operatorApi(control, platform, settings.credentials.operator))
+        HttpServer(
+            group,
+            HttpServerLimits(),
+            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+        )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
+        showGauges(control, telemetry)
         scope.launch { followConfiguration(platform, control, clock) }
         fleet.start()
+        scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
+        scope.launch { runBatches(batches) }
+        scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
@@ -80,6 +113,7 @@
         control.run { state, _ -> beginDrain(state) }
         fleet.parts.leaveFleet()
         callerServer.drain(DRAIN_GRACE, DRAIN_LIMIT)
+        services.awaitWork(DRAIN_LIMIT)
         fleet.parts.endLease()
         log.info { "drained" }
     }
@@ -96,15 +130,28 @@
     private fun services(random: Random): Services = Services(
         control = control,
         clock = clock,
-        newRequestId = requestIds(settings, random),
+        newRequestId = requestIds(settings, clock, random),
         limits = fleet.limits(),
-        journal = directJournal(platform),
+        journal = observed(groupJournal(control, platform, groups), telemetry),
+        records = tableRecords(platform.queries),
+        work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = fleet.ownership,
-        dispatcher = localDispatcher(control),
-        upstreams = httpUpstreams(client, settings),
+        dispatcher = observed(slots.dispatcher, telemetry),
+        upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
 }
 
+private fun initialState(settings: Settings): ControlState =
+    initialState(settings.identity()).copy(dispatch = emptyDispatch(settings.dataCentre))
+
+private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
+    telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
+    telemetry.meters.gauge("figdeck.configuration.age.seconds") {
+        control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+}
+
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
     val http = PlatformHttp(client, settings.platformAddress)
     return Platform(httpCommands(http), httpQueries(http))
@@ -118,20 +165,12 @@
     )
 }
 
-private fun localDispatcher(control: Control<ControlState>): Dispatcher {
-    val count = AtomicLong()
-    return Dispatcher(
-        acquire = { request ->
-            control.run { state, _ -> reserveSlot(state, request.candidates) }
-                .map { Permit(count.incrementAndGet(), it, CompletableDeferred()) }
-        },
-        release = { permit, _, _ -> control.run { state, _ -> releaseSlot(state, permit.upstream.id) } },
-    )
-}
-
-/** Request ids that are unique across hosts and across restarts of one host. */
-private fun requestIds(settings: Settings, random: Random): () -> RequestId {
-    val start = random.nextLong().toULong().toString(radix = 36)
+/** Request ids that are unique across hosts and across restarts of one host, and rise with time. */
+private fun requestIds(settings: Settings, clock: Clock, random: Random): () -> RequestId {
+    val start = random.nextInt().toUInt().toString(ID_RADIX)
     val count = AtomicLong()
-    return { RequestId("${settings.host}.$start.${count.incrementAndGet()}") }
+    return {
+        val time = clock().epochMillis.toString(ID_RADIX)
+        RequestId("$time.${settings.host}.$start.${count.incrementAndGet()}")
+    }
 }
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -1,6 +1,12 @@
 package figdeck.control
 
+import figdeck.command.batch.RunningSegments
+import figdeck.command.batch.noSegments
 import figdeck.command.dispatch.DispatchState
+import figdeck.command.dispatch.emptyDispatch
+import figdeck.command.journal.JournalState
+import figdeck.command.journal.groupInterval
+import figdeck.command.journal.initialJournal
 import figdeck.command.ownership.HostIdentity
 import figdeck.command.ownership.LeaseTimes
 import figdeck.model.Configuration
@@ -9,7 +15,6 @@
 import figdeck.model.emptyConfiguration
 import figdeck.query.ConfigurationIndex
 import figdeck.query.indexOf
-import kotlinx.collections.immutable.persistentMapOf
 
 /**
  * All that one daemon decides from.
@@ -25,6 +30,8 @@
     public val fleet: FleetState,
     public val dispatch: DispatchState,
     public val draining: Boolean,
+    public val journal: JournalState,
+    public val batch: RunningSegments,
 )
 
 /** The state of the daemon on the host [self] before it knows anything. */
@@ -34,6 +41,8 @@
     index = indexOf(emptyConfiguration),
     confirmedAt = null,
     fleet = initialFleet(self, times),
-    dispatch = DispatchState(persistentMapOf()),
+    dispatch = emptyDispatch(),
     draining = false,
+    journal = initialJournal(groupInterval(1)),
+    batch = noSegments,
 )
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -98,6 +98,13 @@
         override val message: String get() = "the work can't be kept now: send again after the time in Retry-After"
     }
 
+    /** The platform's service did not tell in time whether it keeps the work. */
+    public data class Unconfirmed(override val retryAfter: Duration) : Refusal {
+        override val message: String
+            get() = "it is not known yet whether the work was kept: send the same again to get the first one's id"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
     /** The daemon is stopping. */
     public data object Draining : Refusal {
         override val message: String get() = "this host is stopping: send again, and another host will answer"
@@ -122,6 +129,33 @@
         override val retryAfter: Duration get() = 1.seconds
     }
 
+    /** The commit of the acceptance of [id] has not been settled yet; if it stands, the request will run. */
+    public data class InDoubt(public val id: RequestId) : Refusal {
+        override val message: String
+            get() = "request '$id' may have been accepted: read /v1/results/$id before sending again"
+        override val ran: Ran get() = Ran.UNKNOWN
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** Another host took request [id] over while this one was running it. */
+    public data class TakenOver(public val id: RequestId) : Refusal {
+        override val message: String get() = "another host took request '$id' over: read /v1/results/$id"
+        override val ran: Ran get() = Ran.UNKNOWN
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** The host was lost after it intended to send work that must not be repeated. */
+    public data class HostLost(public val host: HostId) : Refusal {
+        override val message: String
+            get() = "unknown: may have run; host '$host' was lost on the way: check its effect before sending again"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
+    /** The host was lost before it sent the work anywhere. */
+    public data class NotStarted(public val host: HostId) : Refusal {
+        override val message: String get() = "host '$host' was lost before the work was sent: send it again"
+    }
+
     /** A refusal read back from a durable record. */
     public data class Recorded(
         public val type: String,
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -3,8 +3,11 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import figdeck.daemon.command.CallAnswer
+import figdeck.daemon.command.CallOrder
 import figdeck.daemon.command.Services
-import figdeck.daemon.command.serveCall
+import figdeck.daemon.command.awaitAcceptance
+import figdeck.daemon.command.awaitResult
+import figdeck.daemon.command.startCall
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -12,6 +15,7 @@
 import figdeck.model.Refusal
 import figdeck.model.Work
 import figdeck.query.accessTo
+import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.bearerKey
 import figdeck.traffic.refuse
@@ -37,14 +41,20 @@
 private suspend fun Services.serve(call: HttpCall): Either<Refusal, CallAnswer> = either {
     val below = call.path.removePrefix(SERVICES_PREFIX)
     val access = control.snapshot.index.accessTo(below.substringBefore('/'), call.bearerKey()).bind()
+    noteTeam(access.team?.id)
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
-    val work = Work.ServiceCall(
+    val text = body.decodeToString()
+    val service = Work.ServiceCall(
         route = access.route.name,
         method = call.method,
         path = "/" + below.substringAfter('/', ""),
         contentType = call.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty(),
-        body = body.decodeToString(),
+        body = text,
         idempotent = access.route.idempotent,
     )
-    serveCall(access, work).bind()
+    val order = CallOrder(access, service, call.resendKey(access.team, text).bind())
+    val work = startCall(order).bind()
+    work.deltas.cancel()
+    work.awaitAcceptance().bind()
+    work.awaitResult().bind()
 }
