--- a/src/main/kotlin/figdeck/command/ownership/LeaseTimes.kt
+++ b/src/main/kotlin/figdeck/command/ownership/LeaseTimes.kt
@@ -12,7 +12,7 @@
  * @property renewal the time between two renewals.
  * @property margin what a claimant waits beyond the lease, for clocks that run at different speeds.
  * @property scan the time between two scans of the host rows.
- * @property shardScan the longest time between two scans of the shard rows.
+ * @property shardScan the longest time between two scans of the shard rows while nothing changes.
  * @property longWait how long a host that isn't a guardian waits, and the most that guardians can extend a lease to.
  */
 public data class LeaseTimes(
@@ -20,6 +20,6 @@
     public val renewal: Duration = 1.seconds,
     public val margin: Duration = 500.milliseconds,
     public val scan: Duration = 1.seconds,
-    public val shardScan: Duration = 30.seconds,
+    public val shardScan: Duration = 5.minutes,
     public val longWait: Duration = 15.minutes,
 )
--- a/src/main/kotlin/figdeck/daemon/command/KeepShards.kt
+++ b/src/main/kotlin/figdeck/daemon/command/KeepShards.kt
@@ -69,23 +69,26 @@
 private suspend fun FleetParts.followShards(): Boolean {
     val rows = platform.scanShards().valueOrNull() ?: return false
     change { state, _ -> observeShards(state, rows) }
-    claimShards()
-    releaseShards()
-    return true
+    val claimed = claimShards()
+    return releaseShards() && claimed
 }
 
-private suspend fun FleetParts.claimShards() {
+/** Whether every claim's outcome is known to be good; otherwise the rows have to be read again. */
+private suspend fun FleetParts.claimShards(): Boolean {
     var plan = decide { state, now -> Step(state, planClaims(state, SHARDS_A_TRANSACTION, now)) }
     while (plan != null) {
         val claim = plan
-        val version = commit(claim) ?: return
+        val version = commit(claim) ?: return false
         change { state, now -> confirmClaim(state, claim, version, now) }
         plan = decide { state, now -> Step(state, planClaims(state, SHARDS_A_TRANSACTION, now)) }
     }
+    return true
 }
 
-private suspend fun FleetParts.releaseShards() {
+/** Whether every release's outcome is known to be good; otherwise the rows have to be read again. */
+private suspend fun FleetParts.releaseShards(): Boolean {
     val receivers = mutableSetOf<HostLease>()
+    var known = true
     var plan = decide { state, _ -> planRelease(state, SHARDS_A_TRANSACTION) }
     while (plan != null) {
         val release = plan
@@ -94,9 +97,11 @@
             change { state, _ -> confirmRelease(state, release, version) }
             receivers += receiversOf(release)
         }
+        known = version != null
         plan = if (version == null) null else decide { state, _ -> planRelease(state, SHARDS_A_TRANSACTION) }
     }
     receivers.forEach { peers.wake(it) }
+    return known
 }
 
 private fun FleetParts.receiversOf(release: ShardPlan): Set<HostLease> = release.rows
--- a/src/test/kotlin/figdeck/process/FleetLimitSpec.kt
+++ b/src/test/kotlin/figdeck/process/FleetLimitSpec.kt
@@ -15,6 +15,7 @@
 
 private const val RATE = 40.0
 private const val BURST = 20
+private const val PEER_SECRET = "peer-secret"
 
 /** What a stretch of calls came to, and what the service saw of it. */
 private data class Load(
@@ -57,8 +58,27 @@
         Load(answers.size, runs() - before, answers.groupingBy { it }.eachCount(), seconds).also(::println)
     }
 
+    /** Tokens that a peer could draw from any of the daemons while it asks ten times a second for [time]. */
+    suspend fun drawn(time: Duration): Load {
+        val start = TimeSource.Monotonic.markNow()
+        var granted = 0
+        var asked = 0
+        while (start.elapsedNow() < time) {
+            granted += daemons.sumOf { drawFrom(it) }
+            asked += daemons.size
+            delay(100.milliseconds)
+        }
+        return Load(asked, granted, emptyMap(), start.elapsedNow().inWholeMilliseconds / 1e3).also(::println)
+    }
+
     override fun close() = fleet.close()
 
+    private suspend fun drawFrom(daemon: Member): Int {
+        val ask = Ask("POST", "/peer/draw", """[{"team":"stado","waiting":40}]""", PEER_SECRET)
+        val granted = Regex("\"granted\":(\\d+)").find(fleet.send(daemon.peerAddress, ask).body)
+        return granted?.groupValues?.get(1)?.toInt() ?: 0
+    }
+
     private fun call(name: Int) = Ask("POST", "/v1/services/slots/check", "$name", STADO_KEY)
 
     private suspend fun runs(): Int =
@@ -116,6 +136,15 @@
                 load.served shouldBeGreaterThan (load.most / 4)
             }
         }
+        it("grant up to the rate, and no more, through an outage of the table longer than the lease") {
+            delay(8.seconds)
+            fleet.platformFaults("outage=true")
+            delay(6.seconds)
+            val load = fleet.drawn(6.seconds)
+            fleet.platformFaults("")
+            load.served shouldBeLessThanOrEqual load.most
+            load.served shouldBeGreaterThan (load.most * 3 / 4)
+        }
         it("serve again, and hold the limit, after a host is lost") {
             delay(8.seconds)
             fleet.daemons[0].kill()
