--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -4,13 +4,19 @@
 import com.github.ajalt.clikt.core.subcommands
 import figdeck.cli.Figdeck
 import figdeck.cli.command.Demo
+import figdeck.cli.command.DrainCommand
+import figdeck.cli.command.KeyGroup
 import figdeck.cli.command.Serve
 import figdeck.cli.command.StandIn
+import figdeck.cli.command.TemplateGroup
+import figdeck.cli.query.Bench
 import figdeck.cli.query.MeasureHop
+import figdeck.cli.query.Status
 
 /** Starts the command that the arguments name. */
 public fun main(args: Array<String>) {
     Figdeck()
-        .subcommands(Serve(), StandIn(), Demo(), MeasureHop())
+        .subcommands(Serve(), StandIn(), Demo(), Bench(), MeasureHop())
+        .subcommands(TemplateGroup(), KeyGroup(), Status(), DrainCommand())
         .main(args)
 }
--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -1,27 +1,40 @@
 package figdeck.cli
 
 import figdeck.command.dispatch.DispatchPolicy
-import figdeck.command.dispatch.emptyDispatch
+import figdeck.command.ownership.isLeased
+import figdeck.command.ownership.otherHosts
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.beginDrain
 import figdeck.control.initialState
+import figdeck.daemon.command.ConfigurationStore
 import figdeck.daemon.command.GroupCommit
+import figdeck.daemon.command.JournalFleet
+import figdeck.daemon.command.PEER_CONFIGURATION_PATH
+import figdeck.daemon.command.Peer
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.avoidLeaving
 import figdeck.daemon.command.awaitWork
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.endLease
 import figdeck.daemon.command.groupJournal
+import figdeck.daemon.command.httpPeerConfiguration
 import figdeck.daemon.command.keepJournal
 import figdeck.daemon.command.leaveFleet
-import figdeck.daemon.query.followConfiguration
+import figdeck.daemon.command.spread
+import figdeck.daemon.query.Following
+import figdeck.daemon.query.followHosts
+import figdeck.daemon.query.followPeers
+import figdeck.daemon.query.followTable
+import figdeck.daemon.query.lostHosts
 import figdeck.daemon.query.tableRecords
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.log.PartLog
+import figdeck.model.ChangeId
 import figdeck.model.Clock
 import figdeck.model.RequestId
 import figdeck.model.systemClock
@@ -34,6 +47,8 @@
 import figdeck.telemetry.observed
 import figdeck.telemetry.tracerFor
 import figdeck.traffic.callerApi
+import figdeck.traffic.command.Changing
+import figdeck.traffic.command.peerConfigurationHandler
 import figdeck.traffic.operatorApi
 import figdeck.traffic.peerApi
 import figdeck.upstream.command.UpstreamCommands
@@ -70,7 +85,7 @@
 ) : AutoCloseable {
     private val client = HttpClient(group)
     private val telemetry = Telemetry(Meters(), tracer, clock)
-    private val control = Control(initialState(settings), clock) { delay ->
+    private val control = Control(initialState(settings.identity()), clock) { delay ->
         telemetry.meters.timed("figdeck.control.delay", delay)
     }
     private val platform = observed(httpPlatform(client, settings), telemetry)
@@ -81,25 +96,36 @@
     private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
     private val batches = BatchServices(services, platform)
+    private val following =
+        Following(platform.queries, control, clock, ::peers, httpPeerConfiguration(client, settings.credentials.peer))
     private val callerServer = HttpServer(
         group,
         HttpServerLimits(),
-        observed("caller", callerApi(services, batches, platform.queries), telemetry)
+        observed("caller", callerApi(services, batches, platform.queries), telemetry),
+    )
+    private val peerServer = HttpServer(
+        group,
+        HttpServerLimits(),
+        peerApi(
+            settings.credentials.peer,
+            fleet.handlers + (PEER_CONFIGURATION_PATH to peerConfigurationHandler(following)),
+        ),
     )
-    private val peerServer = HttpServer(group, HttpServerLimits(), peerApi(settings.credentials.peer, fleet.handlers))
     private val operatorServer =
         HttpServer(
             group,
             HttpServerLimits(),
-            operatorApi(control, platform, telemetry.meters, settings.credentials.operator),
+            operatorApi(changing(random), telemetry.meters, settings.credentials.operator),
         )
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         showGauges(control, telemetry)
-        scope.launch { followConfiguration(platform, control, clock) }
         fleet.start()
-        scope.launch { services.keepJournal(platform, groups, { emptyList() }, newIncarnation) }
+        scope.launch { following.followTable() }
+        scope.launch { following.followPeers() }
+        scope.launch { followHosts(platform.queries, control) }
+        scope.launch { keepJournal() }
         scope.launch { runBatches(batches) }
         scope.launch { slots.followTime() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
@@ -136,13 +162,31 @@
         records = tableRecords(platform.queries),
         work = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job)),
         ownership = fleet.ownership,
-        dispatcher = observed(slots.dispatcher, telemetry),
+        dispatcher = observed(slots.dispatcher.avoidLeaving(control), telemetry),
         upstreams = observed(httpUpstreams(client, settings), telemetry),
     )
-}
 
-private fun initialState(settings: Settings): ControlState =
-    initialState(settings.identity()).copy(dispatch = emptyDispatch(settings.dataCentre))
+    private fun peers(): List<Peer> = control.snapshot.fleet.ownership.otherHosts().map { Peer(it.host, it.address) }
+
+    private suspend fun keepJournal() {
+        services.keepJournal(
+            platform = platform,
+            groups = groups,
+            fleet = JournalFleet(
+                isLeased = { control.snapshot.fleet.ownership.isLeased(clock()) },
+                hostCount = { control.snapshot.fleet.ownership.hosts.size },
+                lostHosts = { lostHosts(platform.queries, control) },
+            ),
+            newIncarnation = newIncarnation,
+        )
+    }
+
+    private fun changing(random: Random): Changing = Changing(
+        store = ConfigurationStore(platform, control, clock),
+        spread = { change -> following.peerConfiguration.spread(change, peers()) },
+        newChangeId = { ChangeId(random.nextLong().toULong().toString(radix = 36)) },
+    )
+}
 
 private fun showGauges(control: Control<ControlState>, telemetry: Telemetry) {
     telemetry.meters.gauge("figdeck.configuration.revision") { control.snapshot.index.revision.value }
--- a/src/main/kotlin/figdeck/command/ownership/Validity.kt
+++ b/src/main/kotlin/figdeck/command/ownership/Validity.kt
@@ -36,6 +36,10 @@
         .filterNot { it == self.host }
         .mapNotNull { hosts[it]?.row?.lease }
 
+/** The rows of the other hosts in the latest scan. */
+public fun OwnershipState.otherHosts(): List<HostLease> =
+    hosts.values.map { it.row.lease }.filterNot { it.host == self.host }
+
 private fun OwnershipState.isExtended(lease: HeldLease, now: Moment): Boolean {
     val guardians = currentGuardians()
     val promised = guardians.all { guardian -> promises[guardian]?.let { now < it + times.lease } ?: false }
--- a/src/main/kotlin/figdeck/control/ControlState.kt
+++ b/src/main/kotlin/figdeck/control/ControlState.kt
@@ -32,6 +32,7 @@
     public val draining: Boolean,
     public val journal: JournalState,
     public val batch: RunningSegments,
+    public val follow: FollowState = initialFollowState,
 )
 
 /** The state of the daemon on the host [self] before it knows anything. */
@@ -41,7 +42,7 @@
     index = indexOf(emptyConfiguration),
     confirmedAt = null,
     fleet = initialFleet(self, times),
-    dispatch = emptyDispatch(),
+    dispatch = emptyDispatch(self.dataCentre),
     draining = false,
     journal = initialJournal(groupInterval(1)),
     batch = noSegments,
--- a/src/main/kotlin/figdeck/traffic/command/BatchHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/BatchHandlers.kt
@@ -4,8 +4,8 @@
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.cancelBatch
 import figdeck.daemon.command.batch.submitBatch
+import figdeck.daemon.query.teamInForce
 import figdeck.http.server.HttpHandler
-import figdeck.query.teamOf
 import figdeck.traffic.bearerKey
 import figdeck.traffic.json
 import figdeck.traffic.query.BATCHES_PREFIX
@@ -21,7 +21,7 @@
 
 /** Handles `POST /v1/batches`. */
 internal fun submitHandler(batches: BatchServices): HttpHandler = { call, responder ->
-    batches.services.control.snapshot.index.teamOf(call.bearerKey()).fold(
+    batches.services.teamInForce(call.bearerKey()).fold(
         { responder.refuse(it) },
         { team ->
             batches.submitBatch(BatchOrder(team, call.headers.get(IDEMPOTENCY_KEY), call.body)).fold(
@@ -35,7 +35,7 @@
 /** Handles `POST /v1/batches/{id}/cancel`. */
 internal fun cancelHandler(batches: BatchServices): HttpHandler = { call, responder ->
     val id = call.path.removePrefix(BATCHES_PREFIX).removeSuffix(CANCEL_SUFFIX)
-    batches.services.control.snapshot.index.teamOf(call.bearerKey()).fold(
+    batches.services.teamInForce(call.bearerKey()).fold(
         { responder.refuse(it) },
         { team ->
             batches.cancelBatch(team.id, id).fold({ responder.refuse(it) }, { responder.json(encodeStatus(it)) })
--- a/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ChatHandler.kt
@@ -1,6 +1,7 @@
 package figdeck.traffic.command
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.raise.either
 import figdeck.daemon.command.ChatAnswer
 import figdeck.daemon.command.ChatOrder
@@ -9,6 +10,8 @@
 import figdeck.daemon.command.awaitAcceptance
 import figdeck.daemon.command.awaitResult
 import figdeck.daemon.command.startChat
+import figdeck.daemon.query.KeyGuard
+import figdeck.daemon.query.teamInForce
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -17,7 +20,6 @@
 import figdeck.model.Refusal
 import figdeck.model.RequestId
 import figdeck.query.poolFor
-import figdeck.query.teamOf
 import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.STATUS_OK
@@ -36,29 +38,37 @@
 private const val MAX_CHAT_BYTES = 1024 * 1024
 private const val EVENT_STREAM = "text/event-stream"
 
+/** A chat turn and the watch over the key that came with it. */
+private data class GuardedChat(
+    val order: ChatOrder,
+    val guard: KeyGuard,
+)
+
 /** Handles `POST /v1/chat/completions`. */
 internal fun chatHandler(services: Services): HttpHandler = { call, responder ->
     services.readOrder(call).fold(
         { responder.refuse(it) },
-        { order -> if (order.chat.stream) services.stream(order, responder) else services.answer(order, responder) },
+        { chat -> if (chat.order.chat.stream) services.stream(chat, responder) else services.answer(chat, responder) },
     )
 }
 
-private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, ChatOrder> = either {
-    val index = control.snapshot.index
-    val team = index.teamOf(call.bearerKey()).bind()
-    noteTeam(team.id)
+private suspend fun Services.readOrder(call: HttpCall): Either<Refusal, GuardedChat> = either {
+    noteTeam(teamInForce(call.bearerKey()).bind().id)
     val body = call.body.readAll(MAX_CHAT_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
     val text = body.decodeToString()
     val chat = decodeChat(text).bind()
-    ChatOrder(team, index.poolFor(team, chat).bind(), chat, call.resendKey(team, text).bind())
+    // A slow body leaves time for the key to be withdrawn.
+    val team = teamInForce(call.bearerKey()).bind()
+    val pool = control.snapshot.index.poolFor(team, chat).bind()
+    val guard = KeyGuard(this@readOrder, call.bearerKey(), team.id)
+    GuardedChat(ChatOrder(team, pool, chat, call.resendKey(team, text).bind()), guard)
 }
 
-private suspend fun Services.answer(order: ChatOrder, responder: HttpResponder) {
-    finishedChat(order).fold(
+private suspend fun Services.answer(chat: GuardedChat, responder: HttpResponder) {
+    finishedChat(chat.order).flatMap { answer -> chat.guard.check(answer.id).map { answer } }.fold(
         { responder.refuse(it) },
         { answer ->
-            val head = head(answer.id, order)
+            val head = head(answer.id, chat.order)
             responder.json(encodeAnswer(head, answer.content, answer.finishReason), requestId = answer.id)
         },
     )
@@ -71,32 +81,36 @@
     work.awaitResult().bind()
 }
 
-private suspend fun Services.stream(order: ChatOrder, responder: HttpResponder) {
-    startChat(order).fold(
+private suspend fun Services.stream(chat: GuardedChat, responder: HttpResponder) {
+    startChat(chat.order).fold(
         { responder.refuse(it) },
         { work ->
             work.awaitAcceptance().fold(
                 { responder.refuse(it) },
-                { id -> responder.follow(work, head(id, order)) },
+                { id -> responder.follow(work, head(id, chat.order), chat.guard) },
             )
         },
     )
 }
 
 /** Passes the progress of [work] on; the work itself goes on when the caller hangs up. */
-private suspend fun HttpResponder.follow(work: RunningWork<ChatAnswer>, head: CompletionHead) {
+private suspend fun HttpResponder.follow(work: RunningWork<ChatAnswer>, head: CompletionHead, guard: KeyGuard) {
     val headers = newHeaders()
         .set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM)
         .set(REQUEST_ID_HEADER, head.id.value)
     start(STATUS_OK, headers)
     try {
         for (delta in work.deltas) {
-            event(encodeChunk(head, CompletionChunk(delta, null)))
+            guarded(guard, head, CompletionChunk(delta, null))
         }
     } finally {
         work.deltas.cancel()
     }
-    endStream(head, work.awaitResult())
+    endStream(head, work.awaitResult().flatMap { answer -> guard.check(head.id).map { answer } })
+}
+
+private suspend fun HttpResponder.guarded(guard: KeyGuard, head: CompletionHead, chunk: CompletionChunk) {
+    guard.check(head.id).onRight { event(encodeChunk(head, chunk)) }
 }
 
 private suspend fun HttpResponder.endStream(head: CompletionHead, result: Either<Refusal, ChatAnswer>) {
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -5,8 +5,8 @@
 import figdeck.command.journal.journalKey
 import figdeck.control.Control
 import figdeck.control.changeJournal
-import figdeck.control.confirmConfiguration
-import figdeck.control.initialState
+import figdeck.control.followConfiguration
+import figdeck.control.stateOf
 import figdeck.daemon.query.tableRecords
 import figdeck.model.CallResult
 import figdeck.model.Configuration
@@ -135,9 +135,8 @@
 /** A daemon without its listeners. */
 internal class MemoryHost(world: MemoryWorld, name: String, template: Template, fault: Fault? = null) : AutoCloseable {
     val effects = Effects(fault)
-    private val host = HostId(name)
     private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
-    private val control = Control(initialState(host), systemClock)
+    private val control = Control(stateOf(name), systemClock)
     private val platform = world.platform(effects)
     private val groups = GroupCommit(control, platform)
     private val numbers = AtomicInteger()
@@ -158,7 +157,7 @@
 
     /** Starts to serve and to take over the journals of [lost] hosts. */
     suspend fun start(vararg lost: String) {
-        control.run { state, now -> confirmConfiguration(state, configuration, now) }
+        control.run { state, _ -> followConfiguration(state, configuration) }
         control.run { state, _ -> changeJournal(state) { Step(it.copy(interval = 1.milliseconds), Unit) } }
         scope.launch { services.holdJournal(platform, groups, incarnations) }
         if (lost.isNotEmpty()) {
