Lookups are answered through an outage of the table

Cause: every call waited for a durable acceptance, so with the table down callers inside their rate were refused. Ruled out: the same for chat turns and for calls that may not be repeated; they have to be kept before they run. Change: an idempotent call without an idempotency key runs at once and is recorded afterwards; gauges of shards, hosts and lease age; the limit specs begin once every shard has an owner, since they speak of the steady state.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -201,6 +201,14 @@
         control.snapshot.confirmedAt?.let { (telemetry.clock() - it).inWholeMilliseconds / MILLIS_PER_SECOND }
             ?: Double.NaN
     }
+    telemetry.meters.gauge("figdeck.shards.owned") { control.snapshot.fleet.ownership.owned.size }
+    telemetry.meters.gauge("figdeck.hosts.known") { control.snapshot.fleet.ownership.hosts.size }
+    telemetry.meters.gauge("figdeck.lease.age.seconds") {
+        control.snapshot.fleet.ownership.held
+            ?.let { (telemetry.clock() - it.sentAt).inWholeMilliseconds / MILLIS_PER_SECOND }
+            ?: Double.NaN
+    }
+    telemetry.meters.gauge("figdeck.journal.waiting") { control.snapshot.journal.pending.size }
 }
 
 private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
--- a/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import arrow.core.raise.ensure
+import arrow.core.right
 import figdeck.daemon.query.awaitOutcome
 import figdeck.model.Attempt
 import figdeck.model.CallResult
@@ -10,6 +11,7 @@
 import figdeck.model.Lane
 import figdeck.model.Moment
 import figdeck.model.Outcome
+import figdeck.model.Ran
 import figdeck.model.Refusal
 import figdeck.model.RequestId
 import figdeck.model.RequestRecord
@@ -19,6 +21,7 @@
 import figdeck.query.RouteAccess
 import figdeck.upstream.command.ServiceAnswer
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 
 /** A call of a plain service that may be served. [resend] is null if it came without an idempotency key. */
@@ -37,7 +40,37 @@
 /** Starts a call of a plain service. One that is not idempotent is sent again only if nothing was sent. */
 public suspend fun Services.startCall(order: CallOrder): Either<Refusal, RunningWork<CallAnswer>> = either {
     order.access.team?.let { limits.take(it).bind() }
-    start { id, sink -> serveCall(id, order, sink) }
+    start { id, sink -> if (order.isLookup) serveLookup(id, order, sink) else serveCall(id, order, sink) }
+}
+
+/** Whether the call changes nothing, so that its caller need not wait until it is kept. */
+private val CallOrder.isLookup: Boolean get() = call.idempotent && resend == null
+
+/** Runs a lookup at once and records it afterwards, so that it neither waits for the table nor fails with it. */
+private suspend fun Services.serveLookup(
+    id: RequestId,
+    order: CallOrder,
+    sink: WorkSink,
+): Either<Refusal, CallAnswer> {
+    val record = newRecord(id, order.access.team, order.call, resend = null)
+    sink.accepted(id.right())
+    val attempts = mutableListOf<Attempt>()
+    val result = runCall(record, order.access, order.call, attempts)
+    val ran = result.fold({ it.ran == Ran.UNKNOWN }, { true })
+    if (ran) {
+        work.launch { recordLookup(record, attempts, result) }
+    }
+    return result.map { CallAnswer(id, it) }
+}
+
+private suspend fun Services.recordLookup(
+    record: RequestRecord,
+    attempts: List<Attempt>,
+    result: Either<Refusal, ServiceAnswer>,
+) {
+    if (journal.accept(record) == Acceptance.Accepted) {
+        finish(record, attempts, result) { Outcome.CallAnswered(it.status, it.contentType, it.body) }
+    }
 }
 
 private suspend fun Services.serveCall(
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -6,6 +6,7 @@
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.model.Address
+import figdeck.model.SHARD_COUNT
 import figdeck.model.Template
 import figdeck.wire.command.encodeTemplate
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -149,6 +150,20 @@
         return OutgoingRequest(address, method, target, sent, body.encodeToByteArray())
     }
 
+    /** Waits until every shard has an owner among [daemons] and each of them has its part. */
+    suspend fun awaitShards(daemons: List<Member>) {
+        eventually(30.seconds) {
+            val owned = daemons.map { metric(it, "figdeck_shards_owned") }
+            owned.sum() == SHARD_COUNT.toDouble() && owned.all { it > SHARD_COUNT / daemons.size / 2 }
+        }
+    }
+
+    /** The value of the metric [name] without labels at [daemon]. */
+    suspend fun metric(daemon: Member, name: String): Double {
+        val text = send(daemon.operatorAddress, Ask("GET", "/metrics", key = OPERATOR_SECRET)).body
+        return Regex("^$name (\\S+)$", RegexOption.MULTILINE).find(text)?.groupValues?.get(1)?.toDouble() ?: 0.0
+    }
+
     override fun close() {
         members.forEach { it.process.destroyForcibly() }
         members.forEach { it.process.waitFor() }
--- a/src/test/kotlin/figdeck/process/FleetLimitSpec.kt
+++ b/src/test/kotlin/figdeck/process/FleetLimitSpec.kt
@@ -38,6 +38,7 @@
 
     suspend fun prepare() {
         fleet.apply(daemons[0], eveningTemplate(listOf(engine), listOf(service), RATE, BURST), daemons)
+        fleet.awaitShards(daemons)
         delay(3.seconds)
     }
 
--- /dev/null
+++ b/src/test/kotlin/figdeck/process/LookupSpec.kt
@@ -0,0 +1,48 @@
+package figdeck.process
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val LOOKUPS = 150
+
+class LookupSpec : DescribeSpec({
+    describe("lookups inside their team's rate") {
+        it("are answered through an outage of the table that is longer than a lease") {
+            Fleet().use { fleet ->
+                val service = fleet.service("slots-1")
+                val engine = fleet.engine("engine-1")
+                val daemons = listOf("a", "b", "c").map { fleet.daemon("host-$it", "centre-$it") }
+                val template = eveningTemplate(listOf(engine), listOf(service), rate = 40.0, burst = 20)
+                val lookups = template.copy(routes = template.routes.map { it.copy(idempotent = true) })
+                fleet.apply(daemons[0], lookups, daemons)
+                fleet.awaitShards(daemons)
+                fleet.platformFaults("outage=true")
+                val statuses = coroutineScope {
+                    List(LOOKUPS) { number ->
+                        async {
+                            delay((number * 100).milliseconds)
+                            val ask = Ask("POST", "/v1/services/slots/lane", "$number", STADO_KEY)
+                            fleet.send(daemons[number % 3].address, ask).status
+                        }
+                    }.awaitAll()
+                }
+                statuses.groupingBy { it }.eachCount() shouldBe mapOf(200 to LOOKUPS)
+                // What needs a durable acceptance is refused, and truthfully.
+                val turn = fleet.send(daemons[0].address, chat(chatBody("Any lane?")))
+                turn.status shouldBe 503
+                Regex("\"ran\":\"(no|unknown)\"").findAll(turn.body).count() shouldBeGreaterThan 0
+                fleet.platformFaults("outage=false")
+                eventually(10.seconds) {
+                    fleet.send(daemons[0].address, chat(chatBody("Any lane?"))).status == 200
+                }
+            }
+        }
+    }
+})
