--- a/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -11,7 +11,6 @@
 import figdeck.model.ChangeId
 import figdeck.model.CommitReply
 import figdeck.model.ConfigurationChange
-import figdeck.model.HostId
 import figdeck.model.OperatorName
 import figdeck.model.Revision
 import figdeck.model.TableTransaction
--- a/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
@@ -5,7 +5,6 @@
 import figdeck.control.stateOf
 import figdeck.model.Address
 import figdeck.model.DataCentre
-import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.TeamId
 import figdeck.model.Upstream
