--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -135,7 +135,6 @@
 /** A daemon without its listeners. */
 internal class MemoryHost(world: MemoryWorld, name: String, template: Template, fault: Fault? = null) : AutoCloseable {
     val effects = Effects(fault)
-    host = HostId(name)
     private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
     private val control = Control(stateOf(name), systemClock)
     private val platform = world.platform(effects)
