--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -24,6 +24,13 @@
         override val message: String get() = "the key is unknown or withdrawn: ask the operators for a new one"
     }
 
+    /** The key was withdrawn while its work ran as [id]. */
+    public data class KeyWithdrawn(public val id: RequestId) : Refusal {
+        override val message: String
+            get() = "the key was withdrawn while request '$id' ran: read /v1/results/$id with another key of the team"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
     /** The request breaks the protocol at [path]. */
     public data class BadRequest(public val path: String, public val remedy: String) : Refusal {
         override val message: String get() = "$path: $remedy"
@@ -62,6 +69,13 @@
             get() = "team '$team' is over its rate: wait ${retryAfter.inWholeMilliseconds} ms and send again"
     }
 
+    /** The host that keeps the limit of [team] can't be reached, or there is none just now. */
+    public data class LimitUnavailable(public val team: TeamId) : Refusal {
+        override val message: String
+            get() = "the limit of team '$team' can't be checked now: send again after a second"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
     /** Too much work waits already. */
     public data class Overloaded(public val what: String, override val retryAfter: Duration) : Refusal {
         override val message: String get() = "$what is overloaded: send again after the time in Retry-After"
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -2,6 +2,7 @@
 
 import figdeck.daemon.command.Services
 import figdeck.daemon.command.batch.BatchServices
+import figdeck.daemon.query.isCurrent
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.platform.query.PlatformQueries
@@ -20,6 +21,8 @@
     val result = resultHandler(services.control, services.records)
     return { call, responder ->
         when {
+            call.bearerKey() != null && !services.control.snapshot.isCurrent(services.clock()) ->
+                responder.refuse(Refusal.StaleConfiguration)
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
             call.path.startsWith(SERVICES_PREFIX) -> service(call, responder)
             call.method == "GET" && call.path.startsWith(RESULTS_PREFIX) -> result(call, responder)
--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -8,13 +8,14 @@
 import figdeck.daemon.command.awaitAcceptance
 import figdeck.daemon.command.awaitResult
 import figdeck.daemon.command.startCall
+import figdeck.daemon.query.KeyGuard
+import figdeck.daemon.query.accessInForce
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
 import figdeck.model.Work
-import figdeck.query.accessTo
 import figdeck.telemetry.noteTeam
 import figdeck.traffic.REQUEST_ID_HEADER
 import figdeck.traffic.bearerKey
@@ -40,9 +41,11 @@
 
 private suspend fun Services.serve(call: HttpCall): Either<Refusal, CallAnswer> = either {
     val below = call.path.removePrefix(SERVICES_PREFIX)
-    val access = control.snapshot.index.accessTo(below.substringBefore('/'), call.bearerKey()).bind()
-    noteTeam(access.team?.id)
+    val route = below.substringBefore('/')
+    noteTeam(accessInForce(route, call.bearerKey()).bind().team?.id)
     val body = call.body.readAll(MAX_CALL_BYTES).mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.bind()
+    // A slow body leaves time for the key to be withdrawn.
+    val access = accessInForce(route, call.bearerKey()).bind()
     val text = body.decodeToString()
     val service = Work.ServiceCall(
         route = access.route.name,
@@ -56,5 +59,7 @@
     val work = startCall(order).bind()
     work.deltas.cancel()
     work.awaitAcceptance().bind()
-    work.awaitResult().bind()
+    val answered = work.awaitResult().bind()
+    access.team?.let { KeyGuard(this@serve, call.bearerKey(), it.id).check(answered.id).bind() }
+    answered
 }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -33,6 +33,7 @@
     get() = when (this) {
         Refusal.MissingKey -> "missing_key"
         Refusal.UnknownKey -> "unknown_key"
+        is Refusal.KeyWithdrawn -> "key_withdrawn"
         is Refusal.BadRequest -> "bad_request"
         is Refusal.BodyTooLarge -> "body_too_large"
         is Refusal.ModelNotFound -> "model_not_found"
@@ -40,6 +41,7 @@
         is Refusal.RouteNotFound -> "route_not_found"
         is Refusal.NotFound -> "not_found"
         is Refusal.OverRate -> "over_rate"
+        is Refusal.LimitUnavailable -> "limit_unavailable"
         is Refusal.Overloaded -> "overloaded"
         is Refusal.NoUpstream -> "no_upstream"
         is Refusal.UpstreamLost -> "upstream_lost"
@@ -60,7 +62,7 @@
 /** The HTTP status of this refusal. */
 internal val Refusal.status: Int
     get() = when (this) {
-        Refusal.MissingKey, Refusal.UnknownKey -> UNAUTHORIZED
+        Refusal.MissingKey, Refusal.UnknownKey, is Refusal.KeyWithdrawn -> UNAUTHORIZED
         is Refusal.BadRequest -> BAD_REQUEST
         is Refusal.BodyTooLarge -> TOO_LARGE
         is Refusal.ModelNotFound, is Refusal.RouteNotFound, is Refusal.NotFound -> NOT_FOUND
@@ -70,6 +72,7 @@
         is Refusal.KeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
         is Refusal.StoreUnavailable, is Refusal.Unconfirmed, Refusal.Draining -> UNAVAILABLE
+        is Refusal.LimitUnavailable -> UNAVAILABLE
         is Refusal.InDoubt, is Refusal.TakenOver -> GATEWAY_TIMEOUT
         is Refusal.HostLost, is Refusal.NotStarted -> BAD_GATEWAY
     }
--- /dev/null
+++ b/src/test/kotlin/figdeck/bench/FanOut.kt
@@ -0,0 +1,123 @@
+package figdeck.bench
+
+import figdeck.http.client.HttpClient
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.HttpServer
+import figdeck.http.server.HttpServerLimits
+import figdeck.model.Address
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.TimeSource
+
+private const val ROUNDS = 40
+private const val WARM_UP = 10
+private const val CHANGE_BYTES = 600
+private const val THREADS = 4
+private const val LIMIT = 1024
+
+/** How a change gets from the first endpoint to all others: [fanOut] children each, or straight to all when null. */
+private data class Way(
+    val name: String,
+    val fanOut: Int?,
+    val fresh: Boolean,
+)
+
+/**
+ * Endpoints on loopback in one process; each passes a change on to its children and then answers its parent. They share
+ * a listener and are told apart by path, so that 420 of them stay within the usual limit of 1,024 open files.
+ */
+private class Endpoints(
+    group: EventLoopGroup,
+    private val count: Int,
+    private val way: Way,
+    private val oneWay: Duration,
+) {
+    private val client = HttpClient(group)
+    private val server = HttpServer(group, HttpServerLimits(), handler())
+    private val address: Address = server.listen("127.0.0.1", 0)
+    private val change = ByteArray(CHANGE_BYTES) { 'x'.code.toByte() }
+
+    suspend fun spread() = send(children(0))
+
+    fun close() {
+        server.close()
+        client.close()
+    }
+
+    private fun handler(): HttpHandler = { call, responder ->
+        call.body.readAll(LIMIT)
+        delay(oneWay)
+        send(children(call.path.removePrefix("/").toInt()))
+        delay(oneWay)
+        responder.full(200, newHeaders(), ByteArray(0))
+    }
+
+    /** The paper's order: the parent of the process with id i is i div K, here counted from 0. */
+    private fun children(i: Int): List<Int> {
+        val fanOut = way.fanOut ?: return if (i == 0) (1 until count).toList() else emptyList()
+        return (i * fanOut + 1..i * fanOut + fanOut).filter { it < count }
+    }
+
+    private suspend fun send(to: List<Int>) {
+        coroutineScope { to.map { async { send(it) } }.awaitAll() }
+    }
+
+    private suspend fun send(to: Int) {
+        val request = OutgoingRequest(address, "POST", "/$to", newHeaders(), change, freshConnection = way.fresh)
+        client.exchange(request) { it.body.readAll(LIMIT) }.onLeft { error(it.reason) }
+    }
+}
+
+private fun measure(group: EventLoopGroup, count: Int, way: Way, oneWay: Duration) {
+    val endpoints = Endpoints(group, count, way, oneWay)
+    val times = runBlocking {
+        List(ROUNDS + WARM_UP) {
+            val start = TimeSource.Monotonic.markNow()
+            endpoints.spread()
+            start.elapsedNow().inWholeMicroseconds
+        }
+    }.drop(WARM_UP).sorted()
+    endpoints.close()
+    val median = times[times.size / 2] / 1_000.0
+    val worst = times.last() / 1_000.0
+    println(
+        "%3d endpoints, %-24s one way %6s: median %7.2f ms, worst %7.2f ms".format(
+            count,
+            way.name,
+            oneWay,
+            median,
+            worst
+        )
+    )
+}
+
+/** Measures direct push against the tree at 12 and 420 endpoints; there is no random choice, hence no seed. */
+fun main() {
+    val group = MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory())
+    val ways = listOf(
+        Way("direct, kept", null, fresh = false),
+        Way("direct, fresh", null, fresh = true),
+        Way("tree K=2, kept", 2, fresh = false),
+        Way("tree K=2, fresh", 2, fresh = true),
+        Way("tree K=8, kept", 8, fresh = false),
+        Way("tree K=20, kept", 20, fresh = false),
+    )
+    listOf(12, 420).forEach { count ->
+        listOf(Duration.ZERO, 1_500.microseconds).forEach { oneWay ->
+            ways.forEach { measure(group, count, it, oneWay) }
+        }
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+}
