--- a/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
+++ b/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
@@ -14,6 +14,7 @@
 import figdeck.model.RequestRecord
 import figdeck.model.RowCheck
 import figdeck.model.Work
+import figdeck.model.emptyConfiguration
 import figdeck.model.map
 import figdeck.platform.Platform
 import figdeck.platform.query.PlatformQueries
@@ -72,7 +73,7 @@
 }
 
 private suspend fun Services.awaitConfiguration() {
-    while (control.snapshot.confirmedAt == null) {
+    while (control.snapshot.let { it.confirmedAt == null && it.configuration == emptyConfiguration }) {
         delay(READ_PAUSE)
     }
 }
