--- a/src/main/kotlin/figdeck/daemon/command/Dispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/Dispatcher.kt
@@ -1,16 +1,12 @@
 package figdeck.daemon.command
 
 import arrow.core.Either
+import figdeck.command.dispatch.DispatchRequest
+import figdeck.command.dispatch.UseResult
 import figdeck.model.Refusal
 import figdeck.model.Upstream
 import kotlinx.coroutines.Deferred
 
-/** Work that wants a slot at an upstream. */
-public typealias DispatchRequest = figdeck.command.dispatch.DispatchRequest
-
-/** How the use of a slot ended. */
-public typealias UseResult = figdeck.command.dispatch.UseResult
-
 /**
  * A slot at an upstream, held until it is released.
  *
--- a/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -4,6 +4,8 @@
 import arrow.core.raise.either
 import arrow.core.raise.ensure
 import arrow.core.right
+import figdeck.command.dispatch.DispatchRequest
+import figdeck.command.dispatch.UseResult
 import figdeck.daemon.query.awaitOutcome
 import figdeck.model.Attempt
 import figdeck.model.CallResult
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -5,6 +5,8 @@
 import arrow.core.raise.either
 import arrow.core.raise.ensure
 import arrow.core.right
+import figdeck.command.dispatch.DispatchRequest
+import figdeck.command.dispatch.UseResult
 import figdeck.command.dispatch.prefixAffinity
 import figdeck.daemon.query.awaitOutcome
 import figdeck.model.Attempt
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -6,9 +6,11 @@
 import figdeck.command.dispatch.Arrival
 import figdeck.command.dispatch.DispatchEffect
 import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.DispatchState
 import figdeck.command.dispatch.DispatchStep
 import figdeck.command.dispatch.Release
+import figdeck.command.dispatch.UseResult
 import figdeck.command.dispatch.admit
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.tick
--- a/src/main/kotlin/figdeck/daemon/command/batch/EngineTry.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/EngineTry.kt
@@ -1,8 +1,8 @@
 package figdeck.daemon.command.batch
 
 import figdeck.command.batch.TryResult
+import figdeck.command.dispatch.UseResult
 import figdeck.daemon.command.Permit
-import figdeck.daemon.command.UseResult
 import figdeck.upstream.command.EngineResult
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunItem.kt
@@ -6,10 +6,10 @@
 import figdeck.command.batch.ItemStep
 import figdeck.command.batch.afterTry
 import figdeck.command.batch.mayStartItem
+import figdeck.command.dispatch.DispatchRequest
+import figdeck.command.dispatch.UseResult
 import figdeck.command.dispatch.prefixAffinity
-import figdeck.daemon.command.DispatchRequest
 import figdeck.daemon.command.Permit
-import figdeck.daemon.command.UseResult
 import figdeck.daemon.command.candidates
 import figdeck.model.ItemAnswer
 import figdeck.model.ItemOutcome
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -11,6 +11,7 @@
 import figdeck.traffic.command.serviceHandler
 import figdeck.traffic.query.BATCHES_PREFIX
 import figdeck.traffic.query.RESULTS_PREFIX
+import figdeck.traffic.query.healthHandler
 import figdeck.traffic.query.resultHandler
 
 /** What callers can ask of a daemon. */
@@ -19,8 +20,10 @@
     val chat = chatHandler(services)
     val service = serviceHandler(services)
     val result = resultHandler(services.control, services.records)
+    val health = healthHandler(services.control, services.clock)
     return { call, responder ->
         when {
+            call.method == "GET" && call.path == "/v1/health" -> health(call, responder)
             call.bearerKey() != null && !services.control.snapshot.isCurrent(services.clock()) ->
                 responder.refuse(Refusal.StaleConfiguration)
             call.method == "POST" && call.path == "/v1/chat/completions" -> chat(call, responder)
--- a/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/SlotDispatcherSpec.kt
@@ -1,6 +1,8 @@
 package figdeck.daemon.command
 
 import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.DispatchRequest
+import figdeck.command.dispatch.UseResult
 import figdeck.control.Control
 import figdeck.control.stateOf
 import figdeck.model.Address
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -128,6 +128,7 @@
                 val status = send(member.operatorAddress, Ask("GET", "/v1/status", key = OPERATOR_SECRET))
                 Regex("\"revision\":$revision\\b") in status.body
             }
+            eventually(30.seconds) { send(member.address, Ask("GET", "/v1/health")).status == 200 }
         }
     }
 
