--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import figdeck.cli.Figdeck
 import figdeck.cli.command.Demo
+import figdeck.cli.command.Edge
 import figdeck.cli.command.DrainCommand
 import figdeck.cli.command.KeyGroup
 import figdeck.cli.command.Serve
@@ -17,7 +18,7 @@
 /** Starts the command that the arguments name. */
 public fun main(args: Array<String>) {
     Figdeck()
-        .subcommands(Serve(), StandIn(), Demo(), Bench(), MeasureHop())
+        .subcommands(Serve(), Edge(), StandIn(), Demo(), Bench(), MeasureHop())
         .subcommands(TemplateGroup(), KeyGroup(), Status(), Explain(), DrainCommand())
         .main(args)
 }
--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -38,10 +38,10 @@
 import figdeck.model.Clock
 import figdeck.model.RequestId
 import figdeck.model.systemClock
-import figdeck.platform.Platform
-import figdeck.platform.PlatformHttp
-import figdeck.platform.command.httpCommands
-import figdeck.platform.query.httpQueries
+import figdeck.store.Store
+import figdeck.store.StoreHttp
+import figdeck.store.command.httpCommands
+import figdeck.store.query.httpQueries
 import figdeck.telemetry.Meters
 import figdeck.telemetry.Telemetry
 import figdeck.telemetry.observed
@@ -211,9 +211,9 @@
     telemetry.meters.gauge("figdeck.journal.waiting") { control.snapshot.journal.pending.size }
 }
 
-private fun httpPlatform(client: HttpClient, settings: Settings): Platform {
-    val http = PlatformHttp(client, settings.platformAddress)
-    return Platform(httpCommands(http), httpQueries(http))
+private fun httpPlatform(client: HttpClient, settings: Settings): Store {
+    val http = StoreHttp(client, settings.platformAddress)
+    return Store(httpCommands(http), httpQueries(http))
 }
 
 private fun httpUpstreams(client: HttpClient, settings: Settings): UpstreamCommands {
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -0,0 +1,208 @@
+package figdeck.cli
+
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.adoptPlan
+import figdeck.control.serving.beginStop
+import figdeck.control.serving.initialServing
+import figdeck.control.serving.onOwnSlots
+import figdeck.daemon.command.OwnSlots
+import figdeck.daemon.command.PeerCalls
+import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.jobs.JobCache
+import figdeck.daemon.command.jobs.JobServices
+import figdeck.daemon.command.jobs.JobStore
+import figdeck.daemon.command.jobs.runJobs
+import figdeck.daemon.command.serving.FleetPeers
+import figdeck.daemon.command.serving.OnlineServices
+import figdeck.daemon.command.serving.PoolSlots
+import figdeck.daemon.command.serving.SlotOwner
+import figdeck.daemon.command.serving.TeamLimits
+import figdeck.daemon.command.serving.httpFleetPeers
+import figdeck.daemon.command.serving.keepMembership
+import figdeck.daemon.command.serving.leaveMembership
+import figdeck.daemon.query.serving.TableFollower
+import figdeck.daemon.query.serving.follow
+import figdeck.daemon.query.serving.jobFollower
+import figdeck.daemon.query.serving.planFollower
+import figdeck.daemon.query.serving.poolFollower
+import figdeck.http.client.HttpClient
+import figdeck.http.newHeaders
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.HttpServer
+import figdeck.http.server.HttpServerLimits
+import figdeck.log.DecisionLog
+import figdeck.log.LineWriter
+import figdeck.log.PartLog
+import figdeck.model.Clock
+import figdeck.model.HostId
+import figdeck.model.serving.FleetMember
+import figdeck.model.systemClock
+import figdeck.platform.FrontServices
+import figdeck.platform.JobApi
+import figdeck.platform.PLAN_TABLE
+import figdeck.platform.RUNNER_TABLE
+import figdeck.platform.StoreClient
+import figdeck.platform.decodePlan
+import figdeck.platform.decodeRunner
+import figdeck.platform.frontHandler
+import figdeck.platform.httpItems
+import figdeck.platform.readinessHandler
+import figdeck.telemetry.Meters
+import figdeck.telemetry.Telemetry
+import figdeck.telemetry.observed
+import figdeck.telemetry.tracerFor
+import figdeck.traffic.command.fleetServingHandlers
+import figdeck.traffic.peerApi
+import figdeck.wire.serving.JOB_TABLE
+import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val log = PartLog("daemon")
+private const val ID_RADIX = 36
+private const val OK = 200
+
+/** How long new connections are still taken after the readiness turned: two questions a second apart, and one more. */
+private val LEAVE_ROTATION = 3.seconds
+
+/** How long before the platform ends the process the stop must be over. */
+private val STOP_MARGIN = 700.milliseconds
+
+/** A connection to an upstream that isn't open by then is tried elsewhere; several round trips between data centres. */
+private val UPSTREAM_CONNECT = 300.milliseconds
+private val PEER_CONNECT = 150.milliseconds
+private val STORE_CONNECT = 500.milliseconds
+
+/** The least time between two readings of a table that changes all the time. */
+private val JOB_PACE = 150.milliseconds
+private val PROMPT_PACE = 20.milliseconds
+private val IDLE_LIMITS = HttpServerLimits(headerTimeout = 120.seconds)
+
+/** A running daemon on the users' platform: its parts, wired from [settings]. */
+internal class EdgeDaemon(
+    private val settings: EdgeSettings,
+    private val group: EventLoopGroup,
+    private val clock: Clock = systemClock,
+    private val random: Random = Random.Default,
+) : AutoCloseable {
+    /** Completes when a planned stop is asked for. */
+    val stopRequested = CompletableDeferred<Unit>()
+    private val telemetry = Telemetry(Meters(), tracerFor(settings.host.value, null), clock)
+    private val control = Control(initialServing(self()), clock) { delay ->
+        telemetry.meters.timed("figdeck.control.delay", delay)
+    }
+    private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val lines = LineWriter(System.out)
+    private val upstreams = HttpClient(group, UPSTREAM_CONNECT)
+    private val peerClient = HttpClient(group, PEER_CONNECT)
+    private val storeClient = HttpClient(group, STORE_CONNECT)
+    private val platform = StoreClient(storeClient, settings.storeAddress)
+    private val store = observed(platform.store, telemetry)
+    private val peers = httpFleetPeers(PeerCalls(peerClient, settings.fleetName))
+    private val slots = SlotDispatcher(ownSlots(), DispatchPolicy(deadlineMargin = 0.0), random)
+    private val owner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
+    private val poolSlots: PoolSlots = PoolSlots(control, clock, owner, peers, scope)
+    private val limits = TeamLimits(control, clock, peers)
+    private val online = OnlineServices(clock, limits, poolSlots, random, DecisionLog("serve", lines))
+    private val jobs = JobServices(
+        control = control,
+        clock = clock,
+        store = JobStore(store),
+        cache = JobCache(),
+        slots = poolSlots,
+        forward = httpItems(upstreams),
+        random = random,
+        log = DecisionLog("jobs", lines),
+    )
+    private val front = server(observed("caller", frontHandler(frontServices()), telemetry))
+    private val readiness = server(readinessHandler(control))
+    private val peerServer = server(peerApi(settings.fleetName, fleetServingHandlers(owner, poolSlots, limits)))
+    private val metrics = server { _, responder ->
+        responder.full(OK, newHeaders(), telemetry.meters.scrape().encodeToByteArray())
+    }
+
+    /** Starts the listeners and the work that goes on by itself. */
+    fun start() {
+        val decisions = DecisionLog("follow", lines)
+        follow(PLAN_TABLE, PROMPT_PACE, planFollower(control, ::decodePlan, decisions))
+        follow(RUNNER_TABLE, PROMPT_PACE, poolFollower(control, ::decodeRunner, decisions))
+        follow(JOB_TABLE, JOB_PACE, jobFollower(control))
+        scope.launch { control.keepMembership(store, platform.feed, clock, random) }
+        scope.launch { slots.followTime() }
+        scope.launch { owner.dropSilent() }
+        scope.launch { poolSlots.confirmHeld() }
+        scope.launch { jobs.runJobs() }
+        peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
+        front.listen(settings.callerAddress.ip, settings.callerAddress.port)
+        readiness.listen(settings.readinessAddress.ip, settings.readinessAddress.port)
+        metrics.listen(settings.callerAddress.ip, settings.metricsPort)
+    }
+
+    /** Stops as planned: leaves the balancer's rotation first, and cuts no call in progress. */
+    suspend fun drain() {
+        val startedAt = clock()
+        val limit = settings.grace - STOP_MARGIN
+        log.info { "stopping: ${front.activeCalls} calls in progress" }
+        control.run { state, _ -> beginStop(state) }
+        front.announceDrain()
+        scope.launch { control.leaveMembership(store) }
+        delay(minOf(LEAVE_ROTATION, limit / 2))
+        front.drain(Duration.ZERO, limit - (clock() - startedAt))
+        log.info { "stopped: ${front.activeCalls} calls in progress" }
+    }
+
+    override fun close() {
+        scope.cancel()
+        listOf(front, readiness, peerServer, metrics).forEach { it.close() }
+        listOf(upstreams, peerClient, storeClient).forEach { it.close() }
+        control.close()
+    }
+
+    private fun self(): FleetMember = FleetMember(
+        host = settings.host,
+        address = settings.peerAddress,
+        dataCentre = settings.dataCentre,
+        incarnation = random.nextLong().toULong().toString(ID_RADIX),
+        joinedAt = 0,
+        renewedAt = 0,
+    )
+
+    private fun server(handler: HttpHandler): HttpServer = HttpServer(group, IDLE_LIMITS, handler)
+
+    private fun frontServices() = FrontServices(control, online, JobApi(jobs), upstreams)
+
+    private fun ownSlots() = OwnSlots(
+        now = { control.snapshot.slots },
+        decide = { decision -> control.run { state: ServingState, now -> onOwnSlots(state) { decision(it, now) } } },
+    )
+
+    private fun follow(table: String, pace: Duration, follower: TableFollower) {
+        scope.launch { platform.feed.follow(table, random, pace, follower) }
+    }
+
+    private fun revoke(host: HostId, ticket: Long) {
+        val member = control.snapshot.fleet.scan?.members?.find { it.host == host }
+        when {
+            host == settings.host -> poolSlots.revoke(listOf(ticket))
+            member == null -> log.warn { "host $host is unknown: slot $ticket could not be taken back" }
+            else -> scope.launch { tellRevoked(peers, member, ticket) }
+        }
+    }
+}
+
+private suspend fun tellRevoked(peers: FleetPeers, holder: FleetMember, ticket: Long) {
+    if (!peers.revoke(holder.address, listOf(ticket))) {
+        log.warn { "host ${holder.host} was not told to give slot $ticket back" }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -0,0 +1,73 @@
+package figdeck.cli
+
+import arrow.core.Either
+import arrow.core.raise.nullable
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.Fault
+import figdeck.model.FaultCollector
+import figdeck.model.HostId
+import figdeck.model.parseAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Settings of a daemon on the users' platform as they were written. */
+internal data class RawEdgeSettings(
+    val host: String,
+    val dataCentre: String,
+    val callerAddress: String,
+    val readinessAddress: String,
+    val peerAddress: String,
+    val storeAddress: String,
+    val metricsPort: String,
+    val graceSeconds: String,
+    val fleetName: String,
+)
+
+/**
+ * What a daemon on the users' platform knows from its flags and environment variables.
+ *
+ * @property grace how long after the request to stop the platform ends the process.
+ * @property fleetName what daemons of one fleet show each other, so that those of another fleet are turned away.
+ */
+public data class EdgeSettings(
+    public val host: HostId,
+    public val dataCentre: DataCentre,
+    public val callerAddress: Address,
+    public val readinessAddress: Address,
+    public val peerAddress: Address,
+    public val storeAddress: Address,
+    public val metricsPort: Int,
+    public val grace: Duration,
+    public val fleetName: String,
+)
+
+/** Checks every setting and gives either all faults, each under its flag, or the settings. */
+internal fun RawEdgeSettings.check(): Either<List<Fault>, EdgeSettings> {
+    val faults = FaultCollector("")
+    val hostId = faults.attempt("--host") { HostId(host) }
+    val centre = faults.attempt("--data-centre") { DataCentre(dataCentre) }
+    val caller = faults.attempt("--caller-address") { parseAddress(callerAddress) }
+    val readiness = faults.attempt("--readiness-address") { parseAddress(readinessAddress) }
+    val peer = faults.attempt("--peer-address") { parseAddress(peerAddress) }
+    val store = faults.attempt("--store-address") { parseAddress(storeAddress) }
+    val port = metricsPort.toIntOrNull()
+    faults.expect(port != null, "--metrics-port", "'$metricsPort' is not a port: write a number")
+    val grace = graceSeconds.toDoubleOrNull()
+    faults.expect(grace != null && grace > 0, "--grace-seconds", "'$graceSeconds' is no time: write seconds above 0")
+    return faults.result {
+        nullable {
+            EdgeSettings(
+                host = hostId.bind(),
+                dataCentre = centre.bind(),
+                callerAddress = caller.bind(),
+                readinessAddress = readiness.bind(),
+                peerAddress = peer.bind(),
+                storeAddress = store.bind(),
+                metricsPort = port.bind(),
+                grace = grace.bind().seconds,
+                fleetName = fleetName,
+            )
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/cli/FleetWiring.kt
+++ b/src/main/kotlin/figdeck/cli/FleetWiring.kt
@@ -21,7 +21,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.server.HttpHandler
 import figdeck.model.Clock
-import figdeck.platform.Platform
+import figdeck.store.Store
 import figdeck.traffic.command.drawHandler
 import figdeck.traffic.command.promiseHandler
 import figdeck.traffic.command.wakeHandler
@@ -35,7 +35,7 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
     private val calls: PeerCalls,
-    platform: Platform,
+    platform: Store,
     random: Random,
 ) {
     /** What the loops need. */
--- /dev/null
+++ b/src/main/kotlin/figdeck/cli/command/Edge.kt
@@ -0,0 +1,67 @@
+package figdeck.cli.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import figdeck.cli.EdgeDaemon
+import figdeck.cli.EdgeSettings
+import figdeck.cli.RawEdgeSettings
+import figdeck.cli.check
+import figdeck.cli.newEventLoops
+import figdeck.log.PartLog
+import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
+
+private val log = PartLog("edge")
+
+/** Runs a daemon on the users' platform until it is told to stop. */
+internal class Edge : CliktCommand("edge") {
+    private val host by option(help = "Name of this host.").default("")
+    private val dataCentre by option(help = "Data centre of this host.").default("")
+    private val callerAddress by option(help = "Where callers connect, ip:port.").default("")
+    private val readinessAddress by option(help = "Where the balancer asks for readiness, ip:port.").default("")
+    private val peerAddress by option(help = "Where other daemons connect, ip:port.").default("")
+    private val storeAddress by option(help = "Where the platform's store listens, ip:port.").default("")
+    private val metricsPort by option(help = "Port of the metrics.").default("9464")
+    private val graceSeconds by option(help = "Seconds from the request to stop until the end.").default("8")
+    private val fleetName by option(help = "What daemons of one fleet show each other.").default("figdeck")
+
+    override fun help(context: Context): String = "Run a daemon on the users' platform."
+
+    override fun run() {
+        rawSettings().check().fold(
+            { faults ->
+                faults.forEach { echo("figdeck: $it", err = true) }
+                throw ProgramResult(EXIT_BAD_SETTINGS)
+            },
+            { runDaemon(it) },
+        )
+    }
+
+    private fun rawSettings() = RawEdgeSettings(
+        host = host,
+        dataCentre = dataCentre,
+        callerAddress = callerAddress,
+        readinessAddress = readinessAddress,
+        peerAddress = peerAddress,
+        storeAddress = storeAddress,
+        metricsPort = metricsPort,
+        graceSeconds = graceSeconds,
+        fleetName = fleetName,
+    )
+
+    private fun runDaemon(settings: EdgeSettings) {
+        EdgeDaemon(settings, newEventLoops()).use { daemon ->
+            Signal.handle(Signal("TERM")) { daemon.stopRequested.complete(Unit) }
+            Signal.handle(Signal("HUP")) { log.info { "settings are read at the start: nothing to reload" } }
+            daemon.start()
+            log.info { "host ${settings.host} serves callers at ${settings.callerAddress}" }
+            runBlocking {
+                daemon.stopRequested.await()
+                daemon.drain()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/Adopt.kt
@@ -0,0 +1,22 @@
+package figdeck.command.dispatch
+
+import figdeck.command.Step
+import figdeck.model.Moment
+import figdeck.model.Upstream
+
+/** Counts a slot that [ticket] already holds at [upstream]: its owner before is gone. */
+public fun adopt(
+    state: DispatchState,
+    ticket: Long,
+    request: DispatchRequest,
+    upstream: Upstream,
+    now: Moment,
+): DispatchStep {
+    if (ticket in state.tickets) {
+        return Step(state, emptyList())
+    }
+    val known = state.known(upstream, now)
+    val running = known.running.put(ticket, Running(ticket, request, now, revokedAt = null))
+    val adopted = state.copy(tickets = state.tickets.put(ticket, upstream.id)).with(known.copy(running = running))
+    return Step(adopted, emptyList())
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -0,0 +1,87 @@
+package figdeck.control.serving
+
+import figdeck.command.Step
+import figdeck.command.dispatch.DispatchEffect
+import figdeck.command.dispatch.DispatchState
+import figdeck.command.dispatch.DispatchStep
+import figdeck.command.dispatch.emptyDispatch
+import figdeck.command.serving.JobDirectory
+import figdeck.command.serving.PoolMembers
+import figdeck.command.serving.SharedLimits
+import figdeck.command.serving.loneFleet
+import figdeck.command.serving.noLimitsUsed
+import figdeck.command.serving.unknownJobs
+import figdeck.command.serving.unknownPools
+import figdeck.model.serving.Fleet
+import figdeck.model.serving.FleetMember
+import figdeck.model.serving.ServingPlan
+import figdeck.query.serving.PlanIndex
+import figdeck.query.serving.planIndexOf
+
+/**
+ * All that a daemon of the front end decides from.
+ *
+ * @property index the plan in force; null before the first one was read.
+ * @property slots the slots that this host gives out.
+ * @property isDraining whether this host is stopping.
+ */
+public data class ServingState(
+    public val index: PlanIndex?,
+    public val pools: PoolMembers,
+    public val fleet: Fleet,
+    public val slots: DispatchState,
+    public val limits: SharedLimits,
+    public val jobs: JobDirectory,
+    public val isDraining: Boolean,
+)
+
+/** The state of the daemon [self] before it knows anything. */
+public fun initialServing(self: FleetMember): ServingState = ServingState(
+    index = null,
+    pools = unknownPools,
+    fleet = loneFleet(self),
+    slots = emptyDispatch(self.dataCentre),
+    limits = noLimitsUsed,
+    jobs = unknownJobs,
+    isDraining = false,
+)
+
+/** Puts [plan] in force if it is newer, and tells whether it was. */
+internal fun adoptPlan(state: ServingState, plan: ServingPlan): Step<ServingState, Boolean> {
+    val current = state.index?.plan?.version
+    val isNewer = current == null || plan.version > current
+    return Step(if (isNewer) state.copy(index = planIndexOf(plan)) else state, isNewer)
+}
+
+/** Changes the part of the state that concerns the pools. */
+internal fun onPools(state: ServingState, change: (PoolMembers) -> PoolMembers): Step<ServingState, Unit> =
+    Step(state.copy(pools = change(state.pools)), Unit)
+
+/** Changes the part of the state that concerns the other daemons. */
+internal fun onFleet(state: ServingState, change: (Fleet) -> Fleet): Step<ServingState, Unit> =
+    Step(state.copy(fleet = change(state.fleet)), Unit)
+
+/** Changes the part of the state that concerns batch jobs. */
+internal fun onJobs(state: ServingState, change: (JobDirectory) -> JobDirectory): Step<ServingState, Unit> =
+    Step(state.copy(jobs = change(state.jobs)), Unit)
+
+/** Changes the part of the state that concerns limits. */
+internal fun <R> onLimits(
+    state: ServingState,
+    change: (SharedLimits) -> Step<SharedLimits, R>,
+): Step<ServingState, R> {
+    val step = change(state.limits)
+    return Step(state.copy(limits = step.state), step.result)
+}
+
+/** Runs a decision on the slots that this host gives out. */
+internal fun onOwnSlots(
+    state: ServingState,
+    decide: (DispatchState) -> DispatchStep,
+): Step<ServingState, List<DispatchEffect>> {
+    val step = decide(state.slots)
+    return Step(state.copy(slots = step.state), step.result)
+}
+
+/** Stops the taking of new connections. */
+internal fun beginStop(state: ServingState): Step<ServingState, Unit> = Step(state.copy(isDraining = true), Unit)
--- a/src/main/kotlin/figdeck/daemon/command/ChangeConfiguration.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ChangeConfiguration.kt
@@ -27,7 +27,7 @@
 import figdeck.model.TableTransaction
 import figdeck.model.TemplateEdit
 import figdeck.model.TemplatePatch
-import figdeck.platform.Platform
+import figdeck.store.Store
 import figdeck.wire.command.encodeChange
 import figdeck.wire.command.encodeHead
 
@@ -58,7 +58,7 @@
 
 /** What changing the configuration needs. */
 internal data class ConfigurationStore(
-    val platform: Platform,
+    val platform: Store,
     val control: Control<ControlState>,
     val clock: Clock,
 )
--- a/src/main/kotlin/figdeck/daemon/command/ClaimJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ClaimJournal.kt
@@ -14,7 +14,7 @@
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
-import figdeck.platform.Platform
+import figdeck.store.Store
 import figdeck.wire.encodeJournalOwner
 
 /** What each first group of an owner finds in the marker row. */
@@ -22,7 +22,7 @@
 
 /** Makes [owner] the owner of the journal of [host], whoever owned it; gives the table version of the claim. */
 internal suspend fun claimJournal(
-    platform: Platform,
+    platform: Store,
     host: HostId,
     owner: JournalOwner,
 ): Either<ClaimFailure, Long> = either {
@@ -33,7 +33,7 @@
 
 /** Makes [owner] the owner of the journal of [host] if its row still is [current]; of two that race, one wins. */
 internal suspend fun replaceOwner(
-    platform: Platform,
+    platform: Store,
     host: HostId,
     current: Row?,
     owner: JournalOwner,
@@ -55,7 +55,7 @@
 
 /** The version of the claim if it stands after all. */
 private suspend fun readBack(
-    platform: Platform,
+    platform: Store,
     key: String,
     owner: JournalOwner
 ): Either<ClaimFailure, Long> = either {
--- a/src/main/kotlin/figdeck/daemon/command/ExpireResults.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ExpireResults.kt
@@ -8,7 +8,7 @@
 import figdeck.model.RequestRecord
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
-import figdeck.platform.Platform
+import figdeck.store.Store
 import figdeck.wire.decodeRecord
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
@@ -33,7 +33,7 @@
 )
 
 /** Clears results older than their template's retention, oldest first, while this host owns that, until cancelled. */
-internal suspend fun Services.expireResults(platform: Platform, pace: ExpiryPace = ExpiryPace()) {
+internal suspend fun Services.expireResults(platform: Store, pace: ExpiryPace = ExpiryPace()) {
     var after = REQUEST_PREFIX
     while (true) {
         val fence = ownership.fenceOf(RETENTION_SHARD)
@@ -44,7 +44,7 @@
 }
 
 /** Clears what has expired of the next page; gives the key to go on after, or null at the end of the pass. */
-private suspend fun Services.expirePage(platform: Platform, fence: Fence, after: String): String? {
+private suspend fun Services.expirePage(platform: Store, fence: Fence, after: String): String? {
     val scanned = platform.queries.scanRows(REQUEST_PREFIX, after, PAGE_RECORDS)
     val rows = (scanned as? CallResult.Done)?.value.orEmpty()
     val records = rows.map { decodeRecord(it.value) }
--- a/src/main/kotlin/figdeck/daemon/command/FleetParts.kt
+++ b/src/main/kotlin/figdeck/daemon/command/FleetParts.kt
@@ -9,7 +9,7 @@
 import figdeck.control.ownershipStep
 import figdeck.model.HostId
 import figdeck.model.Moment
-import figdeck.platform.Platform
+import figdeck.store.Store
 import kotlinx.coroutines.channels.Channel
 
 /**
@@ -31,7 +31,7 @@
  */
 public data class FleetParts(
     public val control: Control<ControlState>,
-    public val platform: Platform,
+    public val platform: Store,
     public val peers: PeerOwnership,
     public val newIncarnation: () -> Long,
     public val woken: Channel<Unit> = Channel(Channel.CONFLATED),
--- a/src/main/kotlin/figdeck/daemon/command/GroupCommit.kt
+++ b/src/main/kotlin/figdeck/daemon/command/GroupCommit.kt
@@ -17,7 +17,7 @@
 import figdeck.model.Moment
 import figdeck.model.TableTransaction
 import figdeck.model.map
-import figdeck.platform.Platform
+import figdeck.store.Store
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.channels.Channel
@@ -28,7 +28,7 @@
 /** Writes the entries of a daemon's journal in groups, one transaction after another. */
 internal class GroupCommit(
     private val control: Control<ControlState>,
-    private val platform: Platform,
+    private val platform: Store,
 ) {
     private val fates = ConcurrentHashMap<Long, CompletableDeferred<EntryFate>>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
--- a/src/main/kotlin/figdeck/daemon/command/GroupJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/GroupJournal.kt
@@ -16,7 +16,7 @@
 import figdeck.model.Refusal
 import figdeck.model.RequestRecord
 import figdeck.model.RowCheck
-import figdeck.platform.Platform
+import figdeck.store.Store
 import figdeck.wire.decodeResentRequest
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
@@ -31,14 +31,14 @@
 private val RETRY_AFTER = 1.seconds
 
 /** A journal whose entries are written in groups. */
-internal fun groupJournal(control: Control<ControlState>, platform: Platform, groups: GroupCommit): Journal {
+internal fun groupJournal(control: Control<ControlState>, platform: Store, groups: GroupCommit): Journal {
     val writes = JournalWrites(control, platform, groups)
     return Journal(writes::accept, writes::intend, writes::finish, writes::finishRecovered)
 }
 
 private class JournalWrites(
     private val control: Control<ControlState>,
-    private val platform: Platform,
+    private val platform: Store,
     private val groups: GroupCommit,
 ) {
     suspend fun accept(record: RequestRecord): Acceptance {
--- a/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HoldJournal.kt
@@ -13,7 +13,7 @@
 import figdeck.model.Epoch
 import figdeck.model.JournalOwner
 import figdeck.model.RowCheck
-import figdeck.platform.Platform
+import figdeck.store.Store
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -27,7 +27,7 @@
  * cancelled.
  */
 internal suspend fun Services.keepJournal(
-    platform: Platform,
+    platform: Store,
     groups: GroupCommit,
     fleet: JournalFleet,
     newIncarnation: () -> String,
@@ -40,7 +40,7 @@
 
 /** Claims this host's journal, recovers what its former owner left open and writes the journal until cancelled. */
 internal suspend fun Services.holdJournal(
-    platform: Platform,
+    platform: Store,
     groups: GroupCommit,
     newIncarnation: () -> String,
     isLeased: () -> Boolean = { true },
--- a/src/main/kotlin/figdeck/daemon/command/OwnershipTable.kt
+++ b/src/main/kotlin/figdeck/daemon/command/OwnershipTable.kt
@@ -15,8 +15,8 @@
 import figdeck.model.SHARD_COUNT
 import figdeck.model.TableTransaction
 import figdeck.model.map
-import figdeck.platform.Platform
-import figdeck.platform.query.Found
+import figdeck.store.Store
+import figdeck.store.query.Found
 import figdeck.wire.command.decodeHostRow
 import figdeck.wire.command.decodeShardRow
 import figdeck.wire.command.encodeHostLease
@@ -26,30 +26,30 @@
 private const val HOST_PREFIX = "host/"
 private const val SHARD_PREFIX = "shard/"
 
-internal suspend fun Platform.commitRenewal(plan: RenewalPlan): CallResult<CommitReply> {
+internal suspend fun Store.commitRenewal(plan: RenewalPlan): CallResult<CommitReply> {
     val key = hostKey(plan.lease.host)
     val write = RowWrite(key, encodeHostLease(plan.lease))
     return commands.commit(TableTransaction(listOf(RowCheck(key, plan.expected)), listOf(write)))
 }
 
 /** Deletes the host's row if it still stands as the plan says. */
-internal suspend fun Platform.commitExpiry(plan: ExpiryPlan): CallResult<CommitReply> {
+internal suspend fun Store.commitExpiry(plan: ExpiryPlan): CallResult<CommitReply> {
     val key = hostKey(plan.host)
     return commands.commit(TableTransaction(listOf(RowCheck(key, plan.version)), listOf(RowWrite(key, null))))
 }
 
-internal suspend fun Platform.commitShards(plan: ShardPlan): CallResult<CommitReply> {
+internal suspend fun Store.commitShards(plan: ShardPlan): CallResult<CommitReply> {
     val shardChecks = plan.rows.map { RowCheck(shardKey(it.shard), it.version) }
     val ownerChecks = plan.ownerChecks.map { (host, version) -> RowCheck(hostKey(host), version) }
     val writes = plan.rows.map { RowWrite(shardKey(it.shard), encodeShardRow(it)) }
     return commands.commit(TableTransaction(shardChecks + ownerChecks, writes))
 }
 
-internal suspend fun Platform.readHost(host: HostId): CallResult<Found<HostRow>> =
+internal suspend fun Store.readHost(host: HostId): CallResult<Found<HostRow>> =
     queries.readRow(hostKey(host)).map { found -> Found(found.value?.let { decodeHostRow(it) }) }
 
-internal suspend fun Platform.scanHosts(): CallResult<List<HostRow>> =
+internal suspend fun Store.scanHosts(): CallResult<List<HostRow>> =
     queries.scanRows(HOST_PREFIX, "", MAX_HOSTS).map { rows -> rows.mapNotNull { decodeHostRow(it) } }
 
-internal suspend fun Platform.scanShards(): CallResult<List<ShardRow>> =
+internal suspend fun Store.scanShards(): CallResult<List<ShardRow>> =
     queries.scanRows(SHARD_PREFIX, "", SHARD_COUNT).map { rows -> rows.mapNotNull { decodeShardRow(it) } }
--- a/src/main/kotlin/figdeck/daemon/command/PeerCalls.kt
+++ b/src/main/kotlin/figdeck/daemon/command/PeerCalls.kt
@@ -40,7 +40,8 @@
         wake = { peer -> call(peer.address, WAKE_PATH, "", DRAW_DEADLINE) },
     )
 
-    private suspend fun call(address: Address, target: String, body: String, deadline: Duration): String? {
+    /** Posts [body] to [target]; null when the peer gave no proper answer within [deadline]. */
+    suspend fun call(address: Address, target: String, body: String, deadline: Duration): String? {
         val request = OutgoingRequest(
             address = address,
             method = "POST",
--- a/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
+++ b/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
@@ -16,8 +16,8 @@
 import figdeck.model.Work
 import figdeck.model.emptyConfiguration
 import figdeck.model.map
-import figdeck.platform.Platform
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.Store
+import figdeck.store.query.StoreQueries
 import figdeck.query.RouteAccess
 import figdeck.wire.decodeOpenRequest
 import kotlinx.coroutines.coroutineScope
@@ -50,7 +50,7 @@
 )
 
 /** Ends every request of [left] as it has to end; false if another owner came in between. */
-internal suspend fun Services.recover(platform: Platform, left: LeftOpen): Boolean {
+internal suspend fun Services.recover(platform: Store, left: LeftOpen): Boolean {
     awaitConfiguration()
     val open = scanOpen(platform.queries, left)
     if (open.isNotEmpty()) {
@@ -78,7 +78,7 @@
     }
 }
 
-private suspend fun scanOpen(queries: PlatformQueries, left: LeftOpen): List<OpenRequest> {
+private suspend fun scanOpen(queries: StoreQueries, left: LeftOpen): List<OpenRequest> {
     val prefix = openPrefix(left.host)
     val found = mutableListOf<OpenRequest>()
     var after = prefix
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -12,6 +12,7 @@
 import figdeck.command.dispatch.Release
 import figdeck.command.dispatch.UseResult
 import figdeck.command.dispatch.admit
+import figdeck.command.dispatch.adopt
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.tick
 import figdeck.command.dispatch.withdraw
@@ -20,6 +21,7 @@
 import figdeck.control.onSlots
 import figdeck.model.Moment
 import figdeck.model.Refusal
+import figdeck.model.Upstream
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
@@ -33,22 +35,45 @@
 
 private val TICK = 50.milliseconds
 
+/**
+ * The slots that one host gives out.
+ *
+ * @property now the latest state of the slots.
+ * @property decide runs a decision on the control thread.
+ */
+internal data class OwnSlots(
+    val now: () -> DispatchState,
+    val decide: suspend ((DispatchState, Moment) -> DispatchStep) -> List<DispatchEffect>,
+)
+
 /** Carries the decisions on slots to those who wait for them. */
 internal class SlotDispatcher(
-    private val control: Control<ControlState>,
+    private val slots: OwnSlots,
     private val policy: DispatchPolicy,
     private val random: Random,
 ) {
+    constructor(control: Control<ControlState>, policy: DispatchPolicy, random: Random) : this(
+        OwnSlots(
+            now = { control.snapshot.dispatch },
+            decide = { decision -> control.run { state, now -> onSlots(state) { decision(it, now) } } },
+        ),
+        policy,
+        random,
+    )
+
     private val holders = ConcurrentHashMap<Long, Holder>()
     private val lastTicket = AtomicLong()
 
-    val dispatcher: Dispatcher = Dispatcher(::acquire, ::release)
+    val dispatcher: Dispatcher = Dispatcher(
+        acquire = { request -> acquire(lastTicket.incrementAndGet(), request) },
+        release = ::release,
+    )
 
     /** Gives out what time alone frees, until cancelled. */
     suspend fun followTime(interval: Duration = TICK) {
         while (true) {
             delay(interval)
-            val waiting = control.snapshot.dispatch.upstreams.values
+            val waiting = slots.now().upstreams.values
                 .any { it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty() }
             if (waiting) {
                 decide { state, now -> tick(state, policy, now) }
@@ -56,8 +81,16 @@
         }
     }
 
-    private suspend fun acquire(request: DispatchRequest): Either<Refusal, Permit> {
-        val ticket = lastTicket.incrementAndGet()
+    /** Counts the slot that [ticket] holds at [upstream] already, and gives its permit. */
+    suspend fun adopt(ticket: Long, request: DispatchRequest, upstream: Upstream): Permit {
+        val holder = Holder(CompletableDeferred(), CompletableDeferred())
+        holders[ticket] = holder
+        decide { state, now -> adopt(state, ticket, request, upstream, now) }
+        return Permit(ticket, upstream, holder.revoked)
+    }
+
+    /** Waits for a slot under a [ticket] that no other request uses. */
+    suspend fun acquire(ticket: Long, request: DispatchRequest): Either<Refusal, Permit> {
         val holder = Holder(CompletableDeferred(), CompletableDeferred())
         holders[ticket] = holder
         return try {
@@ -78,7 +111,7 @@
     /** Not cancellable: a decision that was made must reach those whom it concerns. */
     private suspend fun decide(decision: (DispatchState, Moment) -> DispatchStep) {
         withContext(NonCancellable) {
-            control.run { state, now -> onSlots(state) { decision(it, now) } }.forEach { carryOut(it) }
+            slots.decide(decision).forEach { carryOut(it) }
         }
     }
 
--- a/src/main/kotlin/figdeck/daemon/command/TakeOverJournals.kt
+++ b/src/main/kotlin/figdeck/daemon/command/TakeOverJournals.kt
@@ -11,7 +11,7 @@
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
-import figdeck.platform.Platform
+import figdeck.store.Store
 import figdeck.wire.decodeJournalOwner
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
@@ -22,7 +22,7 @@
 
 /** Takes over the journals of the hosts that [lostHosts] tells, one after another, until cancelled. */
 internal suspend fun Services.takeOverJournals(
-    platform: Platform,
+    platform: Store,
     lostHosts: suspend () -> List<HostId>,
     newIncarnation: () -> String,
     pause: Duration = LOOK_INTERVAL,
@@ -35,7 +35,7 @@
 }
 
 private suspend fun Services.takeOver(
-    platform: Platform,
+    platform: Store,
     host: HostId,
     lost: Set<HostId>,
     newIncarnation: () -> String,
@@ -55,7 +55,7 @@
 }
 
 /** Removes the rows of a journal in which nothing is open. */
-private suspend fun closeJournal(platform: Platform, left: LeftOpen) {
+private suspend fun closeJournal(platform: Store, left: LeftOpen) {
     val writes = listOf(RowWrite(journalKey(left.host), null), RowWrite(markerKey(left.host), null))
     platform.commands.commit(TableTransaction(listOf(left.fence), writes))
 }
--- a/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/BatchServices.kt
@@ -2,7 +2,7 @@
 
 import figdeck.command.batch.GROUP_ITEMS
 import figdeck.daemon.command.Services
-import figdeck.platform.Platform
+import figdeck.store.Store
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -36,6 +36,6 @@
 /** What batch work needs of its daemon. */
 public data class BatchServices(
     public val services: Services,
-    public val platform: Platform,
+    public val platform: Store,
     public val pace: BatchPace = BatchPace(),
 )
--- a/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
@@ -17,7 +17,7 @@
 import figdeck.model.TableTransaction
 import figdeck.model.TeamId
 import figdeck.model.map
-import figdeck.platform.query.Found
+import figdeck.store.query.Found
 import figdeck.query.statusOf
 import figdeck.wire.encodeJob
 import kotlin.time.Duration.Companion.seconds
--- a/src/main/kotlin/figdeck/daemon/command/batch/Retry.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/Retry.kt
@@ -3,7 +3,7 @@
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
 import figdeck.model.TableTransaction
-import figdeck.platform.query.Found
+import figdeck.store.query.Found
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/RunSegment.kt
@@ -24,7 +24,7 @@
 import figdeck.model.TableTransaction
 import figdeck.model.map
 import figdeck.model.valueOrNull
-import figdeck.platform.query.Found
+import figdeck.store.query.Found
 import figdeck.wire.command.encodeItemResult
 import figdeck.wire.encodeJob
 import figdeck.wire.encodeSegment
--- a/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/SubmitBatch.kt
@@ -21,7 +21,7 @@
 import figdeck.model.TableTransaction
 import figdeck.model.hashKey
 import figdeck.model.map
-import figdeck.platform.query.Found
+import figdeck.store.query.Found
 import figdeck.wire.encodeJob
 import figdeck.wire.encodeKept
 import kotlin.time.Duration.Companion.seconds
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/EndJob.kt
@@ -0,0 +1,62 @@
+package figdeck.daemon.command.jobs
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.serving.KnownJob
+import figdeck.model.CallResult
+import figdeck.model.Refusal
+import figdeck.model.TeamId
+import figdeck.model.serving.JobId
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val PATIENCE = 2.seconds
+private val PAUSE = 60.milliseconds
+private val RETRY_AFTER = 500.milliseconds
+
+/** Ends the job [id] of [team] for good; ending it again is done at once. */
+internal suspend fun JobServices.endJob(id: JobId, team: TeamId): Either<Refusal, Unit> {
+    val startedAt = clock()
+    val writeId = newWriteId()
+    var result: Either<Refusal, Unit>? = null
+    while (result == null) {
+        result = when (val read = store.read(id)) {
+            is CallResult.Done -> tryEnd(read.value, id, team, writeId)
+            is CallResult.NotDone, is CallResult.Unknown -> null
+        }
+        if (result == null && clock() - startedAt > PATIENCE) {
+            result = Refusal.StoreUnavailable(RETRY_AFTER).left()
+        }
+        if (result == null) {
+            delay(PAUSE)
+        }
+    }
+    log.note("ended", id.value) {
+        put("team", team.value)
+        put("outcome", result.leftOrNull()?.message ?: "done")
+    }
+    return result
+}
+
+/** Null when it has to be tried again. */
+private suspend fun JobServices.tryEnd(
+    job: KnownJob?,
+    id: JobId,
+    team: TeamId,
+    writeId: String,
+): Either<Refusal, Unit>? = when {
+    job == null || job.record.team != team -> Refusal.NotFound("job $id").left()
+    job.record.isEnded -> {
+        learn(job)
+        Unit.right()
+    }
+    else -> when (val written = store.write(job.record.copy(isEnded = true, writeId = writeId), job.version)) {
+        is RecordWrite.Written -> {
+            learn(written.job)
+            Unit.right()
+        }
+        is RecordWrite.Superseded, is RecordWrite.NotDone, is RecordWrite.Unknown -> null
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -0,0 +1,56 @@
+package figdeck.daemon.command.jobs
+
+import arrow.core.Either
+import figdeck.command.serving.KnownJob
+import figdeck.command.serving.putJob
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.onJobs
+import figdeck.daemon.command.serving.PoolSlots
+import figdeck.daemon.command.serving.SendOrder
+import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.http.client.ExchangeFailure
+import figdeck.log.DecisionLog
+import figdeck.model.Clock
+import figdeck.model.TeamId
+import figdeck.model.serving.JobItem
+import figdeck.model.serving.JobOwner
+import figdeck.model.serving.ServingRoute
+import kotlin.random.Random
+
+private const val ID_RADIX = 36
+
+/** An item on its way to an upstream. */
+internal data class ItemCall(
+    val item: JobItem,
+    val route: ServingRoute,
+    val team: TeamId,
+)
+
+/** Sends an item as ordered and passes the response to the function. */
+internal typealias ForwardItem =
+    suspend (ItemCall, SendOrder, suspend (UpstreamReply) -> Unit) -> Either<ExchangeFailure, Unit>
+
+/** What the running of batch jobs needs. */
+internal data class JobServices(
+    val control: Control<ServingState>,
+    val clock: Clock,
+    val store: JobStore,
+    val cache: JobCache,
+    val slots: PoolSlots,
+    val forward: ForwardItem,
+    val random: Random,
+    val log: DecisionLog,
+)
+
+/** This incarnation of this host. */
+internal val JobServices.self: JobOwner
+    get() = control.snapshot.fleet.self.let { JobOwner(it.host, it.incarnation) }
+
+/** A name that no other write has. */
+internal fun JobServices.newWriteId(): String = random.nextLong().toULong().toString(ID_RADIX)
+
+/** Makes [job] known on this host. */
+internal suspend fun JobServices.learn(job: KnownJob) {
+    control.run { state, _ -> onJobs(state) { putJob(it, job) } }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -0,0 +1,149 @@
+package figdeck.daemon.command.jobs
+
+import figdeck.command.serving.KnownJob
+import figdeck.log.PartLog
+import figdeck.model.CallResult
+import figdeck.model.serving.JobItem
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.JobResult
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import kotlin.time.Duration.Companion.milliseconds
+
+private val RETRY_PAUSE = 250.milliseconds
+
+/** How long results are gathered for one write. */
+private val GATHER = 40.milliseconds
+
+/** The characters of results that one write holds. */
+private const val MAX_WRITE_CHARACTERS = 300_000
+private const val MAX_WRITE_RESULTS = 20
+private val partLog = PartLog("jobs")
+
+/** Runs the items of [job] that have no result, and lists their results, until none is left or the job was lost. */
+internal suspend fun JobServices.runJob(job: KnownJob, running: Semaphore) {
+    val items = loadItems(job.record)
+    val listed = loadResults(job.record).map { it.item }.toSet()
+    val pending = items.filter { it.id !in listed }
+    coroutineScope {
+        val finished = Channel<JobResult>(Channel.UNLIMITED)
+        val runs = pending.map { item ->
+            launch {
+                val result = running.withPermit { RunJobItem(this@runJob, job.record, item).run() }
+                finished.send(result)
+            }
+        }
+        val kept = ListResults(this@runJob, job, pending).listAll(finished)
+        if (!kept) {
+            runs.forEach { it.cancel() }
+        }
+    }
+}
+
+private suspend fun JobServices.loadItems(record: JobRecord): List<JobItem> {
+    var items = cache.items(record.id)
+    while (items == null) {
+        items = store.readItems(record).fold(
+            { fault ->
+                partLog.warn { fault }
+                delay(RETRY_PAUSE)
+                null
+            },
+            { it },
+        )
+    }
+    cache.putItems(record.id, items)
+    return items
+}
+
+private suspend fun JobServices.loadResults(record: JobRecord): List<JobResult> {
+    while (cache.results(record.id).size < record.results) {
+        val from = cache.results(record.id).size
+        when (val read = store.readResults(record.id, from)) {
+            is CallResult.Done -> cache.addResults(record.id, from, read.value)
+            is CallResult.NotDone, is CallResult.Unknown -> delay(RETRY_PAUSE)
+        }
+    }
+    return cache.results(record.id)
+}
+
+/** The listing of the results of one job, under the version of its record. */
+private class ListResults(
+    private val services: JobServices,
+    job: KnownJob,
+    pending: List<JobItem>,
+) {
+    private var current = job
+    private val tokens = pending.associate { it.id to it.tokens }
+    private var left = pending.size
+
+    /** Lists what [finished] brings; false when the job was ended or is another host's now. */
+    suspend fun listAll(finished: Channel<JobResult>): Boolean {
+        while (left > 0) {
+            val batch = gather(finished)
+            if (!list(batch)) {
+                return false
+            }
+            left -= batch.size
+        }
+        return true
+    }
+
+    private suspend fun gather(finished: Channel<JobResult>): List<JobResult> {
+        val batch = mutableListOf(finished.receive())
+        delay(GATHER)
+        while (batch.size < MAX_WRITE_RESULTS && batch.sumOf { it.output.length } < MAX_WRITE_CHARACTERS) {
+            batch += finished.tryReceive().getOrNull() ?: break
+        }
+        return batch
+    }
+
+    private suspend fun list(batch: List<JobResult>): Boolean {
+        val record = current.record
+        val next = record.copy(
+            results = record.results + batch.size,
+            tokens = record.tokens - batch.sumOf { tokens[it.item] ?: 0 },
+            writeId = services.newWriteId(),
+        )
+        val rows = services.store.listing(record.id, record.results, batch)
+        var isKept: Boolean? = null
+        while (isKept == null) {
+            isKept = when (val written = services.store.write(next, current.version, rows)) {
+                is RecordWrite.Written -> {
+                    listed(written.job, batch)
+                    true
+                }
+                is RecordWrite.Superseded -> lost(written.current)
+                is RecordWrite.NotDone, is RecordWrite.Unknown -> {
+                    delay(RETRY_PAUSE)
+                    null
+                }
+            }
+        }
+        return isKept
+    }
+
+    private suspend fun listed(job: KnownJob, batch: List<JobResult>) {
+        services.cache.addResults(job.record.id, current.record.results, batch)
+        services.log.note("listed", job.record.id.value) {
+            put("results", job.record.results.toLong())
+            put("total", job.record.total.toLong())
+            put("given_up", batch.count { !it.isComplete }.toLong())
+        }
+        current = job
+        services.learn(job)
+    }
+
+    private suspend fun lost(now: KnownJob?): Boolean {
+        services.log.note("job_lost", current.record.id.value) {
+            put("ended", now?.record?.isEnded ?: true)
+            put("owner", now?.record?.owner?.host?.value ?: "none")
+        }
+        now?.let { services.learn(it) }
+        return false
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -0,0 +1,216 @@
+package figdeck.daemon.command.jobs
+
+import figdeck.command.dispatch.UseResult
+import figdeck.daemon.command.serving.Disposition
+import figdeck.daemon.command.serving.HeldPermit
+import figdeck.daemon.command.serving.SendOrder
+import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.isSuccess
+import figdeck.http.client.ExchangeFailure
+import figdeck.model.Lane
+import figdeck.model.serving.JobItem
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.JobResult
+import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.SlotAsk
+import figdeck.query.serving.poolFor
+import figdeck.wire.serving.EventFramer
+import figdeck.wire.serving.StreamEvent
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.selects.select
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How long one question for a slot waits before it is put again. */
+private val SLOT_PATIENCE = 1_500.milliseconds
+private val SLOT_PAUSE = 150.milliseconds
+private val FAILURE_PAUSE = 100.milliseconds
+
+/** How long an upstream may be silent until the item goes on elsewhere. */
+private val STALL = 2.seconds
+
+/** The longest time that one upstream is given for an item. */
+private val SEND_LIMIT = 60.seconds
+private const val IMPOSSIBLE = 422
+private const val FIRST_SERVER_ERROR = 500
+
+/** How one run of an item at an upstream ended. */
+private sealed interface RunEnd {
+    data object Whole : RunEnd
+
+    /** The upstream says that the item can never be done. */
+    data object Impossible : RunEnd
+
+    data class Failed(val reason: String) : RunEnd
+
+    /** It goes on elsewhere and counts as no failure. */
+    data class Interrupted(val reason: String) : RunEnd
+}
+
+/** The running of one item, over all upstreams that it is sent to. */
+internal class RunJobItem(
+    private val services: JobServices,
+    private val record: JobRecord,
+    private val item: JobItem,
+) {
+    private val output = mutableListOf<String>()
+    private var lastEventId: Long? = null
+    private var failures = 0
+
+    /** Runs the item until it is whole or has to be given up. */
+    suspend fun run(): JobResult {
+        var result: JobResult? = null
+        while (result == null) {
+            val route = services.control.snapshot.index?.routesByName?.get(record.route)
+            result = if (route == null || isOver(route)) givenUp("its time or route is over") else tryOnce(route)
+        }
+        return result
+    }
+
+    private fun isOver(route: ServingRoute): Boolean {
+        val limit = route.batch?.abandonAfter ?: return true
+        return limit > Duration.ZERO && record.age(services.clock()) > limit
+    }
+
+    private suspend fun tryOnce(route: ServingRoute): JobResult? = services.slots.acquire(ask(route)).fold(
+        {
+            delay(SLOT_PAUSE)
+            null
+        },
+        { permit -> resultOf(runAt(permit, route), permit, route) },
+    )
+
+    private suspend fun resultOf(end: RunEnd, permit: HeldPermit, route: ServingRoute): JobResult? {
+        if (end != RunEnd.Whole) {
+            services.log.note("item_stopped", item.id) {
+                put("job", record.id.value)
+                put("upstream", permit.upstream.id.value)
+                put("events", output.size.toLong())
+                put("end", end.toString())
+            }
+        }
+        return when (end) {
+            RunEnd.Whole -> JobResult(item.id, isComplete = true, output = output.joinToString("\n"))
+            RunEnd.Impossible -> givenUp("the upstream says that it is impossible")
+            is RunEnd.Interrupted -> null
+            is RunEnd.Failed -> {
+                failures++
+                delay(FAILURE_PAUSE)
+                if (failures >= route.maxAttempts) givenUp(end.reason) else null
+            }
+        }
+    }
+
+    private fun givenUp(reason: String): JobResult {
+        services.log.note("item_given_up", item.id) {
+            put("job", record.id.value)
+            put("failures", failures.toLong())
+            put("reason", reason)
+        }
+        return JobResult(item.id, isComplete = false, output = "")
+    }
+
+    private fun ask(route: ServingRoute): SlotAsk = SlotAsk(
+        ticket = services.random.nextLong(),
+        from = services.slots.self,
+        pool = route.poolFor(item.id),
+        team = record.team,
+        lane = Lane.BATCH,
+        cost = item.tokens.toInt(),
+        affinity = null,
+        without = emptySet(),
+        patience = SLOT_PATIENCE,
+    )
+
+    private suspend fun runAt(permit: HeldPermit, route: ServingRoute): RunEnd {
+        var use = UseResult.ABANDONED
+        try {
+            val end = untilRevoked(permit, route)
+            use = if (end is RunEnd.Interrupted && end.reason != REVOKED) UseResult.FAILED else UseResult.ANSWERED
+            return end
+        } finally {
+            services.slots.release(permit, use, item.tokens.toInt())
+        }
+    }
+
+    private suspend fun untilRevoked(permit: HeldPermit, route: ServingRoute): RunEnd = coroutineScope {
+        val sending = async { send(permit, route) }
+        select {
+            sending.onAwait { it }
+            permit.revoked.onAwait {
+                sending.cancel()
+                RunEnd.Interrupted(REVOKED)
+            }
+        }
+    }
+
+    private suspend fun send(permit: HeldPermit, route: ServingRoute): RunEnd {
+        val order = SendOrder(
+            upstream = permit.upstream,
+            timeLeft = SEND_LIMIT,
+            resumeAfter = lastEventId,
+            headTimeout = STALL,
+            idleTimeout = STALL,
+            freshConnection = false,
+        )
+        var end: RunEnd = RunEnd.Interrupted("no answer")
+        val result = services.forward(ItemCall(item, route, record.team), order) { reply -> end = receive(reply) }
+        return result.fold(
+            { lost ->
+                when (lost) {
+                    is ExchangeFailure.NotSent -> RunEnd.Interrupted(lost.reason)
+                    is ExchangeFailure.Lost -> RunEnd.Interrupted(lost.reason)
+                }
+            },
+            { end },
+        )
+    }
+
+    private suspend fun receive(reply: UpstreamReply): RunEnd = when {
+        reply.disposition == Disposition.FOREIGN -> RunEnd.Interrupted("the answer belongs to another request")
+        reply.disposition == Disposition.NOT_RUN -> {
+            delay(FAILURE_PAUSE)
+            RunEnd.Interrupted(NOT_RUN)
+        }
+        reply.isSuccess -> collect(reply)
+        reply.status == IMPOSSIBLE -> RunEnd.Impossible
+        reply.status >= FIRST_SERVER_ERROR -> RunEnd.Failed("the upstream answered ${reply.status}")
+        else -> RunEnd.Interrupted("the upstream answered ${reply.status}")
+    }
+
+    private suspend fun collect(reply: UpstreamReply): RunEnd {
+        val framer = EventFramer()
+        var fault: String? = null
+        reply.body.chunks.takeWhile { fault == null }.collect { chunk ->
+            for (event in framer.take(chunk)) {
+                fault = fault ?: take(event)
+            }
+        }
+        val broken = fault
+        return when {
+            broken != null -> RunEnd.Interrupted(broken)
+            framer.hasPartial -> RunEnd.Interrupted("the stream ended within an event")
+            output.isEmpty() -> RunEnd.Interrupted("the stream ended without an event")
+            else -> RunEnd.Whole
+        }
+    }
+
+    private fun take(event: StreamEvent): String? {
+        val last = lastEventId
+        val id = event.id
+        return if (id == null || (last != null && id != last + 1)) {
+            "event $id came after event $last"
+        } else {
+            output += event.data
+            lastEventId = id
+            null
+        }
+    }
+}
+
+private const val REVOKED = "the slot was revoked"
+private const val NOT_RUN = "the upstream did not run it"
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -0,0 +1,80 @@
+package figdeck.daemon.command.jobs
+
+import figdeck.command.serving.KnownJob
+import figdeck.control.serving.ServingState
+import figdeck.model.Moment
+import figdeck.model.serving.JobId
+import figdeck.model.serving.isOpen
+import figdeck.query.serving.livingMembers
+import figdeck.query.serving.ranked
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val CHECK_INTERVAL = 150.milliseconds
+
+/** How long an owner must have been missing; longer than a renewal, so that a new host is seen first. */
+private val ORPHAN_AGE = 1_300.milliseconds
+private val SCAN_AGE = 3.seconds
+
+/** The most items that one host runs side by side. */
+private const val MAX_RUNNING_ITEMS = 48
+
+/** Runs the open jobs that this host owns and takes over those whose owner is gone, until cancelled. */
+internal suspend fun JobServices.runJobs(): Unit = coroutineScope {
+    val running = mutableMapOf<JobId, Job>()
+    val orphans = mutableMapOf<JobId, Moment>()
+    val semaphore = Semaphore(MAX_RUNNING_ITEMS)
+    while (true) {
+        delay(CHECK_INTERVAL)
+        val state = control.snapshot
+        val open = state.jobs.jobs.values.filter { it.record.isOpen }
+        stopOthers(running, open)
+        for (job in open.filter { it.record.owner == self && it.record.id !in running }) {
+            running[job.record.id] = launch { runJob(job, semaphore) }
+        }
+        val missing = orphansOf(state, open)
+        orphans.keys.retainAll(missing.map { it.record.id }.toSet())
+        missing.forEach { orphans.putIfAbsent(it.record.id, clock()) }
+        adoptOrphans(state, missing.filter { clock() - orphans.getValue(it.record.id) > ORPHAN_AGE })
+    }
+}
+
+private fun JobServices.stopOthers(running: MutableMap<JobId, Job>, open: List<KnownJob>) {
+    val own = open.filter { it.record.owner == self }.map { it.record.id }.toSet()
+    running.filterKeys { it !in own }.values.forEach { it.cancel() }
+    running.entries.removeIf { (id, job) -> id !in own || job.isCompleted }
+}
+
+private fun JobServices.orphansOf(state: ServingState, open: List<KnownJob>): List<KnownJob> {
+    val scan = state.fleet.scan
+    val known = scan != null && clock() - scan.sentAt < SCAN_AGE && state.fleet.renewedAt != null
+    val incarnations = state.fleet.livingMembers().associate { it.host to it.incarnation }
+    return if (known) open.filter { incarnations[it.record.owner.host] != it.record.owner.incarnation } else emptyList()
+}
+
+private suspend fun JobServices.adoptOrphans(state: ServingState, orphans: List<KnownJob>) {
+    val now = clock()
+    orphans
+        .filter { state.fleet.ranked("job/${it.record.id}", now).firstOrNull()?.host == self.host }
+        .forEach { adopt(it) }
+}
+
+private suspend fun JobServices.adopt(job: KnownJob) {
+    val taken = job.record.copy(owner = self, writeId = newWriteId())
+    val written = store.write(taken, job.version)
+    log.note("adopted", job.record.id.value) {
+        put("from", job.record.owner.host.value)
+        put("results", job.record.results.toLong())
+        put("outcome", written::class.simpleName.orEmpty())
+    }
+    when (written) {
+        is RecordWrite.Written -> learn(written.job)
+        is RecordWrite.Superseded -> written.current?.let { learn(it) }
+        is RecordWrite.NotDone, is RecordWrite.Unknown -> Unit
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -0,0 +1,127 @@
+package figdeck.daemon.command.jobs
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.Step
+import figdeck.command.serving.KnownJob
+import figdeck.command.serving.waitingTokens
+import figdeck.control.serving.onJobs
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import figdeck.model.serving.JobId
+import figdeck.model.serving.JobItem
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.ServingTeam
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val RETRY_PAUSE = 100.milliseconds
+
+/** How long the store is asked before the job is refused; another host may reach it. */
+private val STORE_PATIENCE = 1_200.milliseconds
+private val COME_BACK = 500.milliseconds
+private val TOKENS_COME_BACK = 2.seconds
+
+/** A batch job as it came in. */
+internal data class Submission(
+    val id: JobId,
+    val team: ServingTeam,
+    val route: ServingRoute,
+    val items: List<JobItem>,
+)
+
+/** Keeps [submission] durably, or refuses it. A job that was kept before is accepted again. */
+internal suspend fun JobServices.submit(submission: Submission): Either<Refusal, Unit> {
+    val known = control.snapshot.jobs.jobs[submission.id]
+    val now = clock()
+    val wanted = recordOf(submission, now)
+    return when {
+        known != null -> sameTeam(known, submission)
+        !reserve(wanted, submission.route.batch?.maxWaitingTokens) ->
+            Refusal.OverRate(submission.team.id, TOKENS_COME_BACK).left()
+        else -> keep(wanted, submission, now).also { release(wanted.id) }
+    }
+}
+
+private fun JobServices.recordOf(submission: Submission, now: Moment): JobRecord = JobRecord(
+    id = submission.id,
+    team = submission.team.id,
+    route = submission.route.name,
+    submittedAt = now.epochMillis,
+    total = submission.items.size,
+    tokens = submission.items.sumOf { it.tokens },
+    results = 0,
+    isEnded = false,
+    owner = self,
+    chunks = 0,
+    writeId = newWriteId(),
+)
+
+/** Counts the job's tokens as waiting if they fit below [limit]. */
+private suspend fun JobServices.reserve(record: JobRecord, limit: Long?): Boolean = control.run { state, _ ->
+    val waiting = state.jobs.waitingTokens(record.team, record.route)
+    val fits = limit == null || waiting + record.tokens <= limit
+    val reserved = if (fits) state.jobs.copy(accepting = state.jobs.accepting.put(record.id, record)) else state.jobs
+    Step(state.copy(jobs = reserved), fits)
+}
+
+private suspend fun JobServices.release(id: JobId) {
+    control.run { state, _ -> onJobs(state) { it.copy(accepting = it.accepting.remove(id)) } }
+}
+
+private suspend fun JobServices.keep(
+    record: JobRecord,
+    submission: Submission,
+    startedAt: Moment,
+): Either<Refusal, Unit> {
+    var isUncertain = false
+    var result: Either<Refusal, Unit>? = null
+    while (result == null) {
+        val written = store.create(record, submission.items)
+        result = when (written) {
+            is RecordWrite.Written -> accepted(written.job, submission)
+            is RecordWrite.Superseded -> written.current?.let { sameTeam(it, submission) }
+            is RecordWrite.NotDone, is RecordWrite.Unknown -> null
+        }
+        isUncertain = isUncertain || written is RecordWrite.Unknown
+        if (result == null && clock() - startedAt > STORE_PATIENCE) {
+            result = refusalOf(isUncertain).left()
+        }
+        if (result == null) {
+            delay(RETRY_PAUSE)
+        }
+    }
+    log.note("submitted", record.id.value) {
+        put("team", record.team.value)
+        put("items", record.total.toLong())
+        put("outcome", result.leftOrNull()?.message ?: "accepted")
+        put("took_ms", (clock() - startedAt).inWholeMilliseconds)
+    }
+    return result
+}
+
+private suspend fun JobServices.accepted(job: KnownJob, submission: Submission): Either<Refusal, Unit> {
+    cache.putItems(submission.id, submission.items)
+    learn(job)
+    return Unit.right()
+}
+
+/** A write whose reply was lost may take effect later, so it can't be called undone. */
+private fun refusalOf(isUncertain: Boolean): Refusal =
+    if (isUncertain) Refusal.Unconfirmed(COME_BACK) else Refusal.StoreUnavailable(COME_BACK)
+
+private suspend fun JobServices.sameTeam(known: KnownJob, submission: Submission): Either<Refusal, Unit> {
+    learn(known)
+    return if (known.record.team == submission.team.id) {
+        Unit.right()
+    } else {
+        Refusal.BadRequest("job ${known.record.id}", "the id belongs to another team's job: choose another").left()
+    }
+}
+
+/** The time from a job's submission until [now], both by the time of day. */
+internal fun JobRecord.age(now: Moment): Duration = (now.epochMillis - submittedAt).milliseconds
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -0,0 +1,83 @@
+package figdeck.daemon.command.serving
+
+import figdeck.command.serving.confirmRenewal
+import figdeck.command.serving.observeScan
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.onFleet
+import figdeck.log.PartLog
+import figdeck.model.CallResult
+import figdeck.model.Clock
+import figdeck.model.Moment
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.model.serving.FleetScan
+import figdeck.model.valueOrNull
+import figdeck.store.Store
+import figdeck.store.query.TableFeed
+import figdeck.store.query.TableSnapshot
+import figdeck.wire.serving.decodeFleetMember
+import figdeck.wire.serving.encodeFleetMember
+import kotlinx.coroutines.delay
+import kotlin.random.Random
+
+private const val MEMBER_TABLE = "member"
+private const val LEAST_SPREAD = 0.9
+private const val SPREAD = 0.2
+private val log = PartLog("fleet")
+
+/** Announces this host in the store and reads who else is there, until cancelled. */
+internal suspend fun Control<ServingState>.keepMembership(
+    store: Store,
+    feed: TableFeed,
+    clock: Clock,
+    random: Random,
+) {
+    while (true) {
+        val sentAt = clock()
+        val listed = feed.snapshot(MEMBER_TABLE)
+        if (listed is CallResult.Done) {
+            observe(listed.value, sentAt)
+            renew(store, clock)
+        } else {
+            log.debug { "the members can't be read" }
+        }
+        delay(snapshot.fleet.times.renewal * (LEAST_SPREAD + SPREAD * random.nextDouble()))
+    }
+}
+
+/** Takes this host out of the list: it is stopping. */
+internal suspend fun Control<ServingState>.leaveMembership(store: Store) {
+    val key = memberKey(snapshot.fleet.self.host.value)
+    if (store.commands.commit(TableTransaction(emptyList(), listOf(RowWrite(key, null)))) !is CallResult.Done) {
+        log.warn { "this host could not be taken out of the list: its lease ends by itself" }
+    }
+}
+
+private suspend fun Control<ServingState>.observe(listed: TableSnapshot, sentAt: Moment) {
+    val members = listed.rows.mapNotNull { row ->
+        decodeFleetMember(row.key, row.value).fold(
+            { fault ->
+                log.warn { fault }
+                null
+            },
+            { it },
+        )
+    }
+    run { state, _ -> onFleet(state) { observeScan(it, FleetScan(members, listed.storeMillis, sentAt)) } }
+}
+
+private suspend fun Control<ServingState>.renew(store: Store, clock: Clock) {
+    val fleet = snapshot.fleet
+    val scan = fleet.scan ?: return
+    val sentAt = clock()
+    val storeMillis = scan.storeMillis + (sentAt - scan.sentAt).inWholeMilliseconds
+    val joinedAt = if (fleet.renewedAt == null) storeMillis else fleet.self.joinedAt
+    val self = fleet.self.copy(joinedAt = joinedAt, renewedAt = storeMillis)
+    val write = RowWrite(memberKey(self.host.value), encodeFleetMember(self))
+    if (store.commands.commit(TableTransaction(emptyList(), listOf(write))).valueOrNull() != null) {
+        run { state, _ -> onFleet(state) { confirmRenewal(it, self, sentAt) } }
+    }
+}
+
+private fun memberKey(host: String): String = "$MEMBER_TABLE/$host"
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
@@ -0,0 +1,169 @@
+package figdeck.daemon.command.serving
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.dispatch.UseResult
+import figdeck.command.serving.suspect
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.onFleet
+import figdeck.log.PartLog
+import figdeck.model.Clock
+import figdeck.model.HostId
+import figdeck.model.Refusal
+import figdeck.model.Upstream
+import figdeck.model.serving.FleetMember
+import figdeck.model.serving.HeldSlot
+import figdeck.model.serving.PoolName
+import figdeck.model.serving.SlotAnswer
+import figdeck.model.serving.SlotAsk
+import figdeck.query.serving.ranked
+import figdeck.wire.serving.HeldSlots
+import figdeck.wire.serving.SlotRelease
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+
+private val CONFIRM_INTERVAL = 500.milliseconds
+
+/** How many owners are asked before this host chooses an upstream by itself. */
+private const val MAX_OWNERS = 2
+private val log = PartLog("slots")
+
+/**
+ * A slot that this host holds.
+ *
+ * @property revoked completes when it must be given back at once.
+ */
+internal data class HeldPermit(
+    val ask: SlotAsk,
+    val upstream: Upstream,
+    val owner: FleetMember?,
+    val revoked: Deferred<Unit>,
+)
+
+/** The slots that this host holds, wherever they are given out. */
+internal class PoolSlots(
+    private val control: Control<ServingState>,
+    private val clock: Clock,
+    private val own: SlotOwner,
+    private val peers: FleetPeers,
+    private val scope: CoroutineScope,
+) {
+    private val held = ConcurrentHashMap<Long, Holding>()
+    /** This host. */
+    val self: HostId get() = control.snapshot.fleet.self.host
+
+    /** Waits for a slot of the pool of [ask]. */
+    suspend fun acquire(ask: SlotAsk): Either<Refusal, HeldPermit> {
+        val holding = Holding(CompletableDeferred())
+        held[ask.ticket] = holding
+        val answer = try {
+            askOwners(ask)
+        } catch (e: CancellationException) {
+            held.remove(ask.ticket)
+            throw e
+        }
+        val granted = answer.first as? SlotAnswer.Granted
+        val upstream = granted?.let { control.snapshot.pools.members[it.upstream]?.upstream }
+        return if (upstream == null) {
+            held.remove(ask.ticket)
+            giveBackUnknown(granted, answer.second, ask)
+            refusalOf(answer.first).left()
+        } else {
+            val permit = HeldPermit(ask, upstream, answer.second, holding.revoked)
+            held[ask.ticket] = holding.copy(permit = permit)
+            permit.right()
+        }
+    }
+
+    /** Gives a slot back. */
+    fun release(permit: HeldPermit, use: UseResult, cost: Int) {
+        held.remove(permit.ask.ticket)
+        send(permit.owner, SlotRelease(permit.ask.ticket, use, cost))
+    }
+
+    /** Marks slots as revoked; their holders leave. */
+    fun revoke(tickets: List<Long>) {
+        tickets.forEach { held[it]?.revoked?.complete(Unit) }
+    }
+
+    /** Tells the owners of the slots held here that they are still in use, until cancelled. */
+    suspend fun confirmHeld() {
+        while (true) {
+            delay(CONFIRM_INTERVAL)
+            val permits = held.values.mapNotNull { it.permit }
+            permits.groupBy { currentOwner(it.ask.pool) }.forEach { (owner, slots) -> confirm(owner, slots) }
+        }
+    }
+
+    private suspend fun askOwners(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
+        val owners = control.snapshot.fleet.ranked(slotKey(ask.pool), clock()).take(MAX_OWNERS)
+        for (owner in owners) {
+            if (owner.host == self) {
+                return own.acquire(ask) to null
+            }
+            val answer = peers.acquire(owner.address, ask)
+            if (answer != null) {
+                return answer to owner
+            }
+            passOver(owner, "gave no slot of pool ${ask.pool} in time")
+        }
+        return own.acquire(ask) to null
+    }
+
+    private suspend fun confirm(owner: FleetMember?, permits: List<HeldPermit>) {
+        val slots = permits.map { HeldSlot(it.ask, it.upstream.id) }
+        if (owner == null) {
+            own.confirm(self, slots)
+        } else if (!peers.confirm(owner.address, HeldSlots(self, slots))) {
+            passOver(owner, "did not confirm slots in time")
+        }
+    }
+
+    private fun currentOwner(pool: PoolName): FleetMember? = control.snapshot.fleet
+        .ranked(slotKey(pool), clock())
+        .firstOrNull()
+        ?.takeIf { it.host != self }
+
+    private suspend fun passOver(owner: FleetMember, reason: String) {
+        log.warn { "host ${owner.host} at ${owner.address} $reason: passed over" }
+        control.run { state, now -> onFleet(state) { suspect(it, owner.host, now) } }
+    }
+
+    private fun giveBackUnknown(granted: SlotAnswer.Granted?, owner: FleetMember?, ask: SlotAsk) {
+        if (granted != null) {
+            log.warn { "slot ${ask.ticket} is at upstream ${granted.upstream}, which is unknown here" }
+            send(owner, SlotRelease(ask.ticket, UseResult.ABANDONED, 0))
+        }
+    }
+
+    private fun send(owner: FleetMember?, release: SlotRelease) {
+        scope.launch {
+            if (owner == null) {
+                own.release(release)
+            } else if (!peers.release(owner.address, release)) {
+                log.debug { "host ${owner.host} was not told of the end of slot ${release.ticket}" }
+            }
+        }
+    }
+
+    private data class Holding(
+        val revoked: CompletableDeferred<Unit>,
+        val permit: HeldPermit? = null,
+    )
+}
+
+/** The key by which the owner of the slots of [pool] is found. */
+internal fun slotKey(pool: PoolName): String = "slots/$pool"
+
+private fun refusalOf(answer: SlotAnswer): Refusal = when (answer) {
+    is SlotAnswer.Full -> Refusal.Overloaded("every upstream", answer.retryAfter)
+    is SlotAnswer.Granted, SlotAnswer.NoUpstream -> Refusal.NoUpstream("this route")
+}
--- a/src/main/kotlin/figdeck/daemon/query/FollowHosts.kt
+++ b/src/main/kotlin/figdeck/daemon/query/FollowHosts.kt
@@ -4,7 +4,7 @@
 import figdeck.control.ControlState
 import figdeck.control.noteLeaving
 import figdeck.model.CallResult
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -13,7 +13,7 @@
 
 /** Keeps the set of leaving upstreams at what the platform's hosts list says, until cancelled. */
 internal suspend fun followHosts(
-    queries: PlatformQueries,
+    queries: StoreQueries,
     control: Control<ControlState>,
     interval: Duration = HOSTS_INTERVAL,
 ) {
--- a/src/main/kotlin/figdeck/daemon/query/Following.kt
+++ b/src/main/kotlin/figdeck/daemon/query/Following.kt
@@ -8,7 +8,7 @@
 import figdeck.daemon.command.PeerConfiguration
 import figdeck.model.CallResult
 import figdeck.model.Clock
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.channels.Channel
@@ -33,7 +33,7 @@
  * @property nudges wakes the poll of the table at once.
  */
 internal data class Following(
-    val queries: PlatformQueries,
+    val queries: StoreQueries,
     val control: Control<ControlState>,
     val clock: Clock,
     val peers: () -> List<Peer>,
--- a/src/main/kotlin/figdeck/daemon/query/LostHosts.kt
+++ b/src/main/kotlin/figdeck/daemon/query/LostHosts.kt
@@ -8,7 +8,7 @@
 import figdeck.control.ControlState
 import figdeck.model.CallResult
 import figdeck.model.HostId
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 
 private const val JOURNAL_PREFIX = "journal/"
 private const val MAX_JOURNALS = 10_000
@@ -19,7 +19,7 @@
  * A host claims its journal under its lease, so one whose journal was seen first and whose row is absent afterwards has
  * lost its lease or has left.
  */
-internal suspend fun lostHosts(queries: PlatformQueries, control: Control<ControlState>): List<HostId> {
+internal suspend fun lostHosts(queries: StoreQueries, control: Control<ControlState>): List<HostId> {
     val journals = queries.scanRows(JOURNAL_PREFIX, "", MAX_JOURNALS)
     val ownership = control.snapshot.fleet.ownership
     if (journals !is CallResult.Done || ownership.held == null) {
@@ -34,7 +34,7 @@
 private fun OwnershipState.fallsHere(host: HostId): Boolean =
     preferences.ownerOf(shardOf("journal", journalKey(host))) == self.host
 
-private suspend fun PlatformQueries.hasNoRow(host: HostId): Boolean {
+private suspend fun StoreQueries.hasNoRow(host: HostId): Boolean {
     val read = readRow(hostKey(host))
     return read is CallResult.Done && read.value.value == null
 }
--- a/src/main/kotlin/figdeck/daemon/query/ReadBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/query/ReadBatch.kt
@@ -16,8 +16,8 @@
 import figdeck.model.TeamId
 import figdeck.model.map
 import figdeck.model.valueOrNull
-import figdeck.platform.query.Found
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.Found
+import figdeck.store.query.StoreQueries
 import figdeck.wire.decodeJob
 import figdeck.wire.decodeSegment
 import kotlin.time.Duration.Companion.seconds
@@ -43,16 +43,16 @@
     val segments: List<Segment>,
 )
 
-internal suspend fun PlatformQueries.readJob(id: BatchId): CallResult<Found<StoredJob>> =
+internal suspend fun StoreQueries.readJob(id: BatchId): CallResult<Found<StoredJob>> =
     readRow(jobKey(id)).map { found -> Found(found.value?.let { StoredJob(decodeJob(it.value), it.version) }) }
 
-internal suspend fun PlatformQueries.readSegment(id: SegmentId): CallResult<Found<StoredSegment>> =
+internal suspend fun StoreQueries.readSegment(id: SegmentId): CallResult<Found<StoredSegment>> =
     readRow(
         segmentKey(id)
     ).map { found -> Found(found.value?.let { StoredSegment(decodeSegment(it.value), it.version) }) }
 
 /** Reads all segments of [id] in item order. */
-internal suspend fun PlatformQueries.readSegments(id: BatchId): CallResult<List<Segment>> {
+internal suspend fun StoreQueries.readSegments(id: BatchId): CallResult<List<Segment>> {
     val prefix = segmentsPrefix(id)
     val segments = mutableListOf<Segment>()
     var after = prefix
@@ -70,7 +70,7 @@
 }
 
 /** Whether every segment of [job] is done; stops at the first that is not. */
-internal suspend fun PlatformQueries.isDone(job: BatchJob): CallResult<Boolean> {
+internal suspend fun StoreQueries.isDone(job: BatchJob): CallResult<Boolean> {
     val prefix = segmentsPrefix(job.id)
     var after = prefix
     var done = 0
@@ -87,7 +87,7 @@
 }
 
 /** The job [id] of [team] and its course; a job of another team is not found. */
-internal suspend fun PlatformQueries.findBatch(team: TeamId, id: String): Either<Refusal, JobCourse> = either {
+internal suspend fun StoreQueries.findBatch(team: TeamId, id: String): Either<Refusal, JobCourse> = either {
     val batchId = runCatching { BatchId(id) }.getOrNull()
     ensure(batchId != null) { notFound(id) }
     val found = readJob(batchId)
--- a/src/main/kotlin/figdeck/daemon/query/ReadConfiguration.kt
+++ b/src/main/kotlin/figdeck/daemon/query/ReadConfiguration.kt
@@ -12,7 +12,7 @@
 import figdeck.model.Moment
 import figdeck.model.Revision
 import figdeck.model.map
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import figdeck.wire.command.decodeChange
 import figdeck.wire.command.decodeConfiguration
 import figdeck.wire.command.decodeHead
@@ -36,7 +36,7 @@
 internal fun snapshotKey(revision: Revision): String = SNAPSHOT_PREFIX + revision
 
 /** Reads the head; before the first change it is revision 0. */
-internal suspend fun PlatformQueries.readHead(): CallResult<StoredHead> = readRow(HEAD_KEY).map { found ->
+internal suspend fun StoreQueries.readHead(): CallResult<StoredHead> = readRow(HEAD_KEY).map { found ->
     val row = found.value
     if (row == null) {
         StoredHead(ConfigurationHead(Revision(0), Revision(0)), ABSENT)
@@ -46,18 +46,18 @@
 }
 
 /** Reads the changes after [since], a page at most, oldest first. */
-internal suspend fun PlatformQueries.readChanges(since: Revision): CallResult<List<ConfigurationChange>> =
+internal suspend fun StoreQueries.readChanges(since: Revision): CallResult<List<ConfigurationChange>> =
     scanRows(CHANGE_PREFIX, changeKey(since), PAGE_ROWS).map { rows ->
         rows.mapNotNull { row -> decodeChange(row.value).getOrNull() }
     }
 
 /** Reads the change that made [revision], or null. */
-internal suspend fun PlatformQueries.readChange(revision: Revision): CallResult<ConfigurationChange?> =
+internal suspend fun StoreQueries.readChange(revision: Revision): CallResult<ConfigurationChange?> =
     readRow(changeKey(revision)).map { found -> found.value?.let { decodeChange(it.value).getOrNull() } }
 
 /** Brings the control state to the newest stored revision and confirms it as of the sending of the question. */
 internal suspend fun catchUp(
-    queries: PlatformQueries,
+    queries: StoreQueries,
     control: Control<ControlState>,
     clock: () -> Moment,
 ): CallResult<StoredHead> {
@@ -71,7 +71,7 @@
     return stored
 }
 
-private suspend fun readSnapshot(queries: PlatformQueries, control: Control<ControlState>, head: ConfigurationHead) {
+private suspend fun readSnapshot(queries: StoreQueries, control: Control<ControlState>, head: ConfigurationHead) {
     if (control.snapshot.configuration.revision < head.snapshot) {
         val found = queries.readObject(snapshotKey(head.snapshot)) as? CallResult.Done
         val copy = found?.value?.value?.let { decodeConfiguration(it.decodeToString()).getOrNull() }
@@ -79,7 +79,7 @@
     }
 }
 
-private suspend fun readMissing(queries: PlatformQueries, control: Control<ControlState>, newest: Revision) {
+private suspend fun readMissing(queries: StoreQueries, control: Control<ControlState>, newest: Revision) {
     var present = control.snapshot.configuration.revision
     while (present < newest) {
         val changes = (queries.readChanges(present) as? CallResult.Done)?.value ?: return
--- a/src/main/kotlin/figdeck/daemon/query/ReadPointers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/ReadPointers.kt
@@ -8,18 +8,18 @@
 import figdeck.model.SegmentPointer
 import figdeck.model.Shard
 import figdeck.model.valueOrNull
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import figdeck.wire.decodePointer
 
 private const val PAGE = 500
 private const val MAX_ROWS = 2000
 
 /** Reads the hints of the segments that this host owns. */
-internal suspend fun PlatformQueries.readPointers(ownership: Ownership): List<SegmentPointer> =
+internal suspend fun StoreQueries.readPointers(ownership: Ownership): List<SegmentPointer> =
     readOwned(ownership, POINTERS_PREFIX, ::pointersPrefix).map { decodePointer(it.value) }
 
 /** Reads the rows below [root] in the shards that this host owns, in pages that pass over the shards of others. */
-internal suspend fun PlatformQueries.readOwned(
+internal suspend fun StoreQueries.readOwned(
     ownership: Ownership,
     root: String,
     prefixOf: (Shard) -> String,
--- a/src/main/kotlin/figdeck/daemon/query/Records.kt
+++ b/src/main/kotlin/figdeck/daemon/query/Records.kt
@@ -8,8 +8,8 @@
 import figdeck.model.RequestId
 import figdeck.model.RequestRecord
 import figdeck.model.map
-import figdeck.platform.query.Found
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.Found
+import figdeck.store.query.StoreQueries
 import figdeck.wire.decodeOpenRequest
 import figdeck.wire.decodeRecord
 
@@ -25,7 +25,7 @@
 )
 
 /** The records in the platform's table. */
-internal fun tableRecords(queries: PlatformQueries): Records = Records(
+internal fun tableRecords(queries: StoreQueries): Records = Records(
     find = { id ->
         queries.readRow(requestKey(id)).map { found -> Found(found.value?.let { decodeRecord(it.value) }) }
     },
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
@@ -0,0 +1,98 @@
+package figdeck.daemon.query.jobs
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import figdeck.command.serving.KnownJob
+import figdeck.command.serving.isFresh
+import figdeck.daemon.command.jobs.JobServices
+import figdeck.daemon.command.jobs.learn
+import figdeck.model.CallResult
+import figdeck.model.Refusal
+import figdeck.model.TeamId
+import figdeck.model.serving.JobId
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.JobResult
+import figdeck.model.serving.isOpen
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val CHECK_INTERVAL = 60.milliseconds
+private val RETRY_AFTER = 500.milliseconds
+
+/** How old the latest word of the store may be for the directory to be believed. */
+private val FRESH = 3_500.milliseconds
+
+/** The characters of results in one answer, which the platform limits to a megabyte. */
+private const val MAX_CHARACTERS = 700_000
+
+/** Results of a job from a position on, and the position after them. */
+internal data class ResultPage(
+    val total: Int,
+    val results: List<JobResult>,
+    val next: Int,
+)
+
+/** Reads results of the job [id] of [team] from position [after] on, waiting up to [wait] for one. */
+internal suspend fun JobServices.readResults(
+    id: JobId,
+    team: TeamId,
+    after: Int,
+    wait: Duration,
+): Either<Refusal, ResultPage> = currentRecord(id, team).flatMap { first ->
+    val record = awaitResult(first, after, wait)
+    resultsFrom(record, after).map { ResultPage(record.total, it, after + it.size) }
+}
+
+/** The body of the item [item] of the job [id] of [team]. */
+internal suspend fun JobServices.readItemBody(id: JobId, team: TeamId, item: String): Either<Refusal, ByteArray> =
+    currentRecord(id, team).flatMap { record ->
+        val items = cache.items(id)?.right() ?: store.readItems(record).onRight { cache.putItems(id, it) }
+        items.fold(
+            { Refusal.StoreUnavailable(RETRY_AFTER).left() },
+            { list -> list.find { it.id == item }?.body?.right() ?: Refusal.NotFound("item $item of job $id").left() },
+        )
+    }
+
+private suspend fun JobServices.currentRecord(id: JobId, team: TeamId): Either<Refusal, JobRecord> {
+    val jobs = control.snapshot.jobs
+    val known = jobs.jobs[id]?.takeIf { jobs.isFresh(FRESH, clock()) || !it.record.isOpen }
+    val found: CallResult<KnownJob?> = known?.let { CallResult.Done(it) } ?: store.read(id)
+    return when (found) {
+        is CallResult.Done -> {
+            val job = found.value
+            job?.let { learn(it) }
+            if (job == null || job.record.team != team) Refusal.NotFound("job $id").left() else job.record.right()
+        }
+        is CallResult.NotDone, is CallResult.Unknown -> Refusal.StoreUnavailable(RETRY_AFTER).left()
+    }
+}
+
+private suspend fun JobServices.awaitResult(first: JobRecord, after: Int, wait: Duration): JobRecord {
+    val until = clock() + wait
+    var record = first
+    while (record.isOpen && record.results <= after && clock() < until) {
+        delay(CHECK_INTERVAL)
+        record = control.snapshot.jobs.jobs[record.id]?.record ?: record
+    }
+    return record
+}
+
+private suspend fun JobServices.resultsFrom(record: JobRecord, after: Int): Either<Refusal, List<JobResult>> {
+    while (after < record.results && cache.results(record.id).size <= after) {
+        val from = cache.results(record.id).size
+        val read = store.readResults(record.id, from)
+        if (read !is CallResult.Done || read.value.isEmpty()) {
+            return Refusal.StoreUnavailable(RETRY_AFTER).left()
+        }
+        cache.addResults(record.id, from, read.value)
+    }
+    var characters = 0
+    return cache.results(record.id).drop(after).takeWhile {
+        val isFirst = characters == 0
+        characters += it.output.length
+        isFirst || characters <= MAX_CHARACTERS
+    }.right()
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -0,0 +1,134 @@
+package figdeck.daemon.query.serving
+
+import arrow.core.Either
+import figdeck.command.serving.KnownJob
+import figdeck.command.serving.PoolMembers
+import figdeck.command.serving.hear
+import figdeck.command.serving.putJob
+import figdeck.command.serving.putMember
+import figdeck.command.serving.removeJob
+import figdeck.command.serving.removeMember
+import figdeck.command.serving.replaceMembers
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.adoptPlan
+import figdeck.control.serving.onJobs
+import figdeck.control.serving.onPools
+import figdeck.log.DecisionLog
+import figdeck.log.PartLog
+import figdeck.model.Moment
+import figdeck.model.Row
+import figdeck.model.UpstreamId
+import figdeck.model.serving.JobId
+import figdeck.model.serving.PoolMember
+import figdeck.model.serving.ServingPlan
+import figdeck.store.query.RowChange
+import figdeck.wire.serving.decodeJobRecord
+
+/** The row that holds the plan in force. */
+private const val PLAN_KEY = "config"
+private val log = PartLog("follow")
+
+/** Puts each plan in force that [decode] can read. */
+internal fun planFollower(
+    control: Control<ServingState>,
+    decode: (String) -> Either<String, ServingPlan>,
+    decisions: DecisionLog,
+): TableFollower {
+    val take: suspend (Row) -> Unit = { row ->
+        decode(row.value).fold(
+            { fault -> log.warn { "the plan at version ${row.version} can't be read: $fault" } },
+            { plan ->
+                if (control.run { state, _ -> adoptPlan(state, plan) }) {
+                    decisions.note("plan_in_force", plan.version.toString()) {
+                        put("routes", plan.routes.size.toLong())
+                        put("teams", plan.teams.size.toLong())
+                    }
+                }
+            },
+        )
+    }
+    return TableFollower(
+        replace = { rows -> rows.filter { it.key == PLAN_KEY }.forEach { take(it) } },
+        change = { changes -> changes.mapNotNull { it.row }.filter { it.key == PLAN_KEY }.forEach { take(it) } },
+    )
+}
+
+/** Keeps the upstreams as they announce themselves; an entry that [decode] can't read names none. */
+internal fun poolFollower(
+    control: Control<ServingState>,
+    decode: (id: String, text: String) -> Either<String, PoolMember>,
+    decisions: DecisionLog,
+): TableFollower {
+    val read: (Row) -> PoolMember? = { row ->
+        decode(row.key, row.value).fold(
+            { fault ->
+                log.warn { fault }
+                null
+            },
+            { it },
+        )
+    }
+    return TableFollower(
+        replace = { rows ->
+            val listed = rows.mapNotNull { read(it) }
+            control.run { state, now -> onPools(state) { replaceMembers(it, listed, now) } }
+            decisions.note("upstreams_read", listed.size.toString())
+        },
+        change = { changes ->
+            control.run { state, now -> onPools(state) { hear(it, now) } }
+            changes.forEach { change ->
+                val member = change.row?.let { read(it) }
+                control.run { state, now ->
+                    onPools(state) { pools ->
+                        if (member == null) removeEntry(pools, change, now) else putMember(pools, member)
+                    }
+                }
+                decisions.note("upstream_changed", change.key) {
+                    put("state", member?.let { if (it.isLeaving) "leaving" else "ready" } ?: "gone")
+                }
+            }
+        },
+    )
+}
+
+/** Keeps the records of batch jobs. */
+internal fun jobFollower(control: Control<ServingState>): TableFollower {
+    val read: (Row) -> KnownJob? = { row ->
+        decodeJobRecord(row.key, row.value).fold(
+            { fault ->
+                log.warn { fault }
+                null
+            },
+            { KnownJob(it, row.version) },
+        )
+    }
+    return TableFollower(
+        replace = { rows ->
+            val listed = rows.mapNotNull { read(it) }
+            val ids = listed.map { it.record.id }.toSet()
+            control.run { state, now ->
+                onJobs(state) { jobs ->
+                    val kept = jobs.jobs.keys.filter { it !in ids }.fold(jobs) { left, id -> removeJob(left, id) }
+                    listed.fold(kept) { all, job -> putJob(all, job) }.copy(heardAt = now)
+                }
+            }
+        },
+        change = { changes ->
+            control.run { state, now ->
+                onJobs(state) { jobs ->
+                    changes.fold(jobs) { all, change ->
+                        val job = change.row?.let { read(it) }
+                        if (job == null) removeJob(all, JobId(change.key)) else putJob(all, job)
+                    }.copy(heardAt = now)
+                }
+            }
+        },
+    )
+}
+
+private fun removeEntry(
+    pools: PoolMembers,
+    change: RowChange,
+    now: Moment,
+): PoolMembers = removeMember(pools, UpstreamId(change.key), now)
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -17,6 +17,11 @@
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private const val CONTINUE = 100
+private const val KEEP_ALIVE = "Keep-Alive"
+private const val TIMEOUT_PARAMETER = "timeout="
 
 /** One connection to a peer; it carries one exchange at a time. */
 internal class ClientConnection : ChannelInboundHandlerAdapter() {
@@ -31,6 +36,12 @@
 
     @Volatile
     private var keepsAlive = true
+    private var skipsInterim = false
+
+    /** How long the peer keeps an idle connection by its own word; null when it doesn't say. */
+    @Volatile
+    var keepAliveTimeout: Duration? = null
+        private set
 
     /** Whether the latest response was whole and the peer keeps the connection open. */
     val isReusable: Boolean get() = keepsAlive && chunks?.isComplete == true
@@ -56,16 +67,22 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
         val received = msg as HttpObject
-        if (received.decoderResult().isFailure || head == null) {
-            ReferenceCountUtil.release(msg)
-            ctx.close()
-            return
-        }
-        if (received is HttpResponse) {
-            begin(received)
-        }
-        if (received is HttpContent) {
-            receive(received)
+        when {
+            received.decoderResult().isFailure || head == null -> {
+                ReferenceCountUtil.release(msg)
+                keepsAlive = false
+                ctx.close()
+            }
+            received is HttpResponse && received.status().code() == CONTINUE -> skipsInterim = true
+            received is LastHttpContent && skipsInterim -> skipsInterim = false
+            else -> {
+                if (received is HttpResponse) {
+                    begin(received)
+                }
+                if (received is HttpContent) {
+                    receive(received)
+                }
+            }
         }
     }
 
@@ -98,13 +115,16 @@
         )
         message.headers()
             .set(request.headers)
-            .set(HttpHeaderNames.HOST, request.address.toString())
             .set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        if (HttpHeaderNames.HOST !in request.headers) {
+            message.headers().set(HttpHeaderNames.HOST, request.address.toString())
+        }
         return message
     }
 
     private fun begin(response: HttpResponse) {
         keepsAlive = HttpUtil.isKeepAlive(response)
+        keepAliveTimeout = response.headers().get(KEEP_ALIVE)?.let { timeoutOf(it) }
         val queue = ChunkQueue(idleTimeoutOfExchange) { ctx.channel().read() }
         chunks = queue
         head?.complete(HttpReply(response.status().code(), response.headers(), queue.body))
@@ -117,8 +137,17 @@
         ReferenceCountUtil.release(content)
         if (last && queue != null) {
             queue.complete()
+            // Whatever comes from now on belongs to no exchange, and the connection can't be used any more.
+            head = null
             // An outstanding read notices that the peer closes the connection while it is idle.
             ctx.read()
         }
     }
 }
+
+private fun timeoutOf(keepAlive: String): Duration? = keepAlive.split(',')
+    .map { it.trim() }
+    .find { it.startsWith(TIMEOUT_PARAMETER) }
+    ?.removePrefix(TIMEOUT_PARAMETER)
+    ?.toIntOrNull()
+    ?.seconds
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -18,10 +18,17 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val CONNECT_TIMEOUT = 1.seconds
 
+/** How long an idle connection is kept when its peer doesn't say how long it keeps it. */
+private val DEFAULT_KEEP = 4.seconds
+
+/** How long before its peer closes it a connection is used no more, so that no request meets the closing. */
+private val KEEP_MARGIN = 500.milliseconds
+
 /** Sends requests over kept connections. Each connection carries one exchange at a time, so answers can't cross. */
 public class HttpClient(
     private val group: EventLoopGroup,
@@ -89,7 +96,7 @@
 
     private fun release(address: Address, channel: Channel, connection: ClientConnection) {
         if (connection.isReusable && channel.isActive) {
-            idle.keep(address, channel)
+            idle.keep(address, channel, connection.keepAliveTimeout?.let { it - KEEP_MARGIN } ?: DEFAULT_KEEP)
         } else {
             channel.close()
         }
--- a/src/main/kotlin/figdeck/http/server/HttpCall.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpCall.kt
@@ -4,9 +4,15 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.QueryStringDecoder
 
-/** A request as the server received it. [path] is decoded and without the query. */
+/**
+ * A request as the server received it.
+ *
+ * @property target the path and query as they stood on the request line.
+ * @property path the decoded path without the query.
+ */
 public data class HttpCall(
     public val method: String,
+    public val target: String,
     public val path: String,
     public val query: Map<String, List<String>>,
     public val headers: HttpHeaders,
@@ -15,7 +21,7 @@
 
 internal fun httpCall(method: String, uri: String, headers: HttpHeaders, body: HttpBody): HttpCall {
     val decoder = QueryStringDecoder(uri)
-    return HttpCall(method, decoder.path(), decoder.parameters(), headers, body)
+    return HttpCall(method, uri, decoder.path(), decoder.parameters(), headers, body)
 }
 
 /** The first value of the query parameter [name], or null. */
--- a/src/main/kotlin/figdeck/http/server/HttpServer.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpServer.kt
@@ -57,6 +57,11 @@
         listener?.close()?.sync()
     }
 
+    /** Tells peers with kept connections to go elsewhere; connections are still accepted. */
+    public fun announceDrain() {
+        load.draining.set(true)
+    }
+
     /**
      * Stops accepting connections, lets the calls in progress end and tells peers with kept connections to go
      * elsewhere. Idle connections stay open for [grace], because a call may be on its way; the whole lasts [limit] at
@@ -64,7 +69,7 @@
      */
     public suspend fun drain(grace: Duration, limit: Duration) {
         stopAccepting()
-        load.draining.set(true)
+        announceDrain()
         withTimeoutOrNull(limit) {
             delay(grace)
             while (activeCalls > 0) {
--- a/src/main/kotlin/figdeck/model/KeyHash.kt
+++ b/src/main/kotlin/figdeck/model/KeyHash.kt
@@ -1,6 +1,7 @@
 package figdeck.model
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
 private const val SHA256_HEX_LENGTH = 64
 private val SHA256_HEX = Regex("[0-9a-f]{$SHA256_HEX_LENGTH}")
@@ -18,5 +19,5 @@
 /** Hashes [key] as it came from a caller. */
 public fun hashKey(key: String): KeyHash {
     val digest = MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())
-    return KeyHash(digest.joinToString("") { "%02x".format(it) })
+    return KeyHash(HexFormat.of().formatHex(digest))
 }
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -94,6 +94,13 @@
         override val ran: Ran get() = Ran.UNKNOWN
     }
 
+    /** The answer was not whole after [limit], the longest time that the caller or the operators allow. */
+    public data class AnswerTimeout(public val limit: Duration) : Refusal {
+        override val message: String
+            get() = "no whole answer came within $limit: the work may have run, so check before sending again"
+        override val ran: Ran get() = Ran.UNKNOWN
+    }
+
     /** The daemon can't tell whether its configuration is current. */
     public data object StaleConfiguration : Refusal {
         override val message: String get() = "this host can't confirm which keys are valid: send again after a second"
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/serving/CallKind.kt
@@ -0,0 +1,27 @@
+package figdeck.model.serving
+
+/** What a route's requests are, and so what may be repeated. */
+public enum class CallKind {
+    /** May run more than once. */
+    IDEMPOTENT,
+
+    /** Runs at most once for each attempt of the caller. */
+    NON_IDEMPOTENT,
+
+    /** A stream of events that runs at most once for each attempt of the caller. */
+    STREAM,
+
+    /** A stream of events that another upstream can continue after the last event that arrived. */
+    RESUMABLE_STREAM,
+
+    /** Batch jobs: many items handed in together and run later. */
+    BATCH,
+}
+
+/** Whether a request that may have run can be sent to another upstream. */
+public val CallKind.isRepeatable: Boolean
+    get() = this == CallKind.IDEMPOTENT || this == CallKind.RESUMABLE_STREAM
+
+/** Whether the response is a stream of events. */
+public val CallKind.isStream: Boolean
+    get() = this == CallKind.STREAM || this == CallKind.RESUMABLE_STREAM
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/serving/Fleet.kt
@@ -0,0 +1,55 @@
+package figdeck.model.serving
+
+import figdeck.model.HostId
+import figdeck.model.Moment
+import kotlinx.collections.immutable.PersistentMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val MEMBERS_PER_SECOND = 60
+
+/**
+ * How membership follows the store.
+ *
+ * @property renewal how often a member announces itself and reads the others.
+ * @property lease how long an announcement holds.
+ * @property settle how long after its first announcement a member owns no buckets; longer than two renewals, so that
+ * every other member has seen it.
+ * @property suspicion how long a member that didn't answer is passed over.
+ */
+public data class FleetTimes(
+    public val renewal: Duration = 1.seconds,
+    public val lease: Duration = 3_500.milliseconds,
+    public val settle: Duration = 2_500.milliseconds,
+    public val suspicion: Duration = 1_500.milliseconds,
+)
+
+/** Times for a fleet of [members]: announcements of large fleets are rarer, so that the store bears them. */
+public fun fleetTimes(members: Int): FleetTimes {
+    val base = FleetTimes()
+    val stretch = (members.toDouble() / MEMBERS_PER_SECOND).coerceAtLeast(1.0)
+    return base.copy(renewal = base.renewal * stretch, lease = base.lease * stretch, settle = base.settle * stretch)
+}
+
+/** The members as the store listed them, at [storeMillis] of its clock. */
+public data class FleetScan(
+    public val members: List<FleetMember>,
+    public val storeMillis: Long,
+    public val sentAt: Moment,
+)
+
+/**
+ * Who else serves, as this host knows it.
+ *
+ * @property scan the latest list; null before the first.
+ * @property renewedAt when the latest renewal that the store confirmed was sent; null before the first.
+ * @property suspects the members that didn't answer, and until when they are passed over.
+ */
+public data class Fleet(
+    public val self: FleetMember,
+    public val times: FleetTimes,
+    public val scan: FleetScan?,
+    public val renewedAt: Moment?,
+    public val suspects: PersistentMap<HostId, Moment>,
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/serving/FleetMember.kt
@@ -0,0 +1,21 @@
+package figdeck.model.serving
+
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.HostId
+
+/**
+ * A daemon as it announces itself in the store. Both times are milliseconds of the store's clock.
+ *
+ * @property incarnation differs between two starts on the same host.
+ * @property joinedAt when this incarnation announced itself first.
+ * @property renewedAt when it announced itself last.
+ */
+public data class FleetMember(
+    public val host: HostId,
+    public val address: Address,
+    public val dataCentre: DataCentre,
+    public val incarnation: String,
+    public val joinedAt: Long,
+    public val renewedAt: Long,
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/serving/JobResult.kt
@@ -0,0 +1,13 @@
+package figdeck.model.serving
+
+/**
+ * The outcome of one item.
+ *
+ * @property isComplete whether [output] is the whole output; false for an item that was given up.
+ * @property output the data of all events in order, separated by line feeds.
+ */
+public data class JobResult(
+    public val item: String,
+    public val isComplete: Boolean,
+    public val output: String,
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/serving/ServingTeam.kt
@@ -0,0 +1,47 @@
+package figdeck.model.serving
+
+import figdeck.model.FaultCollector
+import figdeck.model.KeyHash
+import figdeck.model.Limit
+import figdeck.model.TeamId
+import figdeck.model.hashKey
+
+/**
+ * A team as the front end knows it.
+ *
+ * @property keys the hashes of its keys.
+ * @property priority its rank, which goes before that of the route; null where the route's holds.
+ * @property limit what it may start across all hosts; null for no limit.
+ */
+public data class ServingTeam(
+    public val id: TeamId,
+    public val keys: Set<KeyHash>,
+    public val priority: Int?,
+    public val limit: Limit?,
+)
+
+/** Builds a [ServingTeam]. */
+public class ServingTeamBuilder internal constructor(private val id: String) {
+    private val keys = mutableSetOf<KeyHash>()
+
+    /** The rank of the team; null where the route's holds. */
+    public var priority: Int? = null
+
+    /** Requests a second across all hosts; 0 for no limit. */
+    public var ratePerSecond: Double = 0.0
+
+    /** Requests at once across all hosts. */
+    public var burst: Int = 0
+
+    /** Adds [key] as callers show it. */
+    public fun key(key: String) {
+        keys += hashKey(key)
+    }
+
+    internal fun build(faults: FaultCollector): ServingTeam? {
+        val teamId = faults.attempt("id") { TeamId(id) }
+        faults.expect(ratePerSecond >= 0, "ratePerSecond", "$ratePerSecond is negative: use 0 for no limit")
+        val limit = if (ratePerSecond > 0) Limit(ratePerSecond, burst.coerceAtLeast(1)) else null
+        return teamId?.let { ServingTeam(it, keys, priority, limit) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
@@ -0,0 +1,46 @@
+package figdeck.model.serving
+
+import figdeck.model.HostId
+import figdeck.model.Lane
+import figdeck.model.TeamId
+import figdeck.model.UpstreamId
+import kotlin.time.Duration
+
+/**
+ * A question for a slot at an upstream of [pool].
+ *
+ * @property ticket names the slot; chosen by the host that asks, and used once.
+ * @property cost the expected tokens; 1 for a call of a plain service.
+ * @property affinity a hash of the prompt's shared beginning; null without one.
+ * @property without upstreams that failed this request already.
+ * @property patience how long to wait for a slot.
+ */
+public data class SlotAsk(
+    public val ticket: Long,
+    public val from: HostId,
+    public val pool: PoolName,
+    public val team: TeamId?,
+    public val lane: Lane,
+    public val cost: Int,
+    public val affinity: Long?,
+    public val without: Set<UpstreamId>,
+    public val patience: Duration,
+)
+
+/** The answer to a [SlotAsk]. */
+public sealed interface SlotAnswer {
+    /** The slot is at [upstream]. */
+    public data class Granted(public val upstream: UpstreamId) : SlotAnswer
+
+    /** There is none now; [retryAfter] tells when to ask again. */
+    public data class Full(public val retryAfter: Duration) : SlotAnswer
+
+    /** No upstream of the pool takes work. */
+    public data object NoUpstream : SlotAnswer
+}
+
+/** A slot that its holder still uses. */
+public data class HeldSlot(
+    public val ask: SlotAsk,
+    public val upstream: UpstreamId,
+)
--- /dev/null
+++ b/src/main/kotlin/figdeck/platform/FrontHandler.kt
@@ -0,0 +1,181 @@
+package figdeck.platform
+
+import arrow.core.getOrElse
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.daemon.command.serving.CallerChannel
+import figdeck.daemon.command.serving.Disposition
+import figdeck.daemon.command.serving.Forward
+import figdeck.daemon.command.serving.OnlineCall
+import figdeck.daemon.command.serving.OnlineServices
+import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.serveOnline
+import figdeck.http.client.HttpClient
+import figdeck.http.client.HttpReply
+import figdeck.http.client.OutgoingRequest
+import figdeck.http.newHeaders
+import figdeck.http.readAll
+import figdeck.http.server.HttpCall
+import figdeck.http.server.HttpHandler
+import figdeck.http.server.HttpResponder
+import figdeck.model.Moment
+import figdeck.model.Ran
+import figdeck.model.Refusal
+import figdeck.model.serving.CallKind
+import figdeck.query.serving.Access
+import figdeck.query.serving.access
+import figdeck.telemetry.REFUSAL_HEADER
+import figdeck.wire.encodeRefusal
+import figdeck.wire.status
+import figdeck.wire.type
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.time.DurationUnit
+
+private const val JSON_TYPE = "application/json"
+private const val OK = 200
+private const val TOO_MANY = 429
+private const val MISDIRECTED = 421
+private const val UNAVAILABLE = 503
+private const val INTERNAL_ERROR = 500
+private val PROMISES = setOf(408, MISDIRECTED, TOO_MANY, UNAVAILABLE)
+
+/** What the listener for clients needs. */
+internal data class FrontServices(
+    val control: Control<ServingState>,
+    val online: OnlineServices,
+    val jobs: JobApi,
+    val client: HttpClient,
+)
+
+/** Answers the platform's clients. */
+internal fun frontHandler(services: FrontServices): HttpHandler = { call, responder ->
+    val receivedAt = services.online.clock()
+    callerHead(call).fold(
+        { responder.refuse(it) },
+        { head ->
+            val answered = services.jobs.answer(call, head, responder)
+            if (!answered) {
+                services.serve(call, head, receivedAt, responder)
+            }
+        },
+    )
+}
+
+/** Answers the balancer's question whether this host takes connections. */
+internal fun readinessHandler(control: Control<ServingState>): HttpHandler = { _, responder ->
+    val state = control.snapshot
+    val ready = state.index != null && state.pools.heardAt != null && !state.isDraining
+    responder.full(if (ready) OK else UNAVAILABLE, newHeaders(), ByteArray(0))
+}
+
+private suspend fun FrontServices.serve(
+    call: HttpCall,
+    head: CallerHead,
+    receivedAt: Moment,
+    responder: HttpResponder,
+) {
+    val index = control.snapshot.index
+    if (index == null) {
+        responder.refuse(Refusal.StaleConfiguration)
+        return
+    }
+    val body = call.body.readAll(index.plan.maxBodyBytes)
+    // The plan may have changed while the body came in.
+    val current = control.snapshot.index ?: index
+    val access = current.access(head.host, call.path, head.key)
+    val refusal = access.leftOrNull() ?: body.leftOrNull()?.let { Refusal.BodyTooLarge(it.limitBytes) }
+    if (refusal != null) {
+        online.log.note("refused", head.id) {
+            put("refusal", refusal.type)
+            put("path", call.path)
+            put("plan", current.plan.version)
+        }
+        responder.refuse(refusal)
+        return
+    }
+    val allowed = access.getOrNull() ?: return
+    val bytes = body.getOrElse { ByteArray(0) }
+    if (allowed.route.kind == CallKind.BATCH) {
+        jobs.submit(allowed, head, bytes, responder)
+    } else {
+        serveOnline(call, head, allowed, bytes, receivedAt, responder)
+    }
+}
+
+private suspend fun FrontServices.serveOnline(
+    call: HttpCall,
+    head: CallerHead,
+    access: Access,
+    body: ByteArray,
+    receivedAt: Moment,
+    responder: HttpResponder,
+) {
+    val online = OnlineCall(
+        id = head.id,
+        access = access,
+        receivedAt = receivedAt,
+        deadline = receivedAt + head.timeLeft,
+        cost = head.tokens,
+        affinity = head.affinity,
+        lastEventId = head.lastEventId,
+    )
+    val caller = CallerChannel(responder.start, responder.write, responder.full)
+    this.online.serveOnline(online, forward(call, access, body), caller).onLeft { refusal ->
+        this.online.log.note("refused", head.id) {
+            put("refusal", refusal.type)
+            put("route", access.route.name)
+            put("team", access.team?.id?.value ?: "none")
+            put("after_ms", (this@serveOnline.online.clock() - receivedAt).inWholeMilliseconds)
+            put("retry_after_ms", refusal.retryAfter?.inWholeMilliseconds ?: -1)
+        }
+        responder.refuse(refusal)
+    }
+}
+
+private fun FrontServices.forward(call: HttpCall, access: Access, body: ByteArray): Forward = { order, use ->
+    val request = OutgoingRequest(
+        address = order.upstream.address,
+        method = call.method,
+        target = call.target,
+        headers = forwardedHeaders(
+            call.headers,
+            order.upstream.id,
+            access.team?.id?.value,
+            order.timeLeft,
+            order.resumeAfter,
+        ),
+        body = body,
+        freshConnection = order.freshConnection,
+        headTimeout = order.headTimeout,
+        idleTimeout = order.idleTimeout,
+    )
+    client.exchange(request) { reply -> use(upstreamReply(reply, call.headers.get(ATTEMPT_ID))) }
+}
+
+/** What [reply] says, as the answer to the attempt [id]. */
+internal fun upstreamReply(reply: HttpReply, id: String?): UpstreamReply {
+    val headers = reply.headers
+    val hasOtherId = headers.get(ATTEMPT_ID)?.let { it != id } ?: false
+    val isUnproved = reply.status in 200..299 && (STAMP !in headers || HttpHeaderNames.CONTENT_ENCODING in headers)
+    val disposition = when {
+        hasOtherId || isUnproved -> Disposition.FOREIGN
+        NOT_EXECUTED in headers || reply.status == MISDIRECTED -> Disposition.NOT_RUN
+        else -> Disposition.RAN
+    }
+    return UpstreamReply(disposition, reply.status, passedOn(headers), reply.body)
+}
+
+/** Sends [refusal] with its status and, where waiting helps, the seconds after which to come back. */
+internal suspend fun HttpResponder.refuse(refusal: Refusal) {
+    val headers = newHeaders()
+        .set(HttpHeaderNames.CONTENT_TYPE, JSON_TYPE)
+        .set(REFUSAL_HEADER, refusal.type)
+    // These statuses promise that the work has not run and never will.
+    val status = if (refusal.ran == Ran.UNKNOWN && refusal.status in PROMISES) INTERNAL_ERROR else refusal.status
+    if (status == UNAVAILABLE || status == TOO_MANY) {
+        refusal.retryAfter?.let {
+            headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it.toDouble(DurationUnit.SECONDS)))
+        }
+    }
+    full(status, headers, encodeRefusal(refusal).encodeToByteArray())
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/platform/PlanMessages.kt
@@ -0,0 +1,129 @@
+package figdeck.platform
+
+import arrow.core.Either
+import arrow.core.flatMap
+import figdeck.log.PartLog
+import figdeck.model.serving.BatchTerms
+import figdeck.model.serving.CallKind
+import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.ServingPlanBuilder
+import figdeck.model.serving.ServingRouteBuilder
+import figdeck.model.serving.servingPlan
+import figdeck.wire.decode
+import figdeck.wire.lenientJson
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val log = PartLog("platform")
+
+/** The operators' configuration. */
+@Serializable
+internal data class PlanMessage(
+    @SerialName("Version") val version: Long,
+    @SerialName("Routes") val routes: List<RouteMessage> = emptyList(),
+    @SerialName("Tenants") val teams: List<TeamMessage> = emptyList(),
+    @SerialName("Limits") val limits: LimitsMessage = LimitsMessage(),
+)
+
+@Serializable
+internal data class RouteMessage(
+    @SerialName("Name") val name: String = "",
+    @SerialName("Host") val host: String = "",
+    @SerialName("Prefix") val prefix: String = "/",
+    @SerialName("Kind") val kind: String = "",
+    /** The one pool of the route, where it isn't split. */
+    @SerialName("Service") val pool: String? = null,
+    @SerialName("Split") val pools: List<PoolMessage> = emptyList(),
+    @SerialName("TimeoutMs") val timeoutMillis: Double = 0.0,
+    /** The latency objective; on routes of batch jobs, of the acceptance. */
+    @SerialName("TargetLatencyMs") val objectiveMillis: Double = 0.0,
+    @SerialName("MaxAttempts") val maxAttempts: Int = 1,
+    @SerialName("Priority") val priority: Int = 0,
+    @SerialName("Public") val open: Boolean = false,
+    @SerialName("Resumable") val resumable: Boolean = false,
+    /** When all results of a job are due after its submission. */
+    @SerialName("RunTargetMs") val dueMillis: Double = 0.0,
+    /** When an item may be given up after its job's submission. */
+    @SerialName("MaxWaitS") val abandonSeconds: Double = 0.0,
+    /** The tokens of a team that may wait; 0 for no limit. */
+    @SerialName("MaxCount") val maxWaitingTokens: Long = 0,
+)
+
+@Serializable
+internal data class PoolMessage(
+    @SerialName("Service") val name: String = "",
+    @SerialName("Weight") val weight: Int = 1,
+)
+
+@Serializable
+internal data class TeamMessage(
+    @SerialName("Name") val name: String = "",
+    @SerialName("ApiKeys") val keys: List<String> = emptyList(),
+    @SerialName("Priority") val priority: Int? = null,
+    @SerialName("RatePerS") val ratePerSecond: Double = 0.0,
+    @SerialName("Burst") val burst: Double = 0.0,
+)
+
+/** What callers may send. */
+@Serializable
+internal data class LimitsMessage(
+    @SerialName("MaxBodyBytes") val maxBodyBytes: Int? = null,
+)
+
+/** Reads the operators' configuration, or tells why it can't be read. A route of an unknown kind is left out. */
+internal fun decodePlan(text: String): Either<String, ServingPlan> =
+    lenientJson.decode(PlanMessage.serializer(), text).flatMap { message ->
+        servingPlan { fill(message) }.mapLeft { faults -> faults.joinToString("; ") }
+    }
+
+private fun ServingPlanBuilder.fill(message: PlanMessage) {
+    version = message.version
+    message.limits.maxBodyBytes?.let { maxBodyBytes = it }
+    message.routes.forEach { route ->
+        val kind = kindOf(route)
+        if (kind == null) {
+            log.warn { "route '${route.name}' is left out: its kind '${route.kind}' is unknown" }
+        } else {
+            route(route.name) { fill(route, kind) }
+        }
+    }
+    message.teams.forEach { team ->
+        team(team.name) {
+            priority = team.priority
+            ratePerSecond = team.ratePerSecond
+            burst = team.burst.toInt()
+            team.keys.forEach { key(it) }
+        }
+    }
+}
+
+private fun ServingRouteBuilder.fill(message: RouteMessage, callKind: CallKind) {
+    host = message.host
+    prefix = message.prefix
+    kind = callKind
+    timeout = message.timeoutMillis.milliseconds
+    objective = message.objectiveMillis.milliseconds
+    maxAttempts = message.maxAttempts
+    priority = message.priority
+    open = message.open
+    message.pool?.let { pool(it) }
+    message.pools.forEach { pool(it.name, it.weight) }
+    if (callKind == CallKind.BATCH) {
+        timeout = maxOf(timeout, 1.seconds)
+        batch = BatchTerms(
+            dueWithin = message.dueMillis.milliseconds,
+            abandonAfter = message.abandonSeconds.seconds,
+            maxWaitingTokens = message.maxWaitingTokens.takeIf { it > 0 },
+        )
+    }
+}
+
+private fun kindOf(route: RouteMessage): CallKind? = when (route.kind) {
+    "idempotent" -> CallKind.IDEMPOTENT
+    "non_idempotent" -> CallKind.NON_IDEMPOTENT
+    "streaming" -> if (route.resumable) CallKind.RESUMABLE_STREAM else CallKind.STREAM
+    "batch" -> CallKind.BATCH
+    else -> null
+}
--- /dev/null
+++ b/src/main/kotlin/figdeck/platform/PlatformTables.kt
@@ -0,0 +1,7 @@
+package figdeck.platform
+
+/** The table in which operators put the configuration in force. */
+internal const val PLAN_TABLE = "op"
+
+/** The table in which upstreams announce themselves, each under its id. */
+internal const val RUNNER_TABLE = "servers"
--- /dev/null
+++ b/src/main/kotlin/figdeck/query/serving/PlanIndex.kt
@@ -0,0 +1,58 @@
+package figdeck.query.serving
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import figdeck.model.KeyHash
+import figdeck.model.Refusal
+import figdeck.model.TeamId
+import figdeck.model.hashKey
+import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.ServingTeam
+
+/**
+ * A plan arranged for look-ups.
+ *
+ * @property routesByHost the routes of each host, the longest prefix first.
+ */
+public data class PlanIndex(
+    public val plan: ServingPlan,
+    public val routesByHost: Map<String, List<ServingRoute>>,
+    public val routesByName: Map<String, ServingRoute>,
+    public val teams: Map<TeamId, ServingTeam>,
+    public val teamsByKey: Map<KeyHash, ServingTeam>,
+)
+
+/** Arranges [plan] for look-ups. */
+public fun planIndexOf(plan: ServingPlan): PlanIndex = PlanIndex(
+    plan = plan,
+    routesByHost = plan.routes
+        .groupBy { it.host }
+        .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } },
+    routesByName = plan.routes.associateBy { it.name },
+    teams = plan.teams.associateBy { it.id },
+    teamsByKey = plan.teams.flatMap { team -> team.keys.map { it to team } }.toMap(),
+)
+
+/** A route and the team on whose behalf it is used; no team where the route is open. */
+public data class Access(
+    public val route: ServingRoute,
+    public val team: ServingTeam?,
+)
+
+/** The route for a request to [host] at [path], and the team that [key] belongs to. */
+public fun PlanIndex.access(host: String, path: String, key: String?): Either<Refusal, Access> {
+    val route = routesByHost[host.lowercase()]?.find { path.startsWith(it.prefix) }
+    return when {
+        route == null -> Refusal.NotFound("a route for $host$path").left()
+        route.open -> Access(route, null).right()
+        else -> teamOf(key).map { Access(route, it) }
+    }
+}
+
+/** The team that [key] belongs to. */
+public fun PlanIndex.teamOf(key: String?): Either<Refusal, ServingTeam> = when (key) {
+    null -> Refusal.MissingKey.left()
+    else -> teamsByKey[hashKey(key)]?.right() ?: Refusal.UnknownKey.left()
+}
--- a/src/main/kotlin/figdeck/platform/PlatformHttp.kt
+++ b/src/main/kotlin/figdeck/store/StoreHttp.kt
@@ -1,4 +1,4 @@
-package figdeck.platform
+package figdeck.store
 
 import arrow.core.Either
 import figdeck.http.client.ExchangeFailure
@@ -20,7 +20,7 @@
 private const val UNAVAILABLE = 503
 
 /** The status and body of the platform's reply. */
-internal data class PlatformReply(
+internal data class StoreReply(
     val status: Int,
     val body: ByteArray,
 ) {
@@ -28,18 +28,18 @@
 }
 
 /** A connection to the platform's services at [address]; no call lasts longer than [deadline]. */
-internal data class PlatformHttp(
+internal data class StoreHttp(
     val client: HttpClient,
     val address: Address,
     val deadline: Duration = CALL_DEADLINE,
 )
 
 /** Sends one call. Statuses 429 and 503 mean that the platform did nothing; any other failure is unknown. */
-internal suspend fun PlatformHttp.call(
+internal suspend fun StoreHttp.call(
     method: String,
     target: String,
     body: ByteArray = ByteArray(0),
-): CallResult<PlatformReply> {
+): CallResult<StoreReply> {
     val request = OutgoingRequest(
         address = address,
         method = method,
@@ -55,10 +55,10 @@
     }
 }
 
-private fun toResult(status: Int, body: ByteArray?): CallResult<PlatformReply> = when {
+private fun toResult(status: Int, body: ByteArray?): CallResult<StoreReply> = when {
     body == null -> CallResult.Unknown("the platform's reply is too long")
     status == TOO_MANY || status == UNAVAILABLE -> CallResult.NotDone("the platform answered $status")
-    status == OK || status == NOT_FOUND || status == CONFLICT -> CallResult.Done(PlatformReply(status, body))
+    status == OK || status == NOT_FOUND || status == CONFLICT -> CallResult.Done(StoreReply(status, body))
     else -> CallResult.Unknown("the platform answered $status")
 }
 
--- a/src/main/kotlin/figdeck/platform/command/HttpCommands.kt
+++ b/src/main/kotlin/figdeck/store/command/HttpCommands.kt
@@ -1,14 +1,14 @@
-package figdeck.platform.command
+package figdeck.store.command
 
 import figdeck.model.map
-import figdeck.platform.PlatformHttp
-import figdeck.platform.call
+import figdeck.store.StoreHttp
+import figdeck.store.call
 import figdeck.wire.decodeCommitReply
 import figdeck.wire.encodeTransaction
 import java.net.URLEncoder
 
 /** The platform's commands over HTTP with JSON. */
-internal fun httpCommands(platform: PlatformHttp): PlatformCommands = PlatformCommands(
+internal fun httpCommands(platform: StoreHttp): StoreCommands = StoreCommands(
     commit = { transaction ->
         platform.call("POST", "/table/commit", encodeTransaction(transaction).encodeToByteArray())
             .map { decodeCommitReply(it.text) }
--- a/src/main/kotlin/figdeck/platform/command/PlatformCommands.kt
+++ b/src/main/kotlin/figdeck/store/command/StoreCommands.kt
@@ -1,4 +1,4 @@
-package figdeck.platform.command
+package figdeck.store.command
 
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
@@ -11,7 +11,7 @@
  * @property putObject writes an object under a key; writing the same key again replaces it.
  * @property deleteObject removes an object; removing one that is absent is done.
  */
-public data class PlatformCommands(
+public data class StoreCommands(
     public val commit: suspend (TableTransaction) -> CallResult<CommitReply>,
     public val putObject: suspend (key: String, bytes: ByteArray) -> CallResult<Unit>,
     public val deleteObject: suspend (key: String) -> CallResult<Unit>,
--- a/src/main/kotlin/figdeck/platform/query/HttpQueries.kt
+++ b/src/main/kotlin/figdeck/store/query/HttpQueries.kt
@@ -1,16 +1,16 @@
-package figdeck.platform.query
+package figdeck.store.query
 
 import figdeck.model.map
-import figdeck.platform.NOT_FOUND
-import figdeck.platform.PlatformHttp
-import figdeck.platform.call
-import figdeck.platform.command.encodeParameter
-import figdeck.platform.command.objectTarget
+import figdeck.store.NOT_FOUND
+import figdeck.store.StoreHttp
+import figdeck.store.call
+import figdeck.store.command.encodeParameter
+import figdeck.store.command.objectTarget
 import figdeck.wire.decodeHosts
 import figdeck.wire.decodeRows
 
 /** The platform's queries over HTTP with JSON. */
-internal fun httpQueries(platform: PlatformHttp): PlatformQueries = PlatformQueries(
+internal fun httpQueries(platform: StoreHttp): StoreQueries = StoreQueries(
     readRow = { key ->
         platform.call("GET", "/table/row?key=${encodeParameter(key)}")
             .map { reply -> Found(decodeRows(reply.text).firstOrNull()) }
--- a/src/main/kotlin/figdeck/platform/query/PlatformQueries.kt
+++ b/src/main/kotlin/figdeck/store/query/StoreQueries.kt
@@ -1,4 +1,4 @@
-package figdeck.platform.query
+package figdeck.store.query
 
 import figdeck.model.CallResult
 import figdeck.model.ListedHost
@@ -15,7 +15,7 @@
  * @property readObject reads an object.
  * @property listHosts reads the hosts list, which lags.
  */
-public data class PlatformQueries(
+public data class StoreQueries(
     public val readRow: suspend (key: String) -> CallResult<Found<Row>>,
     public val scanRows: suspend (prefix: String, after: String, limit: Int) -> CallResult<List<Row>>,
     public val readObject: suspend (key: String) -> CallResult<Found<ByteArray>>,
--- a/src/main/kotlin/figdeck/telemetry/ObservedPlatform.kt
+++ b/src/main/kotlin/figdeck/telemetry/ObservedStore.kt
@@ -1,24 +1,24 @@
 package figdeck.telemetry
 
 import figdeck.model.CallResult
-import figdeck.platform.Platform
-import figdeck.platform.command.PlatformCommands
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.Store
+import figdeck.store.command.StoreCommands
+import figdeck.store.query.StoreQueries
 import io.opentelemetry.api.trace.SpanKind
 
 private const val STORE_TIMER = "figdeck.store"
 
 /** [platform] with each call timed and in a span of its own. */
-internal fun observed(platform: Platform, telemetry: Telemetry): Platform {
+internal fun observed(platform: Store, telemetry: Telemetry): Store {
     val commands = platform.commands
     val queries = platform.queries
-    return Platform(
-        PlatformCommands(
+    return Store(
+        StoreCommands(
             commit = { telemetry.storeCall("commit") { commands.commit(it) } },
             putObject = { key, bytes -> telemetry.storeCall("put") { commands.putObject(key, bytes) } },
             deleteObject = { telemetry.storeCall("delete") { commands.deleteObject(it) } },
         ),
-        PlatformQueries(
+        StoreQueries(
             readRow = { telemetry.storeCall("read") { queries.readRow(it) } },
             scanRows = { prefix, after, limit ->
                 telemetry.storeCall("scan") { queries.scanRows(prefix, after, limit) }
--- a/src/main/kotlin/figdeck/traffic/BatchApi.kt
+++ b/src/main/kotlin/figdeck/traffic/BatchApi.kt
@@ -3,7 +3,7 @@
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import figdeck.traffic.command.CANCEL_SUFFIX
 import figdeck.traffic.command.cancelHandler
 import figdeck.traffic.command.submitHandler
@@ -12,7 +12,7 @@
 import figdeck.traffic.query.batchResultsHandler
 
 /** What callers can ask of batch jobs. */
-internal fun batchApi(batches: BatchServices, queries: PlatformQueries): HttpHandler {
+internal fun batchApi(batches: BatchServices, queries: StoreQueries): HttpHandler {
     val submit = submitHandler(batches)
     val cancel = cancelHandler(batches)
     val status = batchHandler(batches.services.control, queries)
--- a/src/main/kotlin/figdeck/traffic/CallerApi.kt
+++ b/src/main/kotlin/figdeck/traffic/CallerApi.kt
@@ -5,7 +5,7 @@
 import figdeck.daemon.query.isCurrent
 import figdeck.http.server.HttpHandler
 import figdeck.model.Refusal
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import figdeck.traffic.command.SERVICES_PREFIX
 import figdeck.traffic.command.chatHandler
 import figdeck.traffic.command.serviceHandler
@@ -15,7 +15,7 @@
 import figdeck.traffic.query.resultHandler
 
 /** What callers can ask of a daemon. */
-internal fun callerApi(services: Services, batches: BatchServices, queries: PlatformQueries): HttpHandler {
+internal fun callerApi(services: Services, batches: BatchServices, queries: StoreQueries): HttpHandler {
     val batch = batchApi(batches, queries)
     val chat = chatHandler(services)
     val service = serviceHandler(services)
--- a/src/main/kotlin/figdeck/traffic/command/FleetHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/FleetHandlers.kt
@@ -53,7 +53,8 @@
     responder.json("{}")
 }
 
-private suspend fun <T> HttpCall.read(decode: (String) -> Either<String, T>): Either<Refusal, T> =
+/** Reads the body, or tells what is wrong with it. */
+internal suspend fun <T> HttpCall.read(decode: (String) -> Either<String, T>): Either<Refusal, T> =
     body.readAll(MAX_BODY_BYTES)
         .mapLeft { Refusal.BodyTooLarge(it.limitBytes) }
         .flatMap { bytes -> decode(bytes.decodeToString()).mapLeft { Refusal.BadRequest("body", it) } }
--- /dev/null
+++ b/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
@@ -0,0 +1,63 @@
+package figdeck.traffic.command
+
+import figdeck.daemon.command.serving.ACQUIRE_PATH
+import figdeck.daemon.command.serving.CONFIRM_PATH
+import figdeck.daemon.command.serving.PoolSlots
+import figdeck.daemon.command.serving.RELEASE_PATH
+import figdeck.daemon.command.serving.REVOKE_PATH
+import figdeck.daemon.command.serving.SlotOwner
+import figdeck.daemon.command.serving.TAKE_PATH
+import figdeck.daemon.command.serving.TeamLimits
+import figdeck.http.server.HttpHandler
+import figdeck.model.Refusal
+import figdeck.traffic.json
+import figdeck.traffic.refuse
+import figdeck.wire.serving.decodeHeldSlots
+import figdeck.wire.serving.decodeRevoked
+import figdeck.wire.serving.decodeSlotAsk
+import figdeck.wire.serving.decodeSlotRelease
+import figdeck.wire.serving.decodeTake
+import figdeck.wire.serving.encodeSlotAnswer
+import figdeck.wire.serving.encodeTakeResult
+
+private const val DONE = "{}"
+
+/** What daemons of the front end ask of each other, by path. */
+internal fun fleetServingHandlers(
+    owner: SlotOwner,
+    slots: PoolSlots,
+    limits: TeamLimits,
+): Map<String, HttpHandler> = mapOf(
+    ACQUIRE_PATH to { call, responder ->
+        call.read(::decodeSlotAsk)
+            .fold({ responder.refuse(it) }, { responder.json(encodeSlotAnswer(owner.acquire(it))) })
+    },
+    RELEASE_PATH to { call, responder ->
+        call.read(::decodeSlotRelease).fold({ responder.refuse(it) }, {
+            owner.release(it)
+            responder.json(DONE)
+        })
+    },
+    CONFIRM_PATH to { call, responder ->
+        call.read(::decodeHeldSlots).fold({ responder.refuse(it) }, {
+            owner.confirm(it.from, it.slots)
+            responder.json(DONE)
+        })
+    },
+    REVOKE_PATH to { call, responder ->
+        call.read(::decodeRevoked).fold({ responder.refuse(it) }, {
+            slots.revoke(it)
+            responder.json(DONE)
+        })
+    },
+    TAKE_PATH to { call, responder ->
+        call.read(::decodeTake).fold({ responder.refuse(it) }, { team ->
+            val result = limits.takeFor(team)
+            if (result == null) {
+                responder.refuse(Refusal.LimitUnavailable(team))
+            } else {
+                responder.json(encodeTakeResult(result))
+            }
+        })
+    },
+)
--- a/src/main/kotlin/figdeck/traffic/query/BatchQueries.kt
+++ b/src/main/kotlin/figdeck/traffic/query/BatchQueries.kt
@@ -12,7 +12,7 @@
 import figdeck.http.server.HttpResponder
 import figdeck.model.CallResult
 import figdeck.model.Refusal
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import figdeck.query.statusOf
 import figdeck.query.teamOf
 import figdeck.traffic.STATUS_OK
@@ -33,7 +33,7 @@
 private const val STATE_HEADER = "X-Batch-State"
 
 /** Handles `GET /v1/batches/{id}`. */
-internal fun batchHandler(control: Control<ControlState>, queries: PlatformQueries): HttpHandler = { call, responder ->
+internal fun batchHandler(control: Control<ControlState>, queries: StoreQueries): HttpHandler = { call, responder ->
     find(control, queries, call, "").fold(
         { responder.refuse(it) },
         { responder.json(encodeStatus(statusOf(it.stored.job, it.segments))) },
@@ -41,7 +41,7 @@
 }
 
 /** Handles `GET /v1/batches/{id}/results`: the results that are durable, a line each, in item order. */
-internal fun batchResultsHandler(control: Control<ControlState>, queries: PlatformQueries): HttpHandler =
+internal fun batchResultsHandler(control: Control<ControlState>, queries: StoreQueries): HttpHandler =
     { call, responder ->
         find(control, queries, call, RESULTS_SUFFIX).fold(
             { responder.refuse(it) },
@@ -49,7 +49,7 @@
         )
     }
 
-private suspend fun HttpResponder.stream(course: JobCourse, queries: PlatformQueries) {
+private suspend fun HttpResponder.stream(course: JobCourse, queries: StoreQueries) {
     val state = statusOf(course.stored.job, course.segments).state
     val headers = newHeaders()
         .set(HttpHeaderNames.CONTENT_TYPE, JSON_LINES)
@@ -61,7 +61,7 @@
 }
 
 /** Reads an object that must be there; a failure cuts the response, so that a caller never takes a part for all. */
-private suspend fun readPatiently(queries: PlatformQueries, key: String): ByteArray {
+private suspend fun readPatiently(queries: StoreQueries, key: String): ByteArray {
     repeat(READS) {
         val read = queries.readObject(key)
         if (read is CallResult.Done) {
@@ -73,7 +73,7 @@
 
 private suspend fun find(
     control: Control<ControlState>,
-    queries: PlatformQueries,
+    queries: StoreQueries,
     call: HttpCall,
     suffix: String,
 ): Either<Refusal, JobCourse> {
--- a/src/main/kotlin/figdeck/traffic/query/OperatorViews.kt
+++ b/src/main/kotlin/figdeck/traffic/query/OperatorViews.kt
@@ -10,7 +10,7 @@
 import figdeck.model.Clock
 import figdeck.model.Refusal
 import figdeck.model.Revision
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.query.StoreQueries
 import figdeck.traffic.json
 import figdeck.traffic.refuse
 import figdeck.wire.command.encodeTemplate
@@ -43,7 +43,7 @@
 }
 
 /** Handles `GET /v1/changes?after=N`: a page of the history, oldest first. */
-internal fun historyHandler(queries: PlatformQueries): HttpHandler = { call, responder ->
+internal fun historyHandler(queries: StoreQueries): HttpHandler = { call, responder ->
     val after = Revision(call.parameter("after")?.toLongOrNull()?.coerceAtLeast(0) ?: 0)
     when (val changes = queries.readChanges(after)) {
         is CallResult.Done -> responder.json(encodeHistory(changes.value))
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -45,6 +45,7 @@
         is Refusal.Overloaded -> "overloaded"
         is Refusal.NoUpstream -> "no_upstream"
         is Refusal.UpstreamLost -> "upstream_lost"
+        is Refusal.AnswerTimeout -> "answer_timeout"
         Refusal.StaleConfiguration -> "stale_configuration"
         is Refusal.StoreUnavailable -> "store_unavailable"
         is Refusal.Unconfirmed -> "unconfirmed"
@@ -73,7 +74,7 @@
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> UNAVAILABLE
         is Refusal.StoreUnavailable, is Refusal.Unconfirmed, Refusal.Draining -> UNAVAILABLE
         is Refusal.LimitUnavailable -> UNAVAILABLE
-        is Refusal.InDoubt, is Refusal.TakenOver -> GATEWAY_TIMEOUT
+        is Refusal.InDoubt, is Refusal.TakenOver, is Refusal.AnswerTimeout -> GATEWAY_TIMEOUT
         is Refusal.HostLost, is Refusal.NotStarted -> BAD_GATEWAY
     }
 
--- a/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -17,10 +17,10 @@
 import figdeck.model.TemplateEdit
 import figdeck.model.systemClock
 import figdeck.model.template
-import figdeck.platform.Platform
-import figdeck.platform.command.PlatformCommands
-import figdeck.platform.query.Found
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.Store
+import figdeck.store.command.StoreCommands
+import figdeck.store.query.Found
+import figdeck.store.query.StoreQueries
 import figdeck.standin.commit
 import figdeck.standin.emptyPlatform
 import figdeck.standin.scan
@@ -39,13 +39,13 @@
 private class FakeTable(private val fault: (Int) -> WriteFault) {
     private var state = emptyPlatform
     private val commits = AtomicInteger()
-    val platform = Platform(
-        PlatformCommands(
+    val platform = Store(
+        StoreCommands(
             commit = { commitWithFault(it) },
             putObject = { key, bytes -> synchronized(this) { put(key, bytes) } },
             deleteObject = { CallResult.Done(Unit) },
         ),
-        PlatformQueries(
+        StoreQueries(
             readRow = { key -> synchronized(this) { CallResult.Done(Found(state.rows[key])) } },
             scanRows = { prefix, after, limit ->
                 synchronized(this) { CallResult.Done(scan(state, prefix, after, limit)) }
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -16,10 +16,10 @@
 import figdeck.model.Revision
 import figdeck.model.Template
 import figdeck.model.systemClock
-import figdeck.platform.Platform
-import figdeck.platform.command.PlatformCommands
-import figdeck.platform.query.Found
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.Store
+import figdeck.store.command.StoreCommands
+import figdeck.store.query.Found
+import figdeck.store.query.StoreQueries
 import figdeck.standin.commit
 import figdeck.standin.emptyPlatform
 import figdeck.standin.scan
@@ -60,13 +60,13 @@
 
     fun timesSent(id: RequestId): Int = sent[id]?.get() ?: 0
 
-    internal fun platform(effects: Effects) = Platform(
-        PlatformCommands(
+    internal fun platform(effects: Effects) = Store(
+        StoreCommands(
             commit = { transaction -> effects.call { onTable { commit(it, transaction) } } },
             putObject = { _, _ -> CallResult.Done(Unit) },
             deleteObject = { CallResult.Done(Unit) },
         ),
-        PlatformQueries(
+        StoreQueries(
             readRow = { key -> effects.call { onTable { Step(it, Found(it.rows[key])) } } },
             scanRows = { prefix, after, limit ->
                 effects.call { onTable { Step(it, scan(it, prefix, after, limit)) } }
--- a/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
+++ b/src/test/kotlin/figdeck/daemon/command/batch/BatchBench.kt
@@ -33,10 +33,10 @@
 import figdeck.model.hashKey
 import figdeck.model.systemClock
 import figdeck.model.template
-import figdeck.platform.Platform
-import figdeck.platform.command.PlatformCommands
-import figdeck.platform.query.Found
-import figdeck.platform.query.PlatformQueries
+import figdeck.store.Store
+import figdeck.store.command.StoreCommands
+import figdeck.store.query.Found
+import figdeck.store.query.StoreQueries
 import figdeck.process.batchLine
 import figdeck.query.statusOf
 import figdeck.standin.commit
@@ -112,8 +112,8 @@
     private fun table(transaction: TableTransaction): CommitReply =
         commit(state, transaction).also { state = it.state }.result
 
-    private fun platform(steps: Steps) = Platform(
-        PlatformCommands(
+    private fun platform(steps: Steps) = Store(
+        StoreCommands(
             commit = { steps.take<CallResult<CommitReply>>(unknown) { CallResult.Done(table(it)) } },
             putObject = { key, bytes ->
                 steps.take<CallResult<Unit>>(unknown) {
@@ -128,7 +128,7 @@
                 }
             },
         ),
-        PlatformQueries(
+        StoreQueries(
             readRow = { key -> steps.take(unknown) { CallResult.Done(Found(state.rows[key])) } },
             scanRows = { prefix, after, limit ->
                 steps.take(unknown) { CallResult.Done(scan(state, prefix, after, limit)) }
