Files of the platform's daemon by subject, within the linter's rules; specs for what it decides and decodes

Change: store replies, keys, slot, limit and job codecs in files of their own; one send apart from the serving of a request; specs for the configuration, upstreams' entries, heads, next steps, routes, event framing, results' rows, limits, pool members and the ranking of the fleet.

--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -4,8 +4,8 @@
 import com.github.ajalt.clikt.core.subcommands
 import figdeck.cli.Figdeck
 import figdeck.cli.command.Demo
-import figdeck.cli.command.Edge
 import figdeck.cli.command.DrainCommand
+import figdeck.cli.command.Edge
 import figdeck.cli.command.KeyGroup
 import figdeck.cli.command.Serve
 import figdeck.cli.command.StandIn
--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -3,7 +3,6 @@
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
-import figdeck.control.serving.adoptPlan
 import figdeck.control.serving.beginStop
 import figdeck.control.serving.initialServing
 import figdeck.control.serving.onOwnSlots
--- a/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
+++ b/src/main/kotlin/figdeck/daemon/command/RecoverRequests.kt
@@ -16,9 +16,9 @@
 import figdeck.model.Work
 import figdeck.model.emptyConfiguration
 import figdeck.model.map
+import figdeck.query.RouteAccess
 import figdeck.store.Store
 import figdeck.store.query.StoreQueries
-import figdeck.query.RouteAccess
 import figdeck.wire.decodeOpenRequest
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
--- a/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/CancelBatch.kt
@@ -17,8 +17,8 @@
 import figdeck.model.TableTransaction
 import figdeck.model.TeamId
 import figdeck.model.map
-import figdeck.store.query.Found
 import figdeck.query.statusOf
+import figdeck.store.query.Found
 import figdeck.wire.encodeJob
 import kotlin.time.Duration.Companion.seconds
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -14,12 +14,9 @@
 import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.SlotAsk
 import figdeck.query.serving.poolFor
-import figdeck.wire.serving.EventFramer
-import figdeck.wire.serving.StreamEvent
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.takeWhile
 import kotlinx.coroutines.selects.select
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -57,8 +54,7 @@
     private val record: JobRecord,
     private val item: JobItem,
 ) {
-    private val output = mutableListOf<String>()
-    private var lastEventId: Long? = null
+    private val output = ItemOutput()
     private var failures = 0
 
     /** Runs the item until it is whole or has to be given up. */
@@ -89,12 +85,12 @@
             services.log.note("item_stopped", item.id) {
                 put("job", record.id.value)
                 put("upstream", permit.upstream.id.value)
-                put("events", output.size.toLong())
+                put("events", output.events.size.toLong())
                 put("end", end.toString())
             }
         }
         return when (end) {
-            RunEnd.Whole -> JobResult(item.id, isComplete = true, output = output.joinToString("\n"))
+            RunEnd.Whole -> JobResult(item.id, isComplete = true, output = output.text)
             RunEnd.Impossible -> givenUp("the upstream says that it is impossible")
             is RunEnd.Interrupted -> null
             is RunEnd.Failed -> {
@@ -152,7 +148,7 @@
         val order = SendOrder(
             upstream = permit.upstream,
             timeLeft = SEND_LIMIT,
-            resumeAfter = lastEventId,
+            resumeAfter = output.lastEventId,
             headTimeout = STALL,
             idleTimeout = STALL,
             freshConnection = false,
@@ -176,40 +172,11 @@
             delay(FAILURE_PAUSE)
             RunEnd.Interrupted(NOT_RUN)
         }
-        reply.isSuccess -> collect(reply)
+        reply.isSuccess -> output.collect(reply)?.let { RunEnd.Interrupted(it) } ?: RunEnd.Whole
         reply.status == IMPOSSIBLE -> RunEnd.Impossible
         reply.status >= FIRST_SERVER_ERROR -> RunEnd.Failed("the upstream answered ${reply.status}")
         else -> RunEnd.Interrupted("the upstream answered ${reply.status}")
     }
-
-    private suspend fun collect(reply: UpstreamReply): RunEnd {
-        val framer = EventFramer()
-        var fault: String? = null
-        reply.body.chunks.takeWhile { fault == null }.collect { chunk ->
-            for (event in framer.take(chunk)) {
-                fault = fault ?: take(event)
-            }
-        }
-        val broken = fault
-        return when {
-            broken != null -> RunEnd.Interrupted(broken)
-            framer.hasPartial -> RunEnd.Interrupted("the stream ended within an event")
-            output.isEmpty() -> RunEnd.Interrupted("the stream ended without an event")
-            else -> RunEnd.Whole
-        }
-    }
-
-    private fun take(event: StreamEvent): String? {
-        val last = lastEventId
-        val id = event.id
-        return if (id == null || (last != null && id != last + 1)) {
-            "event $id came after event $last"
-        } else {
-            output += event.data
-            lastEventId = id
-            null
-        }
-    }
 }
 
 private const val REVOKED = "the slot was revoked"
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -28,6 +28,9 @@
     val lastEventId: Long?,
 )
 
+/** How long the final answer may still take at [now]. */
+internal fun OnlineCall.timeLeft(now: Moment): Duration = minOf(deadline - now, receivedAt + access.route.timeout - now)
+
 /**
  * How a request is to be sent to one upstream.
  *
@@ -69,7 +72,13 @@
     val body: HttpBody,
 )
 
-internal val UpstreamReply.isSuccess: Boolean get() = status in 200..299
+private const val FIRST_SUCCESS = 200
+private const val LAST_SUCCESS = 299
+
+/** Whether [status] tells of success. */
+internal fun isSuccess(status: Int): Boolean = status in FIRST_SUCCESS..LAST_SUCCESS
+
+internal val UpstreamReply.isSuccess: Boolean get() = isSuccess(status)
 
 /** Sends the request as ordered and passes the response to the function. Leaving the body unread cancels it. */
 internal typealias Forward =
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
@@ -0,0 +1,14 @@
+package figdeck.daemon.command.serving
+
+import figdeck.log.DecisionLog
+import figdeck.model.Clock
+import kotlin.random.Random
+
+/** What the serving of requests needs. */
+internal data class OnlineServices(
+    val clock: Clock,
+    val limits: TeamLimits,
+    val slots: PoolSlots,
+    val random: Random,
+    val log: DecisionLog,
+)
--- a/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
@@ -11,6 +11,7 @@
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
+import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
 import figdeck.model.serving.FleetMember
@@ -57,6 +58,7 @@
     private val scope: CoroutineScope,
 ) {
     private val held = ConcurrentHashMap<Long, Holding>()
+
     /** This host. */
     val self: HostId get() = control.snapshot.fleet.self.host
 
@@ -99,23 +101,23 @@
         while (true) {
             delay(CONFIRM_INTERVAL)
             val permits = held.values.mapNotNull { it.permit }
-            permits.groupBy { currentOwner(it.ask.pool) }.forEach { (owner, slots) -> confirm(owner, slots) }
+            permits.groupBy { control.snapshot.otherOwner(it.ask.pool, clock()) }.forEach { (owner, slots) -> confirm(owner, slots) }
         }
     }
 
     private suspend fun askOwners(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
         val owners = control.snapshot.fleet.ranked(slotKey(ask.pool), clock()).take(MAX_OWNERS)
-        for (owner in owners) {
-            if (owner.host == self) {
-                return own.acquire(ask) to null
-            }
-            val answer = peers.acquire(owner.address, ask)
-            if (answer != null) {
-                return answer to owner
-            }
+        val others = owners.takeWhile { it.host != self }
+        return others.firstNotNullOfOrNull { owner -> askOther(owner, ask)?.let { it to owner } }
+            ?: (own.acquire(ask) to null)
+    }
+
+    private suspend fun askOther(owner: FleetMember, ask: SlotAsk): SlotAnswer? {
+        val answer = peers.acquire(owner.address, ask)
+        if (answer == null) {
             passOver(owner, "gave no slot of pool ${ask.pool} in time")
         }
-        return own.acquire(ask) to null
+        return answer
     }
 
     private suspend fun confirm(owner: FleetMember?, permits: List<HeldPermit>) {
@@ -127,11 +129,6 @@
         }
     }
 
-    private fun currentOwner(pool: PoolName): FleetMember? = control.snapshot.fleet
-        .ranked(slotKey(pool), clock())
-        .firstOrNull()
-        ?.takeIf { it.host != self }
-
     private suspend fun passOver(owner: FleetMember, reason: String) {
         log.warn { "host ${owner.host} at ${owner.address} $reason: passed over" }
         control.run { state, now -> onFleet(state) { suspect(it, owner.host, now) } }
@@ -163,6 +160,12 @@
 /** The key by which the owner of the slots of [pool] is found. */
 internal fun slotKey(pool: PoolName): String = "slots/$pool"
 
+/** The host that gives out the slots of [pool], unless it is this one. */
+private fun ServingState.otherOwner(pool: PoolName, now: Moment): FleetMember? = fleet
+    .ranked(slotKey(pool), now)
+    .firstOrNull()
+    ?.takeIf { it.host != fleet.self.host }
+
 private fun refusalOf(answer: SlotAnswer): Refusal = when (answer) {
     is SlotAnswer.Full -> Refusal.Overloaded("every upstream", answer.retryAfter)
     is SlotAnswer.Granted, SlotAnswer.NoUpstream -> Refusal.NoUpstream("this route")
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SendOnce.kt
@@ -0,0 +1,112 @@
+package figdeck.daemon.command.serving
+
+import figdeck.http.client.ExchangeFailure
+import figdeck.http.readAll
+import figdeck.model.UpstreamId
+import figdeck.model.serving.isRepeatable
+import figdeck.model.serving.isStream
+import figdeck.query.serving.FailedSend
+import figdeck.query.serving.SendHistory
+import figdeck.query.serving.runs
+import io.netty.handler.codec.http.HttpHeaders
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The longest answer that is held back until it is whole. */
+private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+private const val FIRST_SERVER_ERROR = 500
+
+/** The shortest silence after which a request that may be repeated goes to another upstream. */
+private val SHORTEST_STALL = 700.milliseconds
+
+/** How many objectives of silence do the same. */
+private const val STALL_OBJECTIVES = 2
+
+/** A failure that an upstream answered after it ran the request. */
+internal class FailedAnswer(
+    val status: Int,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+)
+
+/** The sending of one request to one upstream after another. */
+internal class SendOnce(
+    private val services: OnlineServices,
+    private val call: OnlineCall,
+    private val forward: Forward,
+    private val caller: CallerChannel,
+) {
+    private val route = call.access.route
+
+    /** What the caller has of a stream. */
+    val stream: StreamProgress = StreamProgress(call.lastEventId)
+
+    /** The latest failure that an upstream answered. */
+    var failedAnswer: FailedAnswer? = null
+        private set
+
+    /** Sends the request to the upstream of [permit]; null when the caller got its answer. */
+    suspend fun send(permit: HeldPermit, history: SendHistory): FailedSend? {
+        var failure: FailedSend? = null
+        val sentAt = services.clock()
+        val upstream = permit.upstream.id
+        val result = forward(orderFor(permit, history)) { reply -> failure = receive(upstream, reply) }
+        services.log.note("sent", call.id) {
+            put("upstream", upstream.value)
+            put("owner", permit.owner?.host?.value ?: "self")
+            put("waited_ms", (sentAt - call.receivedAt).inWholeMilliseconds)
+            put("took_ms", (services.clock() - sentAt).inWholeMilliseconds)
+            put("failure", failure?.reason ?: result.leftOrNull()?.reason ?: "none")
+        }
+        return result.fold(
+            { lost ->
+                when (lost) {
+                    is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason)
+                    is ExchangeFailure.Lost -> FailedSend.MayHaveRun(upstream, lost.reason)
+                }
+            },
+            { failure },
+        )
+    }
+
+    private fun orderFor(permit: HeldPermit, history: SendHistory): SendOrder {
+        val left = call.timeLeft(services.clock()).coerceAtLeast(1.milliseconds)
+        val canRepeat = route.kind.isRepeatable && history.runs + 1 < route.maxAttempts
+        val stall = if (canRepeat) maxOf(SHORTEST_STALL, route.objective * STALL_OBJECTIVES) else left
+        return SendOrder(
+            upstream = permit.upstream,
+            timeLeft = left,
+            resumeAfter = stream.lastEventId,
+            headTimeout = minOf(stall, left),
+            idleTimeout = minOf(stall, left),
+            freshConnection = !route.kind.isRepeatable,
+        )
+    }
+
+    private suspend fun receive(upstream: UpstreamId, reply: UpstreamReply): FailedSend? = when (reply.disposition) {
+        Disposition.NOT_RUN -> FailedSend.NotRun(upstream, "the upstream answered ${reply.status} without running it")
+        Disposition.FOREIGN -> FailedSend.MayHaveRun(upstream, "the answer belongs to no request of this connection")
+        Disposition.RAN ->
+            if (reply.isSuccess && route.kind.isStream) relay(upstream, reply) else deliver(upstream, reply)
+    }
+
+    private suspend fun relay(upstream: UpstreamId, reply: UpstreamReply): FailedSend? =
+        when (val result = stream.relay(reply, caller)) {
+            RelayResult.Whole -> null
+            is RelayResult.Broken -> FailedSend.MayHaveRun(upstream, result.reason)
+        }
+
+    private suspend fun deliver(upstream: UpstreamId, reply: UpstreamReply): FailedSend? {
+        val body = reply.body.readAll(MAX_ANSWER_BYTES).getOrNull()
+        return when {
+            body == null -> FailedSend.MayHaveRun(upstream, "the answer is longer than $MAX_ANSWER_BYTES bytes")
+            reply.status >= FIRST_SERVER_ERROR -> {
+                failedAnswer = FailedAnswer(reply.status, reply.headers, body)
+                FailedSend.MayHaveRun(upstream, "the upstream answered ${reply.status}")
+            }
+            else -> {
+                caller.full(reply.status, reply.headers, body)
+                null
+            }
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/platform/FrontHandler.kt
+++ b/src/main/kotlin/figdeck/platform/FrontHandler.kt
@@ -1,6 +1,8 @@
 package figdeck.platform
 
+import arrow.core.flatMap
 import arrow.core.getOrElse
+import arrow.core.left
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.daemon.command.serving.CallerChannel
@@ -9,6 +11,7 @@
 import figdeck.daemon.command.serving.OnlineCall
 import figdeck.daemon.command.serving.OnlineServices
 import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.isSuccess
 import figdeck.daemon.command.serving.serveOnline
 import figdeck.http.client.HttpClient
 import figdeck.http.client.HttpReply
@@ -37,7 +40,8 @@
 private const val MISDIRECTED = 421
 private const val UNAVAILABLE = 503
 private const val INTERNAL_ERROR = 500
-private val PROMISES = setOf(408, MISDIRECTED, TOO_MANY, UNAVAILABLE)
+private const val REQUEST_TIMEOUT = 408
+private val PROMISES = setOf(REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY, UNAVAILABLE)
 
 /** What the listener for clients needs. */
 internal data class FrontServices(
@@ -68,71 +72,76 @@
     responder.full(if (ready) OK else UNAVAILABLE, newHeaders(), ByteArray(0))
 }
 
+/** A request as it came in. */
+private class Received(
+    val call: HttpCall,
+    val head: CallerHead,
+    val body: ByteArray,
+    val at: Moment,
+)
+
 private suspend fun FrontServices.serve(
     call: HttpCall,
     head: CallerHead,
     receivedAt: Moment,
     responder: HttpResponder,
 ) {
-    val index = control.snapshot.index
-    if (index == null) {
-        responder.refuse(Refusal.StaleConfiguration)
-        return
-    }
-    val body = call.body.readAll(index.plan.maxBodyBytes)
+    val limit = control.snapshot.index?.plan?.maxBodyBytes ?: 0
+    val body = call.body.readAll(limit)
     // The plan may have changed while the body came in.
-    val current = control.snapshot.index ?: index
-    val access = current.access(head.host, call.path, head.key)
-    val refusal = access.leftOrNull() ?: body.leftOrNull()?.let { Refusal.BodyTooLarge(it.limitBytes) }
-    if (refusal != null) {
-        online.log.note("refused", head.id) {
-            put("refusal", refusal.type)
-            put("path", call.path)
-            put("plan", current.plan.version)
-        }
-        responder.refuse(refusal)
-        return
+    val index = control.snapshot.index
+    val access = when {
+        index == null -> Refusal.StaleConfiguration.left()
+        else -> index.access(head.host, call.path, head.key)
+            .flatMap { access -> body.mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.map { access } }
     }
-    val allowed = access.getOrNull() ?: return
-    val bytes = body.getOrElse { ByteArray(0) }
-    if (allowed.route.kind == CallKind.BATCH) {
-        jobs.submit(allowed, head, bytes, responder)
+    access.fold(
+        { refusal ->
+            online.log.note("refused", head.id) {
+                put("refusal", refusal.type)
+                put("path", call.path)
+                put("plan", index?.plan?.version ?: 0)
+            }
+            responder.refuse(refusal)
+        },
+        { serve(Received(call, head, body.getOrElse { ByteArray(0) }, receivedAt), it, responder) },
+    )
+}
+
+private suspend fun FrontServices.serve(received: Received, access: Access, responder: HttpResponder) {
+    if (access.route.kind == CallKind.BATCH) {
+        jobs.submit(access, received.head, received.body, responder)
     } else {
-        serveOnline(call, head, allowed, bytes, receivedAt, responder)
+        serveOnline(received, access, responder)
     }
 }
 
-private suspend fun FrontServices.serveOnline(
-    call: HttpCall,
-    head: CallerHead,
-    access: Access,
-    body: ByteArray,
-    receivedAt: Moment,
-    responder: HttpResponder,
-) {
+private suspend fun FrontServices.serveOnline(received: Received, access: Access, responder: HttpResponder) {
+    val head = received.head
     val online = OnlineCall(
         id = head.id,
         access = access,
-        receivedAt = receivedAt,
-        deadline = receivedAt + head.timeLeft,
+        receivedAt = received.at,
+        deadline = received.at + head.timeLeft,
         cost = head.tokens,
         affinity = head.affinity,
         lastEventId = head.lastEventId,
     )
     val caller = CallerChannel(responder.start, responder.write, responder.full)
-    this.online.serveOnline(online, forward(call, access, body), caller).onLeft { refusal ->
+    this.online.serveOnline(online, forward(received, access), caller).onLeft { refusal ->
         this.online.log.note("refused", head.id) {
             put("refusal", refusal.type)
             put("route", access.route.name)
             put("team", access.team?.id?.value ?: "none")
-            put("after_ms", (this@serveOnline.online.clock() - receivedAt).inWholeMilliseconds)
+            put("after_ms", (this@serveOnline.online.clock() - received.at).inWholeMilliseconds)
             put("retry_after_ms", refusal.retryAfter?.inWholeMilliseconds ?: -1)
         }
         responder.refuse(refusal)
     }
 }
 
-private fun FrontServices.forward(call: HttpCall, access: Access, body: ByteArray): Forward = { order, use ->
+private fun FrontServices.forward(received: Received, access: Access): Forward = { order, use ->
+    val call = received.call
     val request = OutgoingRequest(
         address = order.upstream.address,
         method = call.method,
@@ -144,7 +153,7 @@
             order.timeLeft,
             order.resumeAfter,
         ),
-        body = body,
+        body = received.body,
         freshConnection = order.freshConnection,
         headTimeout = order.headTimeout,
         idleTimeout = order.idleTimeout,
@@ -156,7 +165,7 @@
 internal fun upstreamReply(reply: HttpReply, id: String?): UpstreamReply {
     val headers = reply.headers
     val hasOtherId = headers.get(ATTEMPT_ID)?.let { it != id } ?: false
-    val isUnproved = reply.status in 200..299 && (STAMP !in headers || HttpHeaderNames.CONTENT_ENCODING in headers)
+    val isUnproved = isSuccess(reply.status) && (STAMP !in headers || HttpHeaderNames.CONTENT_ENCODING in headers)
     val disposition = when {
         hasOtherId || isUnproved -> Disposition.FOREIGN
         NOT_EXECUTED in headers || reply.status == MISDIRECTED -> Disposition.NOT_RUN
--- a/src/main/kotlin/figdeck/platform/RunnerMessages.kt
+++ b/src/main/kotlin/figdeck/platform/RunnerMessage.kt
@@ -1,9 +1,6 @@
 package figdeck.platform
 
 import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.left
-import arrow.core.right
 import figdeck.model.DataCentre
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
@@ -11,8 +8,7 @@
 import figdeck.model.parseAddress
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.PoolName
-import figdeck.wire.decode
-import figdeck.wire.lenientJson
+import figdeck.wire.decodeAs
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
@@ -31,9 +27,9 @@
 
 /** Reads the entry of the upstream [id], or tells why it names no upstream to use. */
 internal fun decodeRunner(id: String, text: String): Either<String, PoolMember> =
-    lenientJson.decode(RunnerMessage.serializer(), text).flatMap { it.toMember(id) }
+    decodeAs(text, RunnerMessage.serializer()) { it.toMember(id) }.mapLeft { "entry '$id': $it" }
 
-private fun RunnerMessage.toMember(id: String): Either<String, PoolMember> = try {
+private fun RunnerMessage.toMember(id: String): PoolMember {
     require(state == "ready" || state == "draining") { "state '$state' is unknown" }
     require(slots > 0) { "it has $slots slots" }
     val upstream = Upstream(
@@ -44,7 +40,5 @@
         slots = slots,
         honoursFencing = false,
     )
-    PoolMember(upstream, PoolName(pool), isLeaving = state == "draining").right()
-} catch (e: IllegalArgumentException) {
-    "entry '$id': ${e.message}".left()
+    return PoolMember(upstream, PoolName(pool), isLeaving = state == "draining")
 }
--- /dev/null
+++ b/src/main/kotlin/figdeck/platform/StoreKeys.kt
@@ -0,0 +1,31 @@
+package figdeck.platform
+
+import java.net.URLEncoder
+import java.util.Base64
+
+private const val SEPARATOR = '/'
+
+/** The key after `x` in byte order is `x` with this character. */
+internal const val FIRST_CHARACTER = "\u0000"
+
+internal fun rowKey(table: String, key: String): String = "$table$SEPARATOR$key"
+
+internal fun rowMessage(key: String): RowMessage = RowMessage(table = tableOf(key), key = keyOf(key))
+
+internal fun tableOf(key: String): String = key.substringBefore(SEPARATOR)
+
+internal fun keyOf(key: String): String = key.substringAfter(SEPARATOR, "")
+
+internal fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
+
+internal fun encodeValue(value: String): String = Base64.getEncoder().encodeToString(value.encodeToByteArray())
+
+/** Values of other writers may be anything; what isn't Base64 reads as an empty value. */
+internal fun decodeValue(value: String?): String = try {
+    Base64.getDecoder().decode(value.orEmpty()).decodeToString()
+} catch (_: IllegalArgumentException) {
+    ""
+}
+
+/** The first key after all that start with this one; null for the empty prefix. */
+internal fun String.endOfPrefix(): String? = if (isEmpty()) null else dropLast(1) + (last() + 1)
--- /dev/null
+++ b/src/main/kotlin/figdeck/platform/StoreReplies.kt
@@ -0,0 +1,80 @@
+package figdeck.platform
+
+import figdeck.http.client.ExchangeFailure
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.Row
+import figdeck.model.TableTransaction
+import figdeck.model.map
+import figdeck.store.query.FeedReply
+import figdeck.store.query.RowChange
+import figdeck.wire.decode
+import figdeck.wire.lenientJson
+
+private const val OK = 200
+private const val NOT_FOUND = 404
+private const val GONE = 410
+private const val PRECONDITION_FAILED = 412
+private const val TOO_MANY = 429
+private const val UNAVAILABLE = 503
+
+/** The status and body of the store's reply. */
+internal data class StoreReply(
+    val status: Int,
+    val body: ByteArray,
+) {
+    val isFound: Boolean get() = status == OK
+}
+
+/** Rows of a table, with their table in the key. */
+internal data class TablePage(
+    val rows: List<Row>,
+    val hasMore: Boolean,
+    val version: Long,
+    val storeMillis: Long,
+)
+
+internal fun ExchangeFailure.toResult(): CallResult<Nothing> = when (this) {
+    is ExchangeFailure.NotSent -> CallResult.NotDone(reason)
+    is ExchangeFailure.Lost -> CallResult.Unknown(reason)
+}
+
+/** What [status] and [body] of a reply mean; a null body was too long. */
+internal fun storeResult(status: Int, body: ByteArray?): CallResult<StoreReply> = when {
+    body == null -> CallResult.Unknown("the store's reply is too long")
+    status == TOO_MANY || status == UNAVAILABLE -> CallResult.NotDone("the store answered $status")
+    status in setOf(OK, NOT_FOUND, GONE, PRECONDITION_FAILED) -> CallResult.Done(StoreReply(status, body))
+    else -> CallResult.Unknown("the store answered $status")
+}
+
+internal fun decodeCommit(reply: StoreReply, transaction: TableTransaction): CallResult<CommitReply> =
+    if (reply.status == PRECONDITION_FAILED) {
+        CallResult.Done(CommitReply.Conflict(transaction.checks.map { it.key }))
+    } else {
+        reply.decodeRows().map { CommitReply.Committed(it.version) }
+    }
+
+internal fun decodePage(table: String, reply: StoreReply): CallResult<TablePage> = reply.decodeRows().map { decoded ->
+    TablePage(decoded.rows.map { it.toRow(table) }, decoded.hasMore, decoded.version, decoded.storeMillis)
+}
+
+internal fun decodeChanges(reply: StoreReply): CallResult<FeedReply> =
+    if (reply.status == GONE) {
+        CallResult.Done(FeedReply.HistoryLost)
+    } else {
+        reply.decodeRows().map { decoded ->
+            val changes = decoded.rows.map { message ->
+                val row = Row(message.key, decodeValue(message.value), message.version ?: 0)
+                RowChange(message.key, row.takeUnless { message.removed })
+            }
+            FeedReply.Changes(changes, decoded.version)
+        }
+    }
+
+private fun StoreReply.decodeRows(): CallResult<RowsReply> =
+    lenientJson.decode(RowsReply.serializer(), body.decodeToString()).fold(
+        { CallResult.Unknown("the store's reply can't be read: $it") },
+        { CallResult.Done(it) },
+    )
+
+private fun RowMessage.toRow(table: String): Row = Row(rowKey(table, key), decodeValue(value), version ?: 0)
--- a/src/main/kotlin/figdeck/traffic/query/BatchQueries.kt
+++ b/src/main/kotlin/figdeck/traffic/query/BatchQueries.kt
@@ -12,9 +12,9 @@
 import figdeck.http.server.HttpResponder
 import figdeck.model.CallResult
 import figdeck.model.Refusal
-import figdeck.store.query.StoreQueries
 import figdeck.query.statusOf
 import figdeck.query.teamOf
+import figdeck.store.query.StoreQueries
 import figdeck.traffic.STATUS_OK
 import figdeck.traffic.bearerKey
 import figdeck.traffic.json
--- a/src/main/kotlin/figdeck/wire/serving/FleetMemberCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
@@ -1,14 +1,11 @@
 package figdeck.wire.serving
 
 import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.left
-import arrow.core.right
 import figdeck.model.DataCentre
 import figdeck.model.HostId
 import figdeck.model.parseAddress
 import figdeck.model.serving.FleetMember
-import figdeck.wire.decode
+import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
 
@@ -33,17 +30,13 @@
 }
 
 internal fun decodeFleetMember(host: String, text: String): Either<String, FleetMember> =
-    lenientJson.decode(FleetMemberDto.serializer(), text).flatMap { dto ->
-        try {
-            FleetMember(
-                host = HostId(host),
-                address = parseAddress(dto.address),
-                dataCentre = DataCentre(dto.dataCentre),
-                incarnation = dto.incarnation,
-                joinedAt = dto.joinedAt,
-                renewedAt = dto.renewedAt,
-            ).right()
-        } catch (e: IllegalArgumentException) {
-            "member '$host': ${e.message}".left()
-        }
+    decodeAs(text, FleetMemberDto.serializer()) { dto ->
+        FleetMember(
+            host = HostId(host),
+            address = parseAddress(dto.address),
+            dataCentre = DataCentre(dto.dataCentre),
+            incarnation = dto.incarnation,
+            joinedAt = dto.joinedAt,
+            renewedAt = dto.renewedAt,
+        )
     }
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
@@ -0,0 +1,44 @@
+package figdeck.wire.serving
+
+import arrow.core.Either
+import figdeck.model.RowWrite
+import figdeck.model.serving.JobId
+import figdeck.model.serving.JobItem
+import figdeck.wire.decodeAs
+import figdeck.wire.lenientJson
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+import java.util.Base64
+
+private const val ITEM_TABLE = "jobitem"
+
+@Serializable
+internal data class JobItemDto(
+    val id: String,
+    val path: String,
+    val headers: Map<String, String>,
+    val body: String,
+    val tokens: Long,
+)
+
+internal fun encodeJobItems(items: List<JobItem>): String {
+    val dtos = items.map { item ->
+        JobItemDto(item.id, item.path, item.headers, Base64.getEncoder().encodeToString(item.body), item.tokens)
+    }
+    return lenientJson.encodeToString(ListSerializer(JobItemDto.serializer()), dtos)
+}
+
+internal fun decodeJobItems(text: String): Either<String, List<JobItem>> =
+    decodeAs(text, ListSerializer(JobItemDto.serializer())) { dtos ->
+        dtos.map { JobItem(it.id, it.path, it.headers, Base64.getDecoder().decode(it.body), it.tokens) }
+    }
+
+/** The rows that hold the items' [text]. */
+internal fun itemWrites(id: JobId, text: String): List<RowWrite> =
+    text.chunked(ROW_CHARACTERS).mapIndexed { i, part -> RowWrite("${itemPrefix(id)}${keyNumber(i)}", part) }
+
+/** The beginning of the keys of the rows that hold the items of [id]. */
+internal fun itemPrefix(id: JobId): String = "$ITEM_TABLE/$id/"
+
+/** The name of the object that holds the items of a job which is too large for rows. */
+internal fun itemObject(id: JobId): String = "$ITEM_TABLE-$id"
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/serving/JobRecordCodec.kt
@@ -0,0 +1,65 @@
+package figdeck.wire.serving
+
+import arrow.core.Either
+import figdeck.model.HostId
+import figdeck.model.TeamId
+import figdeck.model.serving.JobId
+import figdeck.model.serving.JobOwner
+import figdeck.model.serving.JobRecord
+import figdeck.wire.decodeAs
+import figdeck.wire.lenientJson
+import kotlinx.serialization.Serializable
+
+/** The table of job records, by job. */
+internal const val JOB_TABLE = "job"
+
+@Serializable
+internal data class JobRecordDto(
+    val team: String,
+    val route: String,
+    val submittedAt: Long,
+    val total: Int,
+    val tokens: Long,
+    val results: Int,
+    val ended: Boolean,
+    val owner: String,
+    val incarnation: String,
+    val chunks: Int,
+    val writeId: String,
+)
+
+internal fun recordKey(id: JobId): String = "$JOB_TABLE/$id"
+
+internal fun encodeJobRecord(record: JobRecord): String {
+    val dto = JobRecordDto(
+        team = record.team.value,
+        route = record.route,
+        submittedAt = record.submittedAt,
+        total = record.total,
+        tokens = record.tokens,
+        results = record.results,
+        ended = record.isEnded,
+        owner = record.owner.host.value,
+        incarnation = record.owner.incarnation,
+        chunks = record.chunks,
+        writeId = record.writeId,
+    )
+    return lenientJson.encodeToString(JobRecordDto.serializer(), dto)
+}
+
+internal fun decodeJobRecord(id: String, text: String): Either<String, JobRecord> =
+    decodeAs(text, JobRecordDto.serializer()) { dto ->
+        JobRecord(
+            id = JobId(id),
+            team = TeamId(dto.team),
+            route = dto.route,
+            submittedAt = dto.submittedAt,
+            total = dto.total,
+            tokens = dto.tokens,
+            results = dto.results,
+            isEnded = dto.ended,
+            owner = JobOwner(HostId(dto.owner), dto.incarnation),
+            chunks = dto.chunks,
+            writeId = dto.writeId,
+        )
+    }
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
@@ -0,0 +1,47 @@
+package figdeck.wire.serving
+
+import figdeck.model.HostId
+import figdeck.model.Lane
+import figdeck.model.TeamId
+import figdeck.model.UpstreamId
+import figdeck.model.serving.PoolName
+import figdeck.model.serving.SlotAsk
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration.Companion.milliseconds
+
+@Serializable
+internal data class SlotAskDto(
+    val ticket: Long,
+    val from: String,
+    val pool: String,
+    val team: String? = null,
+    val batch: Boolean = false,
+    val cost: Int = 1,
+    val affinity: Long? = null,
+    val without: List<String> = emptyList(),
+    val patienceMillis: Long,
+)
+
+internal fun SlotAsk.toDto(): SlotAskDto = SlotAskDto(
+    ticket = ticket,
+    from = from.value,
+    pool = pool.value,
+    team = team?.value,
+    batch = lane == Lane.BATCH,
+    cost = cost,
+    affinity = affinity,
+    without = without.map { it.value },
+    patienceMillis = patience.inWholeMilliseconds,
+)
+
+internal fun SlotAskDto.toAsk(): SlotAsk = SlotAsk(
+    ticket = ticket,
+    from = HostId(from),
+    pool = PoolName(pool),
+    team = team?.let { TeamId(it) },
+    lane = if (batch) Lane.BATCH else Lane.ONLINE,
+    cost = cost,
+    affinity = affinity,
+    without = without.map { UpstreamId(it) }.toSet(),
+    patience = patienceMillis.milliseconds,
+)
--- /dev/null
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -0,0 +1,52 @@
+package figdeck.command.serving
+
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.Moment
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.UpstreamKind
+import figdeck.model.serving.PoolMember
+import figdeck.model.serving.PoolName
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+private val start = Moment(0, 0)
+
+private fun member(id: String) = PoolMember(
+    Upstream(UpstreamId(id), Address("10.0.0.1", 80), DataCentre("a"), UpstreamKind.ENGINE, 8, false),
+    PoolName("p"),
+    isLeaving = false,
+)
+
+private fun PoolMembers.ids() = members.keys.map { it.value }.sorted()
+
+class PoolMembersSpec : DescribeSpec({
+    val both = replaceMembers(unknownPools, listOf(member("i-1"), member("i-2")), start)
+
+    describe("an entry that is removed while the store answers") {
+        it("is gone at once") {
+            val later = start + 1.seconds
+            removeMember(hear(both, later), UpstreamId("i-1"), later).ids() shouldBe listOf("i-2")
+        }
+    }
+
+    describe("an entry that lapsed while the store was away") {
+        val back = start + 10.seconds
+        val missing = replaceMembers(both, listOf(member("i-2")), back)
+
+        it("stays in use until it had time to come back") {
+            missing.ids() shouldBe listOf("i-1", "i-2")
+            hear(missing, back + 2.seconds).ids() shouldBe listOf("i-1", "i-2")
+        }
+
+        it("is gone when it did not come back") {
+            hear(missing, back + 3.seconds).ids() shouldBe listOf("i-2")
+        }
+
+        it("stays when it came back") {
+            hear(putMember(missing, member("i-1")), back + 3.seconds).ids() shouldBe listOf("i-1", "i-2")
+        }
+    }
+})
--- a/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/ChangeConfigurationSpec.kt
@@ -17,13 +17,13 @@
 import figdeck.model.TemplateEdit
 import figdeck.model.systemClock
 import figdeck.model.template
+import figdeck.standin.commit
+import figdeck.standin.emptyPlatform
+import figdeck.standin.scan
 import figdeck.store.Store
 import figdeck.store.command.StoreCommands
 import figdeck.store.query.Found
 import figdeck.store.query.StoreQueries
-import figdeck.standin.commit
-import figdeck.standin.emptyPlatform
-import figdeck.standin.scan
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -16,13 +16,13 @@
 import figdeck.model.Revision
 import figdeck.model.Template
 import figdeck.model.systemClock
+import figdeck.standin.commit
+import figdeck.standin.emptyPlatform
+import figdeck.standin.scan
 import figdeck.store.Store
 import figdeck.store.command.StoreCommands
 import figdeck.store.query.Found
 import figdeck.store.query.StoreQueries
-import figdeck.standin.commit
-import figdeck.standin.emptyPlatform
-import figdeck.standin.scan
 import figdeck.upstream.command.EngineResult
 import figdeck.upstream.command.ServiceAnswer
 import figdeck.upstream.command.UpstreamCommands
--- /dev/null
+++ b/src/test/kotlin/figdeck/platform/CallerHeadsSpec.kt
@@ -0,0 +1,118 @@
+package figdeck.platform
+
+import arrow.core.getOrElse
+import figdeck.daemon.command.serving.Disposition
+import figdeck.http.HttpBody
+import figdeck.http.client.HttpReply
+import figdeck.http.newHeaders
+import figdeck.http.server.HttpCall
+import figdeck.model.UpstreamId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.coroutines.flow.emptyFlow
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private fun headers(vararg values: Pair<String, String>): HttpHeaders =
+    newHeaders().apply { values.forEach { (name, value) -> add(name, value) } }
+
+private fun call(headers: HttpHeaders) =
+    HttpCall("POST", "/lohu930/2f", "/lohu930/2f", emptyMap(), headers, HttpBody(emptyFlow()))
+
+private fun reply(status: Int, vararg values: Pair<String, String>) =
+    HttpReply(status, headers(*values), HttpBody(emptyFlow()))
+
+class CallerHeadsSpec : DescribeSpec({
+    describe("the head of a request") {
+        val head = callerHead(
+            call(
+                headers(
+                    "Host" to "ficu95.example:80",
+                    "X-Attempt-Id" to "9c41",
+                    "X-Deadline-Ms" to "5000",
+                    "X-Token-Usage" to "1460,80",
+                    "X-Prompt-Prefix" to "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+                    "Last-Event-Id" to "12",
+                    "Authorization" to "Bearer k1",
+                ),
+            ),
+        ).getOrElse { error(it.message) }
+
+        it("gives what decisions need") {
+            head.copy(affinity = null) shouldBe CallerHead("9c41", "ficu95.example", "k1", 5.seconds, 1540, null, 12)
+        }
+
+        it("gives the same affinity to prompts that differ in their last part alone") {
+            val other = callerHead(
+                call(headers("Host" to "h", "X-Prompt-Prefix" to "5c1e07a2:800,91bd3f06:410,0000:9")),
+            ).getOrElse { error(it.message) }
+            other.affinity shouldBe head.affinity
+        }
+
+        it("is refused without a host") {
+            callerHead(call(headers("X-Attempt-Id" to "1"))).isLeft() shouldBe true
+        }
+    }
+
+    describe("the headers that go on to an upstream") {
+        val sent = forwardedHeaders(
+            original = headers(
+                "Host" to "ficu95.example",
+                "Authorization" to "Bearer k1",
+                "X-Tenant" to "forged",
+                "X-Expect-Instance" to "forged",
+                "Connection" to "keep-alive, X-Hop",
+                "X-Hop" to "1",
+                "X-Attempt-Id" to "9c41",
+                "X-Model" to "m",
+            ),
+            upstream = UpstreamId("i-1"),
+            team = "huka270",
+            timeLeft = 900.milliseconds,
+            resumeAfter = 7,
+        )
+
+        it("carry the team and the upstream that this system names, and no key") {
+            sent.associate { it.key to it.value } shouldBe mapOf(
+                "Host" to "ficu95.example",
+                "X-Attempt-Id" to "9c41",
+                "X-Model" to "m",
+                "X-Expect-Instance" to "i-1",
+                "X-Deadline-Ms" to "900",
+                "X-Tenant" to "huka270",
+                "Last-Event-Id" to "7",
+            )
+        }
+
+        it("carry no team on a route open to all, whatever the caller sent") {
+            val open = forwardedHeaders(headers("X-Tenant" to "forged"), UpstreamId("i-1"), null, 1.seconds, null)
+            open.contains("X-Tenant") shouldBe false
+        }
+    }
+
+    describe("an upstream's response") {
+        it("is the request's own with its id and proof") {
+            val own = reply(200, "X-Attempt-Id" to "1", "X-Response-Stamp" to "s")
+            upstreamReply(own, "1").disposition shouldBe Disposition.RAN
+        }
+
+        it("belongs to no request with another id, without proof or with an encoding") {
+            listOf(
+                reply(200, "X-Attempt-Id" to "2", "X-Response-Stamp" to "s"),
+                reply(200, "X-Attempt-Id" to "1"),
+                reply(200, "X-Attempt-Id" to "1", "X-Response-Stamp" to "s", "Content-Encoding" to "gzip"),
+            ).forEach { upstreamReply(it, "1").disposition shouldBe Disposition.FOREIGN }
+        }
+
+        it("says that the request has not run") {
+            upstreamReply(reply(503, "X-Not-Executed" to "1"), "1").disposition shouldBe Disposition.NOT_RUN
+            upstreamReply(reply(421, "X-Instance-Id" to "i-2"), "1").disposition shouldBe Disposition.NOT_RUN
+        }
+
+        it("has run the request with a failure of its own") {
+            upstreamReply(reply(503), "1").disposition shouldBe Disposition.RAN
+            upstreamReply(reply(500), "1").disposition shouldBe Disposition.RAN
+        }
+    }
+})
--- /dev/null
+++ b/src/test/kotlin/figdeck/platform/PlanMessagesSpec.kt
@@ -0,0 +1,71 @@
+package figdeck.platform
+
+import arrow.core.getOrElse
+import figdeck.model.Limit
+import figdeck.model.TeamId
+import figdeck.model.hashKey
+import figdeck.model.serving.BatchTerms
+import figdeck.model.serving.CallKind
+import figdeck.model.serving.PoolName
+import figdeck.model.serving.PoolShare
+import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.ServingTeam
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val plan = """
+    {"Version":7,"Routes":[
+      {"Name":"r-chat","Host":"Ficu95.example","Prefix":"/lohu930/","Kind":"streaming","TimeoutMs":5000,
+       "TargetLatencyMs":300,"Priority":0,"Split":[{"Service":"huvo11a","Weight":90},{"Service":"wuno96b","Weight":10}],
+       "MaxAttempts":2,"Public":false,"Sticky":true,"Resumable":true,"GapAimMs":250,"New":1},
+      {"Name":"r-job","Host":"ficu95.example","Prefix":"/pule252/","Kind":"batch","TimeoutMs":15000,
+       "TargetLatencyMs":400,"Service":"huvo11a","MaxAttempts":3,"RunTargetMs":18000,"MaxWaitS":60,"MaxCount":1100000},
+      {"Name":"r-odd","Host":"ficu95.example","Prefix":"/odd/","Kind":"something_new","Service":"huvo11a"}],
+     "Services":[{"Name":"huvo11a","HealthPath":"/health"}],
+     "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304},
+     "Tenants":[{"Name":"huka270","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":42,"Burst":42}]}
+""".trimIndent()
+
+class PlanMessagesSpec : DescribeSpec({
+    describe("the operators' configuration") {
+        val decoded = decodePlan(plan).getOrElse { error(it) }
+
+        it("gives routes in the product's terms") {
+            decoded.routes.first() shouldBe ServingRoute(
+                name = "r-chat",
+                host = "ficu95.example",
+                prefix = "/lohu930/",
+                kind = CallKind.RESUMABLE_STREAM,
+                pools = listOf(PoolShare(PoolName("huvo11a"), 90), PoolShare(PoolName("wuno96b"), 10)),
+                timeout = 5.seconds,
+                objective = 300.milliseconds,
+                maxAttempts = 2,
+                priority = 0,
+                open = false,
+                batch = null,
+            )
+        }
+
+        it("gives the terms of batch jobs") {
+            decoded.routes[1].batch shouldBe BatchTerms(18.seconds, 60.seconds, 1_100_000)
+        }
+
+        it("leaves a route of an unknown kind out and keeps the others") {
+            decoded.routes.map { it.name } shouldBe listOf("r-chat", "r-job")
+        }
+
+        it("gives teams with hashed keys and their limit") {
+            decoded.teams shouldBe
+                listOf(ServingTeam(TeamId("huka270"), setOf(hashKey("k1"), hashKey("k2")), 1, Limit(42.0, 42)))
+            decoded.version shouldBe 7
+        }
+    }
+
+    describe("a configuration that can't be read") {
+        it("tells why") {
+            decodePlan("{").isLeft() shouldBe true
+        }
+    }
+})
--- /dev/null
+++ b/src/test/kotlin/figdeck/query/serving/FleetRankingSpec.kt
@@ -0,0 +1,82 @@
+package figdeck.query.serving
+
+import figdeck.command.serving.confirmRenewal
+import figdeck.command.serving.loneFleet
+import figdeck.command.serving.observeScan
+import figdeck.command.serving.suspect
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.HostId
+import figdeck.model.Moment
+import figdeck.model.serving.Fleet
+import figdeck.model.serving.FleetMember
+import figdeck.model.serving.FleetScan
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+private const val SCANNED_AT = 100_000L
+private val now = Moment(0, 0) + 60.seconds
+
+private fun member(name: String, joinedAt: Long = 0, renewedAt: Long = SCANNED_AT) =
+    FleetMember(HostId(name), Address("10.0.0.1", 80), DataCentre("a"), "i-$name", joinedAt, renewedAt)
+
+private fun fleet(self: String, vararg members: FleetMember): Fleet {
+    val me = members.first { it.host.value == self }
+    return confirmRenewal(
+        observeScan(loneFleet(me), FleetScan(members.toList(), SCANNED_AT, now)),
+        me,
+        now,
+    )
+}
+
+class FleetRankingSpec : DescribeSpec({
+    val three = arrayOf(member("a"), member("b"), member("c"))
+    val keys = (1..200).map { "limit/t$it" }
+
+    describe("the members that serve a key") {
+        it("are ranked alike on every host") {
+            keys.forEach { key ->
+                fleet("a", *three).ranked(key, now).map { it.host } shouldBe
+                    fleet("c", *three).ranked(key, now).map { it.host }
+            }
+        }
+
+        it("leave out those whose lease has ended") {
+            val lapsed = fleet("a", member("a"), member("b", renewedAt = SCANNED_AT - 4_000), member("c"))
+            lapsed.ranked("k", now).map { it.host.value } shouldContainExactlyInAnyOrder listOf("a", "c")
+        }
+
+        it("leave out those that did not answer, for a while") {
+            val doubted = suspect(fleet("a", *three), HostId("b"), now)
+            doubted.ranked("k", now).map { it.host.value } shouldContainExactlyInAnyOrder listOf("a", "c")
+            doubted.ranked("k", now + 2.seconds).size shouldBe 3
+        }
+    }
+
+    describe("the bucket of a team") {
+        it("has one owner among all hosts") {
+            keys.forEach { key ->
+                listOf("a", "b", "c").count { fleet(it, *three).bucketPlace(key, now) == BucketPlace.Here } shouldBe 1
+            }
+        }
+
+        it("has no second owner while the first is suspected") {
+            val key = keys.first { fleet("a", *three).bucketPlace(it, now) == BucketPlace.Elsewhere(member("b")) }
+            suspect(fleet("a", *three), HostId("b"), now).bucketPlace(key, now) shouldBe BucketPlace.Unreachable
+        }
+
+        it("stays with its owner until a new host has been seen by all") {
+            val joining = fleet("a", *three, member("d", joinedAt = SCANNED_AT - 1_000))
+            keys.forEach { joining.bucketPlace(it, now) shouldBe fleet("a", *three).bucketPlace(it, now) }
+        }
+
+        it("is not filled by a host whose own lease may have ended, by either clock") {
+            val key = keys.first { fleet("a", *three).bucketPlace(it, now) == BucketPlace.Here }
+            fleet("a", *three).bucketPlace(key, now + 3.seconds) shouldBe BucketPlace.Unreachable
+            val suspended = Moment(now.monotonicNanos, now.epochMillis + 5_000)
+            fleet("a", *three).bucketPlace(key, suspended) shouldBe BucketPlace.Unreachable
+        }
+    }
+})
--- /dev/null
+++ b/src/test/kotlin/figdeck/wire/serving/JobResultCodecSpec.kt
@@ -0,0 +1,49 @@
+package figdeck.wire.serving
+
+import arrow.core.right
+import figdeck.model.HostId
+import figdeck.model.Row
+import figdeck.model.TeamId
+import figdeck.model.serving.JobId
+import figdeck.model.serving.JobOwner
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.JobResult
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeSorted
+import io.kotest.matchers.shouldBe
+
+private const val LONG_OUTPUT = 40_000
+
+class JobResultCodecSpec : DescribeSpec({
+    val id = JobId("7c41e0")
+
+    describe("a job's record") {
+        it("reads back as it was written") {
+            val record = JobRecord(
+                id, TeamId("t"), "r", 17, 12, 900, 3, false, JobOwner(HostId("h"), "i"), 2, "w",
+            )
+            decodeJobRecord(id.value, encodeJobRecord(record)) shouldBe record.right()
+        }
+    }
+
+    describe("a result that needs several rows") {
+        val result = JobResult("item", isComplete = true, output = "x".repeat(LONG_OUTPUT))
+        val rows = resultWrites(id, 12, result).map { Row(it.key, it.value.orEmpty(), 5) }
+
+        it("reads back as it was written, at its position") {
+            rows.size shouldBe 3
+            areWhole(rows) shouldBe true
+            decodeResult(rows) shouldBe result.right()
+            rows.map { positionOf(id, it) }.toSet() shouldBe setOf(12)
+        }
+
+        it("is known to be cut where a row is missing") {
+            areWhole(rows.dropLast(1)) shouldBe false
+        }
+
+        it("stands after the position before it and before the next") {
+            val next = resultWrites(id, 13, result).first().key
+            (listOf(beforeResult(id, 12)) + rows.map { it.key } + beforeResult(id, 13) + next).shouldBeSorted()
+        }
+    }
+})
