Free slots before revocations, and no headroom for the time a revocation takes

The choice of an upstream counted slots of batch work as free, so online work pushed batch out while slots were free elsewhere; and a holder on another host leaves later than 20 ms, so each revocation raised the headroom until batch got few slots.

Ruled out: batch asking too seldom (asks last 1.5 s and follow each other at once).

Change: the choice takes an upstream with the most free slots; batch work that leaves within 150 ms counts as no delay; the waiting work of one team goes by its deadline, for batch by the age of its job.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -1,6 +1,8 @@
 package figdeck.cli
 
 import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.dispatch.HeadroomPolicy
+import figdeck.command.dispatch.spareChoice
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.beginStop
@@ -88,6 +90,16 @@
 private val PROMPT_PACE = 20.milliseconds
 private val IDLE_LIMITS = HttpServerLimits(headerTimeout = 120.seconds)
 
+/**
+ * How slots are given out. A holder elsewhere hears of a revocation after a way between data centres, and the engine
+ * queues what comes meanwhile, so that batch work which leaves within the time counts as no delay.
+ */
+private val edgePolicy = DispatchPolicy(
+    choose = spareChoice,
+    headroom = HeadroomPolicy(leaveWithin = 150.milliseconds),
+    deadlineMargin = 0.0,
+)
+
 /** A running daemon on the users' platform: its parts, wired from [settings]. */
 internal class EdgeDaemon(
     private val settings: EdgeSettings,
@@ -109,7 +121,7 @@
     private val platform = StoreClient(storeClient, settings.storeAddress)
     private val store = observed(platform.store, telemetry)
     private val peers = httpFleetPeers(PeerCalls(peerClient, settings.fleetName))
-    private val slots = SlotDispatcher(ownSlots(), DispatchPolicy(deadlineMargin = 0.0), random)
+    private val slots = SlotDispatcher(ownSlots(), edgePolicy, random)
     private val owner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
     private val poolSlots: PoolSlots = PoolSlots(control, clock, owner, peers, scope)
     private val limits = TeamLimits(control, clock, peers)
--- a/src/main/kotlin/figdeck/command/dispatch/Choice.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Choice.kt
@@ -24,11 +24,22 @@
     request.affinity?.let { preferred(views, request.lane, it) } ?: lessLoadedOfTwo(views, draw)
 }
 
+/**
+ * Takes one of those with the most free slots, so that no batch work is pushed out while a slot is free elsewhere;
+ * [twoChoices] when there is none.
+ */
+public val spareChoice: ChoicePolicy = { views, _, draw ->
+    val most = views.maxOf { it.free }
+    if (most > 0) views.filter { it.free == most }.random(Random(draw)) else lessLoadedOfTwo(views, draw)
+}
+
 /** Takes any view with the same probability. */
 public val randomChoice: ChoicePolicy = { views, _, draw -> views[Random(draw).nextInt(views.size)] }
 
-/** Serves the team with the smallest account, and within a team the oldest. */
-public fun fairOrder(queue: LaneQueue): Waiting = queue.waiting.minBy { queue.shares.account(it.request.team) }
+/** Serves the team with the smallest account, and within a team the earliest deadline, or else the oldest. */
+public fun fairOrder(queue: LaneQueue): Waiting = queue.waiting.minWith(
+    compareBy({ queue.shares.account(it.request.team) }, { it.request.deadline.monotonicNanos }),
+)
 
 /** Serves the oldest, whoever it belongs to. */
 public fun arrivalOrder(queue: LaneQueue): Waiting = queue.waiting.first()
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
@@ -11,11 +11,13 @@
  *
  * @property load the slots that are held or wanted by work of at least the request's urgency.
  * @property delay how long the request would wait there, with the way to another data centre.
+ * @property free the slots that nothing holds or waits for.
  */
 public data class UpstreamView(
     public val upstream: Upstream,
     public val load: Double,
     public val delay: Duration,
+    public val free: Int = 0,
 )
 
 /** Chooses one of the views, of which there is at least one; `draw` makes random choices repeatable. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -54,7 +54,8 @@
     .map { state ->
         val away = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentre
         val load = state.loadFor(request.lane)
-        UpstreamView(state.upstream, load, state.expectedWait(request, now) + away)
+        val free = state.usableSlots(now) - state.occupied - state.online.waiting.size
+        UpstreamView(state.upstream, load, state.expectedWait(request, now) + away, free)
     }
 
 /** This state after [step] on one of its upstreams; refused tickets stand nowhere any more. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -24,6 +24,9 @@
 
 /** How long one question for a slot waits before it is put again. */
 private val SLOT_PATIENCE = 1_500.milliseconds
+
+/** How much older an item counts that has begun, so that items are finished before others begin. */
+private val RESUME_CREDIT = 5.seconds
 private val SLOT_PAUSE = 150.milliseconds
 private val FAILURE_PAUSE = 100.milliseconds
 
@@ -120,6 +123,7 @@
         affinity = null,
         without = emptySet(),
         patience = SLOT_PATIENCE,
+        age = record.age(services.clock()) + if (output.events.isEmpty()) Duration.ZERO else RESUME_CREDIT,
     )
 
     private suspend fun runAt(permit: HeldPermit, route: ServingRoute): RunEnd {
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -118,7 +118,7 @@
         lane = lane,
         cost = cost,
         affinity = affinity,
-        deadline = clock() + if (lane == Lane.BATCH) BATCH_DEADLINE else patience,
+        deadline = clock() + if (lane == Lane.BATCH) BATCH_DEADLINE - age else patience,
     )
 
     private data class Confirmed(
--- a/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
+++ b/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
@@ -14,6 +14,7 @@
  * @property affinity a hash of the prompt's shared beginning; null without one.
  * @property without upstreams that failed this request already.
  * @property patience how long to wait for a slot.
+ * @property age how much earlier than now the work counts as submitted; older batch work of a team goes first.
  */
 public data class SlotAsk(
     public val ticket: Long,
@@ -25,6 +26,7 @@
     public val affinity: Long?,
     public val without: Set<UpstreamId>,
     public val patience: Duration,
+    public val age: Duration = Duration.ZERO,
 )
 
 /** The answer to a [SlotAsk]. */
--- a/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
@@ -20,6 +20,7 @@
     val affinity: Long? = null,
     val without: List<String> = emptyList(),
     val patienceMillis: Long,
+    val ageMillis: Long = 0,
 )
 
 internal fun SlotAsk.toDto(): SlotAskDto = SlotAskDto(
@@ -32,6 +33,7 @@
     affinity = affinity,
     without = without.map { it.value },
     patienceMillis = patience.inWholeMilliseconds,
+    ageMillis = age.inWholeMilliseconds,
 )
 
 internal fun SlotAskDto.toAsk(): SlotAsk = SlotAsk(
@@ -44,4 +46,5 @@
     affinity = affinity,
     without = without.map { UpstreamId(it) }.toSet(),
     patience = patienceMillis.milliseconds,
+    age = ageMillis.milliseconds,
 )
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -70,6 +70,31 @@
     val one = listOf(upstream("engine-1"))
     val two = listOf(upstream("engine-1"), upstream("engine-2"))
 
+    describe("the waiting work of one team") {
+        it("goes in the order of its deadlines") {
+            val desk = Desk()
+            val engine = listOf(upstream("engine-1", 1))
+            val running = desk.ask(request(engine, lane = Lane.BATCH))
+            val later = desk.ask(request(engine, lane = Lane.BATCH).copy(deadline = start + 90.seconds))
+            val sooner = desk.ask(request(engine, lane = Lane.BATCH).copy(deadline = start + 70.seconds))
+            desk.end(running)
+            desk.end(sooner)
+            desk.grants() shouldBe listOf(running, sooner, later)
+        }
+    }
+
+    describe("a slot that was given out by an owner before") {
+        it("counts, and is free once it is given back") {
+            val desk = Desk()
+            val engine = upstream("engine-1", 1)
+            desk.step { adopt(it, 99, request(listOf(engine)), engine, start) }
+            val waiting = desk.ask(request(listOf(engine)))
+            desk.grants() shouldBe emptyList()
+            desk.end(99)
+            desk.grants() shouldBe listOf(waiting)
+        }
+    }
+
     describe("online work before batch work") {
         it("pushes out the batch work that started last, and starts at once") {
             val desk = Desk()
@@ -158,6 +183,15 @@
             desk.place(desk.ask(request(both))) shouldBe "far"
         }
 
+        it("takes a free slot elsewhere before it pushes batch work out") {
+            val desk = Desk(DispatchPolicy(choose = spareChoice))
+            val batch = desk.ask(request(listOf(upstream("engine-1", 1)), lane = Lane.BATCH))
+            desk.place(batch) shouldBe "engine-1"
+            val online = desk.ask(request(listOf(upstream("engine-1", 1), upstream("engine-2", 1))))
+            desk.place(online) shouldBe "engine-2"
+            desk.effects.none { it is DispatchEffect.Revoked } shouldBe true
+        }
+
         it("sends a prefix to one place until that is loaded above its share") {
             val views = List(8) { UpstreamView(upstream("engine-$it", 8), 1.0, Duration.ZERO) }
             val turn = request(views.map { it.upstream }).copy(affinity = 42L)
