--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -17,7 +17,7 @@
 
 private val CHECK_INTERVAL = 150.milliseconds
 
-/** How long an owner must have been missing; longer than a renewal, so that a new host is seen first. */
+/** How long an owner must have been missing that has not started again; longer than a renewal, so that a new host is seen first. */
 private val ORPHAN_AGE = 1_300.milliseconds
 private val SCAN_AGE = 3.seconds
 
@@ -40,7 +40,12 @@
         val missing = orphansOf(state, open)
         orphans.keys.retainAll(missing.map { it.record.id }.toSet())
         missing.forEach { orphans.putIfAbsent(it.record.id, clock()) }
-        adoptOrphans(state, missing.filter { clock() - orphans.getValue(it.record.id) > ORPHAN_AGE })
+        val restarted = state.fleet.livingMembers().map { it.host }.toSet()
+        val lost = missing.filter {
+            val missingFor = clock() - orphans.getValue(it.record.id)
+            missingFor > ORPHAN_AGE || (it.record.owner.host in restarted && it.record.age(clock()) > ORPHAN_AGE)
+        }
+        adoptOrphans(state, lost)
     }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/FleetPeers.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/FleetPeers.kt
@@ -1,6 +1,6 @@
 package figdeck.daemon.command.serving
 
-import figdeck.command.serving.TakeResult
+import figdeck.command.serving.TakeAnswer
 import figdeck.daemon.command.PeerCalls
 import figdeck.model.Address
 import figdeck.model.TeamId
@@ -9,7 +9,7 @@
 import figdeck.wire.serving.HeldSlots
 import figdeck.wire.serving.SlotRelease
 import figdeck.wire.serving.decodeSlotAnswer
-import figdeck.wire.serving.decodeTakeResult
+import figdeck.wire.serving.decodeTakeAnswer
 import figdeck.wire.serving.encodeHeldSlots
 import figdeck.wire.serving.encodeRevoked
 import figdeck.wire.serving.encodeSlotAsk
@@ -41,7 +41,7 @@
     val release: suspend (Address, SlotRelease) -> Boolean,
     val confirm: suspend (Address, HeldSlots) -> Boolean,
     val revoke: suspend (Address, List<Long>) -> Boolean,
-    val take: suspend (Address, TeamId) -> TakeResult?,
+    val take: suspend (Address, TeamId) -> TakeAnswer?,
 )
 
 /** Other daemons over HTTP with JSON. */
@@ -53,6 +53,6 @@
     confirm = { owner, held -> calls.call(owner, CONFIRM_PATH, encodeHeldSlots(held), CALL_TIMEOUT) != null },
     revoke = { holder, tickets -> calls.call(holder, REVOKE_PATH, encodeRevoked(tickets), CALL_TIMEOUT) != null },
     take = { owner, team ->
-        calls.call(owner, TAKE_PATH, encodeTake(team), TAKE_TIMEOUT)?.let { decodeTakeResult(it).getOrNull() }
+        calls.call(owner, TAKE_PATH, encodeTake(team), TAKE_TIMEOUT)?.let { decodeTakeAnswer(it).getOrNull() }
     },
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -12,6 +12,7 @@
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
 import figdeck.model.serving.FleetScan
+import figdeck.model.serving.storeMillisAt
 import figdeck.model.valueOrNull
 import figdeck.store.Store
 import figdeck.store.query.TableFeed
@@ -20,10 +21,16 @@
 import figdeck.wire.serving.encodeFleetMember
 import kotlinx.coroutines.delay
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val MEMBER_TABLE = "member"
 private const val LEAST_SPREAD = 0.9
 private const val SPREAD = 0.2
+
+/** How long after its start a host reads the list more often: after a loss of power all hosts start together. */
+private val NEW_FOR = 3.seconds
+private val NEW_RENEWAL = 300.milliseconds
 private val log = PartLog("fleet")
 
 /** Announces this host in the store and reads who else is there, until cancelled. */
@@ -33,6 +40,7 @@
     clock: Clock,
     random: Random,
 ) {
+    val startedAt = clock()
     while (true) {
         val sentAt = clock()
         val listed = feed.snapshot(MEMBER_TABLE)
@@ -42,7 +50,9 @@
         } else {
             log.debug { "the members can't be read" }
         }
-        delay(snapshot.fleet.times.renewal * (LEAST_SPREAD + SPREAD * random.nextDouble()))
+        val isNew = clock() - startedAt < NEW_FOR
+        val pause = if (isNew) NEW_RENEWAL else snapshot.fleet.times.renewal
+        delay(pause * (LEAST_SPREAD + SPREAD * random.nextDouble()))
     }
 }
 
@@ -71,7 +81,7 @@
     val fleet = snapshot.fleet
     val scan = fleet.scan ?: return
     val sentAt = clock()
-    val storeMillis = scan.storeMillis + (sentAt - scan.sentAt).inWholeMilliseconds
+    val storeMillis = scan.storeMillisAt(sentAt)
     val joinedAt = if (fleet.renewedAt == null) storeMillis else fleet.self.joinedAt
     val self = fleet.self.copy(joinedAt = joinedAt, renewedAt = storeMillis)
     val write = RowWrite(memberKey(self.host.value), encodeFleetMember(self))
--- a/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import figdeck.command.serving.TakeAnswer
 import figdeck.command.serving.TakeResult
 import figdeck.command.serving.suspect
 import figdeck.command.serving.takeOwned
@@ -16,6 +17,7 @@
 import figdeck.model.Limit
 import figdeck.model.Refusal
 import figdeck.model.TeamId
+import figdeck.model.serving.FleetMember
 import figdeck.model.serving.ServingTeam
 import figdeck.query.serving.BucketPlace
 import figdeck.query.serving.bucketPlace
@@ -35,21 +37,29 @@
         val result = when (val place = placeOf(team.id)) {
             BucketPlace.Here -> takeHere(team.id, limit)
             BucketPlace.Unreachable -> takePart(team.id, limit)
-            is BucketPlace.Elsewhere -> peers.take(place.owner.address, team.id) ?: run {
-                log.warn { "host ${place.owner.host} keeps the limit of team ${team.id} and gave no answer in time" }
-                control.run { state, now -> onFleet(state) { suspect(it, place.owner.host, now) } }
-                takePart(team.id, limit)
-            }
+            is BucketPlace.Elsewhere -> ask(place.owner, team.id) ?: takePart(team.id, limit)
         }
         return if (result.taken) Unit.right() else Refusal.OverRate(team.id, result.wait).left()
     }
 
-    /** Takes a token for another host; null when this host doesn't keep the limit of [team]. */
-    suspend fun takeFor(team: TeamId): TakeResult? {
+    /** Takes a token for another host. */
+    suspend fun takeFor(team: TeamId): TakeAnswer {
         val limit = control.snapshot.index?.teams?.get(team)?.limit
-        return if (limit != null && placeOf(team) == BucketPlace.Here) takeHere(team, limit) else null
+        val isHere = limit != null && placeOf(team) == BucketPlace.Here
+        return if (isHere) TakeAnswer.Decided(takeHere(team, limit)) else TakeAnswer.NotOwner
     }
 
+    private suspend fun ask(owner: FleetMember, team: TeamId): TakeResult? =
+        when (val answer = peers.take(owner.address, team)) {
+            is TakeAnswer.Decided -> answer.result
+            TakeAnswer.NotOwner -> null
+            null -> {
+                log.warn { "host ${owner.host} keeps the limit of team $team and gave no answer in time" }
+                control.run { state, now -> onFleet(state) { suspect(it, owner.host, now) } }
+                null
+            }
+        }
+
     private fun placeOf(team: TeamId): BucketPlace = control.snapshot.fleet.bucketPlace("limit/$team", clock())
 
     private suspend fun takeHere(team: TeamId, limit: Limit): TakeResult =
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -5,6 +5,7 @@
 import figdeck.model.Moment
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
+import figdeck.model.serving.storeMillisAt
 
 /** The living members that are not suspected, in the order in which they serve [key]. */
 public fun Fleet.ranked(key: String, now: Moment): List<FleetMember> =
@@ -27,7 +28,7 @@
  * while their lease holds, so that two hosts never fill the same bucket.
  */
 public fun Fleet.bucketPlace(key: String, now: Moment): BucketPlace {
-    val owner = livingMembers().filter { isSettled(it) }.maxByOrNull { weight(key, it.host) }
+    val owner = livingMembers().filter { isSettled(it, now) }.maxByOrNull { weight(key, it.host) }
     return when {
         owner == null -> BucketPlace.Unreachable
         owner.host == self.host -> if (ownLeaseHolds(now)) BucketPlace.Here else BucketPlace.Unreachable
@@ -36,8 +37,8 @@
     }
 }
 
-private fun Fleet.isSettled(member: FleetMember): Boolean =
-    scan != null && scan.storeMillis - member.joinedAt >= times.settle.inWholeMilliseconds
+private fun Fleet.isSettled(member: FleetMember, now: Moment): Boolean =
+    scan != null && scan.storeMillisAt(now) - member.joinedAt >= times.settle.inWholeMilliseconds
 
 private fun weight(key: String, host: HostId): Long = Hashing.komihash5_0().hashStream()
     .putString(key)
--- a/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
@@ -9,7 +9,6 @@
 import figdeck.daemon.command.serving.TAKE_PATH
 import figdeck.daemon.command.serving.TeamLimits
 import figdeck.http.server.HttpHandler
-import figdeck.model.Refusal
 import figdeck.traffic.json
 import figdeck.traffic.refuse
 import figdeck.wire.serving.decodeHeldSlots
@@ -18,7 +17,7 @@
 import figdeck.wire.serving.decodeSlotRelease
 import figdeck.wire.serving.decodeTake
 import figdeck.wire.serving.encodeSlotAnswer
-import figdeck.wire.serving.encodeTakeResult
+import figdeck.wire.serving.encodeTakeAnswer
 
 private const val DONE = "{}"
 
@@ -51,13 +50,7 @@
         })
     },
     TAKE_PATH to { call, responder ->
-        call.read(::decodeTake).fold({ responder.refuse(it) }, { team ->
-            val result = limits.takeFor(team)
-            if (result == null) {
-                responder.refuse(Refusal.LimitUnavailable(team))
-            } else {
-                responder.json(encodeTakeResult(result))
-            }
-        })
+        call.read(::decodeTake)
+            .fold({ responder.refuse(it) }, { responder.json(encodeTakeAnswer(limits.takeFor(it))) })
     },
 )
