Restarts and outages: limits go on from announced levels, hosts learn from others, late items go last

Cause: buckets began empty or half full whatever had been spent; in an outage of the store every lease ended and each host drew on an even part of limits, though callers are spread unevenly; a host that started while the store was away knew neither plan nor upstreams and answered 503; items that could not be in time any more took slots from those that could. One request came to a host without a plan and was refused as too long (413).

Ruled out: more hosts asking one owner in an outage without counting them (two owners would let twice the rate through where the store serves some hosts and not others).

Change: owners announce what is left in buckets with their renewal; a host that is cut off keeps its buckets for others that are cut off, at the part of the rate that stands for them; a new host asks the seeds for plan, upstreams and members, and requests wait up to 600 ms for that; upstreams known from another host count as missing until the store lists them; batch items that will be late go last.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -11,23 +11,28 @@
 import figdeck.daemon.command.OwnSlots
 import figdeck.daemon.command.PeerCalls
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.jobs.ItemPace
 import figdeck.daemon.command.jobs.JobCache
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.runJobs
 import figdeck.daemon.command.serving.FleetPeers
 import figdeck.daemon.command.serving.OnlineServices
+import figdeck.daemon.command.serving.PeerLearning
 import figdeck.daemon.command.serving.PoolSlots
 import figdeck.daemon.command.serving.SlotOwner
 import figdeck.daemon.command.serving.TeamLimits
 import figdeck.daemon.command.serving.httpFleetPeers
 import figdeck.daemon.command.serving.keepMembership
+import figdeck.daemon.command.serving.learnFromPeers
 import figdeck.daemon.command.serving.leaveMembership
+import figdeck.daemon.query.serving.SeenRows
 import figdeck.daemon.query.serving.TableFollower
 import figdeck.daemon.query.serving.follow
 import figdeck.daemon.query.serving.jobFollower
 import figdeck.daemon.query.serving.planFollower
 import figdeck.daemon.query.serving.poolFollower
+import figdeck.daemon.query.serving.upstreamReader
 import figdeck.http.client.HttpClient
 import figdeck.http.newHeaders
 import figdeck.http.server.HttpHandler
@@ -39,6 +44,7 @@
 import figdeck.model.Clock
 import figdeck.model.HostId
 import figdeck.model.serving.FleetMember
+import figdeck.model.serving.storeMillisAt
 import figdeck.model.systemClock
 import figdeck.platform.FrontServices
 import figdeck.platform.JobApi
@@ -57,6 +63,7 @@
 import figdeck.traffic.command.fleetServingHandlers
 import figdeck.traffic.peerApi
 import figdeck.wire.serving.JOB_TABLE
+import figdeck.wire.serving.StoreView
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -114,6 +121,7 @@
         telemetry.meters.timed("figdeck.control.delay", delay)
     }
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
+    private val seen = SeenRows()
     private val lines = LineWriter(System.out)
     private val upstreams = HttpClient(group, UPSTREAM_CONNECT)
     private val peerClient = HttpClient(group, PEER_CONNECT)
@@ -131,6 +139,7 @@
         clock = clock,
         store = JobStore(store),
         cache = JobCache(),
+        pace = ItemPace(),
         slots = poolSlots,
         forward = httpItems(upstreams),
         random = random,
@@ -138,7 +147,7 @@
     )
     private val front = server(observed("caller", frontHandler(frontServices()), telemetry))
     private val readiness = server(readinessHandler(control))
-    private val peerServer = server(peerApi(settings.fleetName, fleetServingHandlers(owner, poolSlots, limits)))
+    private val peerServer = server(peerApi(settings.fleetName, fleetServingHandlers(owner, poolSlots, limits, ::view)))
     private val metrics = server { _, responder ->
         responder.full(OK, newHeaders(), telemetry.meters.scrape().encodeToByteArray())
     }
@@ -146,9 +155,12 @@
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
         val decisions = DecisionLog("follow", lines)
-        follow(PLAN_TABLE, PROMPT_PACE, planFollower(control, ::decodePlan, decisions))
-        follow(RUNNER_TABLE, PROMPT_PACE, poolFollower(control, ::decodeRunner, decisions))
+        val plans = planFollower(control, ::decodePlan, decisions)
+        val readUpstream = upstreamReader(::decodeRunner)
+        follow(PLAN_TABLE, PROMPT_PACE, seen.noting(PLAN_TABLE, plans))
+        follow(RUNNER_TABLE, PROMPT_PACE, seen.noting(RUNNER_TABLE, poolFollower(control, readUpstream, decisions)))
         follow(JOB_TABLE, JOB_PACE, jobFollower(control))
+        scope.launch { control.learnFromPeers(peers, PeerLearning(settings.seeds, plans, readUpstream), clock) }
         scope.launch { control.keepMembership(store, platform.feed, clock, random) }
         scope.launch { slots.followTime() }
         scope.launch { owner.dropSilent() }
@@ -189,6 +201,16 @@
         renewedAt = 0,
     )
 
+    private fun view(): StoreView {
+        val fleet = control.snapshot.fleet
+        return StoreView(
+            plans = seen.rows(PLAN_TABLE),
+            upstreams = seen.rows(RUNNER_TABLE),
+            members = fleet.scan?.members.orEmpty(),
+            storeMillis = fleet.scan?.storeMillisAt(clock()),
+        )
+    }
+
     private fun server(handler: HttpHandler): HttpServer = HttpServer(group, IDLE_LIMITS, handler)
 
     private fun frontServices() = FrontServices(control, online, JobApi(jobs), upstreams)
--- a/src/main/kotlin/figdeck/cli/EdgeSettings.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -22,12 +22,14 @@
     val metricsPort: String,
     val graceSeconds: String,
     val fleetName: String,
+    val seeds: String,
 )
 
 /**
  * What a daemon on the users' platform knows from its flags and environment variables.
  *
  * @property grace how long after the request to stop the platform ends the process.
+ * @property seeds where other daemons may listen for each other; each may be stale.
  * @property fleetName what daemons of one fleet show each other, so that those of another fleet are turned away.
  */
 public data class EdgeSettings(
@@ -40,6 +42,7 @@
     public val metricsPort: Int,
     public val grace: Duration,
     public val fleetName: String,
+    public val seeds: List<Address>,
 )
 
 /** Checks every setting and gives either all faults, each under its flag, or the settings. */
@@ -55,6 +58,9 @@
     faults.expect(port != null, "--metrics-port", "'$metricsPort' is not a port: write a number")
     val grace = graceSeconds.toDoubleOrNull()
     faults.expect(grace != null && grace > 0, "--grace-seconds", "'$graceSeconds' is no time: write seconds above 0")
+    val seedAddresses = faults.attempt("--seeds") {
+        seeds.split(',').map { it.trim() }.filter { it.isNotEmpty() }.map { parseAddress(it) }
+    }
     return faults.result {
         nullable {
             EdgeSettings(
@@ -67,6 +73,7 @@
                 metricsPort = port.bind(),
                 grace = grace.bind().seconds,
                 fleetName = fleetName,
+                seeds = seedAddresses.bind(),
             )
         }
     }
--- a/src/main/kotlin/figdeck/cli/command/Edge.kt
+++ b/src/main/kotlin/figdeck/cli/command/Edge.kt
@@ -28,6 +28,8 @@
     private val graceSeconds by option(help = "Seconds from the request to stop until the end.").default("8")
     private val fleetName by option(help = "What daemons of one fleet show each other.").default("figdeck")
 
+    private val seeds by option(help = "Where other daemons may listen for each other, ip:port,ip:port.").default("")
+
     override fun help(context: Context): String = "Run a daemon on the users' platform."
 
     override fun run() {
@@ -50,6 +52,7 @@
         metricsPort = metricsPort,
         graceSeconds = graceSeconds,
         fleetName = fleetName,
+        seeds = seeds,
     )
 
     private fun runDaemon(settings: EdgeSettings) {
--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -53,6 +53,7 @@
         metricsPort = freeAddress().port,
         grace = 1.seconds,
         fleetName = "rehearsal",
+        seeds = emptyList(),
     )
 
     private fun freeAddress(): Address = ServerSocket(0).use { Address(IP, it.localPort) }
--- a/src/main/kotlin/figdeck/command/dispatch/Choice.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Choice.kt
@@ -36,9 +36,16 @@
 /** Takes any view with the same probability. */
 public val randomChoice: ChoicePolicy = { views, _, draw -> views[Random(draw).nextInt(views.size)] }
 
-/** Serves the team with the smallest account, and within a team the earliest deadline, or else the oldest. */
+/**
+ * Serves work that may be in time before work that can't, then the team with the smallest account, and within a team the
+ * earliest deadline, or else the oldest.
+ */
 public fun fairOrder(queue: LaneQueue): Waiting = queue.waiting.minWith(
-    compareBy({ queue.shares.account(it.request.team) }, { it.request.deadline.monotonicNanos }),
+    compareBy(
+        { it.request.isTardy },
+        { queue.shares.account(it.request.team) },
+        { it.request.deadline.monotonicNanos },
+    ),
 )
 
 /** Serves the oldest, whoever it belongs to. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -13,6 +13,7 @@
  * @property cost the expected cost in tokens; 1 for a call of a plain service.
  * @property affinity a hash of the prompt's prefix, equal for prompts that share cached state; null without one.
  * @property deadline when the answer is of no more use.
+ * @property isTardy whether it will be late whatever is done; it goes after all work that may still be in time.
  * @property attempt how often the same work was sent before; an attempt after the first draws on the retry budget.
  */
 public data class DispatchRequest(
@@ -24,6 +25,7 @@
     public val affinity: Long?,
     public val deadline: Moment,
     public val attempt: Int = 0,
+    public val isTardy: Boolean = false,
 )
 
 /** How the use of a slot ended, for the choice of upstreams later on. */
--- a/src/main/kotlin/figdeck/command/limit/TokenBucket.kt
+++ b/src/main/kotlin/figdeck/command/limit/TokenBucket.kt
@@ -22,6 +22,12 @@
 public fun emptyBucket(shape: BucketShape, now: Moment): TokenBucket =
     TokenBucket(now.monotonicNanos + shape.capacityNanos)
 
+/** A bucket of [shape] that holds [tokens], or as many as it has room for. */
+public fun bucketWith(tokens: Double, shape: BucketShape, now: Moment): TokenBucket {
+    val missing = shape.capacityNanos - (tokens * shape.intervalNanos).toLong().coerceIn(0, shape.capacityNanos)
+    return TokenBucket(now.monotonicNanos + missing)
+}
+
 /** The bucket after [count] tokens are taken, or how long to wait until that many are there. */
 public fun TokenBucket.take(count: Int, limit: Limit, now: Moment): Either<Duration, TokenBucket> =
     take(count, limit.plainShape(), now)
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -47,11 +47,21 @@
     missing = state.missing.remove(member.upstream.id),
 )
 
+/** Takes upstreams that another host knows; those that the store doesn't list count as missing. */
+public fun adoptUnconfirmed(state: PoolMembers, members: List<PoolMember>, now: Moment): PoolMembers = members
+    .filter { it.upstream.id !in state.members }
+    .fold(state) { all, member ->
+        all.copy(
+            members = all.members.put(member.upstream.id, member),
+            missing = all.missing.put(member.upstream.id, now + RETURN_GRACE),
+        )
+    }
+
 /** Drops an upstream whose entry was removed, after a grace when the store has only just come back. */
 public fun removeMember(state: PoolMembers, id: UpstreamId, now: Moment): PoolMembers {
     val goneAt = state.returnedAt?.let { it + RETURN_GRACE }
     return when {
-        id !in state.members -> state
+        id !in state.members || id in state.missing -> state
         goneAt != null && now < goneAt -> state.copy(missing = state.missing.put(id, goneAt))
         else -> state.copy(members = state.members.remove(id), missing = state.missing.remove(id))
     }
--- a/src/main/kotlin/figdeck/command/serving/SharedLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/SharedLimits.kt
@@ -2,10 +2,11 @@
 
 import figdeck.command.Step
 import figdeck.command.limit.TokenBucket
-import figdeck.command.limit.emptyBucket
-import figdeck.command.limit.fullBucket
+import figdeck.command.limit.available
+import figdeck.command.limit.bucketWith
 import figdeck.command.limit.plainShape
 import figdeck.command.limit.take
+import figdeck.model.HostId
 import figdeck.model.Limit
 import figdeck.model.Moment
 import figdeck.model.TeamId
@@ -14,7 +15,12 @@
 import kotlin.time.Duration
 
 private const val MIN_SHARE_RATE = 0.1
-private const val SHARE_OF_BURST = 0.5
+
+/** The part of what a bucket held that the hosts may spend together while they can't reach its owner. */
+private const val SHARED_PART = 0.4
+
+/** The part of its burst that a team may have spent between the last announcement of its level and the loss. */
+private const val UNSEEN_PART = 0.35
 
 /**
  * The buckets that this host fills.
@@ -36,6 +42,17 @@
     public val wait: Duration,
 )
 
+/**
+ * A question for a token of [team].
+ *
+ * @property isCutOff whether the host that asks can't reach the store.
+ */
+public data class TakeAsk(
+    public val from: HostId,
+    public val team: TeamId,
+    public val isCutOff: Boolean,
+)
+
 /** The answer of another host to the question for a token. */
 public sealed interface TakeAnswer {
     /** The host keeps the bucket. */
@@ -45,31 +62,60 @@
     public data object NotOwner : TakeAnswer
 }
 
-/** Takes a token of [team] for all hosts. A bucket that this host did not fill before starts empty. */
-public fun takeOwned(state: SharedLimits, team: TeamId, limit: Limit, now: Moment): Step<SharedLimits, TakeResult> {
-    val bucket = state.owned[team] ?: emptyBucket(limit.plainShape(), now)
-    return bucket.take(1, limit, now).fold(
+/**
+ * How a limit stands towards a fleet.
+ *
+ * @property level the tokens that its bucket held when an owner announced it last; null when it was full.
+ * @property part the part of the rate that this host may let through, where others let the rest through.
+ */
+public data class LimitStanding(
+    public val limit: Limit,
+    public val level: Int?,
+    public val part: Double,
+)
+
+/** Takes a token of [team] for the hosts that ask this one. */
+public fun takeOwned(
+    state: SharedLimits,
+    team: TeamId,
+    standing: LimitStanding,
+    now: Moment,
+): Step<SharedLimits, TakeResult> {
+    val limit = standing.limit
+    val left = (standing.level ?: limit.burst) - UNSEEN_PART * limit.burst
+    val bucket = state.owned[team] ?: bucketWith(left, limit.plainShape(), now)
+    // Rate and burst shrink alike, so that a change of the part changes no tokens.
+    val part = Limit(
+        ratePerSecond = (limit.ratePerSecond * standing.part).coerceAtLeast(MIN_SHARE_RATE),
+        burst = (limit.burst * standing.part).toInt().coerceAtLeast(1),
+    )
+    return bucket.take(1, part, now).fold(
         { wait -> Step(state.copy(owned = state.owned.put(team, bucket)), TakeResult(false, wait)) },
         { taken -> Step(state.copy(owned = state.owned.put(team, taken)), TakeResult(true, Duration.ZERO)) },
     )
 }
 
-/**
- * Takes a token of [team] from this host's part of its limit, as one of [members] hosts. The parts of all hosts start
- * with half of the burst together; where their sum is above the limit, it is so by less than that.
- */
+/** Takes a token of [team] from this host's own part of its limit, while the owner can't be reached. */
 public fun takeShare(
     state: SharedLimits,
     team: TeamId,
-    limit: Limit,
-    members: Int,
+    standing: LimitStanding,
     now: Moment,
 ): Step<SharedLimits, TakeResult> {
-    val rate = (limit.ratePerSecond / members).coerceAtLeast(MIN_SHARE_RATE)
-    val part = Limit(rate, 1 + (limit.burst * SHARE_OF_BURST / members).toInt())
-    val bucket = state.shares[team] ?: fullBucket(now)
+    val held = (standing.level ?: standing.limit.burst) * SHARED_PART * standing.part
+    val part = Limit(
+        ratePerSecond = (standing.limit.ratePerSecond * standing.part).coerceAtLeast(MIN_SHARE_RATE),
+        burst = 1 + (standing.limit.burst * SHARED_PART * standing.part).toInt(),
+    )
+    val bucket = state.shares[team] ?: bucketWith(held + 1, part.plainShape(), now)
     return bucket.take(1, part, now).fold(
         { wait -> Step(state.copy(shares = state.shares.put(team, bucket)), TakeResult(false, wait)) },
         { taken -> Step(state.copy(shares = state.shares.put(team, taken)), TakeResult(true, Duration.ZERO)) },
     )
 }
+
+/** The tokens left in the buckets that this host keeps, where they are not full. */
+public fun SharedLimits.levels(limits: Map<TeamId, Limit>, now: Moment): Map<TeamId, Int> = owned.entries
+    .mapNotNull { (team, bucket) -> limits[team]?.let { team to (bucket.available(it.plainShape(), now) to it.burst) } }
+    .filter { (_, level) -> level.first < level.second }
+    .associate { (team, level) -> team to level.first }
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -35,6 +35,10 @@
     public val isDraining: Boolean,
 )
 
+/** Whether this host knows where requests go and who else serves. */
+internal val ServingState.isInformed: Boolean
+    get() = index != null && pools.members.isNotEmpty() && fleet.scan != null
+
 /** The state of the daemon [self] before it knows anything. */
 public fun initialServing(self: FleetMember): ServingState = ServingState(
     index = null,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -37,6 +37,7 @@
     val clock: Clock,
     val store: JobStore,
     val cache: JobCache,
+    val pace: ItemPace,
     val slots: PoolSlots,
     val forward: ForwardItem,
     val random: Random,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -93,7 +93,10 @@
             }
         }
         return when (end) {
-            RunEnd.Whole -> JobResult(item.id, isComplete = true, output = output.text)
+            RunEnd.Whole -> {
+                services.pace.noteWhole(output.events.size)
+                JobResult(item.id, isComplete = true, output = output.text)
+            }
             RunEnd.Impossible -> givenUp("the upstream says that it is impossible")
             is RunEnd.Interrupted -> null
             is RunEnd.Failed -> {
@@ -124,12 +127,21 @@
         without = emptySet(),
         patience = SLOT_PATIENCE,
         age = record.age(services.clock()) + if (output.events.isEmpty()) Duration.ZERO else RESUME_CREDIT,
+        isTardy = isTardy(route),
     )
 
+    private fun isTardy(route: ServingRoute): Boolean {
+        val due = route.batch?.dueWithin ?: return false
+        return record.age(services.clock()) + services.pace.timeLeft(output.events.size) > due
+    }
+
     private suspend fun runAt(permit: HeldPermit, route: ServingRoute): RunEnd {
         var use = UseResult.ABANDONED
         try {
+            val startedAt = services.clock()
+            val before = output.events.size
             val end = untilRevoked(permit, route)
+            services.pace.noteRun(output.events.size - before, services.clock() - startedAt)
             use = if (end is RunEnd.Interrupted && end.reason != REVOKED) UseResult.FAILED else UseResult.ANSWERED
             return end
         } finally {
--- a/src/main/kotlin/figdeck/daemon/command/serving/FleetPeers.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/FleetPeers.kt
@@ -1,15 +1,17 @@
 package figdeck.daemon.command.serving
 
 import figdeck.command.serving.TakeAnswer
+import figdeck.command.serving.TakeAsk
 import figdeck.daemon.command.PeerCalls
 import figdeck.model.Address
-import figdeck.model.TeamId
 import figdeck.model.serving.SlotAnswer
 import figdeck.model.serving.SlotAsk
 import figdeck.wire.serving.HeldSlots
 import figdeck.wire.serving.SlotRelease
+import figdeck.wire.serving.StoreView
 import figdeck.wire.serving.decodeSlotAnswer
 import figdeck.wire.serving.decodeTakeAnswer
+import figdeck.wire.serving.decodeView
 import figdeck.wire.serving.encodeHeldSlots
 import figdeck.wire.serving.encodeRevoked
 import figdeck.wire.serving.encodeSlotAsk
@@ -22,6 +24,7 @@
 internal const val CONFIRM_PATH = "/peer/slots/confirm"
 internal const val REVOKE_PATH = "/peer/slots/revoke"
 internal const val TAKE_PATH = "/peer/limits/take"
+internal const val VIEW_PATH = "/peer/view"
 
 /** Several round trips between data centres. */
 private val CALL_TIMEOUT = 150.milliseconds
@@ -35,13 +38,15 @@
  * @property confirm tells an owner of all slots that this host holds.
  * @property revoke asks a holder to give slots back at once.
  * @property take asks the owner of a team's bucket for a token.
+ * @property view asks what a host knows of the store.
  */
 internal data class FleetPeers(
     val acquire: suspend (Address, SlotAsk) -> SlotAnswer?,
     val release: suspend (Address, SlotRelease) -> Boolean,
     val confirm: suspend (Address, HeldSlots) -> Boolean,
     val revoke: suspend (Address, List<Long>) -> Boolean,
-    val take: suspend (Address, TeamId) -> TakeAnswer?,
+    val take: suspend (Address, TakeAsk) -> TakeAnswer?,
+    val view: suspend (Address) -> StoreView?,
 )
 
 /** Other daemons over HTTP with JSON. */
@@ -52,7 +57,8 @@
     release = { owner, release -> calls.call(owner, RELEASE_PATH, encodeSlotRelease(release), CALL_TIMEOUT) != null },
     confirm = { owner, held -> calls.call(owner, CONFIRM_PATH, encodeHeldSlots(held), CALL_TIMEOUT) != null },
     revoke = { holder, tickets -> calls.call(holder, REVOKE_PATH, encodeRevoked(tickets), CALL_TIMEOUT) != null },
-    take = { owner, team ->
-        calls.call(owner, TAKE_PATH, encodeTake(team), TAKE_TIMEOUT)?.let { decodeTakeAnswer(it).getOrNull() }
+    take = { owner, ask ->
+        calls.call(owner, TAKE_PATH, encodeTake(ask), TAKE_TIMEOUT)?.let { decodeTakeAnswer(it).getOrNull() }
     },
+    view = { host -> calls.call(host, VIEW_PATH, "", CALL_TIMEOUT)?.let { decodeView(it).getOrNull() } },
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.serving
 
 import figdeck.command.serving.confirmRenewal
+import figdeck.command.serving.levels
 import figdeck.command.serving.observeScan
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
@@ -83,7 +84,11 @@
     val sentAt = clock()
     val storeMillis = scan.storeMillisAt(sentAt)
     val joinedAt = if (fleet.renewedAt == null) storeMillis else fleet.self.joinedAt
-    val self = fleet.self.copy(joinedAt = joinedAt, renewedAt = storeMillis)
+    val limits = snapshot.index?.teams.orEmpty().values.mapNotNull { team -> team.limit?.let { team.id to it } }.toMap()
+    // Levels that another owner announced go on with this host's, until their new owner has taken them over.
+    val carried = fleet.levels.mapValues { it.value.tokens }.takeIf { fleet.renewedAt == null }.orEmpty()
+    val levels = carried + snapshot.limits.levels(limits, sentAt)
+    val self = fleet.self.copy(joinedAt = joinedAt, renewedAt = storeMillis, levels = levels)
     val write = RowWrite(memberKey(self.host.value), encodeFleetMember(self))
     if (store.commands.commit(TableTransaction(emptyList(), listOf(write))).valueOrNull() != null) {
         run { state, _ -> onFleet(state) { confirmRenewal(it, self, sentAt) } }
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/serving/LearnFromPeers.kt
@@ -0,0 +1,64 @@
+package figdeck.daemon.command.serving
+
+import figdeck.command.serving.adoptUnconfirmed
+import figdeck.command.serving.observeScan
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.onFleet
+import figdeck.control.serving.onPools
+import figdeck.daemon.query.serving.TableFollower
+import figdeck.log.PartLog
+import figdeck.model.Address
+import figdeck.model.Clock
+import figdeck.model.Row
+import figdeck.model.serving.FleetScan
+import figdeck.model.serving.PoolMember
+import figdeck.store.query.RowChange
+import figdeck.wire.serving.StoreView
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val ASK_INTERVAL = 250.milliseconds
+
+/** How long after its start a host asks others at least; upstreams that the store has forgotten are known there. */
+private val ASK_FOR = 2.seconds
+private val log = PartLog("fleet")
+
+/**
+ * What a host that has just started takes from others.
+ *
+ * @property seeds where others may be; each may be stale or down.
+ * @property plans takes rows of the table of plans.
+ * @property decodeUpstream reads a row of the table of upstreams; null when it names none.
+ */
+internal data class PeerLearning(
+    val seeds: List<Address>,
+    val plans: TableFollower,
+    val decodeUpstream: (Row) -> PoolMember?,
+)
+
+/** Asks other hosts for what they know of the store until one has answered and a plan is in force. */
+internal suspend fun Control<ServingState>.learnFromPeers(peers: FleetPeers, learning: PeerLearning, clock: Clock) {
+    val startedAt = clock()
+    var learned = false
+    while (!learned && (snapshot.index == null || clock() - startedAt < ASK_FOR)) {
+        val view = learning.seeds.firstNotNullOfOrNull { seed -> peers.view(seed)?.takeIf { it.plans.isNotEmpty() } }
+        if (view != null) {
+            take(view, learning, clock)
+            learned = true
+        }
+        delay(ASK_INTERVAL)
+    }
+}
+
+private suspend fun Control<ServingState>.take(view: StoreView, learning: PeerLearning, clock: Clock) {
+    learning.plans.change(view.plans.map { RowChange(it.key, it) })
+    val upstreams = view.upstreams.mapNotNull { learning.decodeUpstream(it) }
+    run { state, now -> onPools(state) { adoptUnconfirmed(it, upstreams, now) } }
+    val storeMillis = view.storeMillis
+    if (storeMillis != null && snapshot.fleet.scan == null) {
+        run { state, _ -> onFleet(state) { observeScan(it, FleetScan(view.members, storeMillis, clock())) } }
+    }
+    log.info { "learned ${upstreams.size} upstreams and ${view.members.size} hosts from another host" }
+}
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -119,6 +119,7 @@
         cost = cost,
         affinity = affinity,
         deadline = clock() + if (lane == Lane.BATCH) BATCH_DEADLINE - age else patience,
+        isTardy = isTardy,
     )
 
     private data class Confirmed(
--- a/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
@@ -3,7 +3,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import figdeck.command.serving.LimitStanding
 import figdeck.command.serving.TakeAnswer
+import figdeck.command.serving.TakeAsk
 import figdeck.command.serving.TakeResult
 import figdeck.command.serving.suspect
 import figdeck.command.serving.takeOwned
@@ -14,43 +16,67 @@
 import figdeck.control.serving.onLimits
 import figdeck.log.PartLog
 import figdeck.model.Clock
+import figdeck.model.HostId
 import figdeck.model.Limit
+import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.TeamId
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.ServingTeam
 import figdeck.query.serving.BucketPlace
 import figdeck.query.serving.bucketPlace
+import figdeck.query.serving.hostsAround
+import figdeck.query.serving.isCutOff
 import figdeck.query.serving.livingMembers
+import figdeck.query.serving.ownLeaseHolds
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
 
 private val log = PartLog("limits")
 
+/** How long an asker counts as one that relies on this host. */
+private val ASKER_AGE = 3.seconds
+
 /** The limits of teams across all hosts. */
 internal class TeamLimits(
     private val control: Control<ServingState>,
     private val clock: Clock,
     private val peers: FleetPeers,
 ) {
+    private val askers = ConcurrentHashMap<HostId, Moment>()
+
     /** Takes a token of [team], or refuses. */
     suspend fun take(team: ServingTeam): Either<Refusal, Unit> {
         val limit = team.limit ?: return Unit.right()
-        val result = when (val place = placeOf(team.id)) {
-            BucketPlace.Here -> takeHere(team.id, limit)
+        val fleet = control.snapshot.fleet
+        val isCutOff = fleet.isCutOff(clock())
+        val result = when (val place = fleet.bucketPlace(bucketKey(team.id), clock())) {
+            BucketPlace.Here -> takeHere(team.id, limit, isCutOff)
             BucketPlace.Unreachable -> takePart(team.id, limit)
-            is BucketPlace.Elsewhere -> ask(place.owner, team.id) ?: takePart(team.id, limit)
+            is BucketPlace.Elsewhere -> ask(place.owner, team.id, isCutOff) ?: takePart(team.id, limit)
         }
         return if (result.taken) Unit.right() else Refusal.OverRate(team.id, result.wait).left()
     }
 
     /** Takes a token for another host. */
-    suspend fun takeFor(team: TeamId): TakeAnswer {
-        val limit = control.snapshot.index?.teams?.get(team)?.limit
-        val isHere = limit != null && placeOf(team) == BucketPlace.Here
-        return if (isHere) TakeAnswer.Decided(takeHere(team, limit)) else TakeAnswer.NotOwner
+    suspend fun takeFor(ask: TakeAsk): TakeAnswer {
+        val now = clock()
+        askers[ask.from] = now
+        val fleet = control.snapshot.fleet
+        val limit = control.snapshot.index?.teams?.get(ask.team)?.limit
+        val isHere = fleet.bucketPlace(bucketKey(ask.team), now) == BucketPlace.Here
+        // While the store is away from both, nobody else can have become the owner for the host that asks.
+        val mayAnswer = isHere && (fleet.ownLeaseHolds(now) || ask.isCutOff)
+        return if (limit != null && mayAnswer) {
+            TakeAnswer.Decided(takeHere(ask.team, limit, ask.isCutOff || fleet.isCutOff(now)))
+        } else {
+            TakeAnswer.NotOwner
+        }
     }
 
-    private suspend fun ask(owner: FleetMember, team: TeamId): TakeResult? =
-        when (val answer = peers.take(owner.address, team)) {
+    private suspend fun ask(owner: FleetMember, team: TeamId, isCutOff: Boolean): TakeResult? {
+        val ask = TakeAsk(control.snapshot.fleet.self.host, team, isCutOff)
+        return when (val answer = peers.take(owner.address, ask)) {
             is TakeAnswer.Decided -> answer.result
             TakeAnswer.NotOwner -> null
             null -> {
@@ -59,14 +85,23 @@
                 null
             }
         }
+    }
 
-    private fun placeOf(team: TeamId): BucketPlace = control.snapshot.fleet.bucketPlace("limit/$team", clock())
-
-    private suspend fun takeHere(team: TeamId, limit: Limit): TakeResult =
-        control.run { state, now -> onLimits(state) { takeOwned(it, team, limit, now) } }
+    private suspend fun takeHere(team: TeamId, limit: Limit, isCutOff: Boolean): TakeResult =
+        control.run { state, now ->
+            val fleet = state.fleet
+            val relying = if (isCutOff) relyingHosts(now) else fleet.livingMembers().size
+            val part = (relying.toDouble() / fleet.hostsAround()).coerceAtMost(1.0)
+            val standing = LimitStanding(limit, fleet.levels[team]?.tokens, part)
+            onLimits(state) { takeOwned(it, team, standing, now) }
+        }
 
     private suspend fun takePart(team: TeamId, limit: Limit): TakeResult = control.run { state, now ->
-        val members = state.fleet.livingMembers().size
-        onLimits(state) { takeShare(it, team, limit, members, now) }
+        val standing = LimitStanding(limit, state.fleet.levels[team]?.tokens, 1.0 / state.fleet.hostsAround())
+        onLimits(state) { takeShare(it, team, standing, now) }
     }
+
+    private fun relyingHosts(now: Moment): Int = 1 + askers.values.count { now - it < ASKER_AGE }
 }
+
+private fun bucketKey(team: TeamId): String = "limit/$team"
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -54,21 +54,25 @@
     )
 }
 
-/** Keeps the upstreams as they announce themselves; an entry that [decode] can't read names none. */
+/** Reads rows of upstreams with [decode]; what it can't read names none. */
+internal fun upstreamReader(
+    decode: (id: String, text: String) -> Either<String, PoolMember>,
+): (Row) -> PoolMember? = { row ->
+    decode(row.key, row.value).fold(
+        { fault ->
+            log.warn { fault }
+            null
+        },
+        { it },
+    )
+}
+
+/** Keeps the upstreams as they announce themselves. */
 internal fun poolFollower(
     control: Control<ServingState>,
-    decode: (id: String, text: String) -> Either<String, PoolMember>,
+    read: (Row) -> PoolMember?,
     decisions: DecisionLog,
 ): TableFollower {
-    val read: (Row) -> PoolMember? = { row ->
-        decode(row.key, row.value).fold(
-            { fault ->
-                log.warn { fault }
-                null
-            },
-            { it },
-        )
-    }
     return TableFollower(
         replace = { rows ->
             val listed = rows.mapNotNull { read(it) }
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/query/serving/SeenRows.kt
@@ -0,0 +1,30 @@
+package figdeck.daemon.query.serving
+
+import figdeck.model.Row
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import java.util.concurrent.ConcurrentHashMap
+
+/** The rows of the followed tables as the store told them last, for hosts that start while the store is away. */
+internal class SeenRows {
+    private val tables = ConcurrentHashMap<String, PersistentMap<String, Row>>()
+
+    /** The rows of [table]. */
+    fun rows(table: String): List<Row> = tables[table].orEmpty().values.toList()
+
+    /** [follower] with its rows noted as those of [table]. */
+    fun noting(table: String, follower: TableFollower): TableFollower = TableFollower(
+        replace = { rows ->
+            tables[table] = rows.associateBy { it.key }.toPersistentMap()
+            follower.replace(rows)
+        },
+        change = { changes ->
+            val known = tables[table] ?: persistentMapOf()
+            tables[table] = changes.fold(known) { all, change ->
+                change.row?.let { all.put(change.key, it) } ?: all.remove(change.key)
+            }
+            follower.change(changes)
+        },
+    )
+}
--- a/src/main/kotlin/figdeck/model/serving/Fleet.kt
+++ b/src/main/kotlin/figdeck/model/serving/Fleet.kt
@@ -2,6 +2,7 @@
 
 import figdeck.model.HostId
 import figdeck.model.Moment
+import figdeck.model.TeamId
 import kotlinx.collections.immutable.PersistentMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +40,16 @@
     public val sentAt: Moment,
 )
 
+/**
+ * What a bucket held when its owner announced it.
+ *
+ * @property at the store's clock then.
+ */
+public data class BucketLevel(
+    public val tokens: Int,
+    public val at: Long,
+)
+
 /** The store's clock at [now]. */
 public fun FleetScan.storeMillisAt(now: Moment): Long = storeMillis + (now - sentAt).inWholeMilliseconds
 
@@ -47,6 +58,7 @@
  *
  * @property scan the latest list; null before the first.
  * @property renewedAt when the latest renewal that the store confirmed was sent; null before the first.
+ * @property levels what the owners of buckets announced last.
  * @property suspects the members that didn't answer, and until when they are passed over.
  */
 public data class Fleet(
@@ -54,5 +66,6 @@
     public val times: FleetTimes,
     public val scan: FleetScan?,
     public val renewedAt: Moment?,
+    public val levels: PersistentMap<TeamId, BucketLevel>,
     public val suspects: PersistentMap<HostId, Moment>,
 )
--- a/src/main/kotlin/figdeck/model/serving/FleetMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/FleetMember.kt
@@ -3,6 +3,7 @@
 import figdeck.model.Address
 import figdeck.model.DataCentre
 import figdeck.model.HostId
+import figdeck.model.TeamId
 
 /**
  * A daemon as it announces itself in the store. Both times are milliseconds of the store's clock.
@@ -10,6 +11,7 @@
  * @property incarnation differs between two starts on the same host.
  * @property joinedAt when this incarnation announced itself first.
  * @property renewedAt when it announced itself last.
+ * @property levels the tokens that were left in the buckets it keeps, where they were not full.
  */
 public data class FleetMember(
     public val host: HostId,
@@ -18,4 +20,5 @@
     public val incarnation: String,
     public val joinedAt: Long,
     public val renewedAt: Long,
+    public val levels: Map<TeamId, Int> = emptyMap(),
 )
--- a/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
+++ b/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
@@ -15,6 +15,7 @@
  * @property without upstreams that failed this request already.
  * @property patience how long to wait for a slot.
  * @property age how much earlier than now the work counts as submitted; older batch work of a team goes first.
+ * @property isTardy whether the work will be late whatever is done.
  */
 public data class SlotAsk(
     public val ticket: Long,
@@ -27,6 +28,7 @@
     public val without: Set<UpstreamId>,
     public val patience: Duration,
     public val age: Duration = Duration.ZERO,
+    public val isTardy: Boolean = false,
 )
 
 /** The answer to a [SlotAsk]. */
--- a/src/main/kotlin/figdeck/platform/FrontHandler.kt
+++ b/src/main/kotlin/figdeck/platform/FrontHandler.kt
@@ -5,6 +5,7 @@
 import arrow.core.left
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.isInformed
 import figdeck.daemon.command.serving.CallerChannel
 import figdeck.daemon.command.serving.Disposition
 import figdeck.daemon.command.serving.Forward
@@ -32,6 +33,9 @@
 import figdeck.wire.status
 import figdeck.wire.type
 import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 private const val JSON_TYPE = "application/json"
@@ -41,6 +45,13 @@
 private const val UNAVAILABLE = 503
 private const val INTERNAL_ERROR = 500
 private const val REQUEST_TIMEOUT = 408
+
+/** The longest body that is read before a plan tells how long it may be. */
+private const val MAX_BODY_BYTES = 4 * 1024 * 1024
+
+/** How long a request waits for a host that has just started. */
+private val START_PATIENCE = 600.milliseconds
+private val START_CHECK = 10.milliseconds
 private val PROMISES = setOf(REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY, UNAVAILABLE)
 
 /** What the listener for clients needs. */
@@ -68,10 +79,19 @@
 /** Answers the balancer's question whether this host takes connections. */
 internal fun readinessHandler(control: Control<ServingState>): HttpHandler = { _, responder ->
     val state = control.snapshot
-    val ready = state.index != null && state.pools.heardAt != null && !state.isDraining
+    val ready = state.isInformed && !state.isDraining
     responder.full(if (ready) OK else UNAVAILABLE, newHeaders(), ByteArray(0))
 }
 
+/** Waits a little while this host has started and does not yet know where requests go. */
+private suspend fun FrontServices.awaitStart() {
+    withTimeoutOrNull(START_PATIENCE) {
+        while (!control.snapshot.isInformed) {
+            delay(START_CHECK)
+        }
+    }
+}
+
 /** A request as it came in. */
 private class Received(
     val call: HttpCall,
@@ -86,8 +106,8 @@
     receivedAt: Moment,
     responder: HttpResponder,
 ) {
-    val limit = control.snapshot.index?.plan?.maxBodyBytes ?: 0
-    val body = call.body.readAll(limit)
+    val body = call.body.readAll(control.snapshot.index?.plan?.maxBodyBytes ?: MAX_BODY_BYTES)
+    awaitStart()
     // The plan may have changed while the body came in.
     val index = control.snapshot.index
     val access = when {
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -24,14 +24,15 @@
 }
 
 /**
- * Where the bucket under [key] stands. Only members whose announcement has reached everybody may own buckets, and only
- * while their lease holds, so that two hosts never fill the same bucket.
+ * Where the bucket under [key] stands. Only members whose announcement has reached everybody may own buckets. A host
+ * that is cut off from the store still keeps its buckets for itself and for others that are cut off.
  */
 public fun Fleet.bucketPlace(key: String, now: Moment): BucketPlace {
     val owner = livingMembers().filter { isSettled(it, now) }.maxByOrNull { weight(key, it.host) }
     return when {
         owner == null -> BucketPlace.Unreachable
-        owner.host == self.host -> if (ownLeaseHolds(now)) BucketPlace.Here else BucketPlace.Unreachable
+        owner.host == self.host && (ownLeaseHolds(now) || isCutOff(now)) -> BucketPlace.Here
+        owner.host == self.host -> BucketPlace.Unreachable
         isSuspect(owner.host, now) -> BucketPlace.Unreachable
         else -> BucketPlace.Elsewhere(owner)
     }
--- a/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
@@ -8,9 +8,11 @@
 import figdeck.daemon.command.serving.SlotOwner
 import figdeck.daemon.command.serving.TAKE_PATH
 import figdeck.daemon.command.serving.TeamLimits
+import figdeck.daemon.command.serving.VIEW_PATH
 import figdeck.http.server.HttpHandler
 import figdeck.traffic.json
 import figdeck.traffic.refuse
+import figdeck.wire.serving.StoreView
 import figdeck.wire.serving.decodeHeldSlots
 import figdeck.wire.serving.decodeRevoked
 import figdeck.wire.serving.decodeSlotAsk
@@ -18,6 +20,7 @@
 import figdeck.wire.serving.decodeTake
 import figdeck.wire.serving.encodeSlotAnswer
 import figdeck.wire.serving.encodeTakeAnswer
+import figdeck.wire.serving.encodeView
 
 private const val DONE = "{}"
 
@@ -26,6 +29,7 @@
     owner: SlotOwner,
     slots: PoolSlots,
     limits: TeamLimits,
+    view: () -> StoreView,
 ): Map<String, HttpHandler> = mapOf(
     ACQUIRE_PATH to { call, responder ->
         call.read(::decodeSlotAsk)
@@ -53,4 +57,5 @@
         call.read(::decodeTake)
             .fold({ responder.refuse(it) }, { responder.json(encodeTakeAnswer(limits.takeFor(it))) })
     },
+    VIEW_PATH to { _, responder -> responder.json(encodeView(view())) },
 )
--- a/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import figdeck.model.DataCentre
 import figdeck.model.HostId
+import figdeck.model.TeamId
 import figdeck.model.parseAddress
 import figdeck.model.serving.FleetMember
 import figdeck.wire.decodeAs
@@ -16,27 +17,30 @@
     val incarnation: String,
     val joinedAt: Long,
     val renewedAt: Long,
+    val levels: Map<String, Int> = emptyMap(),
 )
 
-internal fun encodeFleetMember(member: FleetMember): String {
-    val dto = FleetMemberDto(
-        address = member.address.toString(),
-        dataCentre = member.dataCentre.value,
-        incarnation = member.incarnation,
-        joinedAt = member.joinedAt,
-        renewedAt = member.renewedAt,
-    )
-    return lenientJson.encodeToString(FleetMemberDto.serializer(), dto)
-}
+internal fun encodeFleetMember(member: FleetMember): String =
+    lenientJson.encodeToString(FleetMemberDto.serializer(), member.toDto())
 
 internal fun decodeFleetMember(host: String, text: String): Either<String, FleetMember> =
-    decodeAs(text, FleetMemberDto.serializer()) { dto ->
-        FleetMember(
-            host = HostId(host),
-            address = parseAddress(dto.address),
-            dataCentre = DataCentre(dto.dataCentre),
-            incarnation = dto.incarnation,
-            joinedAt = dto.joinedAt,
-            renewedAt = dto.renewedAt,
-        )
-    }
+    decodeAs(text, FleetMemberDto.serializer()) { it.toMember(HostId(host)) }
+
+internal fun FleetMember.toDto(): FleetMemberDto = FleetMemberDto(
+    address = address.toString(),
+    dataCentre = dataCentre.value,
+    incarnation = incarnation,
+    joinedAt = joinedAt,
+    renewedAt = renewedAt,
+    levels = levels.mapKeys { it.key.value },
+)
+
+internal fun FleetMemberDto.toMember(host: HostId): FleetMember = FleetMember(
+    host = host,
+    address = parseAddress(address),
+    dataCentre = DataCentre(dataCentre),
+    incarnation = incarnation,
+    joinedAt = joinedAt,
+    renewedAt = renewedAt,
+    levels = levels.mapKeys { TeamId(it.key) },
+)
--- a/src/main/kotlin/figdeck/wire/serving/LimitMessages.kt
+++ b/src/main/kotlin/figdeck/wire/serving/LimitMessages.kt
@@ -2,7 +2,9 @@
 
 import arrow.core.Either
 import figdeck.command.serving.TakeAnswer
+import figdeck.command.serving.TakeAsk
 import figdeck.command.serving.TakeResult
+import figdeck.model.HostId
 import figdeck.model.TeamId
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
@@ -10,7 +12,11 @@
 import kotlin.time.Duration.Companion.microseconds
 
 @Serializable
-internal data class TakeDto(val team: String)
+internal data class TakeDto(
+    val from: String,
+    val team: String,
+    val cutOff: Boolean = false,
+)
 
 @Serializable
 internal data class TakeResultDto(
@@ -18,9 +24,11 @@
     val waitMicros: Long? = null,
 )
 
-internal fun encodeTake(team: TeamId): String = lenientJson.encodeToString(TakeDto.serializer(), TakeDto(team.value))
+internal fun encodeTake(ask: TakeAsk): String =
+    lenientJson.encodeToString(TakeDto.serializer(), TakeDto(ask.from.value, ask.team.value, ask.isCutOff))
 
-internal fun decodeTake(text: String): Either<String, TeamId> = decodeAs(text, TakeDto.serializer()) { TeamId(it.team) }
+internal fun decodeTake(text: String): Either<String, TakeAsk> =
+    decodeAs(text, TakeDto.serializer()) { TakeAsk(HostId(it.from), TeamId(it.team), it.cutOff) }
 
 internal fun encodeTakeAnswer(answer: TakeAnswer): String {
     val dto = when (answer) {
--- a/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
@@ -21,6 +21,7 @@
     val without: List<String> = emptyList(),
     val patienceMillis: Long,
     val ageMillis: Long = 0,
+    val tardy: Boolean = false,
 )
 
 internal fun SlotAsk.toDto(): SlotAskDto = SlotAskDto(
@@ -34,6 +35,7 @@
     without = without.map { it.value },
     patienceMillis = patience.inWholeMilliseconds,
     ageMillis = age.inWholeMilliseconds,
+    tardy = isTardy,
 )
 
 internal fun SlotAskDto.toAsk(): SlotAsk = SlotAsk(
@@ -47,4 +49,5 @@
     without = without.map { UpstreamId(it) }.toSet(),
     patience = patienceMillis.milliseconds,
     age = ageMillis.milliseconds,
+    isTardy = tardy,
 )
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -83,6 +83,19 @@
         }
     }
 
+    describe("work that will be late whatever is done") {
+        it("goes after all work that may be in time, of whatever team") {
+            val desk = Desk()
+            val engine = listOf(upstream("engine-1", 1))
+            val running = desk.ask(request(engine, "kurni", Lane.BATCH))
+            val tardy = desk.ask(request(engine, "stado", Lane.BATCH).copy(isTardy = true))
+            val inTime = desk.ask(request(engine, "kurni", Lane.BATCH))
+            desk.end(running)
+            desk.end(inTime)
+            desk.grants() shouldBe listOf(running, inTime, tardy)
+        }
+    }
+
     describe("a slot that was given out by an owner before") {
         it("counts, and is free once it is given back") {
             val desk = Desk()
--- a/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -32,6 +32,20 @@
         }
     }
 
+    describe("upstreams that another host knows") {
+        val told = adoptUnconfirmed(unknownPools, listOf(member("i-1"), member("i-2")), start)
+
+        it("are in use at once, and stay while the store is away") {
+            told.ids() shouldBe listOf("i-1", "i-2")
+        }
+
+        it("are dropped when the store answers and doesn't list them in time") {
+            val listed = replaceMembers(told, listOf(member("i-2")), start + 1.seconds)
+            listed.ids() shouldBe listOf("i-1", "i-2")
+            hear(listed, start + 3.seconds).ids() shouldBe listOf("i-2")
+        }
+    }
+
     describe("an entry that lapsed while the store was away") {
         val back = start + 10.seconds
         val missing = replaceMembers(both, listOf(member("i-2")), back)
