An upstream whose address another has is dropped; batch slots come from one owner alone

At 40 s every engine was silent for 700 ms and more: hosts that had just started asked different owners for slots, and each gave out all slots to batch work.

Ruled out: silent upstreams (the answers were 421); the engines' own load (64 slots, 28 in use by online work).

Change: a 421 drops the upstream on the host that met it and on the owner of its slots; one that can't be reached counts as failed. Batch work asks only the settled owner, whom suspicion doesn't change, and gets nothing in the first 0.8 s of a new owner; holders confirm at once when an owner changes.

--- a/src/main/kotlin/figdeck/bench/Flights.kt
+++ b/src/main/kotlin/figdeck/bench/Flights.kt
@@ -139,7 +139,7 @@
         val release = Release(ticket, use, flight.generated, random.nextLong())
         time.after(fleet.hop(flight.host, owner)) { decide(owner) { release(it, release, policy, time.now) } }
         when (use) {
-            UseResult.FAILED -> {
+            UseResult.FAILED, UseResult.GONE -> {
                 flight.attempt++
                 flight.avoided += owner
                 ask(flight)
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -36,6 +36,9 @@
     /** The upstream could not be reached, was lost or was too slow. */
     FAILED,
 
-    /** The holder gave up by itself. */
+    /** Another upstream answers at its address. */
+    GONE,
+
+    /** The holder gave up by itself, or the upstream was full. */
     ABANDONED,
 }
--- a/src/main/kotlin/figdeck/command/dispatch/Health.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Health.kt
@@ -38,6 +38,7 @@
     UseResult.ANSWERED -> healthy
     UseResult.ABANDONED -> this
     UseResult.FAILED -> failed(draw, now)
+    UseResult.GONE -> copy(failures = FAILURES_TO_LEAVE).failed(draw, now)
 }
 
 private fun Health.failed(draw: Double, now: Moment): Health {
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -67,6 +67,10 @@
     }
 }
 
+/** Drops an upstream at once: another one answers at its address. */
+public fun dropMember(state: PoolMembers, id: UpstreamId): PoolMembers =
+    state.copy(members = state.members.remove(id), missing = state.missing.remove(id))
+
 /** Notes that the store answered. */
 public fun hear(state: PoolMembers, now: Moment): PoolMembers {
     val wasAway = state.heardAt != null && now - state.heardAt > OUTAGE
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -6,7 +6,6 @@
 import figdeck.daemon.command.serving.SendOrder
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.daemon.command.serving.isSuccess
-import figdeck.http.client.ExchangeFailure
 import figdeck.model.Lane
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
@@ -47,8 +46,11 @@
 
     data class Failed(val reason: String) : RunEnd
 
-    /** It goes on elsewhere and counts as no failure. */
-    data class Interrupted(val reason: String) : RunEnd
+    /** It goes on elsewhere and counts as no failure of the item; [use] is what it says of the upstream. */
+    data class Interrupted(
+        val reason: String,
+        val use: UseResult,
+    ) : RunEnd
 }
 
 /** The running of one item, over all upstreams that it is sent to. */
@@ -142,7 +144,7 @@
             val before = output.events.size
             val end = untilRevoked(permit, route)
             services.pace.noteRun(output.events.size - before, services.clock() - startedAt)
-            use = if (end is RunEnd.Interrupted && end.reason != REVOKED) UseResult.FAILED else UseResult.ANSWERED
+            use = if (end is RunEnd.Interrupted) end.use else UseResult.ANSWERED
             return end
         } finally {
             services.slots.release(permit, use, item.tokens.toInt())
@@ -155,7 +157,7 @@
             sending.onAwait { it }
             permit.revoked.onAwait {
                 sending.cancel()
-                RunEnd.Interrupted(REVOKED)
+                RunEnd.Interrupted("the slot was revoked", UseResult.ABANDONED)
             }
         }
     }
@@ -169,31 +171,28 @@
             idleTimeout = STALL,
             freshConnection = false,
         )
-        var end: RunEnd = RunEnd.Interrupted("no answer")
+        var end: RunEnd = RunEnd.Interrupted("no answer", UseResult.FAILED)
         val result = services.forward(ItemCall(item, route, record.team), order) { reply -> end = receive(reply) }
         return result.fold(
-            { lost ->
-                when (lost) {
-                    is ExchangeFailure.NotSent -> RunEnd.Interrupted(lost.reason)
-                    is ExchangeFailure.Lost -> RunEnd.Interrupted(lost.reason)
-                }
-            },
+            { RunEnd.Interrupted(it.reason, UseResult.FAILED) },
             { end },
         )
     }
 
-    private suspend fun receive(reply: UpstreamReply): RunEnd = when {
-        reply.disposition == Disposition.FOREIGN -> RunEnd.Interrupted("the answer belongs to another request")
-        reply.disposition == Disposition.NOT_RUN -> {
+    private suspend fun receive(reply: UpstreamReply): RunEnd = when (reply.disposition) {
+        Disposition.FOREIGN -> RunEnd.Interrupted("the answer belongs to another request", UseResult.FAILED)
+        Disposition.OTHER_UPSTREAM -> RunEnd.Interrupted("another upstream answered", UseResult.GONE)
+        Disposition.NOT_RUN -> {
             delay(FAILURE_PAUSE)
-            RunEnd.Interrupted(NOT_RUN)
+            RunEnd.Interrupted("the upstream did not run it", UseResult.ABANDONED)
         }
-        reply.isSuccess -> output.collect(reply)?.let { RunEnd.Interrupted(it) } ?: RunEnd.Whole
+        Disposition.RAN -> ran(reply)
+    }
+
+    private suspend fun ran(reply: UpstreamReply): RunEnd = when {
+        reply.isSuccess -> output.collect(reply)?.let { RunEnd.Interrupted(it, UseResult.FAILED) } ?: RunEnd.Whole
         reply.status == IMPOSSIBLE -> RunEnd.Impossible
         reply.status >= FIRST_SERVER_ERROR -> RunEnd.Failed("the upstream answered ${reply.status}")
-        else -> RunEnd.Interrupted("the upstream answered ${reply.status}")
+        else -> RunEnd.Interrupted("the upstream answered ${reply.status}", UseResult.FAILED)
     }
 }
-
-private const val REVOKED = "the slot was revoked"
-private const val NOT_RUN = "the upstream did not run it"
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -56,6 +56,9 @@
     /** The upstream did not run the request and never will. */
     NOT_RUN,
 
+    /** Another upstream has the address; it did not run the request. */
+    OTHER_UPSTREAM,
+
     /** The response belongs to another request or lacks what proves that it is an upstream's. */
     FOREIGN,
 }
--- a/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
@@ -11,15 +11,18 @@
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
+import figdeck.model.Lane
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
+import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotAnswer
 import figdeck.model.serving.SlotAsk
 import figdeck.query.serving.ranked
+import figdeck.query.serving.settledOwner
 import figdeck.wire.serving.HeldSlots
 import figdeck.wire.serving.SlotRelease
 import kotlinx.coroutines.CancellationException
@@ -32,6 +35,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 private val CONFIRM_INTERVAL = 500.milliseconds
+private val OWNER_CHECK = 100.milliseconds
+private val NO_OWNER_PAUSE = 200.milliseconds
 
 /** How many owners are asked before this host chooses an upstream by itself. */
 private const val MAX_OWNERS = 2
@@ -98,20 +103,46 @@
 
     /** Tells the owners of the slots held here that they are still in use, until cancelled. */
     suspend fun confirmHeld() {
+        var told = emptyMap<PoolName, Set<HostId>>()
+        var lastAt = clock()
         while (true) {
-            delay(CONFIRM_INTERVAL)
-            val permits = held.values.mapNotNull { it.permit }
-            permits.groupBy { control.snapshot.otherOwner(it.ask.pool, clock()) }.forEach { (owner, slots) -> confirm(owner, slots) }
+            delay(OWNER_CHECK)
+            val permits = held.values.mapNotNull { it.permit }.groupBy { it.ask.pool }
+            val owners = permits.mapValues { (pool, _) -> control.snapshot.fleet.slotOwners(pool, clock()) }
+            val hosts = owners.mapValues { (_, members) -> members.map { it.host }.toSet() }
+            if (hosts != told || clock() - lastAt > CONFIRM_INTERVAL) {
+                owners.values.flatten().distinctBy { it.host }.forEach { owner ->
+                    confirm(owner, permits.filterKeys { owner in owners.getValue(it) }.values.flatten())
+                }
+                told = hosts
+                lastAt = clock()
+            }
         }
     }
 
-    private suspend fun askOwners(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
+    private suspend fun askOwners(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> = when (ask.lane) {
+        Lane.ONLINE -> askInTurn(ask)
+        Lane.BATCH -> askBatchOwner(ask)
+    }
+
+    /** A caller waits, so that the next host is asked at once, and this host decides by itself in the end. */
+    private suspend fun askInTurn(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
         val owners = control.snapshot.fleet.ranked(slotKey(ask.pool), clock()).take(MAX_OWNERS)
-        val others = owners.takeWhile { it.host != self }
-        return others.firstNotNullOfOrNull { owner -> askOther(owner, ask)?.let { it to owner } }
+        return owners.takeWhile { it.host != self }
+            .firstNotNullOfOrNull { owner -> askOther(owner, ask)?.let { it to owner } }
             ?: (own.acquire(ask) to null)
     }
 
+    /** Two owners at once would fill the upstreams twice with work that lasts, so that batch work waits for the first. */
+    private suspend fun askBatchOwner(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
+        val owner = control.snapshot.fleet.batchOwner(ask.pool, clock())
+        return when {
+            owner == null -> SlotAnswer.Full(NO_OWNER_PAUSE) to null
+            owner.host == self -> own.acquire(ask) to null
+            else -> (askOther(owner, ask) ?: SlotAnswer.Full(NO_OWNER_PAUSE)) to owner
+        }
+    }
+
     private suspend fun askOther(owner: FleetMember, ask: SlotAsk): SlotAnswer? {
         val answer = peers.acquire(owner.address, ask)
         if (answer == null) {
@@ -120,9 +151,9 @@
         return answer
     }
 
-    private suspend fun confirm(owner: FleetMember?, permits: List<HeldPermit>) {
+    private suspend fun confirm(owner: FleetMember, permits: List<HeldPermit>) {
         val slots = permits.map { HeldSlot(it.ask, it.upstream.id) }
-        if (owner == null) {
+        if (owner.host == self) {
             own.confirm(self, slots)
         } else if (!peers.confirm(owner.address, HeldSlots(self, slots))) {
             passOver(owner, "did not confirm slots in time")
@@ -160,11 +191,11 @@
 /** The key by which the owner of the slots of [pool] is found. */
 internal fun slotKey(pool: PoolName): String = "slots/$pool"
 
-/** The host that gives out the slots of [pool], unless it is this one. */
-private fun ServingState.otherOwner(pool: PoolName, now: Moment): FleetMember? = fleet
-    .ranked(slotKey(pool), now)
-    .firstOrNull()
-    ?.takeIf { it.host != fleet.self.host }
+/** The hosts that give out slots of [pool]: to online work, and to batch work. */
+private fun Fleet.slotOwners(pool: PoolName, now: Moment): Set<FleetMember> =
+    setOfNotNull(ranked(slotKey(pool), now).firstOrNull(), batchOwner(pool, now))
+
+private fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
 private fun refusalOf(answer: SlotAnswer): Refusal = when (answer) {
     is SlotAnswer.Full -> Refusal.Overloaded("every upstream", answer.retryAfter)
--- a/src/main/kotlin/figdeck/daemon/command/serving/SendOnce.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SendOnce.kt
@@ -6,6 +6,7 @@
 import figdeck.model.serving.isRepeatable
 import figdeck.model.serving.isStream
 import figdeck.query.serving.FailedSend
+import figdeck.query.serving.NotRunCause
 import figdeck.query.serving.SendHistory
 import figdeck.query.serving.runs
 import io.netty.handler.codec.http.HttpHeaders
@@ -60,7 +61,7 @@
         return result.fold(
             { lost ->
                 when (lost) {
-                    is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason)
+                    is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason, NotRunCause.UNREACHABLE)
                     is ExchangeFailure.Lost -> FailedSend.MayHaveRun(upstream, lost.reason)
                 }
             },
@@ -83,7 +84,10 @@
     }
 
     private suspend fun receive(upstream: UpstreamId, reply: UpstreamReply): FailedSend? = when (reply.disposition) {
-        Disposition.NOT_RUN -> FailedSend.NotRun(upstream, "the upstream answered ${reply.status} without running it")
+        Disposition.NOT_RUN ->
+            FailedSend.NotRun(upstream, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
+        Disposition.OTHER_UPSTREAM ->
+            FailedSend.NotRun(upstream, "another upstream answered", NotRunCause.REPLACED)
         Disposition.FOREIGN -> FailedSend.MayHaveRun(upstream, "the answer belongs to no request of this connection")
         Disposition.RAN ->
             if (reply.isSuccess && route.kind.isStream) relay(upstream, reply) else deliver(upstream, reply)
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -9,6 +9,7 @@
 import figdeck.model.serving.SlotAsk
 import figdeck.query.serving.FailedSend
 import figdeck.query.serving.NextStep
+import figdeck.query.serving.NotRunCause
 import figdeck.query.serving.SendHistory
 import figdeck.query.serving.nextStep
 import figdeck.query.serving.poolFor
@@ -130,7 +131,7 @@
             isSending = true
             val failure = once.send(permit, history)
             isSending = false
-            use = if (failure is FailedSend.MayHaveRun) UseResult.FAILED else UseResult.ANSWERED
+            use = useOf(failure)
             history = SendHistory(history.failures + listOfNotNull(failure), once.stream.hasStarted)
             return failure == null
         } finally {
@@ -138,3 +139,14 @@
         }
     }
 }
+
+/** What a send that ended with [failure] says of the upstream. */
+private fun useOf(failure: FailedSend?): UseResult = when (failure) {
+    null -> UseResult.ANSWERED
+    is FailedSend.MayHaveRun -> UseResult.FAILED
+    is FailedSend.NotRun -> when (failure.cause) {
+        NotRunCause.FULL -> UseResult.ABANDONED
+        NotRunCause.UNREACHABLE -> UseResult.FAILED
+        NotRunCause.REPLACED -> UseResult.GONE
+    }
+}
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -3,8 +3,10 @@
 import arrow.core.Either
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.UseResult
+import figdeck.command.serving.dropMember
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.onPools
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.SlotDispatcher
 import figdeck.model.Clock
@@ -14,6 +16,7 @@
 import figdeck.model.Refusal
 import figdeck.model.Upstream
 import figdeck.model.serving.HeldSlot
+import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotAnswer
 import figdeck.model.serving.SlotAsk
 import figdeck.query.serving.usable
@@ -33,6 +36,12 @@
 private val BATCH_DEADLINE = 600.seconds
 private val FULL_PAUSE = 300.milliseconds
 
+/** How long after the last question for a pool this host begins anew with the next one. */
+private val SERVED_GAP = 5.seconds
+
+/** How long an owner that begins gives nothing to batch work; holders confirm their slots meanwhile. */
+private val NEW_FOR = 800.milliseconds
+
 /** Gives out the slots of the pools that this host serves, to itself and to other hosts. */
 internal class SlotOwner(
     private val slots: SlotDispatcher,
@@ -41,11 +50,13 @@
     private val onRevoked: (HostId, Long) -> Unit,
 ) {
     private val held = ConcurrentHashMap<Long, Confirmed>()
+    private val served = ConcurrentHashMap<PoolName, Served>()
 
     /** Answers [ask] as soon as there is a slot, or when its patience ends. */
     suspend fun acquire(ask: SlotAsk): SlotAnswer {
         val candidates = control.snapshot.pools.members.usable(ask.pool, ask.without)
-        val answer = if (candidates.isEmpty()) null else wait(ask, candidates)
+        val isEarly = isNewTo(ask.pool) && ask.lane == Lane.BATCH
+        val answer = if (candidates.isEmpty() || isEarly) null else wait(ask, candidates)
         return when {
             candidates.isEmpty() -> SlotAnswer.NoUpstream
             answer == null -> SlotAnswer.Full(FULL_PAUSE)
@@ -61,7 +72,11 @@
 
     /** Takes a slot back. */
     suspend fun release(release: SlotRelease) {
-        held.remove(release.ticket)?.let { slots.dispatcher.release(it.permit, release.use, release.cost) }
+        val slot = held.remove(release.ticket) ?: return
+        slots.dispatcher.release(slot.permit, release.use, release.cost)
+        if (release.use == UseResult.GONE) {
+            control.run { state, _ -> onPools(state) { dropMember(it, slot.permit.upstream.id) } }
+        }
     }
 
     /**
@@ -91,6 +106,15 @@
         }
     }
 
+    /** Whether this host has begun to give out the slots of [pool] so lately that holders may not have told of theirs. */
+    private fun isNewTo(pool: PoolName): Boolean {
+        val now = clock()
+        val current = served.compute(pool) { _, known ->
+            if (known == null || now - known.lastAt > SERVED_GAP) Served(now, now) else known.copy(lastAt = now)
+        }
+        return current != null && now - current.since < NEW_FOR
+    }
+
     private suspend fun wait(ask: SlotAsk, candidates: List<Upstream>): Either<Refusal, Permit>? =
         withTimeoutOrNull(ask.patience) { slots.acquire(ask.ticket, ask.toRequest(candidates)) }
 
@@ -122,6 +146,11 @@
         isTardy = isTardy,
     )
 
+    private data class Served(
+        val since: Moment,
+        val lastAt: Moment,
+    )
+
     private data class Confirmed(
         val host: HostId,
         val permit: Permit,
--- a/src/main/kotlin/figdeck/platform/FrontHandler.kt
+++ b/src/main/kotlin/figdeck/platform/FrontHandler.kt
@@ -188,7 +188,8 @@
     val isUnproved = isSuccess(reply.status) && (STAMP !in headers || HttpHeaderNames.CONTENT_ENCODING in headers)
     val disposition = when {
         hasOtherId || isUnproved -> Disposition.FOREIGN
-        NOT_EXECUTED in headers || reply.status == MISDIRECTED -> Disposition.NOT_RUN
+        reply.status == MISDIRECTED -> Disposition.OTHER_UPSTREAM
+        NOT_EXECUTED in headers -> Disposition.NOT_RUN
         else -> Disposition.RAN
     }
     return UpstreamReply(disposition, reply.status, passedOn(headers), reply.body)
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -11,6 +11,10 @@
 public fun Fleet.ranked(key: String, now: Moment): List<FleetMember> =
     livingMembers().filterNot { isSuspect(it.host, now) }.sortedByDescending { weight(key, it.host) }
 
+/** The one member that owns [key] for all who have read the same list; null while none has been seen by all. */
+public fun Fleet.settledOwner(key: String, now: Moment): FleetMember? =
+    livingMembers().filter { isSettled(it, now) }.maxByOrNull { weight(key, it.host) }
+
 /** Where the bucket of a team stands. */
 public sealed interface BucketPlace {
     /** On this host. */
@@ -28,7 +32,7 @@
  * that is cut off from the store still keeps its buckets for itself and for others that are cut off.
  */
 public fun Fleet.bucketPlace(key: String, now: Moment): BucketPlace {
-    val owner = livingMembers().filter { isSettled(it, now) }.maxByOrNull { weight(key, it.host) }
+    val owner = settledOwner(key, now)
     return when {
         owner == null -> BucketPlace.Unreachable
         owner.host == self.host && (ownLeaseHolds(now) || isCutOff(now)) -> BucketPlace.Here
--- a/src/main/kotlin/figdeck/query/serving/NextStep.kt
+++ b/src/main/kotlin/figdeck/query/serving/NextStep.kt
@@ -16,12 +16,28 @@
     public val reason: String
 
     /** The upstream did not run the request and never will. */
-    public data class NotRun(override val upstream: UpstreamId, override val reason: String) : FailedSend
+    public data class NotRun(
+        override val upstream: UpstreamId,
+        override val reason: String,
+        public val cause: NotRunCause,
+    ) : FailedSend
 
     /** The upstream may have run it. */
     public data class MayHaveRun(override val upstream: UpstreamId, override val reason: String) : FailedSend
 }
 
+/** Why an upstream did not run a request. */
+public enum class NotRunCause {
+    /** It had no place for it. */
+    FULL,
+
+    /** It could not be reached. */
+    UNREACHABLE,
+
+    /** Another upstream has its address. */
+    REPLACED,
+}
+
 /**
  * What was done for a request so far.
  *
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -83,6 +83,16 @@
         }
     }
 
+    describe("an upstream whose address another one has") {
+        it("gets no more work at once, although it looks idle") {
+            val desk = Desk(DispatchPolicy(choose = spareChoice))
+            val first = desk.ask(request(listOf(upstream("engine-1", 8), upstream("engine-2", 2))))
+            desk.place(first) shouldBe "engine-1"
+            desk.end(first, UseResult.GONE)
+            desk.place(desk.ask(request(listOf(upstream("engine-1", 8), upstream("engine-2", 2))))) shouldBe "engine-2"
+        }
+    }
+
     describe("work that will be late whatever is done") {
         it("goes after all work that may be in time, of whatever team") {
             val desk = Desk()
