Batch work that has begun goes on before other batch work begins

The one pushed out was the one granted last, which is the one nearest to its end as often as not.

Ruled out: slots kept free (headroom), late adoption (all jobs had a new owner at 37.5 s).

Change: work tells how long it held slots before; begun work goes first, and the work that held slots for the shortest time is pushed out. Two specs, both failed first.

--- a/src/main/kotlin/figdeck/command/dispatch/Choice.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Choice.kt
@@ -37,12 +37,14 @@
 public val randomChoice: ChoicePolicy = { views, _, draw -> views[Random(draw).nextInt(views.size)] }
 
 /**
- * Serves work that may be in time before work that can't, then the team with the smallest account, and within a team the
- * earliest deadline, or else the oldest.
+ * Serves work that may be in time before work that can't, and work that has begun before other work, so that much of it
+ * is finished rather than all of it half done. Then the team with the smallest account comes first, and within a team
+ * the earliest deadline, or else the oldest.
  */
 public fun fairOrder(queue: LaneQueue): Waiting = queue.waiting.minWith(
     compareBy(
         { it.request.isTardy },
+        { it.request.spent == Duration.ZERO },
         { queue.shares.account(it.request.team) },
         { it.request.deadline.monotonicNanos },
     ),
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -4,6 +4,7 @@
 import figdeck.model.Moment
 import figdeck.model.TeamId
 import figdeck.model.Upstream
+import kotlin.time.Duration
 
 /**
  * Work that wants a slot at an upstream.
@@ -14,6 +15,7 @@
  * @property affinity a hash of the prompt's prefix, equal for prompts that share cached state; null without one.
  * @property deadline when the answer is of no more use.
  * @property isTardy whether it will be late whatever is done; it goes after all work that may still be in time.
+ * @property spent how long the work held slots before; it goes on from there.
  * @property attempt how often the same work was sent before; an attempt after the first draws on the retry budget.
  */
 public data class DispatchRequest(
@@ -26,6 +28,7 @@
     public val deadline: Moment,
     public val attempt: Int = 0,
     public val isTardy: Boolean = false,
+    public val spent: Duration = Duration.ZERO,
 )
 
 /** How the use of a slot ended, for the choice of upstreams later on. */
--- a/src/main/kotlin/figdeck/command/dispatch/Pump.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Pump.kt
@@ -61,11 +61,11 @@
     )
 }
 
-/** The batch work that started last has the least to lose. */
+/** The batch work that has held slots for the shortest time has the least to lose. */
 private fun revokeOne(state: UpstreamState, now: Moment): UpstreamStep? {
     val victim = state.running.values
         .filter { it.request.lane == Lane.BATCH && it.revokedAt == null }
-        .maxByOrNull { it.since.monotonicNanos }
+        .maxByOrNull { it.since.monotonicNanos - it.request.spent.inWholeNanoseconds }
         ?: return null
     val running = state.running.put(victim.ticket, victim.copy(revokedAt = now))
     return Step(state.copy(running = running), listOf(DispatchEffect.Revoked(victim.ticket)))
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -23,9 +23,6 @@
 
 /** How long one question for a slot waits before it is put again. */
 private val SLOT_PATIENCE = 1_500.milliseconds
-
-/** How much older an item counts that has begun, so that items are finished before others begin. */
-private val RESUME_CREDIT = 5.seconds
 private val SLOT_PAUSE = 150.milliseconds
 private val FAILURE_PAUSE = 100.milliseconds
 
@@ -61,6 +58,7 @@
 ) {
     private val output = ItemOutput()
     private var failures = 0
+    private var spent = Duration.ZERO
 
     /** Runs the item until it is whole or has to be given up. */
     suspend fun run(): JobResult {
@@ -128,8 +126,9 @@
         affinity = null,
         without = emptySet(),
         patience = SLOT_PATIENCE,
-        age = record.age(services.clock()) + if (output.events.isEmpty()) Duration.ZERO else RESUME_CREDIT,
+        age = record.age(services.clock()),
         isTardy = isTardy(route),
+        spent = spent,
     )
 
     private fun isTardy(route: ServingRoute): Boolean {
@@ -143,7 +142,9 @@
             val startedAt = services.clock()
             val before = output.events.size
             val end = untilRevoked(permit, route)
-            services.pace.noteRun(output.events.size - before, services.clock() - startedAt)
+            val took = services.clock() - startedAt
+            services.pace.noteRun(output.events.size - before, took)
+            spent += if (output.events.size > before) took else Duration.ZERO
             use = if (end is RunEnd.Interrupted) end.use else UseResult.ANSWERED
             return end
         } finally {
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -144,6 +144,7 @@
         affinity = affinity,
         deadline = clock() + if (lane == Lane.BATCH) BATCH_DEADLINE - age else patience,
         isTardy = isTardy,
+        spent = spent,
     )
 
     private data class Served(
--- a/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
+++ b/src/main/kotlin/figdeck/model/serving/SlotAsk.kt
@@ -16,6 +16,7 @@
  * @property patience how long to wait for a slot.
  * @property age how much earlier than now the work counts as submitted; older batch work of a team goes first.
  * @property isTardy whether the work will be late whatever is done.
+ * @property spent how long the work held slots before.
  */
 public data class SlotAsk(
     public val ticket: Long,
@@ -29,6 +30,7 @@
     public val patience: Duration,
     public val age: Duration = Duration.ZERO,
     public val isTardy: Boolean = false,
+    public val spent: Duration = Duration.ZERO,
 )
 
 /** The answer to a [SlotAsk]. */
--- a/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotAskDto.kt
@@ -22,6 +22,7 @@
     val patienceMillis: Long,
     val ageMillis: Long = 0,
     val tardy: Boolean = false,
+    val spentMillis: Long = 0,
 )
 
 internal fun SlotAsk.toDto(): SlotAskDto = SlotAskDto(
@@ -36,6 +37,7 @@
     patienceMillis = patience.inWholeMilliseconds,
     ageMillis = age.inWholeMilliseconds,
     tardy = isTardy,
+    spentMillis = spent.inWholeMilliseconds,
 )
 
 internal fun SlotAskDto.toAsk(): SlotAsk = SlotAsk(
@@ -50,4 +52,5 @@
     patience = patienceMillis.milliseconds,
     age = ageMillis.milliseconds,
     isTardy = tardy,
+    spent = spentMillis.milliseconds,
 )
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -83,6 +83,30 @@
         }
     }
 
+    describe("batch work that has begun") {
+        val engine = listOf(upstream("engine-1", 1))
+
+        it("goes before work that has not, of whatever team") {
+            val desk = Desk()
+            val running = desk.ask(request(engine, "kurni", Lane.BATCH))
+            val new = desk.ask(request(engine, "stado", Lane.BATCH))
+            val begun = desk.ask(request(engine, "kurni", Lane.BATCH).copy(spent = 2.seconds))
+            desk.end(running)
+            desk.end(begun)
+            desk.grants() shouldBe listOf(running, begun, new)
+        }
+
+        it("is pushed out after work that held slots for a shorter time") {
+            val desk = Desk()
+            val places = listOf(upstream("engine-1", 2))
+            val new = desk.ask(request(places, lane = Lane.BATCH))
+            desk.now = start + 1.seconds
+            desk.ask(request(places, lane = Lane.BATCH).copy(spent = 3.seconds))
+            desk.ask(request(places))
+            desk.effects.filterIsInstance<DispatchEffect.Revoked>().map { it.ticket } shouldBe listOf(new)
+        }
+    }
+
     describe("an upstream whose address another one has") {
         it("gets no more work at once, although it looks idle") {
             val desk = Desk(DispatchPolicy(choose = spareChoice))
