One client for the platform's store; stand-in and specs speak its protocol

Cause: the table had two clients, one for a protocol that no platform speaks, and the path on the users' platform had no process spec.

Change: `figdeck serve` uses the same StoreClient, the invented protocol and its codec are gone, the stand-in answers rows-tx, rows-get, rows-feed and the object calls; the hosts list is read from the table in which upstreams announce themselves. FleetCostSpec measures the bytes of the real messages under the same bound.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -38,10 +38,7 @@
 import figdeck.model.Clock
 import figdeck.model.RequestId
 import figdeck.model.systemClock
-import figdeck.store.Store
-import figdeck.store.StoreHttp
-import figdeck.store.command.httpCommands
-import figdeck.store.query.httpQueries
+import figdeck.platform.StoreClient
 import figdeck.telemetry.Meters
 import figdeck.telemetry.Telemetry
 import figdeck.telemetry.observed
@@ -75,6 +72,9 @@
 /** The longest time that a planned stop waits for calls in progress. */
 internal val DRAIN_LIMIT = 150.seconds
 
+/** The longest wait for a call of the store. */
+private val STORE_DEADLINE = 2.seconds
+
 private const val ID_RADIX = 36
 
 /** A running daemon: its parts, wired from [settings]. */
@@ -92,7 +92,7 @@
     private val control = Control(initialState(settings.identity()), clock) { delay ->
         telemetry.meters.timed("figdeck.control.delay", delay)
     }
-    private val platform = observed(httpPlatform(client, settings), telemetry)
+    private val platform = observed(StoreClient(client, settings.platformAddress, STORE_DEADLINE).store, telemetry)
     private val slots = SlotDispatcher(control, DispatchPolicy(), random)
     private val groups = GroupCommit(control, platform)
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
@@ -211,11 +211,6 @@
     telemetry.meters.gauge("figdeck.journal.waiting") { control.snapshot.journal.pending.size }
 }
 
-private fun httpPlatform(client: HttpClient, settings: Settings): Store {
-    val http = StoreHttp(client, settings.platformAddress)
-    return Store(httpCommands(http), httpQueries(http))
-}
-
 private fun httpUpstreams(client: HttpClient, settings: Settings): UpstreamCommands {
     val credential = settings.credentials.upstream
     return UpstreamCommands(
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -8,6 +8,7 @@
 import figdeck.model.Address
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
+import figdeck.model.ListedHost
 import figdeck.model.Row
 import figdeck.model.TableTransaction
 import figdeck.model.map
@@ -19,7 +20,6 @@
 import figdeck.store.query.StoreQueries
 import figdeck.store.query.TableFeed
 import figdeck.store.query.TableSnapshot
-import figdeck.wire.lenientJson
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -49,7 +49,7 @@
             readRow = ::readRow,
             scanRows = ::scanRows,
             readObject = ::readObject,
-            listHosts = { CallResult.Done(emptyList()) },
+            listHosts = ::listHosts,
         ),
     )
 
@@ -57,13 +57,7 @@
     val feed: TableFeed = TableFeed(snapshot = ::snapshot, changes = ::changes)
 
     private suspend fun commit(transaction: TableTransaction): CallResult<CommitReply> {
-        val (puts, removals) = transaction.writes.partition { it.value != null }
-        val message = TransactionMessage(
-            conditions = transaction.checks.map { rowMessage(it.key).copy(version = it.version) },
-            puts = puts.map { rowMessage(it.key).copy(value = encodeValue(it.value.orEmpty())) },
-            removals = removals.map { rowMessage(it.key) },
-        )
-        val body = lenientJson.encodeToString(TransactionMessage.serializer(), message).encodeToByteArray()
+        val body = encodeTransaction(transaction).encodeToByteArray()
         return when (val reply = send("POST", "/rows-tx", body)) {
             is CallResult.Done -> decodeCommit(reply.value, transaction)
             is CallResult.NotDone -> reply
@@ -76,9 +70,20 @@
 
     private suspend fun scanRows(prefix: String, after: String, limit: Int): CallResult<List<Row>> {
         val table = tableOf(prefix)
-        val start = keyOf(prefix)
-        val from = if (after > prefix) keyOf(after) + FIRST_CHARACTER else start
-        return scan(table, from, start.endOfPrefix(), limit).map { it.rows }
+        val end = keyOf(prefix).endOfPrefix()
+        val from = if (after > prefix) keyOf(after) + FIRST_CHARACTER else keyOf(prefix)
+        var read = scan(table, from, end, minOf(limit, PAGE_ROWS))
+        var rows = read.rows()
+        while (read is CallResult.Done && read.value.hasMore && rows.size < limit) {
+            read = scan(table, keyOf(rows.last().key) + FIRST_CHARACTER, end, minOf(limit - rows.size, PAGE_ROWS))
+            rows = rows + read.rows()
+        }
+        return read.map { rows }
+    }
+
+    private suspend fun listHosts(): CallResult<List<ListedHost>> = snapshot(RUNNER_TABLE).map { table ->
+        table.rows.mapNotNull { row -> decodeRunner(row.key, row.value).getOrNull() }
+            .map { with(it.upstream) { ListedHost(id.value, address, dataCentre, it.isLeaving) } }
     }
 
     private suspend fun readObject(key: String): CallResult<Found<ByteArray>> =
--- a/src/main/kotlin/figdeck/platform/StoreMessages.kt
+++ b/src/main/kotlin/figdeck/platform/StoreMessages.kt
@@ -1,5 +1,8 @@
 package figdeck.platform
 
+import figdeck.model.Row
+import figdeck.model.TableTransaction
+import figdeck.wire.lenientJson
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -38,3 +41,20 @@
     /** The store's steady clock in milliseconds. */
     @SerialName("NowMs") val storeMillis: Long = 0,
 )
+
+/** Writes [transaction] as the store reads it. */
+internal fun encodeTransaction(transaction: TableTransaction): String {
+    val (puts, removals) = transaction.writes.partition { it.value != null }
+    val message = TransactionMessage(
+        conditions = transaction.checks.map { rowMessage(it.key).copy(version = it.version) },
+        puts = puts.map { rowMessage(it.key).copy(value = encodeValue(it.value.orEmpty())) },
+        removals = removals.map { rowMessage(it.key) },
+    )
+    return lenientJson.encodeToString(TransactionMessage.serializer(), message)
+}
+
+/** Writes a reply with [rows] as the store does. */
+internal fun encodeRowsReply(reply: RowsReply): String = lenientJson.encodeToString(RowsReply.serializer(), reply)
+
+/** This row as the store writes it. */
+internal fun Row.toMessage(): RowMessage = rowMessage(key).copy(value = encodeValue(value), version = version)
--- a/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
@@ -11,25 +11,37 @@
 import figdeck.http.server.parameter
 import figdeck.model.Clock
 import figdeck.model.CommitReply
-import figdeck.wire.decodeHosts
-import figdeck.wire.decodeTransaction
-import figdeck.wire.encodeCommitReply
-import figdeck.wire.encodeHosts
-import figdeck.wire.encodeRows
+import figdeck.model.ListedHost
+import figdeck.model.Moment
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.platform.RUNNER_TABLE
+import figdeck.platform.RowMessage
+import figdeck.platform.RowsReply
+import figdeck.platform.TransactionMessage
+import figdeck.platform.decodeValue
+import figdeck.platform.encodeRowsReply
+import figdeck.platform.encodeValue
+import figdeck.platform.rowKey
+import figdeck.platform.toMessage
+import figdeck.wire.lenientJson
 import kotlinx.coroutines.delay
 import java.io.IOException
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val OK = 200
 private const val NOT_FOUND = 404
-private const val CONFLICT = 409
+private const val PRECONDITION_FAILED = 412
 private const val TOO_MANY = 429
 private const val OUTAGE = 503
 private const val MAX_BODY_BYTES = 64 * 1024 * 1024
-private const val MAX_SCAN = 10_000
+private const val MAX_ROWS = 500
+private val FEED_CHECK = 10.milliseconds
 
 /** A stand-in for the platform: its table, objects and hosts list, with faults that can be switched while it runs. */
 internal class PlatformStandIn(
-    clock: Clock,
+    private val clock: Clock,
     private val limits: PlatformLimits = PlatformLimits(),
 ) : AutoCloseable {
     private val control = Control(emptyPlatform, clock)
@@ -71,37 +83,58 @@
     }
 
     private suspend fun serve(call: HttpCall, body: ByteArray): StandInReply = when (call.path) {
-        "/table/commit" -> commitRows(body)
-        "/table/row" -> readRow(call)
-        "/table/scan" -> scanRows(call)
-        "/objects" -> serveObject(call, body)
+        "/rows-tx" -> commitRows(body)
+        "/rows-get" -> readRows(call)
+        "/rows-feed" -> awaitChanges(call)
         "/hosts" -> serveHosts(call, body)
-        else -> StandInReply(NOT_FOUND, ByteArray(0))
+        else -> serveObject(call, body)
     }
 
     private suspend fun commitRows(body: ByteArray): StandInReply {
-        val transaction = decodeTransaction(body.decodeToString())
-        val reply = control.run { state, _ -> commit(state, transaction) }
-        val status = if (reply is CommitReply.Conflict) CONFLICT else OK
-        return StandInReply(status, encodeCommitReply(reply).encodeToByteArray())
+        val message = lenientJson.decodeFromString(TransactionMessage.serializer(), body.decodeToString())
+        val reply = control.run { state, _ -> commit(state, message.toTransaction()) }
+        return when (reply) {
+            is CommitReply.Conflict -> StandInReply(PRECONDITION_FAILED, rows(emptyList()))
+            is CommitReply.Committed -> StandInReply(OK, rows(emptyList()))
+        }
+    }
+
+    private suspend fun readRows(call: HttpCall): StandInReply {
+        val table = call.parameter("Table").orEmpty()
+        val from = call.parameter("From").orEmpty()
+        val to = call.parameter("To")
+        val limit = call.parameter("Limit")?.toInt() ?: MAX_ROWS
+        val found = control.run { state, now -> Step(state, tableRows(state, table, now)) }
+            .filter { it.key >= from && (to == null || it.key < to) }
+        return StandInReply(OK, rows(found.take(limit), hasMore = found.size > limit))
+    }
+
+    private fun tableRows(state: PlatformState, table: String, now: Moment): List<RowMessage> {
+        val kept = scan(state, rowKey(table, ""), "", Int.MAX_VALUE).map { it.toMessage() }
+        val listed = if (table == RUNNER_TABLE) visibleHosts(state, limits, now).map { it.toMessage() } else emptyList()
+        return (kept + listed).sortedBy { it.key }
     }
 
-    private suspend fun readRow(call: HttpCall): StandInReply {
-        val row = control.run { state, _ -> Step(state, state.rows[call.parameter("key").orEmpty()]) }
-        val status = if (row == null) NOT_FOUND else OK
-        return StandInReply(status, encodeRows(listOfNotNull(row)).encodeToByteArray())
+    private suspend fun awaitChanges(call: HttpCall): StandInReply {
+        val prefix = rowKey(call.parameter("Table").orEmpty(), "")
+        val after = call.parameter("After")?.toLong() ?: 0
+        val until = clock() + (call.parameter("WaitMs")?.toInt() ?: 0).milliseconds
+        var changes = changesAfter(control.snapshot, prefix, after)
+        while (changes.first.isEmpty() && changes.second.isEmpty() && clock() < until) {
+            delay(FEED_CHECK)
+            changes = changesAfter(control.snapshot, prefix, after)
+        }
+        val (written, removed) = changes
+        return StandInReply(OK, rows(written.map { it.toMessage() } + removed.map { it.toMessage().copy(removed = true) }))
     }
 
-    private suspend fun scanRows(call: HttpCall): StandInReply {
-        val prefix = call.parameter("prefix").orEmpty()
-        val after = call.parameter("after").orEmpty()
-        val limit = call.parameter("limit")?.toInt() ?: MAX_SCAN
-        val rows = control.run { state, _ -> Step(state, scan(state, prefix, after, limit)) }
-        return StandInReply(OK, encodeRows(rows).encodeToByteArray())
+    private fun rows(rows: List<RowMessage>, hasMore: Boolean = false): ByteArray {
+        val reply = RowsReply(rows, hasMore, control.snapshot.version, clock().epochMillis)
+        return encodeRowsReply(reply).encodeToByteArray()
     }
 
     private suspend fun serveObject(call: HttpCall, body: ByteArray): StandInReply {
-        val key = call.parameter("key").orEmpty()
+        val key = call.path.substringAfter('/').substringAfter('/')
         return when (call.method) {
             "PUT" -> {
                 control.run { state, _ -> Step(state.copy(objects = state.objects.put(key, body)), Unit) }
@@ -128,8 +161,20 @@
     }
 }
 
-private fun isWrite(call: HttpCall): Boolean =
-    call.path == "/table/commit" || (call.path == "/objects" && call.method != "GET")
+private fun isWrite(call: HttpCall): Boolean = call.path == "/rows-tx" || call.path.startsWith("/blob-put/")
+
+private fun TransactionMessage.toTransaction() = TableTransaction(
+    checks = conditions.map { RowCheck(rowKey(it.table, it.key), it.version ?: 0) },
+    writes = puts.map { RowWrite(rowKey(it.table, it.key), decodeValue(it.value)) } +
+        removals.map { RowWrite(rowKey(it.table, it.key), null) },
+)
+
+/** An upstream as it would announce itself; the list tells of its address and its leaving alone. */
+private fun ListedHost.toMessage(): RowMessage {
+    val state = if (leaving) "draining" else "ready"
+    val entry = """{"Service":"listed","Address":"$address","Zone":"$dataCentre","Slots":1,"State":"$state"}"""
+    return RowMessage(table = RUNNER_TABLE, key = name, value = encodeValue(entry), version = 1)
+}
 
 private data class StandInReply(
     val status: Int,
--- a/src/main/kotlin/figdeck/standin/PlatformState.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformState.kt
@@ -38,6 +38,7 @@
 internal data class PlatformState(
     val version: Long,
     val rows: TreeMap<String, Row>,
+    val removed: List<Row>,
     val objects: PersistentMap<String, ByteArray>,
     val hosts: List<ListedHost>,
     val shownHosts: List<ListedHost>,
@@ -47,7 +48,7 @@
 )
 
 internal val emptyPlatform: PlatformState
-    get() = PlatformState(ABSENT, TreeMap(), persistentMapOf(), emptyList(), emptyList(), null, null, PlatformFaults())
+    get() = PlatformState(ABSENT, TreeMap(), emptyList(), persistentMapOf(), emptyList(), emptyList(), null, null, PlatformFaults())
 
 /** Counts a write at [now], or refuses it when there were too many. */
 internal fun admitWrite(state: PlatformState, limits: PlatformLimits, now: Moment): Step<PlatformState, Boolean> {
@@ -77,16 +78,16 @@
         return Step(state, CommitReply.Conflict(conflicts.map { it.key }))
     }
     val version = state.version + 1
-    for (write in transaction.writes) {
-        if (write.value == null) {
-            state.rows.remove(
-                write.key
-            )
-        } else {
-            state.rows[write.key] = Row(write.key, write.value, version)
-        }
-    }
-    return Step(state.copy(version = version), CommitReply.Committed(version))
+    val (puts, removals) = transaction.writes.partition { it.value != null }
+    puts.forEach { state.rows[it.key] = Row(it.key, it.value.orEmpty(), version) }
+    val removed = removals.mapNotNull { state.rows.remove(it.key) }.map { it.copy(version = version) }
+    return Step(state.copy(version = version, removed = state.removed + removed), CommitReply.Committed(version))
+}
+
+/** What has changed under [prefix] after [version], in order; removed rows are in the second list. */
+internal fun changesAfter(state: PlatformState, prefix: String, version: Long): Pair<List<Row>, List<Row>> {
+    val written = scan(state, prefix, "", Int.MAX_VALUE).filter { it.version > version }.sortedBy { it.version }
+    return written to state.removed.filter { it.key.startsWith(prefix) && it.version > version && it.key !in state.rows }
 }
 
 /** The rows under [prefix] after [after], at most [limit]. */
--- a/src/test/kotlin/figdeck/bench/OnlineBench.kt
+++ b/src/test/kotlin/figdeck/bench/OnlineBench.kt
@@ -49,7 +49,7 @@
     val commits = AtomicLong()
     val bytes = AtomicLong()
     val handler: HttpHandler = { call, responder ->
-        if (call.path == "/table/commit") {
+        if (call.path == "/rows-tx") {
             commits.incrementAndGet()
             bytes.addAndGet(call.headers.get("content-length").toLong())
         }
--- a/src/test/kotlin/figdeck/command/ownership/FleetCostSpec.kt
+++ b/src/test/kotlin/figdeck/command/ownership/FleetCostSpec.kt
@@ -5,7 +5,6 @@
 import figdeck.command.limit.TeamBuckets
 import figdeck.command.limit.grant
 import figdeck.model.Address
-import figdeck.model.CommitReply
 import figdeck.model.DataCentre
 import figdeck.model.Epoch
 import figdeck.model.HostId
@@ -17,13 +16,14 @@
 import figdeck.model.Shard
 import figdeck.model.TableTransaction
 import figdeck.model.TeamId
+import figdeck.platform.RowsReply
+import figdeck.platform.encodeRowsReply
+import figdeck.platform.encodeTransaction
+import figdeck.platform.toMessage
 import figdeck.wire.command.encodeDraws
 import figdeck.wire.command.encodeGrants
 import figdeck.wire.command.encodeHostLease
 import figdeck.wire.command.encodeShardRow
-import figdeck.wire.encodeCommitReply
-import figdeck.wire.encodeRows
-import figdeck.wire.encodeTransaction
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThan
@@ -49,6 +49,8 @@
     return measureTime { repeat(count, action) }.inWholeNanoseconds / 1e3 / count
 }
 
+private fun rowBytes(row: Row): Int = encodeRowsReply(RowsReply(listOf(row.toMessage()), version = row.version)).length
+
 class FleetCostSpec : DescribeSpec({
     describe("the cost of $HOSTS hosts") {
         val rows = List(HOSTS) { HostRow(lease(it), 1_000_000L + it) }
@@ -82,9 +84,9 @@
             val grants = encodeGrants(listOf(Grant(1, 1.milliseconds, 100.milliseconds)))
             val bytes = mapOf(
                 "renewal" to encodeTransaction(renewal).length,
-                "renewal's reply" to encodeCommitReply(CommitReply.Committed(1_000_000)).length,
-                "a host row in a scan" to encodeRows(listOf(Row(key, value, 1_000_000))).length,
-                "a shard row in a scan" to encodeRows(listOf(Row("shard/1023", shard, 1_000_000))).length,
+                "renewal's reply" to encodeRowsReply(RowsReply(version = 1_000_000)).length,
+                "a host row in a scan" to rowBytes(Row(key, value, 1_000_000)),
+                "a shard row in a scan" to rowBytes(Row("shard/1023", shard, 1_000_000)),
                 "draw of one team" to encodeDraws(listOf(Draw(TeamId("team-12345"), 1, 0))).length,
                 "grant of one team" to grants.length,
             )
--- a/src/test/kotlin/figdeck/process/ConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/process/ConfigurationSpec.kt
@@ -4,7 +4,7 @@
 import figdeck.model.Template
 import figdeck.model.hashKey
 import figdeck.wire.command.encodeTemplate
-import figdeck.wire.encodeHosts
+import figdeck.standin.encodeHosts
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.comparables.shouldBeLessThan
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -112,6 +112,24 @@
         )
     }
 
+    /** A daemon on the users' platform; its addresses are those of callers, of readiness and of peers. */
+    fun edge(host: String, dataCentre: String = "centre-a", seeds: List<Member> = emptyList()): Member {
+        val addresses = List(3) { freeAddress() }
+        return start(
+            host,
+            addresses,
+            "edge",
+            "--host=$host",
+            "--data-centre=$dataCentre",
+            "--caller-address=${addresses[0]}",
+            "--readiness-address=${addresses[1]}",
+            "--peer-address=${addresses[2]}",
+            "--store-address=${platform.address}",
+            "--metrics-port=${freeAddress().port}",
+            "--seeds=${seeds.joinToString(",") { it.peerAddress.toString() }}",
+        )
+    }
+
     /** Switches the platform's faults, as in `outage=true`. */
     suspend fun platformFaults(query: String) {
         send(platform.address, Ask("POST", "/faults?$query"))
