A kept connection is free for the next exchange before its body is told complete

Cause: the client dropped the reference to the exchange after it had told its reader that the body was complete. On another thread the next exchange may have begun by then, and its reference was dropped: it waited for its head until the timeout.

One traffic thread, as on the users' hosts with one core, never met it.

--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -14,12 +14,17 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val IP = "127.0.0.1"
 private const val LIMIT = 1_000_000
@@ -60,6 +65,23 @@
             }
         }
 
+        it("follows another at once on the kept connection, from whatever thread") {
+            serving(echo) { address ->
+                val answered = withContext(Dispatchers.Default) {
+                    List(8) {
+                        async {
+                            (1..500).count {
+                                val request = OutgoingRequest(address, "POST", "/x", body = "x".encodeToByteArray())
+                                client.exchange(request.copy(headTimeout = 2.seconds)) { it.body.readAll(LIMIT) }
+                                    .isRight()
+                            }
+                        }
+                    }.awaitAll().sum()
+                }
+                answered shouldBe 4_000
+            }
+        }
+
         it("streams chunks") {
             val streaming: HttpHandler = { _, responder ->
                 responder.start(200, newHeaders())
--- a/src/test/kotlin/figdeck/process/EdgePathSpec.kt
+++ b/src/test/kotlin/figdeck/process/EdgePathSpec.kt
@@ -1,6 +1,8 @@
 package figdeck.process
 
 import figdeck.model.Address
+import figdeck.standin.RunnerStandIn
+import figdeck.standin.StreamPace
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.maps.shouldNotContainKey
 import io.kotest.matchers.shouldBe
@@ -9,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler
 import java.util.Base64
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val HOST = "desk.example"
@@ -37,8 +40,9 @@
     return """{"Requests":[${items.joinToString(",")}]}"""
 }
 
-private suspend fun Fleet.publish(runners: Map<String, EdgeRunner>) {
-    val rows = listOf(row("op", "config", PLAN)) + runners.map { (id, runner) -> row("servers", id, runner.entry("pool")) }
+private suspend fun Fleet.publish(runners: Map<String, RunnerStandIn>) {
+    val entries = runners.map { (id, runner) -> row("servers", id, runner.entry("pool")) }
+    val rows = listOf(row("op", "config", PLAN)) + entries
     val body = """{"ExpectedRev":[],"Puts":[${rows.joinToString(",")}],"Remove":[]}"""
     send(platform.address, Ask("POST", "/rows-tx", body)).status shouldBe 200
 }
@@ -55,8 +59,8 @@
         val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         val fleet = Fleet()
         val breaks = AtomicInteger(1)
-        val one = EdgeRunner(group, "r-1", breaks = breaks)
-        val two = EdgeRunner(group, "r-2", breaks = breaks)
+        val one = RunnerStandIn(group, "r-1", StreamPace(breaks = breaks))
+        val two = RunnerStandIn(group, "r-2", StreamPace(breaks = breaks))
         fleet.publish(mapOf("r-1" to one, "r-2" to two))
         val daemons = listOf("a", "b").map { fleet.edge("host-$it") }
         fleet.awaitReady(daemons)
@@ -130,7 +134,7 @@
         it("is finished by another, from what was kept") {
             val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
             Fleet().use { fleet ->
-                EdgeRunner(group, "r-1", events = 100, eventMillis = 20).use { runner ->
+                RunnerStandIn(group, "r-1", StreamPace(events = 100, perEvent = 20.milliseconds)).use { runner ->
                     fleet.publish(mapOf("r-1" to runner))
                     val daemons = listOf("a", "b").map { fleet.edge("host-$it") }
                     fleet.awaitReady(daemons)
