JSON lines for every log entry, refusals with what decided them, files within the linter's rules

Cause: entries of tinylog were plain text beside the decisions' JSON, and a refusal over the rate did not say whether the bucket's owner or the host's own part had decided it, nor how old its list of hosts was.

Change: a writer of tinylog passes entries to the bounded queue of the decisions; refusals by a limit tell owner, decider, age of the list and hosts; a request without a slot tells the pool and the wait. Calls of other owners of slots stand in a class of their own.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -21,6 +21,7 @@
 import figdeck.daemon.command.serving.PeerLearning
 import figdeck.daemon.command.serving.PoolSlots
 import figdeck.daemon.command.serving.SlotOwner
+import figdeck.daemon.command.serving.SlotOwnerCalls
 import figdeck.daemon.command.serving.TeamLimits
 import figdeck.daemon.command.serving.httpFleetPeers
 import figdeck.daemon.command.serving.keepMembership
@@ -39,7 +40,6 @@
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.log.DecisionLog
-import figdeck.log.LineWriter
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
@@ -122,7 +122,6 @@
     }
     private val scope = CoroutineScope(group.next().asCoroutineDispatcher() + SupervisorJob())
     private val seen = SeenRows()
-    private val lines = LineWriter(System.out)
     private val upstreams = HttpClient(group, UPSTREAM_CONNECT)
     private val peerClient = HttpClient(group, PEER_CONNECT)
     private val storeClient = HttpClient(group, STORE_CONNECT)
@@ -131,9 +130,9 @@
     private val peers = httpFleetPeers(PeerCalls(peerClient, settings.fleetName))
     private val slots = SlotDispatcher(ownSlots(), edgePolicy, random)
     private val owner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
-    private val poolSlots: PoolSlots = PoolSlots(control, clock, owner, peers, scope)
-    private val limits = TeamLimits(control, clock, peers)
-    private val online = OnlineServices(clock, limits, poolSlots, random, DecisionLog("serve", lines))
+    private val poolSlots: PoolSlots = PoolSlots(control, clock, owner, SlotOwnerCalls(control, peers), scope)
+    private val limits = TeamLimits(control, clock, peers, DecisionLog("limits"))
+    private val online = OnlineServices(clock, limits, poolSlots, random, DecisionLog("serve"))
     private val jobs = JobServices(
         control = control,
         clock = clock,
@@ -143,7 +142,7 @@
         slots = poolSlots,
         forward = httpItems(upstreams),
         random = random,
-        log = DecisionLog("jobs", lines),
+        log = DecisionLog("jobs"),
     )
     private val front = server(observed("caller", frontHandler(frontServices()), telemetry))
     private val readiness = server(readinessHandler(control))
@@ -154,7 +153,7 @@
 
     /** Starts the listeners and the work that goes on by itself. */
     fun start() {
-        val decisions = DecisionLog("follow", lines)
+        val decisions = DecisionLog("follow")
         val plans = planFollower(control, ::decodePlan, decisions)
         val readUpstream = upstreamReader(::decodeRunner)
         follow(PLAN_TABLE, PROMPT_PACE, seen.noting(PLAN_TABLE, plans))
--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -46,7 +46,7 @@
  "Tenants":[{"Name":"rehearsal","ApiKeys":["key"],"RatePerS":50,"Burst":50}]}"""
 private const val JOB = """{"Requests":[{"Id":"item","Path":"/notes/1","Headers":{},"Body":"","Tokens":1}]}"""
 
-/** Serves one request of each kind against stand-ins and stops, so that the build can archive the classes of a daemon. */
+/** Serves one request of each kind against stand-ins, so that the build can archive the classes of a daemon. */
 internal class Rehearse : CliktCommand("rehearse") {
     override val hiddenFromHelp: Boolean = true
 
@@ -62,7 +62,7 @@
                     runBlocking {
                         client.publish(store, upstream)
                         daemon.start()
-                        client.rehearse(settings)
+                        client.serveOnce(settings)
                     }
                 }
             }
@@ -77,7 +77,7 @@
         StoreClient(this, store).store.commands.commit(TableTransaction(emptyList(), rows))
     }
 
-    private suspend fun HttpClient.rehearse(settings: EdgeSettings) {
+    private suspend fun HttpClient.serveOnce(settings: EdgeSettings) {
         repeat(MAX_CHECKS) {
             if (send(settings.readinessAddress, "GET", "/") != OK) {
                 delay(CHECK_INTERVAL)
--- a/src/main/kotlin/figdeck/command/serving/ChangeFleet.kt
+++ b/src/main/kotlin/figdeck/command/serving/ChangeFleet.kt
@@ -18,7 +18,14 @@
 private val LEVEL_AGE = 10.seconds
 
 /** A fleet of which only [self] is known. */
-public fun loneFleet(self: FleetMember): Fleet = Fleet(self, FleetTimes(), null, null, persistentMapOf(), persistentMapOf())
+public fun loneFleet(self: FleetMember): Fleet = Fleet(
+    self,
+    FleetTimes(),
+    null,
+    null,
+    persistentMapOf(),
+    persistentMapOf()
+)
 
 /** Takes the list that the store gave. */
 public fun observeScan(state: Fleet, scan: FleetScan): Fleet =
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -173,25 +173,26 @@
             freshConnection = false,
         )
         var end: RunEnd = RunEnd.Interrupted("no answer", UseResult.FAILED)
-        val result = services.forward(ItemCall(item, route, record.team), order) { reply -> end = receive(reply) }
+        val result = services.forward(
+            ItemCall(item, route, record.team),
+            order
+        ) { reply -> end = output.receive(reply) }
         return result.fold(
             { RunEnd.Interrupted(it.reason, UseResult.FAILED) },
             { end },
         )
     }
+}
 
-    private suspend fun receive(reply: UpstreamReply): RunEnd = when (reply.disposition) {
-        Disposition.FOREIGN -> RunEnd.Interrupted("the answer belongs to another request", UseResult.FAILED)
-        Disposition.OTHER_UPSTREAM -> RunEnd.Interrupted("another upstream answered", UseResult.GONE)
-        Disposition.NOT_RUN -> {
-            delay(FAILURE_PAUSE)
-            RunEnd.Interrupted("the upstream did not run it", UseResult.ABANDONED)
-        }
-        Disposition.RAN -> ran(reply)
+private suspend fun ItemOutput.receive(reply: UpstreamReply): RunEnd = when (reply.disposition) {
+    Disposition.FOREIGN -> RunEnd.Interrupted("the answer belongs to another request", UseResult.FAILED)
+    Disposition.OTHER_UPSTREAM -> RunEnd.Interrupted("another upstream answered", UseResult.GONE)
+    Disposition.NOT_RUN -> {
+        delay(FAILURE_PAUSE)
+        RunEnd.Interrupted("the upstream did not run it", UseResult.ABANDONED)
     }
-
-    private suspend fun ran(reply: UpstreamReply): RunEnd = when {
-        reply.isSuccess -> output.collect(reply)?.let { RunEnd.Interrupted(it, UseResult.FAILED) } ?: RunEnd.Whole
+    Disposition.RAN -> when {
+        reply.isSuccess -> collect(reply)?.let { RunEnd.Interrupted(it, UseResult.FAILED) } ?: RunEnd.Whole
         reply.status == IMPOSSIBLE -> RunEnd.Impossible
         reply.status >= FIRST_SERVER_ERROR -> RunEnd.Failed("the upstream answered ${reply.status}")
         else -> RunEnd.Interrupted("the upstream answered ${reply.status}", UseResult.FAILED)
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -17,7 +17,10 @@
 
 private val CHECK_INTERVAL = 150.milliseconds
 
-/** How long an owner must have been missing that has not started again; longer than a renewal, so that a new host is seen first. */
+/**
+ * How long an owner must have been missing that has not started again. It is longer than a renewal, so that a new host
+ * is seen first.
+ */
 private val ORPHAN_AGE = 1_300.milliseconds
 private val SCAN_AGE = 3.seconds
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
@@ -4,10 +4,8 @@
 import arrow.core.left
 import arrow.core.right
 import figdeck.command.dispatch.UseResult
-import figdeck.command.serving.suspect
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
-import figdeck.control.serving.onFleet
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
@@ -59,7 +57,7 @@
     private val control: Control<ServingState>,
     private val clock: Clock,
     private val own: SlotOwner,
-    private val peers: FleetPeers,
+    private val owners: SlotOwnerCalls,
     private val scope: CoroutineScope,
 ) {
     private val held = ConcurrentHashMap<Long, Holding>()
@@ -108,11 +106,11 @@
         while (true) {
             delay(OWNER_CHECK)
             val permits = held.values.mapNotNull { it.permit }.groupBy { it.ask.pool }
-            val owners = permits.mapValues { (pool, _) -> control.snapshot.fleet.slotOwners(pool, clock()) }
-            val hosts = owners.mapValues { (_, members) -> members.map { it.host }.toSet() }
+            val current = permits.mapValues { (pool, _) -> control.snapshot.fleet.slotOwners(pool, clock()) }
+            val hosts = current.mapValues { (_, members) -> members.map { it.host }.toSet() }
             if (hosts != told || clock() - lastAt > CONFIRM_INTERVAL) {
-                owners.values.flatten().distinctBy { it.host }.forEach { owner ->
-                    confirm(owner, permits.filterKeys { owner in owners.getValue(it) }.values.flatten())
+                current.values.flatten().distinctBy { it.host }.forEach { owner ->
+                    confirm(owner, permits.filterKeys { owner in current.getValue(it) }.values.flatten())
                 }
                 told = hosts
                 lastAt = clock()
@@ -127,42 +125,25 @@
 
     /** A caller waits, so that the next host is asked at once, and this host decides by itself in the end. */
     private suspend fun askInTurn(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
-        val owners = control.snapshot.fleet.ranked(slotKey(ask.pool), clock()).take(MAX_OWNERS)
-        return owners.takeWhile { it.host != self }
-            .firstNotNullOfOrNull { owner -> askOther(owner, ask)?.let { it to owner } }
+        val ranked = control.snapshot.fleet.ranked(slotKey(ask.pool), clock()).take(MAX_OWNERS)
+        return ranked.takeWhile { it.host != self }
+            .firstNotNullOfOrNull { owner -> owners.ask(owner, ask)?.let { it to owner } }
             ?: (own.acquire(ask) to null)
     }
 
-    /** Two owners at once would fill the upstreams twice with work that lasts, so that batch work waits for the first. */
+    /** Two owners at once would fill the upstreams twice with work that lasts, so batch work waits for the first. */
     private suspend fun askBatchOwner(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
         val owner = control.snapshot.fleet.batchOwner(ask.pool, clock())
         return when {
             owner == null -> SlotAnswer.Full(NO_OWNER_PAUSE) to null
             owner.host == self -> own.acquire(ask) to null
-            else -> (askOther(owner, ask) ?: SlotAnswer.Full(NO_OWNER_PAUSE)) to owner
+            else -> (owners.ask(owner, ask) ?: SlotAnswer.Full(NO_OWNER_PAUSE)) to owner
         }
     }
 
-    private suspend fun askOther(owner: FleetMember, ask: SlotAsk): SlotAnswer? {
-        val answer = peers.acquire(owner.address, ask)
-        if (answer == null) {
-            passOver(owner, "gave no slot of pool ${ask.pool} in time")
-        }
-        return answer
-    }
-
     private suspend fun confirm(owner: FleetMember, permits: List<HeldPermit>) {
         val slots = permits.map { HeldSlot(it.ask, it.upstream.id) }
-        if (owner.host == self) {
-            own.confirm(self, slots)
-        } else if (!peers.confirm(owner.address, HeldSlots(self, slots))) {
-            passOver(owner, "did not confirm slots in time")
-        }
-    }
-
-    private suspend fun passOver(owner: FleetMember, reason: String) {
-        log.warn { "host ${owner.host} at ${owner.address} $reason: passed over" }
-        control.run { state, now -> onFleet(state) { suspect(it, owner.host, now) } }
+        if (owner.host == self) own.confirm(self, slots) else owners.confirm(owner, HeldSlots(self, slots))
     }
 
     private fun giveBackUnknown(granted: SlotAnswer.Granted?, owner: FleetMember?, ask: SlotAsk) {
@@ -173,13 +154,7 @@
     }
 
     private fun send(owner: FleetMember?, release: SlotRelease) {
-        scope.launch {
-            if (owner == null) {
-                own.release(release)
-            } else if (!peers.release(owner.address, release)) {
-                log.debug { "host ${owner.host} was not told of the end of slot ${release.ticket}" }
-            }
-        }
+        scope.launch { if (owner == null) own.release(release) else owners.release(owner, release) }
     }
 
     private data class Holding(
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -37,7 +37,7 @@
     forward: Forward,
     caller: CallerChannel,
 ): Either<Refusal, Unit> {
-    val taken = call.access.team?.let { limits.take(it) } ?: Unit.right()
+    val taken = call.access.team?.let { limits.take(it, call.id) } ?: Unit.right()
     return taken.fold(
         { it.left() },
         { ServeOnline(this, call, SendOnce(this, call, forward, caller), caller).serve() },
@@ -65,7 +65,7 @@
         var result: Either<Refusal, Unit>? = null
         while (result == null) {
             result = services.slots.acquire(ask()).fold(
-                { refusal -> if (history.hasStarted) waitForSlot() else refuse(refusal) },
+                { refusal -> if (history.hasStarted) waitForSlot() else noSlot(refusal) },
                 { permit -> if (sendTo(permit)) Unit.right() else next() },
             )
         }
@@ -78,6 +78,15 @@
         return null
     }
 
+    private suspend fun noSlot(refusal: Refusal): Either<Refusal, Unit> {
+        services.log.note("no_slot", call.id) {
+            put("pool", route.poolFor(call.id).value)
+            put("reason", refusal.message)
+            put("after_ms", (services.clock() - call.receivedAt).inWholeMilliseconds)
+        }
+        return refuse(refusal)
+    }
+
     private suspend fun next(): Either<Refusal, Unit>? {
         val step = nextStep(route.kind, route.maxAttempts, history)
         services.log.note("next", call.id) {
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -106,7 +106,7 @@
         }
     }
 
-    /** Whether this host has begun to give out the slots of [pool] so lately that holders may not have told of theirs. */
+    /** Whether this host began with the slots of [pool] so lately that holders may not have told of theirs. */
     private fun isNewTo(pool: PoolName): Boolean {
         val now = clock()
         val current = served.compute(pool) { _, known ->
--- a/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
@@ -14,6 +14,7 @@
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.onFleet
 import figdeck.control.serving.onLimits
+import figdeck.log.DecisionLog
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
@@ -42,20 +43,37 @@
     private val control: Control<ServingState>,
     private val clock: Clock,
     private val peers: FleetPeers,
+    private val decisions: DecisionLog,
 ) {
     private val askers = ConcurrentHashMap<HostId, Moment>()
 
-    /** Takes a token of [team], or refuses. */
-    suspend fun take(team: ServingTeam): Either<Refusal, Unit> {
+    /** Takes a token of [team] for the request [id], or refuses. */
+    suspend fun take(team: ServingTeam, id: String): Either<Refusal, Unit> {
         val limit = team.limit ?: return Unit.right()
+        val now = clock()
         val fleet = control.snapshot.fleet
-        val isCutOff = fleet.isCutOff(clock())
-        val result = when (val place = fleet.bucketPlace(bucketKey(team.id), clock())) {
+        val isCutOff = fleet.isCutOff(now)
+        val place = fleet.bucketPlace(bucketKey(team.id), now)
+        val asked = when (place) {
             BucketPlace.Here -> takeHere(team.id, limit, isCutOff)
-            BucketPlace.Unreachable -> takePart(team.id, limit)
-            is BucketPlace.Elsewhere -> ask(place.owner, team.id, isCutOff) ?: takePart(team.id, limit)
+            BucketPlace.Unreachable -> null
+            is BucketPlace.Elsewhere -> ask(place.owner, team.id, isCutOff)
+        }
+        val result = asked ?: takePart(team.id, limit)
+        return if (result.taken) {
+            Unit.right()
+        } else {
+            decisions.note("refused", id) {
+                put("team", team.id.value)
+                put("owner", (place as? BucketPlace.Elsewhere)?.owner?.host?.value ?: "self")
+                put("decided_by", if (asked == null) "own part of the limit" else "owner of the bucket")
+                put("cut_off", isCutOff)
+                put("members_read_ms_ago", fleet.scan?.let { (now - it.sentAt).inWholeMilliseconds } ?: -1)
+                put("hosts", fleet.hostsAround().toLong())
+                put("wait_ms", result.wait.inWholeMilliseconds)
+            }
+            Refusal.OverRate(team.id, result.wait).left()
         }
-        return if (result.taken) Unit.right() else Refusal.OverRate(team.id, result.wait).left()
     }
 
     /** Takes a token for another host. */
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -136,8 +136,8 @@
         val last = content is LastHttpContent
         ReferenceCountUtil.release(content)
         if (last && queue != null) {
-            // Whatever comes from now on belongs to no exchange. The next one may begin, on another thread, as soon as the
-            // body is complete, so that this comes first.
+            // Whatever comes from now on belongs to no exchange. The next one may begin, on another thread, as soon as
+            // the body is complete, so that this comes first.
             head = null
             queue.complete()
             // An outstanding read notices that the peer closes the connection while it is idle.
--- /dev/null
+++ b/src/main/kotlin/figdeck/log/LogLine.kt
@@ -0,0 +1,29 @@
+package figdeck.log
+
+/** The fields of a log line, written as JSON in the order in which they are put. */
+internal class LogLine(private val text: StringBuilder) {
+    /** Adds a text. */
+    fun put(name: String, value: String) {
+        text.append(",\"").append(name).append("\":\"")
+        value.forEach { appendEscaped(it) }
+        text.append('"')
+    }
+
+    /** Adds a number. */
+    fun put(name: String, value: Long) {
+        text.append(",\"").append(name).append("\":").append(value)
+    }
+
+    /** Adds a truth value. */
+    fun put(name: String, value: Boolean) {
+        text.append(",\"").append(name).append("\":").append(value)
+    }
+
+    private fun appendEscaped(character: Char) {
+        when {
+            character == '"' || character == '\\' -> text.append('\\').append(character)
+            character < ' ' -> text.append(' ')
+            else -> text.append(character)
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
@@ -12,7 +12,6 @@
 import figdeck.model.Clock
 import figdeck.model.CommitReply
 import figdeck.model.ListedHost
-import figdeck.model.Moment
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
@@ -104,17 +103,11 @@
         val from = call.parameter("From").orEmpty()
         val to = call.parameter("To")
         val limit = call.parameter("Limit")?.toInt() ?: MAX_ROWS
-        val found = control.run { state, now -> Step(state, tableRows(state, table, now)) }
+        val found = control.run { state, now -> Step(state, tableRows(state, table, visibleHosts(state, limits, now))) }
             .filter { it.key >= from && (to == null || it.key < to) }
         return StandInReply(OK, rows(found.take(limit), hasMore = found.size > limit))
     }
 
-    private fun tableRows(state: PlatformState, table: String, now: Moment): List<RowMessage> {
-        val kept = scan(state, rowKey(table, ""), "", Int.MAX_VALUE).map { it.toMessage() }
-        val listed = if (table == RUNNER_TABLE) visibleHosts(state, limits, now).map { it.toMessage() } else emptyList()
-        return (kept + listed).sortedBy { it.key }
-    }
-
     private suspend fun awaitChanges(call: HttpCall): StandInReply {
         val prefix = rowKey(call.parameter("Table").orEmpty(), "")
         val after = call.parameter("After")?.toLong() ?: 0
@@ -125,7 +118,10 @@
             changes = changesAfter(control.snapshot, prefix, after)
         }
         val (written, removed) = changes
-        return StandInReply(OK, rows(written.map { it.toMessage() } + removed.map { it.toMessage().copy(removed = true) }))
+        return StandInReply(
+            OK,
+            rows(written.map { it.toMessage() } + removed.map { it.toMessage().copy(removed = true) })
+        )
     }
 
     private fun rows(rows: List<RowMessage>, hasMore: Boolean = false): ByteArray {
@@ -161,6 +157,12 @@
     }
 }
 
+private fun tableRows(state: PlatformState, table: String, hosts: List<ListedHost>): List<RowMessage> {
+    val kept = scan(state, rowKey(table, ""), "", Int.MAX_VALUE).map { it.toMessage() }
+    val listed = if (table == RUNNER_TABLE) hosts.map { it.toMessage() } else emptyList()
+    return (kept + listed).sortedBy { it.key }
+}
+
 private fun isWrite(call: HttpCall): Boolean = call.path == "/rows-tx" || call.path.startsWith("/blob-put/")
 
 private fun TransactionMessage.toTransaction() = TableTransaction(
--- a/src/main/kotlin/figdeck/standin/PlatformState.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformState.kt
@@ -48,7 +48,17 @@
 )
 
 internal val emptyPlatform: PlatformState
-    get() = PlatformState(ABSENT, TreeMap(), emptyList(), persistentMapOf(), emptyList(), emptyList(), null, null, PlatformFaults())
+    get() = PlatformState(
+        version = ABSENT,
+        rows = TreeMap(),
+        removed = emptyList(),
+        objects = persistentMapOf(),
+        hosts = emptyList(),
+        shownHosts = emptyList(),
+        hostsChangedAt = null,
+        writes = null,
+        faults = PlatformFaults(),
+    )
 
 /** Counts a write at [now], or refuses it when there were too many. */
 internal fun admitWrite(state: PlatformState, limits: PlatformLimits, now: Moment): Step<PlatformState, Boolean> {
@@ -87,7 +97,8 @@
 /** What has changed under [prefix] after [version], in order; removed rows are in the second list. */
 internal fun changesAfter(state: PlatformState, prefix: String, version: Long): Pair<List<Row>, List<Row>> {
     val written = scan(state, prefix, "", Int.MAX_VALUE).filter { it.version > version }.sortedBy { it.version }
-    return written to state.removed.filter { it.key.startsWith(prefix) && it.version > version && it.key !in state.rows }
+    val removed = state.removed.filter { it.key.startsWith(prefix) && it.version > version && it.key !in state.rows }
+    return written to removed
 }
 
 /** The rows under [prefix] after [after], at most [limit]. */
--- a/src/test/kotlin/figdeck/process/ConfigurationSpec.kt
+++ b/src/test/kotlin/figdeck/process/ConfigurationSpec.kt
@@ -3,8 +3,8 @@
 import figdeck.model.ListedHost
 import figdeck.model.Template
 import figdeck.model.hashKey
-import figdeck.wire.command.encodeTemplate
 import figdeck.standin.encodeHosts
+import figdeck.wire.command.encodeTemplate
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.comparables.shouldBeLessThan
