A refused transaction names the checks that don't hold

Cause: the store client named every check of a transaction as failed.

Change: the reply's current rows are compared with the checks; the stand-in gives them. StoreClientSpec covers transactions, scans over pages, changes, objects; its case of conflicts fails with the old code.

--- a/src/main/kotlin/figdeck/platform/StoreReplies.kt
+++ b/src/main/kotlin/figdeck/platform/StoreReplies.kt
@@ -1,6 +1,7 @@
 package figdeck.platform
 
 import figdeck.http.client.ExchangeFailure
+import figdeck.model.ABSENT
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
 import figdeck.model.Row
@@ -48,12 +49,20 @@
 }
 
 internal fun decodeCommit(reply: StoreReply, transaction: TableTransaction): CallResult<CommitReply> =
-    if (reply.status == PRECONDITION_FAILED) {
-        CallResult.Done(CommitReply.Conflict(transaction.checks.map { it.key }))
-    } else {
-        reply.decodeRows().map { CommitReply.Committed(it.version) }
+    reply.decodeRows().map { decoded ->
+        if (reply.status == PRECONDITION_FAILED) {
+            CommitReply.Conflict(conflicts(transaction, decoded.rows))
+        } else {
+            CommitReply.Committed(decoded.version)
+        }
     }
 
+/** The keys whose checks don't hold for the [current] rows; a row that isn't among them does not exist. */
+private fun conflicts(transaction: TableTransaction, current: List<RowMessage>): List<String> {
+    val versions = current.filterNot { it.removed }.associate { rowKey(it.table, it.key) to (it.version ?: ABSENT) }
+    return transaction.checks.filter { (versions[it.key] ?: ABSENT) != it.version }.map { it.key }
+}
+
 internal fun decodePage(table: String, reply: StoreReply): CallResult<TablePage> = reply.decodeRows().map { decoded ->
     TablePage(decoded.rows.map { it.toRow(table) }, decoded.hasMore, decoded.version, decoded.storeMillis)
 }
--- a/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
@@ -91,10 +91,14 @@
 
     private suspend fun commitRows(body: ByteArray): StandInReply {
         val message = lenientJson.decodeFromString(TransactionMessage.serializer(), body.decodeToString())
-        val reply = control.run { state, _ -> commit(state, message.toTransaction()) }
+        val transaction = message.toTransaction()
+        val reply = control.run { state, _ -> commit(state, transaction) }
         return when (reply) {
-            is CommitReply.Conflict -> StandInReply(PRECONDITION_FAILED, rows(emptyList()))
-            is CommitReply.Committed -> StandInReply(OK, rows(emptyList()))
+            is CommitReply.Conflict -> {
+                val checked = control.run { state, _ -> Step(state, transaction.checks.mapNotNull { state.rows[it.key] }) }
+                StandInReply(PRECONDITION_FAILED, rows(checked.map { it.toMessage() }))
+            }
+            is CommitReply.Committed -> StandInReply(OK, rows(emptyList(), version = reply.version))
         }
     }
 
@@ -124,8 +128,12 @@
         )
     }
 
-    private fun rows(rows: List<RowMessage>, hasMore: Boolean = false): ByteArray {
-        val reply = RowsReply(rows, hasMore, control.snapshot.version, clock().epochMillis)
+    private fun rows(
+        rows: List<RowMessage>,
+        hasMore: Boolean = false,
+        version: Long = control.snapshot.version,
+    ): ByteArray {
+        val reply = RowsReply(rows, hasMore, version, clock().epochMillis)
         return encodeRowsReply(reply).encodeToByteArray()
     }
 
--- /dev/null
+++ b/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
@@ -0,0 +1,97 @@
+package figdeck.platform
+
+import figdeck.http.client.HttpClient
+import figdeck.http.server.HttpServer
+import figdeck.http.server.HttpServerLimits
+import figdeck.model.ABSENT
+import figdeck.model.CallResult
+import figdeck.model.CommitReply
+import figdeck.model.RowCheck
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
+import figdeck.model.systemClock
+import figdeck.model.valueOrNull
+import figdeck.standin.PlatformStandIn
+import figdeck.store.query.FeedReply
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val MANY = 1_200
+
+class StoreClientSpec : DescribeSpec({
+    val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    val client = HttpClient(group)
+    val address = HttpServer(group, HttpServerLimits(), PlatformStandIn(systemClock).handler).listen("127.0.0.1", 0)
+    val platform = StoreClient(client, address)
+
+    afterSpec {
+        client.close()
+        group.shutdownGracefully()
+    }
+
+    suspend fun commit(checks: List<RowCheck>, vararg writes: RowWrite) =
+        platform.store.commands.commit(TableTransaction(checks, writes.toList()))
+
+    describe("a transaction") {
+        it("writes rows and tells their version") {
+            val checks = listOf(RowCheck("t/a", ABSENT))
+            val reply = commit(checks, RowWrite("t/a", "é1"), RowWrite("t/b", "2")).valueOrNull()
+            val version = (reply as CommitReply.Committed).version
+            val row = platform.store.queries.readRow("t/a").valueOrNull()?.value
+            row?.value shouldBe "é1"
+            row?.version shouldBe version
+        }
+
+        it("tells just the checks that don't hold, and writes nothing") {
+            commit(emptyList(), RowWrite("u/a", "1"))
+            val version = platform.store.queries.readRow("u/a").valueOrNull()?.value?.version ?: 0
+            val holding = listOf(RowCheck("u/a", version), RowCheck("u/b", ABSENT))
+            val checks = holding + RowCheck("u/a", ABSENT) + RowCheck("u/c", 7)
+            commit(checks, RowWrite("u/b", "2")) shouldBe
+                CallResult.Done(CommitReply.Conflict(listOf("u/a", "u/c")))
+            platform.store.queries.readRow("u/b").valueOrNull()?.value shouldBe null
+        }
+    }
+
+    describe("a scan") {
+        it("reads on over as many pages as it takes, within its prefix") {
+            val writes = (1..MANY).map { RowWrite("v/p/${it.toString().padStart(5, '0')}", "$it") }
+            writes.chunked(100).forEach { commit(emptyList(), *it.toTypedArray()) }
+            commit(emptyList(), RowWrite("v/q/1", "other"))
+            val rows = platform.store.queries.scanRows("v/p/", "", MANY * 2).valueOrNull().orEmpty()
+            rows.map { it.value } shouldBe (1..MANY).map { "$it" }
+            platform.store.queries.scanRows("v/p/", "v/p/01199", 10).valueOrNull()?.map { it.value } shouldBe
+                listOf("$MANY")
+            platform.feed.snapshot("v").valueOrNull()?.rows?.size shouldBe MANY + 1
+        }
+    }
+
+    describe("the changes of a table") {
+        it("are those after a version, with removals") {
+            val before = platform.feed.snapshot("w").valueOrNull()?.version ?: 0
+            commit(emptyList(), RowWrite("w/a", "1"), RowWrite("w/b", "2"))
+            commit(emptyList(), RowWrite("w/a", null))
+            val reply = platform.feed.changes("w", before, 100.milliseconds).valueOrNull()
+            val changes = (reply as FeedReply.Changes).changes.associate { it.key to it.row?.value }
+            changes shouldBe mapOf("a" to null, "b" to "2")
+        }
+
+        it("are none after the wait") {
+            val version = platform.feed.snapshot("w").valueOrNull()?.version ?: 0
+            val reply = platform.feed.changes("w", version, 50.milliseconds).valueOrNull()
+            (reply as FeedReply.Changes).changes shouldBe emptyList()
+        }
+    }
+
+    describe("an object") {
+        it("is there once it was put, until it is deleted") {
+            platform.store.commands.putObject("a/b c", byteArrayOf(1, 2))
+            platform.store.queries.readObject("a/b c").valueOrNull()?.value?.toList() shouldBe listOf<Byte>(1, 2)
+            platform.store.commands.deleteObject("a/b c")
+            platform.store.queries.readObject("a/b c").valueOrNull()?.value shouldBe null
+        }
+    }
+})
