--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -198,6 +198,7 @@
         incarnation = random.nextLong().toULong().toString(ID_RADIX),
         joinedAt = 0,
         renewedAt = 0,
+        cores = settings.cores,
     )
 
     private fun view(): StoreView {
--- a/src/main/kotlin/figdeck/cli/EdgeSettings.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -23,6 +23,7 @@
     val graceSeconds: String,
     val fleetName: String,
     val seeds: String,
+    val cores: String,
 )
 
 /**
@@ -30,6 +31,7 @@
  *
  * @property grace how long after the request to stop the platform ends the process.
  * @property seeds where other daemons may listen for each other; each may be stale.
+ * @property cores the processor time that this daemon may use, in cores.
  * @property fleetName what daemons of one fleet show each other, so that those of another fleet are turned away.
  */
 public data class EdgeSettings(
@@ -43,6 +45,7 @@
     public val grace: Duration,
     public val fleetName: String,
     public val seeds: List<Address>,
+    public val cores: Double,
 )
 
 /** Checks every setting and gives either all faults, each under its flag, or the settings. */
@@ -58,6 +61,8 @@
     faults.expect(port != null, "--metrics-port", "'$metricsPort' is not a port: write a number")
     val grace = graceSeconds.toDoubleOrNull()
     faults.expect(grace != null && grace > 0, "--grace-seconds", "'$graceSeconds' is no time: write seconds above 0")
+    val coreCount = cores.toDoubleOrNull()
+    faults.expect(coreCount != null && coreCount > 0, "--cores", "'$cores' is no number of cores: write one above 0")
     val seedAddresses = faults.attempt("--seeds") {
         seeds.split(',').map { it.trim() }.filter { it.isNotEmpty() }.map { parseAddress(it) }
     }
@@ -74,6 +79,7 @@
                 grace = grace.bind().seconds,
                 fleetName = fleetName,
                 seeds = seedAddresses.bind(),
+                cores = coreCount.bind(),
             )
         }
     }
--- a/src/main/kotlin/figdeck/cli/command/Edge.kt
+++ b/src/main/kotlin/figdeck/cli/command/Edge.kt
@@ -30,6 +30,8 @@
 
     private val seeds by option(help = "Where other daemons may listen for each other, ip:port,ip:port.").default("")
 
+    private val cores by option(help = "Processor time that this daemon may use, in cores.").default("1")
+
     override fun help(context: Context): String = "Run a daemon on the users' platform."
 
     override fun run() {
@@ -53,6 +55,7 @@
         graceSeconds = graceSeconds,
         fleetName = fleetName,
         seeds = seeds,
+        cores = cores,
     )
 
     private fun runDaemon(settings: EdgeSettings) {
--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -117,6 +117,7 @@
         grace = 1.seconds,
         fleetName = "rehearsal",
         seeds = emptyList(),
+        cores = 1.0,
     )
 
     private fun freeAddress(): Address = ServerSocket(0).use { Address(IP, it.localPort) }
--- a/src/main/kotlin/figdeck/model/serving/FleetMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/FleetMember.kt
@@ -11,6 +11,7 @@
  * @property incarnation differs between two starts on the same host.
  * @property joinedAt when this incarnation announced itself first.
  * @property renewedAt when it announced itself last.
+ * @property cores the processor time that its daemon may use, in cores.
  * @property levels the tokens that were left in the buckets it keeps, where they were not full.
  */
 public data class FleetMember(
@@ -20,5 +21,6 @@
     public val incarnation: String,
     public val joinedAt: Long,
     public val renewedAt: Long,
+    public val cores: Double = 1.0,
     public val levels: Map<TeamId, Int> = emptyMap(),
 )
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -7,13 +7,21 @@
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.storeMillisAt
 
+private const val STRONG_PART = 0.8
+
 /** The living members that are not suspected, in the order in which they serve [key]. */
 public fun Fleet.ranked(key: String, now: Moment): List<FleetMember> =
-    livingMembers().filterNot { isSuspect(it.host, now) }.sortedByDescending { weight(key, it.host) }
+    livingMembers().filterNot { isSuspect(it.host, now) }.strongest().sortedByDescending { weight(key, it.host) }
 
 /** The one member that owns [key] for all who have read the same list; null while none has been seen by all. */
 public fun Fleet.settledOwner(key: String, now: Moment): FleetMember? =
-    livingMembers().filter { isSettled(it, now) }.maxByOrNull { weight(key, it.host) }
+    livingMembers().filter { isSettled(it, now) }.strongest().maxByOrNull { weight(key, it.host) }
+
+/** The members with about the most processor time; what serves the whole fleet is too much for small hosts. */
+private fun List<FleetMember>.strongest(): List<FleetMember> {
+    val most = maxOfOrNull { it.cores } ?: 0.0
+    return filter { it.cores >= most * STRONG_PART }
+}
 
 /** Where the bucket of a team stands. */
 public sealed interface BucketPlace {
--- a/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
@@ -17,6 +17,7 @@
     val incarnation: String,
     val joinedAt: Long,
     val renewedAt: Long,
+    val cores: Double = 1.0,
     val levels: Map<String, Int> = emptyMap(),
 )
 
@@ -32,6 +33,7 @@
     incarnation = incarnation,
     joinedAt = joinedAt,
     renewedAt = renewedAt,
+    cores = cores,
     levels = levels.mapKeys { it.key.value },
 )
 
@@ -42,5 +44,6 @@
     incarnation = incarnation,
     joinedAt = joinedAt,
     renewedAt = renewedAt,
+    cores = cores,
     levels = levels.mapKeys { TeamId(it.key) },
 )
--- a/src/test/kotlin/figdeck/query/serving/FleetRankingSpec.kt
+++ b/src/test/kotlin/figdeck/query/serving/FleetRankingSpec.kt
@@ -45,6 +45,13 @@
             }
         }
 
+        it("are the strong ones, whatever small hosts there are") {
+            val small = (1..20).map { member("s$it").copy(cores = 0.36) }.toTypedArray()
+            val mixed = fleet("a", *three, *small)
+            keys.flatMap { key -> mixed.ranked(key, now).map { it.host.value } }.toSet() shouldBe setOf("a", "b", "c")
+            keys.map { mixed.settledOwner(it, now)?.host?.value }.toSet() shouldBe setOf("a", "b", "c")
+        }
+
         it("leave out those whose lease has ended") {
             val lapsed = fleet("a", member("a"), member("b", renewedAt = SCANNED_AT - 4_000), member("c"))
             lapsed.ranked("k", now).map { it.host.value } shouldContainExactlyInAnyOrder listOf("a", "c")
