The platform's names stand in platform/ alone, and a spec checks it

Cause: the stand-ins and the rehearsal named paths, headers and fields of the platform by themselves.

Change: paths and parameters of the store are constants of the adapter; stand-ins and rehearsal write the adapter's message types; PlatformWordsSpec looks for the names in all other sources. It found two files with the code before.

--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -5,6 +5,7 @@
 import figdeck.cli.EdgeDaemon
 import figdeck.cli.EdgeSettings
 import figdeck.cli.newEventLoops
+import figdeck.daemon.query.serving.PLAN_KEY
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
 import figdeck.http.newHeaders
@@ -18,9 +19,21 @@
 import figdeck.model.TableTransaction
 import figdeck.model.systemClock
 import figdeck.platform.ATTEMPT_ID
+import figdeck.platform.BATCH_KIND
+import figdeck.platform.IDEMPOTENT_KIND
+import figdeck.platform.ITEM_BODY_PATH
+import figdeck.platform.ItemMessage
 import figdeck.platform.PLAN_TABLE
+import figdeck.platform.PlanMessage
+import figdeck.platform.RESULTS_PATH
 import figdeck.platform.RUNNER_TABLE
+import figdeck.platform.RouteMessage
+import figdeck.platform.STREAM_KIND
 import figdeck.platform.StoreClient
+import figdeck.platform.SubmissionMessage
+import figdeck.platform.TeamMessage
+import figdeck.platform.encodePlan
+import figdeck.platform.encodeSubmission
 import figdeck.standin.PlatformStandIn
 import figdeck.standin.RunnerStandIn
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -36,15 +49,33 @@
 private const val MAX_CHECKS = 200
 private val CHECK_INTERVAL = 20.milliseconds
 private const val UPSTREAM = "rehearsal-1"
-private const val PLAN = """{"Version":1,"Routes":[
-  {"Name":"desk","Host":"localhost","Prefix":"/desk/","Kind":"idempotent","TimeoutMs":5000,"TargetLatencyMs":1000,
-   "Service":"pool","MaxAttempts":2},
-  {"Name":"chat","Host":"localhost","Prefix":"/chat/","Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":1000,
-   "Service":"pool","MaxAttempts":2,"Resumable":true},
-  {"Name":"notes","Host":"localhost","Prefix":"/notes/","Kind":"batch","TimeoutMs":5000,"TargetLatencyMs":1000,
-   "Service":"pool","MaxAttempts":3,"RunTargetMs":18000,"MaxWaitS":60}],
- "Tenants":[{"Name":"rehearsal","ApiKeys":["key"],"RatePerS":50,"Burst":50}]}"""
-private const val JOB = """{"Requests":[{"Id":"item","Path":"/notes/1","Headers":{},"Body":"","Tokens":1}]}"""
+private const val POOL = "pool"
+private const val KEY = "key"
+private const val JOB_ID = "rehearsal"
+private const val HOST = "localhost"
+
+/** A route of each kind that the rehearsal asks for. */
+private val plan = PlanMessage(
+    version = 1,
+    routes = listOf(
+        route("/desk/", IDEMPOTENT_KIND),
+        route("/chat/", STREAM_KIND).copy(resumable = true),
+        route("/notes/", BATCH_KIND).copy(dueMillis = 18_000.0, abandonSeconds = 60.0),
+    ),
+    teams = listOf(TeamMessage("rehearsal", listOf(KEY), ratePerSecond = 50.0, burst = 50.0)),
+)
+private val job = SubmissionMessage(listOf(ItemMessage("item", "/notes/1", tokens = 1)))
+
+private fun route(prefix: String, kind: String) = RouteMessage(
+    name = prefix,
+    host = HOST,
+    prefix = prefix,
+    kind = kind,
+    pool = POOL,
+    timeoutMillis = 5_000.0,
+    objectiveMillis = 1_000.0,
+    maxAttempts = 2,
+)
 
 /** Serves one request of each kind against stand-ins, so that the build can archive the classes of a daemon. */
 internal class Rehearse : CliktCommand("rehearse") {
@@ -71,8 +102,8 @@
 
     private suspend fun HttpClient.publish(store: Address, upstream: RunnerStandIn) {
         val rows = listOf(
-            RowWrite("$PLAN_TABLE/config", PLAN),
-            RowWrite("$RUNNER_TABLE/$UPSTREAM", upstream.entry("pool")),
+            RowWrite("$PLAN_TABLE/$PLAN_KEY", encodePlan(plan)),
+            RowWrite("$RUNNER_TABLE/$UPSTREAM", upstream.entry(POOL)),
         )
         StoreClient(this, store).store.commands.commit(TableTransaction(emptyList(), rows))
     }
@@ -86,20 +117,20 @@
         val front = settings.callerAddress
         send(front, "POST", "/desk/1", "hello")
         send(front, "POST", "/chat/1", "hello")
-        send(front, "POST", "/notes/1", JOB)
+        send(front, "POST", "/notes/1", encodeSubmission(job))
         delay(1.seconds)
-        send(front, "GET", "/lots/rehearsal?After=0")
-        send(front, "GET", "/items/rehearsal?Id=item")
-        send(front, "DELETE", "/lots/rehearsal")
+        send(front, "GET", RESULTS_PATH + JOB_ID)
+        send(front, "GET", "$ITEM_BODY_PATH$JOB_ID")
+        send(front, "DELETE", RESULTS_PATH + JOB_ID)
         send(Address(IP, settings.metricsPort), "GET", "/metrics")
         send(settings.peerAddress, "POST", "/peer/view")
     }
 
     private suspend fun HttpClient.send(address: Address, method: String, target: String, body: String = ""): Int? {
         val headers = newHeaders()
-            .set(HttpHeaderNames.HOST, "localhost")
-            .set(HttpHeaderNames.AUTHORIZATION, "Bearer key")
-            .set(ATTEMPT_ID, "rehearsal")
+            .set(HttpHeaderNames.HOST, HOST)
+            .set(HttpHeaderNames.AUTHORIZATION, "Bearer $KEY")
+            .set(ATTEMPT_ID, JOB_ID)
         return exchange(OutgoingRequest(address, method, target, headers, body.encodeToByteArray())) { reply ->
             reply.body.readAll(MAX_REPLY_BYTES)
             reply.status
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -26,7 +26,7 @@
 import figdeck.wire.serving.decodeJobRecord
 
 /** The row that holds the plan in force. */
-private const val PLAN_KEY = "config"
+internal const val PLAN_KEY = "config"
 private val log = PartLog("follow")
 
 /** Puts each plan in force that [decode] can read. */
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -27,8 +27,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val RESULTS_PATH = "/lots/"
-private const val ITEM_BODY_PATH = "/items/"
+internal const val RESULTS_PATH = "/lots/"
+internal const val ITEM_BODY_PATH = "/items/"
 private const val POSITION = "After"
 private const val ITEM = "Id"
 private const val OK = 200
--- a/src/main/kotlin/figdeck/platform/JobMessages.kt
+++ b/src/main/kotlin/figdeck/platform/JobMessages.kt
@@ -47,6 +47,10 @@
     @SerialName("Output") val output: String,
 )
 
+/** Writes a batch job as callers do. */
+internal fun encodeSubmission(message: SubmissionMessage): String =
+    lenientJson.encodeToString(SubmissionMessage.serializer(), message)
+
 /** Reads the items of a job. */
 internal fun decodeSubmission(body: ByteArray): Either<Refusal, List<JobItem>> =
     lenientJson.decode(SubmissionMessage.serializer(), body.decodeToString()).fold(
--- a/src/main/kotlin/figdeck/platform/PlanMessages.kt
+++ b/src/main/kotlin/figdeck/platform/PlanMessages.kt
@@ -18,6 +18,10 @@
 
 private val log = PartLog("platform")
 
+internal const val IDEMPOTENT_KIND = "idempotent"
+internal const val STREAM_KIND = "streaming"
+internal const val BATCH_KIND = "batch"
+
 /** The operators' configuration. */
 @Serializable
 internal data class PlanMessage(
@@ -72,6 +76,9 @@
     @SerialName("MaxBodyBytes") val maxBodyBytes: Int? = null,
 )
 
+/** Writes a configuration as operators do. */
+internal fun encodePlan(message: PlanMessage): String = lenientJson.encodeToString(PlanMessage.serializer(), message)
+
 /** Reads the operators' configuration, or tells why it can't be read. A route of an unknown kind is left out. */
 internal fun decodePlan(text: String): Either<String, ServingPlan> =
     lenientJson.decode(PlanMessage.serializer(), text).flatMap { message ->
@@ -121,9 +128,9 @@
 }
 
 private fun kindOf(route: RouteMessage): CallKind? = when (route.kind) {
-    "idempotent" -> CallKind.IDEMPOTENT
+    IDEMPOTENT_KIND -> CallKind.IDEMPOTENT
     "non_idempotent" -> CallKind.NON_IDEMPOTENT
-    "streaming" -> if (route.resumable) CallKind.RESUMABLE_STREAM else CallKind.STREAM
-    "batch" -> CallKind.BATCH
+    STREAM_KIND -> if (route.resumable) CallKind.RESUMABLE_STREAM else CallKind.STREAM
+    BATCH_KIND -> CallKind.BATCH
     else -> null
 }
--- a/src/main/kotlin/figdeck/platform/RunnerMessage.kt
+++ b/src/main/kotlin/figdeck/platform/RunnerMessage.kt
@@ -9,10 +9,14 @@
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.PoolName
 import figdeck.wire.decodeAs
+import figdeck.wire.lenientJson
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
 
+internal const val READY_STATE = "ready"
+internal const val LEAVING_STATE = "draining"
+
 /** What an upstream writes of itself in the store, under its id. */
 @Serializable
 internal data class RunnerMessage(
@@ -25,12 +29,16 @@
     @SerialName("Models") val models: List<JsonElement> = emptyList(),
 )
 
+/** Writes an entry as upstreams do. */
+internal fun encodeRunner(message: RunnerMessage): String =
+    lenientJson.encodeToString(RunnerMessage.serializer(), message)
+
 /** Reads the entry of the upstream [id], or tells why it names no upstream to use. */
 internal fun decodeRunner(id: String, text: String): Either<String, PoolMember> =
     decodeAs(text, RunnerMessage.serializer()) { it.toMember(id) }.mapLeft { "entry '$id': $it" }
 
 private fun RunnerMessage.toMember(id: String): PoolMember {
-    require(state == "ready" || state == "draining") { "state '$state' is unknown" }
+    require(state == READY_STATE || state == LEAVING_STATE) { "state '$state' is unknown" }
     require(slots > 0) { "it has $slots slots" }
     val upstream = Upstream(
         id = UpstreamId(id),
@@ -40,5 +48,5 @@
         slots = slots,
         honoursFencing = false,
     )
-    return PoolMember(upstream, PoolName(pool), isLeaving = state == "draining")
+    return PoolMember(upstream, PoolName(pool), isLeaving = state == LEAVING_STATE)
 }
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -42,8 +42,8 @@
     val store: Store = Store(
         StoreCommands(
             commit = ::commit,
-            putObject = { key, bytes -> send("PUT", "/blob-put/${encode(key)}", bytes).map { } },
-            deleteObject = { key -> send("DELETE", "/blob-drop/${encode(key)}").map { } },
+            putObject = { key, bytes -> send("PUT", PUT_OBJECT_PATH + encode(key), bytes).map { } },
+            deleteObject = { key -> send("DELETE", DELETE_OBJECT_PATH + encode(key)).map { } },
         ),
         StoreQueries(
             readRow = ::readRow,
@@ -58,7 +58,7 @@
 
     private suspend fun commit(transaction: TableTransaction): CallResult<CommitReply> {
         val body = encodeTransaction(transaction).encodeToByteArray()
-        return when (val reply = send("POST", "/rows-tx", body)) {
+        return when (val reply = send("POST", TRANSACTION_PATH, body)) {
             is CallResult.Done -> decodeCommit(reply.value, transaction)
             is CallResult.NotDone -> reply
             is CallResult.Unknown -> reply
@@ -87,7 +87,7 @@
     }
 
     private suspend fun readObject(key: String): CallResult<Found<ByteArray>> =
-        send("GET", "/blob-get/${encode(key)}").map { Found(it.body.takeIf { _ -> it.isFound }) }
+        send("GET", GET_OBJECT_PATH + encode(key)).map { Found(it.body.takeIf { _ -> it.isFound }) }
 
     private suspend fun snapshot(table: String): CallResult<TableSnapshot> {
         var read: CallResult<TablePage> = scan(table, "", null, PAGE_ROWS)
@@ -104,7 +104,12 @@
     private fun CallResult<TablePage>.rows(): List<Row> = valueOrNull()?.rows.orEmpty()
 
     private suspend fun changes(table: String, after: Long, wait: Duration): CallResult<FeedReply> {
-        val target = "/rows-feed?Table=${encode(table)}&After=$after&WaitMs=${wait.inWholeMilliseconds}"
+        val target = storeTarget(
+            CHANGES_PATH,
+            StoreParameter.TABLE to table,
+            StoreParameter.AFTER to "$after",
+            StoreParameter.WAIT to "${wait.inWholeMilliseconds}",
+        )
         return when (val reply = send("GET", target, timeout = wait + deadline)) {
             is CallResult.Done -> decodeChanges(reply.value)
             is CallResult.NotDone -> reply
@@ -113,8 +118,14 @@
     }
 
     private suspend fun scan(table: String, from: String, to: String?, limit: Int): CallResult<TablePage> {
-        val end = to?.let { "&To=${encode(it)}" }.orEmpty()
-        val target = "/rows-get?Table=${encode(table)}&part=&From=${encode(from)}$end&Limit=$limit"
+        val target = storeTarget(
+            ROWS_PATH,
+            StoreParameter.TABLE to table,
+            StoreParameter.PART to "",
+            StoreParameter.FROM to from,
+            StoreParameter.TO to to,
+            StoreParameter.LIMIT to "$limit",
+        )
         return when (val reply = send("GET", target)) {
             is CallResult.Done -> decodePage(table, reply.value)
             is CallResult.NotDone -> reply
--- a/src/main/kotlin/figdeck/platform/StoreKeys.kt
+++ b/src/main/kotlin/figdeck/platform/StoreKeys.kt
@@ -16,6 +16,10 @@
 
 internal fun keyOf(key: String): String = key.substringAfter(SEPARATOR, "")
 
+/** [path] with those of [parameters] that have a value. */
+internal fun storeTarget(path: String, vararg parameters: Pair<String, String?>): String =
+    parameters.mapNotNull { (name, value) -> value?.let { "$name=${encode(it)}" } }.joinToString("&", "$path?")
+
 internal fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
 
 internal fun encodeValue(value: String): String = Base64.getEncoder().encodeToString(value.encodeToByteArray())
--- a/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
@@ -15,12 +15,21 @@
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
+import figdeck.platform.CHANGES_PATH
+import figdeck.platform.LEAVING_STATE
+import figdeck.platform.PUT_OBJECT_PATH
+import figdeck.platform.READY_STATE
+import figdeck.platform.ROWS_PATH
 import figdeck.platform.RUNNER_TABLE
 import figdeck.platform.RowMessage
 import figdeck.platform.RowsReply
+import figdeck.platform.RunnerMessage
+import figdeck.platform.StoreParameter
+import figdeck.platform.TRANSACTION_PATH
 import figdeck.platform.TransactionMessage
 import figdeck.platform.decodeValue
 import figdeck.platform.encodeRowsReply
+import figdeck.platform.encodeRunner
 import figdeck.platform.encodeValue
 import figdeck.platform.rowKey
 import figdeck.platform.toMessage
@@ -82,9 +91,9 @@
     }
 
     private suspend fun serve(call: HttpCall, body: ByteArray): StandInReply = when (call.path) {
-        "/rows-tx" -> commitRows(body)
-        "/rows-get" -> readRows(call)
-        "/rows-feed" -> awaitChanges(call)
+        TRANSACTION_PATH -> commitRows(body)
+        ROWS_PATH -> readRows(call)
+        CHANGES_PATH -> awaitChanges(call)
         "/hosts" -> serveHosts(call, body)
         else -> serveObject(call, body)
     }
@@ -105,19 +114,19 @@
     }
 
     private suspend fun readRows(call: HttpCall): StandInReply {
-        val table = call.parameter("Table").orEmpty()
-        val from = call.parameter("From").orEmpty()
-        val to = call.parameter("To")
-        val limit = call.parameter("Limit")?.toInt() ?: MAX_ROWS
+        val table = call.parameter(StoreParameter.TABLE).orEmpty()
+        val from = call.parameter(StoreParameter.FROM).orEmpty()
+        val to = call.parameter(StoreParameter.TO)
+        val limit = call.parameter(StoreParameter.LIMIT)?.toInt() ?: MAX_ROWS
         val found = control.run { state, now -> Step(state, tableRows(state, table, visibleHosts(state, limits, now))) }
             .filter { it.key >= from && (to == null || it.key < to) }
         return StandInReply(OK, rows(found.take(limit), hasMore = found.size > limit))
     }
 
     private suspend fun awaitChanges(call: HttpCall): StandInReply {
-        val prefix = rowKey(call.parameter("Table").orEmpty(), "")
-        val after = call.parameter("After")?.toLong() ?: 0
-        val until = clock() + (call.parameter("WaitMs")?.toInt() ?: 0).milliseconds
+        val prefix = rowKey(call.parameter(StoreParameter.TABLE).orEmpty(), "")
+        val after = call.parameter(StoreParameter.AFTER)?.toLong() ?: 0
+        val until = clock() + (call.parameter(StoreParameter.WAIT)?.toInt() ?: 0).milliseconds
         var changes = changesAfter(control.snapshot, prefix, after)
         while (changes.first.isEmpty() && changes.second.isEmpty() && clock() < until) {
             delay(FEED_CHECK)
@@ -173,7 +182,7 @@
     return (kept + listed).sortedBy { it.key }
 }
 
-private fun isWrite(call: HttpCall): Boolean = call.path == "/rows-tx" || call.path.startsWith("/blob-put/")
+private fun isWrite(call: HttpCall): Boolean = call.path == TRANSACTION_PATH || call.path.startsWith(PUT_OBJECT_PATH)
 
 private fun TransactionMessage.toTransaction() = TableTransaction(
     checks = conditions.map { RowCheck(rowKey(it.table, it.key), it.version ?: 0) },
@@ -183,9 +192,14 @@
 
 /** An upstream as it would announce itself; the list tells of its address and its leaving alone. */
 private fun ListedHost.toMessage(): RowMessage {
-    val state = if (leaving) "draining" else "ready"
-    val entry = """{"Service":"listed","Address":"$address","Zone":"$dataCentre","Slots":1,"State":"$state"}"""
-    return RowMessage(table = RUNNER_TABLE, key = name, value = encodeValue(entry), version = 1)
+    val entry = RunnerMessage(
+        pool = "listed",
+        address = address.toString(),
+        dataCentre = dataCentre.value,
+        slots = 1,
+        state = if (leaving) LEAVING_STATE else READY_STATE,
+    )
+    return RowMessage(table = RUNNER_TABLE, key = name, value = encodeValue(encodeRunner(entry)), version = 1)
 }
 
 private data class StandInReply(
--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -11,7 +11,10 @@
 import figdeck.platform.ATTEMPT_ID
 import figdeck.platform.EXPECTED_UPSTREAM
 import figdeck.platform.LAST_EVENT_ID
+import figdeck.platform.READY_STATE
+import figdeck.platform.RunnerMessage
 import figdeck.platform.STAMP
+import figdeck.platform.encodeRunner
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -64,7 +67,7 @@
 
     /** Its entry in the store, as one of [pool]. */
     fun entry(pool: String): String =
-        """{"Service":"$pool","Address":"$address","Zone":"centre-a","Slots":4,"State":"ready","Seq":1}"""
+        encodeRunner(RunnerMessage(pool, address.toString(), dataCentre = "centre-a", slots = 4, state = READY_STATE))
 
     private suspend fun answer(call: HttpCall, responder: HttpResponder) {
         val body = call.body.readAll(MAX_BODY_BYTES).getOrElse { ByteArray(0) }.decodeToString()
--- /dev/null
+++ b/src/test/kotlin/figdeck/platform/PlatformWordsSpec.kt
@@ -0,0 +1,36 @@
+package figdeck.platform
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import java.io.File
+
+/** Names on the platform's wire that mean nothing elsewhere. */
+private val WORDS = listOf(
+    "X-Attempt-Id",
+    "X-Deadline-Ms",
+    "X-Response-Stamp",
+    "X-Not-Executed",
+    "X-Expect-Instance",
+    "X-Token-Usage",
+    "X-Prompt-Prefix",
+    "X-Tenant",
+    "ApiKeys",
+    "TargetLatencyMs",
+    "ExpectedRev",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "blob-put",
+    "dead_letter",
+    "/lots/",
+)
+
+class PlatformWordsSpec : DescribeSpec({
+    describe("the platform's names") {
+        it("stand in platform/ alone") {
+            val sources = File("src/main").walk().filter { it.isFile && "/platform/" !in it.path }.toList()
+            val found = sources.flatMap { file -> WORDS.filter { it in file.readText() }.map { "${file.name}: $it" } }
+            found shouldBe emptyList()
+        }
+    }
+})
