--- a/src/main/kotlin/figdeck/command/serving/ChangeFleet.kt
+++ b/src/main/kotlin/figdeck/command/serving/ChangeFleet.kt
@@ -19,12 +19,12 @@
 
 /** A fleet of which only [self] is known. */
 public fun loneFleet(self: FleetMember): Fleet = Fleet(
-    self,
-    FleetTimes(),
-    null,
-    null,
-    persistentMapOf(),
-    persistentMapOf()
+    self = self,
+    times = FleetTimes(),
+    scan = null,
+    renewedAt = null,
+    levels = persistentMapOf(),
+    suspects = persistentMapOf(),
 )
 
 /** Takes the list that the store gave. */
--- a/src/main/kotlin/figdeck/command/serving/SharedLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/SharedLimits.kt
@@ -89,10 +89,8 @@
         ratePerSecond = (limit.ratePerSecond * standing.part).coerceAtLeast(MIN_SHARE_RATE),
         burst = (limit.burst * standing.part).toInt().coerceAtLeast(1),
     )
-    return bucket.take(1, part, now).fold(
-        { wait -> Step(state.copy(owned = state.owned.put(team, bucket)), TakeResult(false, wait)) },
-        { taken -> Step(state.copy(owned = state.owned.put(team, taken)), TakeResult(true, Duration.ZERO)) },
-    )
+    val taken = bucket.takeOne(part, now)
+    return Step(state.copy(owned = state.owned.put(team, taken.state)), taken.result)
 }
 
 /** Takes a token of [team] from this host's own part of its limit, while the owner can't be reached. */
@@ -108,12 +106,15 @@
         burst = 1 + (standing.limit.burst * SHARED_PART * standing.part).toInt(),
     )
     val bucket = state.shares[team] ?: bucketWith(held + 1, part.plainShape(), now)
-    return bucket.take(1, part, now).fold(
-        { wait -> Step(state.copy(shares = state.shares.put(team, bucket)), TakeResult(false, wait)) },
-        { taken -> Step(state.copy(shares = state.shares.put(team, taken)), TakeResult(true, Duration.ZERO)) },
-    )
+    val taken = bucket.takeOne(part, now)
+    return Step(state.copy(shares = state.shares.put(team, taken.state)), taken.result)
 }
 
+private fun TokenBucket.takeOne(limit: Limit, now: Moment): Step<TokenBucket, TakeResult> = take(1, limit, now).fold(
+    { wait -> Step(this, TakeResult(false, wait)) },
+    { taken -> Step(taken, TakeResult(true, Duration.ZERO)) },
+)
+
 /** The tokens left in the buckets that this host keeps, where they are not full. */
 public fun SharedLimits.levels(limits: Map<TeamId, Limit>, now: Moment): Map<TeamId, Int> = owned.entries
     .mapNotNull { (team, bucket) -> limits[team]?.let { team to (bucket.available(it.plainShape(), now) to it.burst) } }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import figdeck.command.serving.KnownJob
 import figdeck.log.PartLog
+import figdeck.log.orWarn
 import figdeck.model.ABSENT
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
@@ -59,7 +60,10 @@
     suspend fun create(record: JobRecord, items: List<JobItem>): RecordWrite {
         val text = encodeJobItems(items)
         val inRows = text.length <= MAX_ROW_TEXT
-        val kept = if (inRows) CallResult.Done(Unit) else store.commands.putObject(itemObject(record.id), bytesOf(text))
+        val kept = when {
+            inRows -> CallResult.Done(Unit)
+            else -> store.commands.putObject(itemObject(record.id), text.encodeToByteArray())
+        }
         val rows = if (inRows) itemWrites(record.id, text) else emptyList()
         return when (kept) {
             is CallResult.Done -> write(record.copy(chunks = rows.size), ABSENT, rows)
@@ -89,13 +93,7 @@
     /** Reads the record of [id]. */
     suspend fun read(id: JobId): CallResult<KnownJob?> = store.queries.readRow(recordKey(id)).map { found ->
         found.value?.let { row ->
-            decodeJobRecord(id.value, row.value).fold(
-                { fault ->
-                    log.warn { fault }
-                    null
-                },
-                { KnownJob(it, row.version) },
-            )
+            decodeJobRecord(id.value, row.value).orWarn(log)?.let { KnownJob(it, row.version) }
         }
     }
 
@@ -141,5 +139,3 @@
         return rows?.takeIf { it.size == record.chunks }?.joinToString("") { it.value }
     }
 }
-
-private fun bytesOf(text: String): ByteArray = text.encodeToByteArray()
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -7,6 +7,7 @@
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.onFleet
 import figdeck.log.PartLog
+import figdeck.log.orWarn
 import figdeck.model.CallResult
 import figdeck.model.Clock
 import figdeck.model.Moment
@@ -66,15 +67,7 @@
 }
 
 private suspend fun Control<ServingState>.observe(listed: TableSnapshot, sentAt: Moment) {
-    val members = listed.rows.mapNotNull { row ->
-        decodeFleetMember(row.key, row.value).fold(
-            { fault ->
-                log.warn { fault }
-                null
-            },
-            { it },
-        )
-    }
+    val members = listed.rows.mapNotNull { decodeFleetMember(it.key, it.value).orWarn(log) }
     run { state, _ -> onFleet(state) { observeScan(it, FleetScan(members, listed.storeMillis, sentAt)) } }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -160,5 +160,8 @@
     )
 }
 
+/** The ways between data centres and the delays of busy hosts. */
+private val ANSWER_MARGIN = 120.milliseconds
+
 /** How long a host waits beyond an ask's patience until it holds the owner for lost. */
-internal val SlotAsk.timeout: Duration get() = patience + 120.milliseconds
+internal val SlotAsk.timeout: Duration get() = patience + ANSWER_MARGIN
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import figdeck.command.serving.KnownJob
-import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.hear
 import figdeck.command.serving.putJob
 import figdeck.command.serving.putMember
@@ -16,13 +15,12 @@
 import figdeck.control.serving.onPools
 import figdeck.log.DecisionLog
 import figdeck.log.PartLog
-import figdeck.model.Moment
+import figdeck.log.orWarn
 import figdeck.model.Row
 import figdeck.model.UpstreamId
 import figdeck.model.serving.JobId
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.ServingPlan
-import figdeck.store.query.RowChange
 import figdeck.wire.serving.decodeJobRecord
 
 /** The row that holds the plan in force. */
@@ -57,15 +55,7 @@
 /** Reads rows of upstreams with [decode]; what it can't read names none. */
 internal fun upstreamReader(
     decode: (id: String, text: String) -> Either<String, PoolMember>,
-): (Row) -> PoolMember? = { row ->
-    decode(row.key, row.value).fold(
-        { fault ->
-            log.warn { fault }
-            null
-        },
-        { it },
-    )
-}
+): (Row) -> PoolMember? = { row -> decode(row.key, row.value).orWarn(log) }
 
 /** Keeps the upstreams as they announce themselves. */
 internal fun poolFollower(
@@ -85,7 +75,7 @@
                 val member = change.row?.let { read(it) }
                 control.run { state, now ->
                     onPools(state) { pools ->
-                        if (member == null) removeEntry(pools, change, now) else putMember(pools, member)
+                        member?.let { putMember(pools, it) } ?: removeMember(pools, UpstreamId(change.key), now)
                     }
                 }
                 decisions.note("upstream_changed", change.key) {
@@ -99,13 +89,7 @@
 /** Keeps the records of batch jobs. */
 internal fun jobFollower(control: Control<ServingState>): TableFollower {
     val read: (Row) -> KnownJob? = { row ->
-        decodeJobRecord(row.key, row.value).fold(
-            { fault ->
-                log.warn { fault }
-                null
-            },
-            { KnownJob(it, row.version) },
-        )
+        decodeJobRecord(row.key, row.value).orWarn(log)?.let { KnownJob(it, row.version) }
     }
     return TableFollower(
         replace = { rows ->
@@ -130,9 +114,3 @@
         },
     )
 }
-
-private fun removeEntry(
-    pools: PoolMembers,
-    change: RowChange,
-    now: Moment,
-): PoolMembers = removeMember(pools, UpstreamId(change.key), now)
--- a/src/main/kotlin/figdeck/platform/FrontHandler.kt
+++ b/src/main/kotlin/figdeck/platform/FrontHandler.kt
@@ -16,7 +16,6 @@
 import figdeck.daemon.command.serving.serveOnline
 import figdeck.http.client.HttpClient
 import figdeck.http.client.HttpReply
-import figdeck.http.client.OutgoingRequest
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -162,23 +161,10 @@
 
 private fun FrontServices.forward(received: Received, access: Access): Forward = { order, use ->
     val call = received.call
-    val request = OutgoingRequest(
-        address = order.upstream.address,
-        method = call.method,
-        target = call.target,
-        headers = forwardedHeaders(
-            call.headers,
-            order.upstream.id,
-            access.team?.id?.value,
-            order.timeLeft,
-            order.resumeAfter,
-        ),
-        body = received.body,
-        freshConnection = order.freshConnection,
-        headTimeout = order.headTimeout,
-        idleTimeout = order.idleTimeout,
-    )
-    client.exchange(request) { reply -> use(upstreamReply(reply, call.headers.get(ATTEMPT_ID))) }
+    val head = UpstreamHead(call.method, call.target, call.headers, access.team?.id)
+    client.exchange(order.toRequest(head, received.body)) { reply ->
+        use(upstreamReply(reply, call.headers.get(ATTEMPT_ID)))
+    }
 }
 
 /** What [reply] says, as the answer to the attempt [id]. */
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -12,7 +12,6 @@
 import figdeck.daemon.query.jobs.readItemBody
 import figdeck.daemon.query.jobs.readResults
 import figdeck.http.client.HttpClient
-import figdeck.http.client.OutgoingRequest
 import figdeck.http.newHeaders
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpResponder
@@ -103,17 +102,8 @@
     val original = newHeaders()
     call.item.headers.forEach { (name, value) -> original.set(name, value) }
     original.set(ATTEMPT_ID, call.item.id).set(HttpHeaderNames.HOST, call.route.host)
-    val request = OutgoingRequest(
-        address = order.upstream.address,
-        method = "POST",
-        target = call.item.path,
-        headers = forwardedHeaders(original, order.upstream.id, call.team.value, order.timeLeft, order.resumeAfter),
-        body = call.item.body,
-        freshConnection = order.freshConnection,
-        headTimeout = order.headTimeout,
-        idleTimeout = order.idleTimeout,
-    )
-    client.exchange(request) { reply -> use(upstreamReply(reply, call.item.id)) }
+    val head = UpstreamHead("POST", call.item.path, original, call.team)
+    client.exchange(order.toRequest(head, call.item.body)) { reply -> use(upstreamReply(reply, call.item.id)) }
 }
 
 private fun jobId(text: String): Either<Refusal, JobId> = try {
