A slot at an upstream that is leaving goes back, and the owner is asked for another

Ruled out: a late change at the sending host (logged 3 ms after the acknowledgement). Change: the holder checks the granted upstream against its own list; one that is leaving or unknown goes back and the owner is asked again without it, three times at most.

--- a/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
@@ -13,6 +13,7 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
+import figdeck.model.UpstreamId
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.HeldSlot
@@ -21,6 +22,7 @@
 import figdeck.model.serving.SlotAsk
 import figdeck.query.serving.ranked
 import figdeck.query.serving.settledOwner
+import figdeck.query.serving.usable
 import figdeck.wire.serving.HeldSlots
 import figdeck.wire.serving.SlotRelease
 import kotlinx.coroutines.CancellationException
@@ -36,6 +38,9 @@
 private val OWNER_CHECK = 100.milliseconds
 private val NO_OWNER_PAUSE = 200.milliseconds
 
+/** How many slots at upstreams that take no work are given back before a refusal; several may leave at once. */
+private const val MAX_MISPLACED = 3
+
 /** How many owners are asked before this host chooses an upstream by itself. */
 private const val MAX_OWNERS = 2
 private val log = PartLog("slots")
@@ -65,8 +70,28 @@
     /** This host. */
     val self: HostId get() = control.snapshot.fleet.self.host
 
-    /** Waits for a slot of the pool of [ask]. */
+    /**
+     * Waits for a slot of the pool of [ask]. An owner that has lost the store may give out slots at upstreams that this
+     * host knows to be leaving; such slots go back.
+     */
     suspend fun acquire(ask: SlotAsk): Either<Refusal, HeldPermit> {
+        var current = ask
+        var misplaced = 0
+        var result: Either<Refusal, HeldPermit>? = null
+        while (result == null) {
+            val grant = acquireOnce(current)
+            val upstream = grant.leftOrNull()?.misplacedAt
+            if (upstream == null || misplaced == MAX_MISPLACED) {
+                result = grant.mapLeft { it.refusal }
+            } else {
+                misplaced++
+                current = current.copy(ticket = current.ticket + 1, without = current.without + upstream)
+            }
+        }
+        return result
+    }
+
+    private suspend fun acquireOnce(ask: SlotAsk): Either<NoSlot, HeldPermit> {
         val holding = Holding(CompletableDeferred())
         held[ask.ticket] = holding
         val answer = try {
@@ -76,11 +101,11 @@
             throw e
         }
         val granted = answer.first as? SlotAnswer.Granted
-        val upstream = granted?.let { control.snapshot.pools.members[it.upstream]?.upstream }
+        val upstream = granted?.let { control.snapshot.pools.members.usable(ask.pool, ask.without, it.upstream) }
         return if (upstream == null) {
             held.remove(ask.ticket)
-            giveBackUnknown(granted, answer.second, ask)
-            refusalOf(answer.first).left()
+            giveBack(granted, answer.second, ask)
+            NoSlot(refusalOf(answer.first), granted?.upstream).left()
         } else {
             val permit = HeldPermit(ask, upstream, answer.second, holding.revoked)
             held[ask.ticket] = holding.copy(permit = permit)
@@ -146,9 +171,9 @@
         if (owner.host == self) own.confirm(self, slots) else owners.confirm(owner, HeldSlots(self, slots))
     }
 
-    private fun giveBackUnknown(granted: SlotAnswer.Granted?, owner: FleetMember?, ask: SlotAsk) {
+    private fun giveBack(granted: SlotAnswer.Granted?, owner: FleetMember?, ask: SlotAsk) {
         if (granted != null) {
-            log.warn { "slot ${ask.ticket} is at upstream ${granted.upstream}, which is unknown here" }
+            log.warn { "slot ${ask.ticket} goes back: upstream ${granted.upstream} is leaving or unknown" }
             send(owner, SlotRelease(ask.ticket, UseResult.ABANDONED, 0))
         }
     }
@@ -157,6 +182,12 @@
         scope.launch { if (owner == null) own.release(release) else owners.release(owner, release) }
     }
 
+    /** No slot; [misplacedAt] is the upstream of one that was given back. */
+    private data class NoSlot(
+        val refusal: Refusal,
+        val misplacedAt: UpstreamId?,
+    )
+
     private data class Holding(
         val revoked: CompletableDeferred<Unit>,
         val permit: HeldPermit? = null,
--- a/src/main/kotlin/figdeck/query/serving/PoolChoice.kt
+++ b/src/main/kotlin/figdeck/query/serving/PoolChoice.kt
@@ -19,5 +19,12 @@
 
 /** The upstreams of [pool] that take new work, but for those in [without]. */
 public fun Map<UpstreamId, PoolMember>.usable(pool: PoolName, without: Set<UpstreamId>): List<Upstream> = values
-    .filter { it.pool == pool && !it.isLeaving && it.upstream.id !in without }
+    .filter { it.isUsable(pool, without) }
     .map { it.upstream }
+
+/** The upstream [id] of [pool] if it takes new work and isn't in [without]. */
+public fun Map<UpstreamId, PoolMember>.usable(pool: PoolName, without: Set<UpstreamId>, id: UpstreamId): Upstream? =
+    this[id]?.takeIf { it.isUsable(pool, without) }?.upstream
+
+private fun PoolMember.isUsable(pool: PoolName, without: Set<UpstreamId>): Boolean =
+    this.pool == pool && !isLeaving && upstream.id !in without
