--- a/src/main/kotlin/figdeck/Main.kt
+++ b/src/main/kotlin/figdeck/Main.kt
@@ -1,5 +1,6 @@
 package figdeck
 
+import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import figdeck.cli.Figdeck
@@ -16,10 +17,24 @@
 import figdeck.cli.query.MeasureHop
 import figdeck.cli.query.Status
 
-/** Starts the command that the arguments name. */
+private val commands: Map<String, () -> CliktCommand> = mapOf(
+    "serve" to ::Serve,
+    "edge" to ::Edge,
+    "rehearse" to ::Rehearse,
+    "stand-in" to ::StandIn,
+    "demo" to ::Demo,
+    "bench" to ::Bench,
+    "measure-hop" to ::MeasureHop,
+    "template" to ::TemplateGroup,
+    "key" to ::KeyGroup,
+    "status" to ::Status,
+    "explain" to ::Explain,
+    "drain" to ::DrainCommand,
+)
+
+/** Starts the command that the arguments name. The others are built for help alone: a daemon starts faster without. */
 public fun main(args: Array<String>) {
-    Figdeck()
-        .subcommands(Serve(), Edge(), Rehearse(), StandIn(), Demo(), Bench(), MeasureHop())
-        .subcommands(TemplateGroup(), KeyGroup(), Status(), Explain(), DrainCommand())
-        .main(args)
+    val named = commands[args.firstOrNull()]
+    val built = if (named == null) commands.values.map { it() } else listOf(named())
+    Figdeck().subcommands(built).main(args)
 }
