Batch items go on from their unfinished output at the next host

Change: each owner writes what its running items generated since the last write, every 1.5 s and in one transaction a job; the next owner reads it and asks the upstream for the events after it. A row says which events it holds, so that whatever rows remain add up to a beginning of the output. They need no fence: any beginning stays true whoever wrote it. They are dropped once the result is listed; those of a job that its caller ended stay, like its record.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -15,6 +15,7 @@
 import figdeck.daemon.command.jobs.JobCache
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
+import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
 import figdeck.daemon.command.serving.FleetPeers
 import figdeck.daemon.command.serving.OnlineServices
@@ -137,6 +138,7 @@
         control = control,
         clock = clock,
         store = JobStore(store),
+        progress = ProgressStore(store),
         cache = JobCache(),
         pace = ItemPace(),
         slots = poolSlots,
--- a/src/main/kotlin/figdeck/command/ownership/Validity.kt
+++ b/src/main/kotlin/figdeck/command/ownership/Validity.kt
@@ -5,7 +5,6 @@
 import figdeck.model.Moment
 import figdeck.model.RowCheck
 import figdeck.model.Shard
-import kotlin.time.Duration
 
 /** The key of a host's row. */
 public fun hostKey(host: HostId): String = "host/$host"
@@ -41,25 +40,6 @@
 public fun OwnershipState.otherHosts(): List<HostLease> =
     hosts.values.map { it.row.lease }.filterNot { it.host == self.host }
 
-/** When this host may end the lease of [seen], unless its row changes before; null for this host's own. */
-public fun OwnershipState.lapseOf(seen: SeenHost): Moment? {
-    val guardians = seen.row.lease.guardians
-    val isGuardian = guardians.isEmpty() || self.host in guardians
-    val promisedUntil = seen.promisedAt?.let { it + times.lease + times.margin }
-    val wait = if (isGuardian) times.lease else times.longWait
-    val unchangedUntil = seen.firstSeen + (wait + times.margin)
-    val isOwn = seen.row.lease.incarnation == held?.lease?.incarnation
-    return when {
-        isOwn -> null
-        promisedUntil != null && promisedUntil > unchangedUntil -> promisedUntil
-        else -> unchangedUntil
-    }
-}
-
-/** The time until the next lease of another host lapses; null while none will. */
-public fun OwnershipState.timeToLapse(now: Moment): Duration? =
-    hosts.values.mapNotNull { lapseOf(it) }.filter { it > now }.minOfOrNull { it - now }
-
 private fun OwnershipState.isExtended(lease: HeldLease, now: Moment): Boolean {
     val guardians = currentGuardians()
     val promised = guardians.all { guardian -> promises[guardian]?.let { now < it + times.lease } ?: false }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -1,23 +1,21 @@
 package figdeck.daemon.command.jobs
 
 import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.model.serving.ItemProgress
+import figdeck.model.serving.withEvent
 import figdeck.wire.serving.EventFramer
 import figdeck.wire.serving.StreamEvent
 import kotlinx.coroutines.flow.takeWhile
 
-/** What an item has generated so far, over all upstreams that ran it. */
-internal class ItemOutput {
-    private val collected = mutableListOf<String>()
-
-    /** The data of the events, in order. */
-    val events: List<String> get() = collected
-
-    /** The event after which the next run begins; null before the first. */
-    var lastEventId: Long? = null
+/** What an item has generated so far, over all hosts and upstreams that ran it. */
+internal class ItemOutput(start: ItemProgress) {
+    /** The events so far. */
+    @Volatile
+    var progress: ItemProgress = start
         private set
 
     /** The whole output. */
-    val text: String get() = collected.joinToString("\n")
+    val text: String get() = progress.events.joinToString("\n")
 
     /** Takes the events of [reply] up to its end; null when they make the output whole, and else what is wrong. */
     suspend fun collect(reply: UpstreamReply): String? {
@@ -31,20 +29,15 @@
         return when {
             fault != null -> fault
             framer.hasPartial -> "the stream ended within an event"
-            collected.isEmpty() -> "the stream ended without an event"
+            progress.events.isEmpty() -> "the stream ended without an event"
             else -> null
         }
     }
 
     private fun take(event: StreamEvent): String? {
-        val last = lastEventId
-        val id = event.id
-        return if (id == null || (last != null && id != last + 1)) {
-            "event $id came after event $last"
-        } else {
-            collected += event.data
-            lastEventId = id
-            null
-        }
+        val before = progress
+        val next = before.withEvent(event.id, event.data)
+        progress = next ?: before
+        return if (next == null) "event ${event.id} came after event ${before.lastEventId}" else null
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -36,6 +36,7 @@
     val control: Control<ServingState>,
     val clock: Clock,
     val store: JobStore,
+    val progress: ProgressStore,
     val cache: JobCache,
     val pace: ItemPace,
     val slots: PoolSlots,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -6,6 +6,7 @@
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
+import figdeck.model.valueOrNull
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -28,20 +29,37 @@
 internal suspend fun JobServices.runJob(job: KnownJob, running: Semaphore) {
     val items = loadItems(job.record)
     val listed = loadResults(job.record).map { it.item }.toSet()
-    val pending = items.filter { it.id !in listed }
+    val pending = items.withIndex().filter { it.value.id !in listed }
+    val keeper = KeepProgress(progress, job.record.id, loadProgress(job.record))
     coroutineScope {
+        val keeping = launch { keeper.keepAll() }
         val finished = Channel<JobResult>(Channel.UNLIMITED)
-        val runs = pending.map { item ->
+        val runs = pending.map { (position, item) ->
             launch {
-                val result = running.withPermit { RunJobItem(this@runJob, job.record, item).run() }
+                val result = running.withPermit {
+                    RunJobItem(this@runJob, job.record, item, keeper.outputAt(position)).run()
+                }
                 finished.send(result)
             }
         }
-        val kept = ListResults(this@runJob, job, pending).listAll(finished)
-        if (!kept) {
-            runs.forEach { it.cancel() }
+        val kept = ListResults(this@runJob, job, pending, keeper).listAll(finished)
+        keeping.cancel()
+        if (kept) keeper.keepOnce() else runs.forEach { it.cancel() }
+    }
+}
+
+/** What an earlier owner kept; items begin anew where it can't be read. */
+private suspend fun JobServices.loadProgress(record: JobRecord): Map<Int, KeptOutput> {
+    val read = progress.read(record.id)
+    if (read is CallResult.Done && read.value.isNotEmpty()) {
+        log.note("resumed", record.id.value) {
+            put("items", read.value.size.toLong())
+            put("events", read.value.values.sumOf { it.progress.events.size }.toLong())
         }
     }
+    return read.valueOrNull() ?: emptyMap<Int, KeptOutput>().also {
+        partLog.warn { "the unfinished outputs of job ${record.id} can't be read: its items begin anew" }
+    }
 }
 
 private suspend fun JobServices.loadItems(record: JobRecord): List<JobItem> {
@@ -75,10 +93,12 @@
 private class ListResults(
     private val services: JobServices,
     job: KnownJob,
-    pending: List<JobItem>,
+    pending: List<IndexedValue<JobItem>>,
+    private val keeper: KeepProgress,
 ) {
     private var current = job
-    private val tokens = pending.associate { it.id to it.tokens }
+    private val tokens = pending.associate { it.value.id to it.value.tokens }
+    private val positions = pending.associate { it.value.id to it.index }
     private var left = pending.size
 
     /** Lists what [finished] brings; false when the job was ended or is another host's now. */
@@ -134,6 +154,7 @@
             put("total", job.record.total.toLong())
             put("given_up", batch.count { !it.isComplete }.toLong())
         }
+        batch.mapNotNull { positions[it.item] }.forEach { keeper.forget(it) }
         current = job
         services.learn(job)
     }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobItem.kt
@@ -55,8 +55,8 @@
     private val services: JobServices,
     private val record: JobRecord,
     private val item: JobItem,
+    private val output: ItemOutput,
 ) {
-    private val output = ItemOutput()
     private var failures = 0
     private var spent = Duration.ZERO
 
@@ -88,13 +88,13 @@
             services.log.note("item_stopped", item.id) {
                 put("job", record.id.value)
                 put("upstream", permit.upstream.id.value)
-                put("events", output.events.size.toLong())
+                put("events", output.progress.events.size.toLong())
                 put("end", end.toString())
             }
         }
         return when (end) {
             RunEnd.Whole -> {
-                services.pace.noteWhole(output.events.size)
+                services.pace.noteWhole(output.progress.events.size)
                 JobResult(item.id, isComplete = true, output = output.text)
             }
             RunEnd.Impossible -> givenUp("the upstream says that it is impossible")
@@ -133,18 +133,18 @@
 
     private fun isTardy(route: ServingRoute): Boolean {
         val due = route.batch?.dueWithin ?: return false
-        return record.age(services.clock()) + services.pace.timeLeft(output.events.size) > due
+        return record.age(services.clock()) + services.pace.timeLeft(output.progress.events.size) > due
     }
 
     private suspend fun runAt(permit: HeldPermit, route: ServingRoute): RunEnd {
         var use = UseResult.ABANDONED
         try {
             val startedAt = services.clock()
-            val before = output.events.size
+            val before = output.progress.events.size
             val end = untilRevoked(permit, route)
             val took = services.clock() - startedAt
-            services.pace.noteRun(output.events.size - before, took)
-            spent += if (output.events.size > before) took else Duration.ZERO
+            services.pace.noteRun(output.progress.events.size - before, took)
+            spent += if (output.progress.events.size > before) took else Duration.ZERO
             use = if (end is RunEnd.Interrupted) end.use else UseResult.ANSWERED
             return end
         } finally {
@@ -167,7 +167,7 @@
         val order = SendOrder(
             upstream = permit.upstream,
             timeLeft = SEND_LIMIT,
-            resumeAfter = output.lastEventId,
+            resumeAfter = output.progress.lastEventId,
             headTimeout = STALL,
             idleTimeout = STALL,
             freshConnection = false,
--- a/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/PoolSlots.kt
@@ -9,7 +9,6 @@
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
-import figdeck.model.Lane
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
@@ -36,13 +35,10 @@
 
 private val CONFIRM_INTERVAL = 500.milliseconds
 private val OWNER_CHECK = 100.milliseconds
-private val NO_OWNER_PAUSE = 200.milliseconds
 
 /** How many slots at upstreams that take no work are given back before a refusal; several may leave at once. */
 private const val MAX_MISPLACED = 3
 
-/** How many owners are asked before this host chooses an upstream by itself. */
-private const val MAX_OWNERS = 2
 private val log = PartLog("slots")
 
 /**
@@ -65,6 +61,7 @@
     private val owners: SlotOwnerCalls,
     private val scope: CoroutineScope,
 ) {
+    private val questions = OwnerQuestions(control, clock, own, owners)
     private val held = ConcurrentHashMap<Long, Holding>()
 
     /** This host. */
@@ -95,7 +92,7 @@
         val holding = Holding(CompletableDeferred())
         held[ask.ticket] = holding
         val answer = try {
-            askOwners(ask)
+            questions.ask(ask)
         } catch (e: CancellationException) {
             held.remove(ask.ticket)
             throw e
@@ -143,29 +140,6 @@
         }
     }
 
-    private suspend fun askOwners(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> = when (ask.lane) {
-        Lane.ONLINE -> askInTurn(ask)
-        Lane.BATCH -> askBatchOwner(ask)
-    }
-
-    /** A caller waits, so that the next host is asked at once, and this host decides by itself in the end. */
-    private suspend fun askInTurn(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
-        val ranked = control.snapshot.fleet.ranked(slotKey(ask.pool), clock()).take(MAX_OWNERS)
-        return ranked.takeWhile { it.host != self }
-            .firstNotNullOfOrNull { owner -> owners.ask(owner, ask)?.let { it to owner } }
-            ?: (own.acquire(ask) to null)
-    }
-
-    /** Two owners at once would fill the upstreams twice with work that lasts, so batch work waits for the first. */
-    private suspend fun askBatchOwner(ask: SlotAsk): Pair<SlotAnswer, FleetMember?> {
-        val owner = control.snapshot.fleet.batchOwner(ask.pool, clock())
-        return when {
-            owner == null -> SlotAnswer.Full(NO_OWNER_PAUSE) to null
-            owner.host == self -> own.acquire(ask) to null
-            else -> (owners.ask(owner, ask) ?: SlotAnswer.Full(NO_OWNER_PAUSE)) to owner
-        }
-    }
-
     private suspend fun confirm(owner: FleetMember, permits: List<HeldPermit>) {
         val slots = permits.map { HeldSlot(it.ask, it.upstream.id) }
         if (owner.host == self) own.confirm(self, slots) else owners.confirm(owner, HeldSlots(self, slots))
@@ -201,7 +175,7 @@
 private fun Fleet.slotOwners(pool: PoolName, now: Moment): Set<FleetMember> =
     setOfNotNull(ranked(slotKey(pool), now).firstOrNull(), batchOwner(pool, now))
 
-private fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
+internal fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
 private fun refusalOf(answer: SlotAnswer): Refusal = when (answer) {
     is SlotAnswer.Full -> Refusal.Overloaded("every upstream", answer.retryAfter)
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
@@ -0,0 +1,38 @@
+package figdeck.wire.serving
+
+import arrow.core.Either
+import figdeck.model.Row
+import figdeck.model.RowWrite
+import figdeck.model.serving.JobId
+import figdeck.model.serving.OutputSegment
+import figdeck.wire.decodeAs
+import figdeck.wire.lenientJson
+import kotlinx.serialization.Serializable
+
+private const val PROGRESS_TABLE = "jobprogress"
+
+@Serializable
+private data class OutputSegmentDto(
+    val start: Int,
+    val firstId: Long,
+    val events: List<String>,
+)
+
+/** The row that holds [segment] of the output of the item at [position]. */
+internal fun segmentWrite(id: JobId, position: Int, segment: OutputSegment): RowWrite = RowWrite(
+    "${progressPrefix(id)}${keyNumber(position)}/${keyNumber(segment.start)}",
+    lenientJson.encodeToString(
+        OutputSegmentDto.serializer(),
+        OutputSegmentDto(segment.start, segment.firstId, segment.events)
+    ),
+)
+
+/** The beginning of the keys of the rows that hold unfinished outputs of [id]. */
+internal fun progressPrefix(id: JobId): String = "$PROGRESS_TABLE/$id/"
+
+/** The position of the item whose output [row] belongs to; null when the key names none. */
+internal fun itemPosition(id: JobId, row: Row): Int? =
+    row.key.removePrefix(progressPrefix(id)).substringBefore('/').toIntOrNull()
+
+internal fun decodeSegment(text: String): Either<String, OutputSegment> =
+    decodeAs(text, OutputSegmentDto.serializer()) { OutputSegment(it.start, it.firstId, it.events) }
--- a/src/test/kotlin/figdeck/command/limit/DrawnLimitSpec.kt
+++ b/src/test/kotlin/figdeck/command/limit/DrawnLimitSpec.kt
@@ -46,7 +46,8 @@
 
     private fun draw(sent: Long) {
         val decided = sent + random.nextLong(5_000)
-        val step = grant(buckets, Draw(team, random.nextInt(1, 9), random.nextInt(5), unspent), limit, owned, at(decided))
+        val step =
+            grant(buckets, Draw(team, random.nextInt(1, 9), random.nextInt(5), unspent), limit, owned, at(decided))
         buckets = step.state
         unspent = if (isLate()) step.result.granted else 0
         if (unspent > 0) return
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -0,0 +1,147 @@
+package figdeck.daemon.command.jobs
+
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import figdeck.control.serving.adoptPlan
+import figdeck.daemon.command.Effects
+import figdeck.daemon.command.MemoryWorld
+import figdeck.daemon.command.serving.Disposition
+import figdeck.daemon.command.serving.SendOrder
+import figdeck.daemon.command.serving.TestHost
+import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.fleetMember
+import figdeck.daemon.command.serving.poolMember
+import figdeck.http.HttpBody
+import figdeck.http.client.ExchangeFailure
+import figdeck.http.newHeaders
+import figdeck.log.DecisionLog
+import figdeck.model.CallResult
+import figdeck.model.TeamId
+import figdeck.model.serving.BatchTerms
+import figdeck.model.serving.CallKind
+import figdeck.model.serving.JobId
+import figdeck.model.serving.JobItem
+import figdeck.model.serving.JobOwner
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.JobResult
+import figdeck.model.serving.PoolName
+import figdeck.model.serving.servingPlan
+import figdeck.model.systemClock
+import figdeck.process.eventually
+import figdeck.store.Store
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private const val EVENTS = 5L
+private val id = JobId("job-1")
+private val items = listOf("item-1", "item-2").map { JobItem(it, "/notes/1", emptyMap(), ByteArray(0), 10) }
+private val plan = servingPlan {
+    version = 1
+    route("notes") {
+        host = "desk.example"
+        prefix = "/notes/"
+        kind = CallKind.BATCH
+        maxAttempts = 2
+        batch = BatchTerms(18.seconds, 60.seconds, null)
+        pool("engines")
+    }
+}.getOrElse { error(it.toString()) }
+
+private val record = JobRecord(
+    id = id,
+    team = TeamId("stado"),
+    route = "notes",
+    submittedAt = System.currentTimeMillis(),
+    total = items.size,
+    tokens = 20,
+    results = 0,
+    isEnded = false,
+    owner = JobOwner(fleetMember("host-1").host, "host-1"),
+    chunks = 0,
+    writeId = "w1",
+)
+
+private fun event(number: Long) = "id: $number\ndata: word $number\n\n".encodeToByteArray()
+
+/** An engine that makes the events after [SendOrder.resumeAfter], and breaks off or hangs after [last]. */
+private class Engine(private val last: Long) {
+    val resumedAfter = CopyOnWriteArrayList<Long?>()
+
+    val forward: ForwardItem = { _, order, use ->
+        resumedAfter += order.resumeAfter
+        val chunks = flow {
+            ((order.resumeAfter ?: 0) + 1..minOf(last, EVENTS)).forEach { emit(event(it)) }
+            if (last < EVENTS) awaitCancellation()
+        }
+        use(UpstreamReply(Disposition.RAN, 200, newHeaders(), HttpBody(chunks)))
+        if (last < EVENTS) ExchangeFailure.Lost("cut").left() else Unit.right()
+    }
+}
+
+private fun TestHost.jobServices(store: Store, engine: Engine) = JobServices(
+    control = control,
+    clock = systemClock,
+    store = JobStore(store),
+    progress = ProgressStore(store),
+    cache = JobCache(),
+    pace = ItemPace(),
+    slots = slots,
+    forward = engine.forward,
+    random = Random(3),
+    log = DecisionLog("jobs"),
+)
+
+private suspend fun <R> onHost(name: String, store: Store, engine: Engine, use: suspend (JobServices) -> R): R =
+    TestHost(fleetMember(name)).use { host ->
+        host.learn(emptyList(), listOf(poolMember(PoolName("engines"), "engine-1")))
+        host.control.run { state, _ -> adoptPlan(state, plan) }
+        use(host.jobServices(store, engine))
+    }
+
+private suspend fun ProgressStore.keptEvents(): List<Int> =
+    (read(id) as CallResult.Done).value.toSortedMap().values.map { it.progress.events.size }
+
+class RunJobSpec : DescribeSpec({
+    describe("a job of two items whose host is lost after three of five events") {
+        val store = MemoryWorld().platform(Effects(null))
+        val jobs = JobStore(store)
+        val progress = ProgressStore(store)
+        val created = jobs.create(record, items) as RecordWrite.Written
+        val second = Engine(last = EVENTS)
+
+        it("has its unfinished outputs in the store") {
+            onHost("host-1", store, Engine(last = 3)) { services ->
+                val run = CoroutineScope(Dispatchers.Default).launch { services.runJob(created.job, Semaphore(4)) }
+                eventually(10.seconds) { progress.keptEvents() == listOf(3, 3) }
+                run.cancelAndJoin()
+            }
+        }
+        it("goes on after the third event at its next host, and lists whole outputs") {
+            onHost("host-2", store, second) { services ->
+                val owner = JobOwner(fleetMember("host-2").host, "host-2")
+                val taken = jobs.write(created.job.record.copy(owner = owner, writeId = "w2"), created.job.version)
+                services.runJob((taken as RecordWrite.Written).job, Semaphore(4))
+            }
+            second.resumedAfter shouldContainExactly listOf(3L, 3L)
+            val output = (1..EVENTS).joinToString("\n") { "word $it" }
+            (jobs.readResults(id, 0) as CallResult.Done).value.toSet() shouldBe
+                items.map { JobResult(it.id, isComplete = true, output = output) }.toSet()
+        }
+        it("leaves no unfinished outputs behind") {
+            progress.keptEvents().shouldBeEmpty()
+        }
+    }
+})
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -0,0 +1,87 @@
+package figdeck.daemon.command.serving
+
+import figdeck.command.dispatch.DispatchPolicy
+import figdeck.command.serving.observeScan
+import figdeck.command.serving.putMember
+import figdeck.control.Control
+import figdeck.control.serving.ServingState
+import figdeck.control.serving.initialServing
+import figdeck.control.serving.onFleet
+import figdeck.control.serving.onOwnSlots
+import figdeck.control.serving.onPools
+import figdeck.daemon.command.OwnSlots
+import figdeck.daemon.command.SlotDispatcher
+import figdeck.model.Address
+import figdeck.model.DataCentre
+import figdeck.model.HostId
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.UpstreamKind
+import figdeck.model.serving.FleetMember
+import figdeck.model.serving.FleetScan
+import figdeck.model.serving.PoolMember
+import figdeck.model.serving.PoolName
+import figdeck.model.systemClock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
+import kotlin.random.Random
+
+private const val STORE_MILLIS = 10_000L
+private const val SLOTS = 6
+private val centre = DataCentre("centre-a")
+
+/** Peers that answer nothing. */
+internal val silentPeers = FleetPeers(
+    acquire = { _, _ -> null },
+    release = { _, _ -> false },
+    confirm = { _, _ -> false },
+    revoke = { _, _ -> false },
+    take = { _, _ -> null },
+    view = { null },
+)
+
+internal fun fleetMember(name: String, cores: Double = 1.0) = FleetMember(
+    host = HostId(name),
+    address = Address("127.0.0.1", 1),
+    dataCentre = centre,
+    incarnation = name,
+    joinedAt = 0,
+    renewedAt = STORE_MILLIS,
+    cores = cores,
+)
+
+internal fun poolMember(pool: PoolName, id: String, isLeaving: Boolean = false) = PoolMember(
+    Upstream(UpstreamId(id), Address("127.0.0.1", 2), centre, UpstreamKind.SERVICE, SLOTS, honoursFencing = false),
+    pool,
+    isLeaving,
+)
+
+/** The slots of one host, without network and store. */
+internal class TestHost(
+    self: FleetMember,
+    peers: FleetPeers = silentPeers,
+) : AutoCloseable {
+    val control = Control(initialServing(self), systemClock)
+    private val scope = CoroutineScope(Dispatchers.Default)
+    private val own = OwnSlots(
+        now = { control.snapshot.slots },
+        decide = { decision ->
+            control.run { state: ServingState, now -> onOwnSlots(state) { decision(it, now) } }
+        },
+    )
+    private val owner = SlotOwner(SlotDispatcher(own, DispatchPolicy(), Random(1)), control, systemClock) { _, _ -> }
+    val slots = PoolSlots(control, systemClock, owner, SlotOwnerCalls(control, peers), scope)
+
+    /** Lets the host know its fleet and its upstreams. */
+    suspend fun learn(members: List<FleetMember>, upstreams: List<PoolMember>) {
+        val scan = FleetScan(members, STORE_MILLIS, systemClock())
+        control.run { state, _ -> onFleet(state) { observeScan(it, scan) } }
+        upstreams.forEach { member -> control.run { state, _ -> onPools(state) { putMember(it, member) } } }
+    }
+
+    override fun close() {
+        scope.cancel()
+        control.close()
+    }
+}
