A member that lapsed joins anew, so that no two hosts fill one bucket

A host that was paused past its lease, or whose renewals were lost, renewed its row with the time at which it had joined before: it counted as settled at once, while the host that had taken its buckets over had not read the list yet. And an owner whose last reading was up to 2 s old went on while a member that it hadn't seen had joined and settled within 1.3 s. Ruled out: restarts, which join anew already. Change: a renewal after the lease has lapsed joins anew; an owner with a list older than the time to settle fills nothing, and hosts use their parts of the rate meanwhile. Not covered: what a returning owner's old bucket holds.

--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -16,6 +16,7 @@
 import figdeck.model.serving.FleetScan
 import figdeck.model.serving.storeMillisAt
 import figdeck.model.valueOrNull
+import figdeck.query.serving.joinedAt
 import figdeck.store.Store
 import figdeck.store.query.TableFeed
 import figdeck.store.query.TableSnapshot
@@ -76,12 +77,11 @@
     val scan = fleet.scan ?: return
     val sentAt = clock()
     val storeMillis = scan.storeMillisAt(sentAt)
-    val joinedAt = if (fleet.renewedAt == null) storeMillis else fleet.self.joinedAt
     val limits = snapshot.index?.teams.orEmpty().values.mapNotNull { team -> team.limit?.let { team.id to it } }.toMap()
     // Levels that another owner announced go on with this host's, until their new owner has taken them over.
     val carried = fleet.levels.mapValues { it.value.tokens }.takeIf { fleet.renewedAt == null }.orEmpty()
     val levels = carried + snapshot.limits.levels(limits, sentAt)
-    val self = fleet.self.copy(joinedAt = joinedAt, renewedAt = storeMillis, levels = levels)
+    val self = fleet.self.copy(joinedAt = fleet.joinedAt(storeMillis, sentAt), renewedAt = storeMillis, levels = levels)
     val write = RowWrite(memberKey(self.host.value), encodeFleetMember(self))
     if (store.commands.commit(TableTransaction(emptyList(), listOf(write))).valueOrNull() != null) {
         run { state, _ -> onFleet(state) { confirmRenewal(it, self, sentAt) } }
--- a/src/main/kotlin/figdeck/query/serving/FleetMembers.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetMembers.kt
@@ -41,6 +41,10 @@
 /** The size that a host assumes of its fleet before it has heard of the others. */
 private const val UNKNOWN_FLEET = 32
 
+/** When this host joined, as its renewal at [now] tells: anew where the others may have taken its duties over. */
+public fun Fleet.joinedAt(storeMillis: Long, now: Moment): Long =
+    if (ownLeaseHolds(now)) self.joinedAt else storeMillis
+
 /**
  * Whether the store has confirmed this host recently enough for the others to count on it. The time of day is compared
  * as well, because the steady clock stands still while a host is suspended.
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -43,13 +43,17 @@
     val owner = settledOwner(key, now)
     return when {
         owner == null -> BucketPlace.Unreachable
-        owner.host == self.host && (ownLeaseHolds(now) || isCutOff(now)) -> BucketPlace.Here
+        owner.host == self.host && (ownsByLease(now) || isCutOff(now)) -> BucketPlace.Here
         owner.host == self.host -> BucketPlace.Unreachable
         isSuspect(owner.host, now) -> BucketPlace.Unreachable
         else -> BucketPlace.Elsewhere(owner)
     }
 }
 
+/** An older list may lack a member that has joined and settled since. */
+private fun Fleet.ownsByLease(now: Moment): Boolean =
+    ownLeaseHolds(now) && scan != null && now - scan.sentAt < times.settle
+
 private fun Fleet.isSettled(member: FleetMember, now: Moment): Boolean =
     scan != null && scan.storeMillisAt(now) - member.joinedAt >= times.settle.inWholeMilliseconds
 
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -33,11 +33,13 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
@@ -47,6 +49,7 @@
 
 private const val EVENTS = 5L
 private val id = JobId("job-1")
+private val wholeOutput = (1..EVENTS).joinToString("\n") { "word $it" }
 private val items = listOf("item-1", "item-2").map { JobItem(it, "/notes/1", emptyMap(), ByteArray(0), 10) }
 private val plan = servingPlan {
     version = 1
@@ -136,12 +139,30 @@
                 services.runJob((taken as RecordWrite.Written).job, Semaphore(4))
             }
             second.resumedAfter shouldContainExactly listOf(3L, 3L)
-            val output = (1..EVENTS).joinToString("\n") { "word $it" }
             (jobs.readResults(id, 0) as CallResult.Done).value.toSet() shouldBe
-                items.map { JobResult(it.id, isComplete = true, output = output) }.toSet()
+                items.map { JobResult(it.id, isComplete = true, output = wholeOutput) }.toSet()
         }
         it("leaves no unfinished outputs behind") {
             progress.keptEvents().shouldBeEmpty()
         }
     }
+
+    describe("a job that two hosts run, as when an owner comes back from a pause") {
+        val store = MemoryWorld().platform(Effects(null))
+        val jobs = JobStore(store)
+        val created = jobs.create(record, items) as RecordWrite.Written
+
+        it("lists each item once, and whole") {
+            coroutineScope {
+                listOf("host-1", "host-2").forEach { name ->
+                    launch(Dispatchers.Default) {
+                        onHost(name, store, Engine(last = EVENTS)) { it.runJob(created.job, Semaphore(4)) }
+                    }
+                }
+            }
+            val results = (jobs.readResults(id, 0) as CallResult.Done).value
+            results.map { it.item } shouldContainExactlyInAnyOrder items.map { it.id }
+            results.map { it.output }.distinct() shouldContainExactly listOf(wholeOutput)
+        }
+    }
 })
