--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -2,8 +2,9 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
-import figdeck.cli.EdgeDaemon
-import figdeck.cli.EdgeSettings
+import com.github.ajalt.clikt.core.parse
+import com.github.ajalt.clikt.core.subcommands
+import figdeck.cli.Figdeck
 import figdeck.cli.newEventLoops
 import figdeck.daemon.query.serving.PLAN_KEY
 import figdeck.http.client.HttpClient
@@ -13,8 +14,6 @@
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.model.Address
-import figdeck.model.DataCentre
-import figdeck.model.HostId
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
 import figdeck.model.systemClock
@@ -36,10 +35,13 @@
 import figdeck.platform.encodeSubmission
 import figdeck.standin.PlatformStandIn
 import figdeck.standin.RunnerStandIn
+import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
 import java.net.ServerSocket
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -77,7 +79,10 @@
     maxAttempts = 2,
 )
 
-/** Serves one request of each kind with stand-ins, so that the build can archive the classes that a daemon loads. */
+/**
+ * Runs the edge command from its arguments to its planned stop, with stand-ins around it and one request of each kind,
+ * so that the build can archive the classes that a daemon loads.
+ */
 internal class Rehearse : CliktCommand("rehearse") {
     override val hiddenFromHelp: Boolean = true
 
@@ -86,18 +91,21 @@
     override fun run() {
         val eventLoops = newEventLoops()
         val store = HttpServer(eventLoops, HttpServerLimits(), PlatformStandIn(systemClock).handler).listen(LOOPBACK, 0)
-        val settings = settings(store)
-        EdgeDaemon(settings, eventLoops).use { daemon ->
-            RunnerStandIn(eventLoops, UPSTREAM).use { upstream ->
-                HttpClient(eventLoops).use { client ->
-                    runBlocking {
-                        client.storePlanAndUpstream(store, upstream)
-                        daemon.start()
-                        client.sendSampleRequests(settings)
-                    }
+        val addresses = RehearsalAddresses(store, freeAddress(), freeAddress(), freeAddress(), freeAddress().port)
+        thread(isDaemon = true) { sendSampleRequests(eventLoops, addresses) }
+        Figdeck().subcommands(Edge()).parse(addresses.toEdgeArguments())
+    }
+
+    private fun sendSampleRequests(eventLoops: EventLoopGroup, addresses: RehearsalAddresses) {
+        RunnerStandIn(eventLoops, UPSTREAM).use { upstream ->
+            HttpClient(eventLoops).use { client ->
+                runBlocking {
+                    client.storePlanAndUpstream(addresses.store, upstream)
+                    client.sendSampleRequests(addresses)
                 }
             }
         }
+        Signal.raise(Signal("TERM"))
     }
 
     private suspend fun HttpClient.storePlanAndUpstream(store: Address, upstream: RunnerStandIn) {
@@ -108,13 +116,13 @@
         StoreClient(this, store).store.commands.commit(TableTransaction(emptyList(), rows))
     }
 
-    private suspend fun HttpClient.sendSampleRequests(settings: EdgeSettings) {
+    private suspend fun HttpClient.sendSampleRequests(addresses: RehearsalAddresses) {
         repeat(MAX_READINESS_CHECKS) {
-            if (send(settings.readinessAddress, "GET", "/") != HTTP_OK) {
+            if (send(addresses.readiness, "GET", "/") != HTTP_OK) {
                 delay(READINESS_CHECK_INTERVAL)
             }
         }
-        val caller = settings.callerAddress
+        val caller = addresses.caller
         send(caller, "POST", "/desk/1", "hello")
         send(caller, "POST", "/chat/1", "hello")
         send(caller, "POST", "/notes/1", encodeSubmission(submission))
@@ -122,8 +130,8 @@
         send(caller, "GET", RESULTS_PATH + JOB_ID)
         send(caller, "GET", "$ITEM_BODY_PATH$JOB_ID")
         send(caller, "DELETE", RESULTS_PATH + JOB_ID)
-        send(Address(LOOPBACK, settings.metricsPort), "GET", "/metrics")
-        send(settings.peerAddress, "POST", "/peer/view")
+        send(Address(LOOPBACK, addresses.metricsPort), "GET", "/metrics")
+        send(addresses.peer, "POST", "/peer/view")
     }
 
     private suspend fun HttpClient.send(address: Address, method: String, target: String, body: String = ""): Int? {
@@ -137,19 +145,29 @@
         }.getOrNull()
     }
 
-    private fun settings(store: Address): EdgeSettings = EdgeSettings(
-        host = HostId("rehearsal"),
-        dataCentre = DataCentre("centre-a"),
-        callerAddress = freeAddress(),
-        readinessAddress = freeAddress(),
-        peerAddress = freeAddress(),
-        storeAddress = store,
-        metricsPort = freeAddress().port,
-        terminationGrace = 1.seconds,
-        fleetName = "rehearsal",
-        seeds = emptyList(),
-        cores = 1.0,
-    )
-
     private fun freeAddress(): Address = ServerSocket(0).use { Address(LOOPBACK, it.localPort) }
 }
+
+/** Where the rehearsed daemon finds the [store] and listens. */
+private data class RehearsalAddresses(
+    val store: Address,
+    val caller: Address,
+    val readiness: Address,
+    val peer: Address,
+    val metricsPort: Int,
+)
+
+private fun RehearsalAddresses.toEdgeArguments(): List<String> = listOf(
+    "edge",
+    "--host=rehearsal",
+    "--data-centre=centre-a",
+    "--caller-address=$caller",
+    "--readiness-address=$readiness",
+    "--peer-address=$peer",
+    "--store-address=$store",
+    "--metrics-port=$metricsPort",
+    "--grace-seconds=1",
+    "--fleet-name=rehearsal",
+    "--seeds=$peer",
+    "--cores=1.0",
+)
--- a/src/main/kotlin/figdeck/log/JsonLineWriter.kt
+++ b/src/main/kotlin/figdeck/log/JsonLineWriter.kt
@@ -15,11 +15,11 @@
     @Suppress("UnusedPrivateProperty") private val properties: Map<String, String>,
 ) : Writer {
     override fun getRequiredLogEntryValues(): Collection<LogEntryValue> =
-        setOf(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION)
+        setOf(LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION)
 
     override fun write(entry: LogEntry) {
         val message = entry.message.orEmpty()
-        val text = StringBuilder(LINE_CHARACTERS).append("{\"t\":").append(entry.timestamp.toDate().time)
+        val text = StringBuilder(LINE_CHARACTERS).append("{\"t\":").append(System.currentTimeMillis())
         LogLine(text).apply {
             put("part", message.substringBefore(PART_END, "figdeck"))
             put("level", entry.level.name.lowercase())
