A planned stop cuts no request whose handler has started

Cause: a call counted as in progress only once its coroutine ran, and the connections were closed at the moment when the count was zero, while kept connections still brought requests. A request read in between was passed on and then cut. Change: a call counts from its head on; after the last call the server refuses new requests with 503 before they reach the handler, waits once more for calls that began just before, and closes 100 ms later. Left: connections that the kernel accepted and the process did not are reset, unread, when the listener closes.

--- a/src/main/kotlin/figdeck/http/server/HttpServer.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpServer.kt
@@ -22,6 +22,9 @@
 private const val ACCEPT_BACKLOG = 1024
 private val DRAIN_CHECK_INTERVAL = 20.milliseconds
 
+/** How long requests that were already in transit are refused before the connections are closed. */
+private val REFUSAL_PERIOD = 100.milliseconds
+
 /** An HTTP/1.1 server that runs [handler] for each call on the event loop of the call's connection. */
 public class HttpServer(
     private val group: EventLoopGroup,
@@ -29,7 +32,7 @@
     private val handler: HttpHandler,
 ) : AutoCloseable {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
-    private val listenerState = ListenerState(AtomicInteger(), AtomicBoolean())
+    private val listenerState = ListenerState(AtomicInteger(), AtomicBoolean(), AtomicBoolean())
     private var listener: Channel? = null
 
     /** The number of calls in progress. */
@@ -65,16 +68,24 @@
     /**
      * Stops accepting connections, sends `Connection: close` in every response and waits for the calls in progress. The
      * wait takes at least [idleGrace], because a request may already be in transit on an idle connection, and at most
-     * [timeout].
+     * [timeout]. Requests that arrive after the last call are refused with 503, so that [close] interrupts no handler.
      */
     public suspend fun drain(idleGrace: Duration, timeout: Duration) {
         stopAccepting()
         announceDrain()
         withTimeoutOrNull(timeout) {
             delay(idleGrace)
-            while (activeCalls > 0) {
-                delay(DRAIN_CHECK_INTERVAL)
-            }
+            awaitIdle()
+            listenerState.refusing.set(true)
+            // A call may have begun just before the refusals.
+            awaitIdle()
+            delay(REFUSAL_PERIOD)
+        }
+    }
+
+    private suspend fun awaitIdle() {
+        while (activeCalls > 0) {
+            delay(DRAIN_CHECK_INTERVAL)
         }
     }
 
--- a/src/main/kotlin/figdeck/http/server/ListenerState.kt
+++ b/src/main/kotlin/figdeck/http/server/ListenerState.kt
@@ -8,8 +8,10 @@
  *
  * @property activeCalls the number of calls in progress.
  * @property draining whether every response carries `Connection: close`.
+ * @property refusing whether new requests are refused before they reach the handler.
  */
 internal data class ListenerState(
     val activeCalls: AtomicInteger,
     val draining: AtomicBoolean,
+    val refusing: AtomicBoolean,
 )
--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -79,6 +79,13 @@
             return
         }
         if (received is HttpRequest) {
+            // Counted before the check, so that a drain that sees no call in progress refuses all later ones.
+            listenerState.activeCalls.incrementAndGet()
+            if (listenerState.refusing.get()) {
+                listenerState.activeCalls.decrementAndGet()
+                refuse(ctx, received)
+                return
+            }
             startCall(ctx, received)
         }
         if (received is HttpContent) {
@@ -92,20 +99,29 @@
         requestBody = queue
         val exchange = ServerExchange(ctx, request, queue, limits.writeTimeout) { listenerState.draining.get() }
         val call = httpCall(request.method().name(), request.uri(), request.headers(), queue.body)
-        currentCall = scope.launch {
-            listenerState.activeCalls.incrementAndGet()
+        val job = scope.launch {
             try {
                 exchange.run { handler(call, exchange.responder) }
             } finally {
-                listenerState.activeCalls.decrementAndGet()
                 finishCall(ctx, exchange.keepsAlive && queue.isComplete)
             }
         }
+        currentCall = job
+        // A call that is cancelled before it starts ends without reaching its own code.
+        job.invokeOnCompletion { listenerState.activeCalls.decrementAndGet() }
         if (HttpUtil.is100ContinueExpected(request)) {
             ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
     }
 
+    /** Answers a request that arrives while the server closes, and that has therefore not run. */
+    private fun refuse(ctx: ChannelHandlerContext, request: HttpRequest) {
+        ReferenceCountUtil.release(request)
+        deadline.cancel()
+        ctx.writeAndFlush(closingResponse(HttpResponseStatus.SERVICE_UNAVAILABLE))
+        ctx.pipeline().replace(this, null, LingeringClose())
+    }
+
     private fun receiveContent(ctx: ChannelHandlerContext, content: HttpContent) {
         val queue = requestBody
         queue?.offer(content.content())
@@ -165,11 +181,15 @@
 }
 
 private fun respondAndClose(ctx: ChannelHandlerContext, status: HttpResponseStatus) {
+    ctx.writeAndFlush(closingResponse(status)).addListener { ctx.close() }
+}
+
+private fun closingResponse(status: HttpResponseStatus): DefaultFullHttpResponse {
     val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
     response.headers()
         .set(HttpHeaderNames.CONTENT_LENGTH, 0)
         .set(HttpHeaderNames.CONNECTION, "close")
-    ctx.writeAndFlush(response).addListener { ctx.close() }
+    return response
 }
 
 private fun errorStatusOf(cause: Throwable): HttpResponseStatus = when (cause) {
