--- a/src/main/kotlin/figdeck/http/server/ListenerState.kt
+++ b/src/main/kotlin/figdeck/http/server/ListenerState.kt
@@ -14,4 +14,17 @@
     val activeCalls: AtomicInteger,
     val draining: AtomicBoolean,
     val refusing: AtomicBoolean,
-)
+) {
+    /** Counts a new call, unless the listener refuses it. Counting first lets no call slip past a drain. */
+    fun tryBeginCall(): Boolean {
+        activeCalls.incrementAndGet()
+        val refused = refusing.get()
+        if (refused) endCall()
+        return !refused
+    }
+
+    /** Counts the end of a call. */
+    fun endCall() {
+        activeCalls.decrementAndGet()
+    }
+}
--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -79,11 +79,10 @@
             return
         }
         if (received is HttpRequest) {
-            // Counted before the check, so that a drain that sees no call in progress refuses all later ones.
-            listenerState.activeCalls.incrementAndGet()
-            if (listenerState.refusing.get()) {
-                listenerState.activeCalls.decrementAndGet()
-                refuse(ctx, received)
+            if (!listenerState.tryBeginCall()) {
+                ReferenceCountUtil.release(received)
+                deadline.cancel()
+                refuse(ctx)
                 return
             }
             startCall(ctx, received)
@@ -108,20 +107,12 @@
         }
         currentCall = job
         // A call that is cancelled before it starts ends without reaching its own code.
-        job.invokeOnCompletion { listenerState.activeCalls.decrementAndGet() }
+        job.invokeOnCompletion { listenerState.endCall() }
         if (HttpUtil.is100ContinueExpected(request)) {
             ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
     }
 
-    /** Answers a request that arrives while the server closes, and that has therefore not run. */
-    private fun refuse(ctx: ChannelHandlerContext, request: HttpRequest) {
-        ReferenceCountUtil.release(request)
-        deadline.cancel()
-        ctx.writeAndFlush(closingResponse(HttpResponseStatus.SERVICE_UNAVAILABLE))
-        ctx.pipeline().replace(this, null, LingeringClose())
-    }
-
     private fun receiveContent(ctx: ChannelHandlerContext, content: HttpContent) {
         val queue = requestBody
         queue?.offer(content.content())
@@ -180,6 +171,12 @@
     }
 }
 
+/** Answers a request that arrives while the server closes, and that has therefore not run. */
+private fun refuse(ctx: ChannelHandlerContext) {
+    ctx.writeAndFlush(closingResponse(HttpResponseStatus.SERVICE_UNAVAILABLE))
+    ctx.pipeline().replace(ctx.handler(), null, LingeringClose())
+}
+
 private fun respondAndClose(ctx: ChannelHandlerContext, status: HttpResponseStatus) {
     ctx.writeAndFlush(closingResponse(status)).addListener { ctx.close() }
 }
--- a/src/test/kotlin/figdeck/http/PlannedStopSpec.kt
+++ b/src/test/kotlin/figdeck/http/PlannedStopSpec.kt
@@ -30,7 +30,7 @@
 private const val MAX_PAUSE_MILLIS = 30
 private const val MAX_WORK_MILLIS = 8
 
-/** The status of the answer to the request [id] on this kept connection, or null if the connection ended without one. */
+/** The status of the answer to the request [id] on this kept connection, or null if it ended without a whole one. */
 private fun Socket.statusOf(id: String, input: BufferedReader): Int? = try {
     send("GET /$id HTTP/1.1\r\nHost: x\r\n\r\n")
     val status = input.readLine()?.split(' ')?.get(1)?.toInt()
