Hosts confirm slots and tick only when there is something to confirm or to grant

Cause: each host woke 30 times a second to look for held slots and waiting requests, and confirmed every first slot of a pool within 100 ms of its grant, since "no slots" counted as other owners: with few requests a host, a message for each request. Change: SlotConfirmations decides, pure: at the interval, or at once when a pool's owners change. Both loops sleep until a slot is requested. A starting host renews at a part of the normal interval, which grows with the fleet: 6 scans of the member table in the first 3 s at 95 hosts, not 10.

--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import java.util.concurrent.ConcurrentHashMap
@@ -69,18 +70,22 @@
         release = ::release,
     )
 
+    /** Wakes [tickPeriodically] when a request begins to wait. */
+    private val waiting = Channel<Unit>(Channel.CONFLATED)
+
     /**
      * Runs a tick every [interval] while requests wait, so that slots that become free with time are granted, until
      * cancelled.
      */
     suspend fun tickPeriodically(interval: Duration = TICK_INTERVAL) {
         while (true) {
-            delay(interval)
-            val waiting = slots.now().upstreams.values
-                .any { it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty() }
-            if (waiting) {
-                decide { state, now -> tick(state, policy, now) }
+            val isIdle = slots.now().upstreams.values
+                .none { it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty() }
+            if (isIdle) {
+                waiting.receive()
             }
+            delay(interval)
+            decide { state, now -> tick(state, policy, now) }
         }
     }
 
@@ -98,6 +103,9 @@
         holders[ticket] = holder
         return try {
             decide { state, now -> admit(state, Arrival(ticket, request, random.nextLong()), policy, now) }
+            if (!holder.granted.isCompleted) {
+                waiting.trySend(Unit)
+            }
             holder.granted.await().onLeft { holders.remove(ticket) }
         } catch (e: CancellationException) {
             holders.remove(ticket)
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -24,7 +24,6 @@
 import figdeck.wire.serving.encodeFleetMember
 import kotlinx.coroutines.delay
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val MEMBER_TABLE = "member"
@@ -33,7 +32,9 @@
 
 /** How long after its start a host renews more often: after a power loss all hosts start at the same time. */
 private val STARTUP_PERIOD = 3.seconds
-private val STARTUP_RENEWAL = 300.milliseconds
+
+/** The interval of these renewals, as a part of the normal one, which grows with the fleet. */
+private const val STARTUP_RENEWAL_FRACTION = 0.3
 private val log = PartLog("fleet")
 
 /** Renews this host's lease in the store and reads the member list, until cancelled. */
@@ -54,7 +55,8 @@
             log.debug { "the member list can't be read" }
         }
         val isNew = clock() - startedAt < STARTUP_PERIOD
-        val pause = if (isNew) STARTUP_RENEWAL else snapshot.fleet.times.renewal
+        val renewal = snapshot.fleet.times.renewal
+        val pause = if (isNew) renewal * STARTUP_RENEWAL_FRACTION else renewal
         delay(pause * (MIN_JITTER + JITTER_RANGE * random.nextDouble()))
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -19,6 +19,8 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
+import figdeck.query.serving.SlotConfirmations
+import figdeck.query.serving.areDue
 import figdeck.query.serving.ranked
 import figdeck.query.serving.settledOwner
 import figdeck.query.serving.usableUpstream
@@ -28,12 +30,12 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 
-private val CONFIRM_INTERVAL = 500.milliseconds
 private val OWNER_CHECK_INTERVAL = 100.milliseconds
 
 /** How many unusable slots are returned before the request is refused; several upstreams may leave at once. */
@@ -65,6 +67,9 @@
     private val router = SlotRequestRouter(control, clock, localOwner, remoteOwners)
     private val held = ConcurrentHashMap<Long, TicketState>()
 
+    /** Wakes [confirmHeldSlots] when a slot is requested. */
+    private val acquired = Channel<Unit>(Channel.CONFLATED)
+
     /** The id of this host. */
     val self: HostId get() = control.snapshot.fleet.self.host
 
@@ -92,6 +97,7 @@
     private suspend fun acquireOnce(request: SlotRequest): Either<AcquireFailure, HeldPermit> {
         val ticketState = TicketState(CompletableDeferred())
         held[request.ticket] = ticketState
+        acquired.trySend(Unit)
         val response = try {
             router.acquire(request)
         } catch (e: CancellationException) {
@@ -124,25 +130,29 @@
         tickets.forEach { held[it]?.revoked?.complete(Unit) }
     }
 
-    /**
-     * Confirms the held slots to their owners until cancelled: at a fixed interval, and as soon as the owners of a pool
-     * change.
-     */
+    /** Confirms the held slots to their owners whenever [areDue] says so, until cancelled. Sleeps without slots. */
     suspend fun confirmHeldSlots() {
-        var confirmedHosts = emptyMap<PoolName, Set<HostId>>()
-        var confirmedAt = clock()
+        var confirmations = SlotConfirmations(emptyMap(), clock())
         while (true) {
+            if (held.isEmpty()) {
+                acquired.receive()
+                confirmations = confirmations.copy(confirmedAt = clock())
+            }
             delay(OWNER_CHECK_INTERVAL)
             val permits = held.values.mapNotNull { it.permit }.groupBy { it.request.pool }
-            val current = permits.mapValues { (pool, _) -> control.snapshot.fleet.slotOwners(pool, clock()) }
+            val now = clock()
+            val current = permits.mapValues { (pool, _) -> control.snapshot.fleet.slotOwners(pool, now) }
             val hosts = current.mapValues { (_, members) -> members.map { it.host }.toSet() }
-            if (hosts != confirmedHosts || clock() - confirmedAt > CONFIRM_INTERVAL) {
+            val due = confirmations.areDue(hosts, now)
+            if (due) {
                 current.values.flatten().distinctBy { it.host }.forEach { owner ->
                     confirm(owner, permits.filterKeys { owner in current.getValue(it) }.values.flatten())
                 }
-                confirmedHosts = hosts
-                confirmedAt = clock()
             }
+            confirmations = SlotConfirmations(
+                owners = confirmations.owners + hosts,
+                confirmedAt = if (due) now else confirmations.confirmedAt,
+            )
         }
     }
 
