--- a/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
+++ b/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
@@ -12,12 +12,14 @@
 import figdeck.model.systemClock
 import figdeck.model.valueOrNull
 import figdeck.standin.PlatformStandIn
+import figdeck.process.eventually
 import figdeck.store.query.FeedReply
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val ROW_COUNT = 1_200
 
@@ -35,6 +37,12 @@
     suspend fun commit(checks: List<RowCheck>, vararg writes: RowWrite) =
         platform.store.commands.commit(TableTransaction(checks, writes.toList()))
 
+    beforeSpec {
+        // On a busy machine, loading the classes of the first call takes longer than a call may take.
+        eventually(20.seconds) { commit(emptyList(), RowWrite("warm-up/a", "1")) is CallResult.Done }
+        eventually(20.seconds) { platform.store.queries.readRow("warm-up/a") is CallResult.Done }
+    }
+
     describe("a transaction") {
         it("writes rows and returns their version") {
             val checks = listOf(RowCheck("t/a", ABSENT))
