Refused callers are told to return one after the other

Cause: a request that waited in vain was told a constant 300 ms, one that was refused at once the few ms by which it would have been late: a refused burst came back as one, and callers return once. Change: RetryPacing, pure: each refusal at an upstream promises a return one slot's share of the holding time after the one before, at most 2 s ahead; without a burst nothing changes. The slot owner's time is an argument of its conversion now.

--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -3,7 +3,6 @@
 import figdeck.command.Step
 import figdeck.model.Lane
 import figdeck.model.Moment
-import figdeck.model.Refusal
 import kotlinx.collections.immutable.toPersistentList
 
 /** The new state and the effects of a decision on one upstream. */
@@ -38,11 +37,8 @@
     val lane = Lane.entries.find { lane -> state.queue(lane).findTooLate(policy, now) != null }
     val queue = lane?.let { state.queue(it) }
     val expired = queue?.findTooLate(policy, now) ?: return null
-    val refusal = Refusal.Overloaded("upstream '${state.upstream.id}'", queue.averageHold)
-    return Step(
-        state.withQueue(lane, queue.copy(waiting = queue.waiting.remove(expired))),
-        listOf(DispatchEffect.Refused(expired.ticket, refusal)),
-    )
+    val left = state.withQueue(lane, queue.copy(waiting = queue.waiting.remove(expired)))
+    return left.refuse(expired.ticket, lane, left.expectedWait(expired.request, now), now)
 }
 
 private fun LaneQueue.findTooLate(policy: DispatchPolicy, now: Moment): QueuedRequest? =
@@ -75,7 +71,12 @@
  * Enforces the bound on the queue of [lane] by refusing the newest request of the team with the highest queued cost per
  * weight.
  */
-internal fun enforceQueueBound(state: UpstreamState, lane: Lane, policy: DispatchPolicy): UpstreamStep {
+internal fun enforceQueueBound(
+    state: UpstreamState,
+    lane: Lane,
+    policy: DispatchPolicy,
+    now: Moment,
+): UpstreamStep {
     val queue = state.queue(lane)
     val perSlot = if (lane == Lane.ONLINE) policy.onlineQueuePerSlot else policy.batchQueuePerSlot
     if (queue.waiting.size <= perSlot * state.upstream.slots) {
@@ -88,6 +89,5 @@
     val victim = longest.last()
     val left = queue.copy(waiting = queue.waiting.filter { it != victim }.toPersistentList())
     val wait = queue.averageHold * (left.requestsAhead(victim.request.team) + 1) / state.upstream.slots
-    val refusal = Refusal.Overloaded("upstream '${state.upstream.id}'", wait)
-    return Step(state.withQueue(lane, left), listOf(DispatchEffect.Refused(victim.ticket, refusal)))
+    return state.withQueue(lane, left).refuse(victim.ticket, lane, wait, now)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -81,7 +81,8 @@
     val wait = chosen.expectedWait(request, now)
     val late = now + wait + chosen.queue(request.lane).requiredTime(request.lane, policy) - request.deadline
     return if (wait > Duration.ZERO && late > Duration.ZERO) {
-        Step(state, refused(arrival, Refusal.Overloaded("upstream '${chosen.upstream.id}'", late)))
+        val step = chosen.refuse(arrival.ticket, request.lane, late, now)
+        Step(state.with(step.state), step.result)
     } else {
         enqueue(state, chosen, arrival, policy, now)
     }
@@ -99,7 +100,7 @@
     val queued = chosen.observeArrival(lane, policy, now)
         .withQueue(lane, queue.copy(waiting = queue.waiting.add(QueuedRequest(arrival.ticket, arrival.request, now))))
     val assigned = assignFreeSlots(queued, policy, now)
-    val trimmed = enforceQueueBound(assigned.state, lane, policy)
+    val trimmed = enforceQueueBound(assigned.state, lane, policy, now)
     val placed = state.copy(tickets = state.tickets.put(arrival.ticket, chosen.upstream.id))
         .after(Step(trimmed.state, assigned.result + trimmed.result))
     return Step(placed, assigned.result + trimmed.result)
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/RetryPacing.kt
@@ -0,0 +1,46 @@
+package figdeck.command.dispatch
+
+import figdeck.command.Step
+import figdeck.model.Lane
+import figdeck.model.Moment
+import figdeck.model.Refusal
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Callers wait no longer than a part of their own deadline before they return. */
+private val MAX_RETRY_AFTER = 2.seconds
+
+/**
+ * Refuses [ticket] at this upstream and tells its caller to return after [earliest] or later.
+ *
+ * It answers a burst that exceeds the capacity for longer than its callers can wait. If all of them returned at the
+ * same time, most would be refused again, and callers return only once or twice. So each refusal promises a return one
+ * slot's share of the holding time after the one before, which is the pace at which the upstream frees slots. Without a
+ * burst the last promise is in the past and [earliest] alone counts. Batch work repeats its requests by itself and is
+ * not paced.
+ */
+internal fun UpstreamState.refuse(ticket: Long, lane: Lane, earliest: Duration, now: Moment): UpstreamStep {
+    val pace = queue(lane).averageHold / upstream.slots
+    val paced = lastReturnAt?.takeIf { lane == Lane.ONLINE }?.let { it + pace - now } ?: Duration.ZERO
+    val retryAfter = maxOf(earliest, paced.coerceAtMost(MAX_RETRY_AFTER))
+    val refusal = Refusal.Overloaded("upstream '${upstream.id}'", retryAfter)
+    return Step(
+        if (lane == Lane.ONLINE) copy(lastReturnAt = now + retryAfter) else this,
+        listOf(DispatchEffect.Refused(ticket, refusal)),
+    )
+}
+
+/**
+ * Refuses [arrival], which has waited for as long as its caller can wait and holds no slot. Its caller is told to
+ * return when a new request would get a slot at the candidate with the shortest queue.
+ */
+public fun refuseOverdue(state: DispatchState, arrival: Arrival, now: Moment): DispatchStep {
+    val request = arrival.request
+    val shortest = request.candidates.map { state.stateOf(it, now) }.minByOrNull { it.expectedWait(request, now) }
+    return if (shortest == null) {
+        Step(state, emptyList())
+    } else {
+        val step = shortest.refuse(arrival.ticket, request.lane, shortest.expectedWait(request, now), now)
+        Step(state.with(step.state), step.result)
+    }
+}
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -45,7 +45,11 @@
     public val averageHold: Duration,
 )
 
-/** The slots, queues and health of an upstream as its owner tracks them. */
+/**
+ * The slots, queues and health of an upstream as its owner tracks them.
+ *
+ * @property lastReturnAt the latest time at which a refused caller was told to return; null before the first refusal.
+ */
 public data class UpstreamState(
     public val upstream: Upstream,
     public val running: PersistentMap<Long, RunningRequest>,
@@ -53,6 +57,7 @@
     public val batch: LaneQueue,
     public val headroom: Headroom,
     public val health: Health,
+    public val lastReturnAt: Moment? = null,
 )
 
 /** The initial state of an [upstream]. */
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -14,6 +14,7 @@
 import figdeck.command.dispatch.admit
 import figdeck.command.dispatch.adoptSlot
 import figdeck.command.dispatch.cancelTicket
+import figdeck.command.dispatch.refuseOverdue
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.tick
 import figdeck.control.Control
@@ -114,6 +115,12 @@
         }
     }
 
+    /** Refuses the request under [ticket], which has waited in vain. Returns when its caller may come back. */
+    suspend fun refuseOverdue(ticket: Long, request: DispatchRequest): Duration? {
+        val effects = slots.decide { state, now -> refuseOverdue(state, Arrival(ticket, request, 0), now) }
+        return effects.filterIsInstance<DispatchEffect.Refused>().firstNotNullOfOrNull { it.refusal.retryAfter }
+    }
+
     private suspend fun release(permit: Permit, slotOutcome: SlotOutcome, cost: Int) {
         holders.remove(permit.id)
         decide { state, now -> release(state, Release(permit.id, slotOutcome, cost, random.nextLong()), policy, now) }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -59,7 +59,8 @@
         val answer = if (candidates.isEmpty() || isTooEarly) null else awaitSlot(request, candidates)
         return when {
             candidates.isEmpty() -> SlotResponse.NoUpstream
-            answer == null -> SlotResponse.Full(FULL_RETRY_AFTER)
+            isTooEarly -> SlotResponse.Full(FULL_RETRY_AFTER)
+            answer == null -> SlotResponse.Full(refuseOverdue(request, candidates))
             else -> answer.fold(
                 { SlotResponse.Full(it.retryAfter ?: FULL_RETRY_AFTER) },
                 { permit ->
@@ -116,11 +117,17 @@
     }
 
     private suspend fun awaitSlot(request: SlotRequest, candidates: List<Upstream>): Either<Refusal, Permit>? =
-        withTimeoutOrNull(request.maxWait) { slots.acquire(request.ticket, request.toDispatchRequest(candidates)) }
+        withTimeoutOrNull(request.maxWait) {
+            slots.acquire(request.ticket, request.toDispatchRequest(candidates, clock()))
+        }
+
+    private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
+        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, clock())) ?: FULL_RETRY_AFTER
 
     private suspend fun adopt(slot: HeldSlot) {
         val upstream = control.snapshot.pools.members[slot.upstream]?.upstream ?: return
-        hold(slot.request, slots.adopt(slot.request.ticket, slot.request.toDispatchRequest(listOf(upstream)), upstream))
+        val request = slot.request.toDispatchRequest(listOf(upstream), clock())
+        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream))
     }
 
     private fun hold(request: SlotRequest, permit: Permit) {
@@ -135,18 +142,6 @@
         }
     }
 
-    private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>) = DispatchRequest(
-        candidates = candidates,
-        team = team,
-        weight = 1,
-        lane = lane,
-        cost = cost,
-        affinity = affinity,
-        deadline = clock() + if (lane == Lane.BATCH) BATCH_DEADLINE - age else maxWait,
-        willMissDeadline = willMissDeadline,
-        slotTimeUsed = slotTimeUsed,
-    )
-
     /** The time since [since] in which this host has received requests for a pool, the last one at [lastAt]. */
     private data class Tenure(
         val since: Moment,
@@ -166,3 +161,15 @@
 
 /** How long a host waits for the owner's answer before it treats the owner as lost. */
 internal val SlotRequest.timeout: Duration get() = maxWait + ANSWER_MARGIN
+
+private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>, now: Moment) = DispatchRequest(
+    candidates = candidates,
+    team = team,
+    weight = 1,
+    lane = lane,
+    cost = cost,
+    affinity = affinity,
+    deadline = now + if (lane == Lane.BATCH) BATCH_DEADLINE - age else maxWait,
+    willMissDeadline = willMissDeadline,
+    slotTimeUsed = slotTimeUsed,
+)
--- a/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
+++ b/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
@@ -11,8 +11,8 @@
 import figdeck.model.TableTransaction
 import figdeck.model.systemClock
 import figdeck.model.valueOrNull
-import figdeck.standin.PlatformStandIn
 import figdeck.process.eventually
+import figdeck.standin.PlatformStandIn
 import figdeck.store.query.FeedReply
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
