Specs of the idle timeout of a body; one timer for a body was tried and dropped

Kept: the specs that it needed, that pauses between chunks count and a slow collector's time does not.

--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -113,6 +113,44 @@
             }
         }
 
+        it(
+            "goes on for as long as each chunk comes within the idle timeout, and fails with Lost after a longer pause"
+        ) {
+            val pausing: HttpHandler = { _, responder ->
+                responder.start(200, newHeaders())
+                listOf(0, 150, 150, 150, 150, 600).forEach { pause ->
+                    delay(pause.milliseconds)
+                    responder.write("a".encodeToByteArray())
+                }
+            }
+            withServer(pausing) { address ->
+                var received = 0
+                client.exchange(OutgoingRequest(address, "GET", "/", idleTimeout = 300.milliseconds)) { reply ->
+                    reply.body.chunks.collect { received += it.size }
+                }.leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
+                received shouldBe 5
+            }
+        }
+
+        it("counts no time in which the collector does not read as a pause") {
+            val fast: HttpHandler = { _, responder ->
+                responder.start(200, newHeaders())
+                repeat(3) {
+                    responder.write(ByteArray(100_000))
+                }
+            }
+            withServer(fast) { address ->
+                var received = 0
+                client.exchange(OutgoingRequest(address, "GET", "/", idleTimeout = 100.milliseconds)) { reply ->
+                    reply.body.chunks.collect {
+                        if (received == 0) delay(400)
+                        received += it.size
+                    }
+                }.isRight() shouldBe true
+                received shouldBe 300_000
+            }
+        }
+
         it("fails with Lost if the response head does not arrive in time") {
             withServer({ _, _ -> delay(5_000) }) { address ->
                 client.exchange(OutgoingRequest(address, "GET", "/", headTimeout = 50.milliseconds)) { }
