The reads of the job table do not grow with the fleet

Change: jobPollInterval, pure: 100 reads a second for the fleet, between 150 and 400 ms a host, so that what one host has shown can be read at every other within a second. Small fleets read as before.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -57,6 +57,8 @@
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
 import figdeck.platform.readinessHandler
+import figdeck.query.serving.jobPollInterval
+import figdeck.query.serving.liveMembers
 import figdeck.telemetry.Meters
 import figdeck.telemetry.Telemetry
 import figdeck.telemetry.createTracer
@@ -99,8 +101,6 @@
 private val PEER_CONNECT_TIMEOUT = 150.milliseconds
 private val STORE_CONNECT_TIMEOUT = 500.milliseconds
 
-/** The minimum time between two reads of the job table, which changes continuously. */
-private val MIN_JOB_POLL_INTERVAL = 150.milliseconds
 private val MIN_CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 private val SERVER_LIMITS = HttpServerLimits(headerTimeout = 120.seconds)
 
@@ -167,13 +167,18 @@
         val decisionLog = DecisionLog("follow")
         val planTableFollower = planFollower(control, ::decodePlan, decisionLog)
         val readUpstream = upstreamReader(::decodeUpstream)
-        launchFollower(PLAN_TABLE, MIN_CONFIGURATION_POLL_INTERVAL, rowCache.recording(PLAN_TABLE, planTableFollower))
+        launchFollower(
+            PLAN_TABLE,
+            { MIN_CONFIGURATION_POLL_INTERVAL },
+            rowCache.recording(PLAN_TABLE, planTableFollower)
+        )
         launchFollower(
             UPSTREAM_TABLE,
-            MIN_CONFIGURATION_POLL_INTERVAL,
+            { MIN_CONFIGURATION_POLL_INTERVAL },
             rowCache.recording(UPSTREAM_TABLE, poolFollower(control, readUpstream, decisionLog)),
         )
-        launchFollower(JOB_TABLE, MIN_JOB_POLL_INTERVAL, jobFollower(control))
+        val jobInterval = { jobPollInterval(control.snapshot.fleet.liveMembers().size) }
+        launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
         scope.launch {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
@@ -240,7 +245,7 @@
         decide = { decision -> control.run { state: ServingState, now -> updateSlots(state) { decision(it, now) } } },
     )
 
-    private fun launchFollower(table: String, minInterval: Duration, follower: TableFollower) {
+    private fun launchFollower(table: String, minInterval: () -> Duration, follower: TableFollower) {
         scope.launch { platform.feed.follow(table, random, minInterval, follower) }
     }
 
--- a/src/main/kotlin/figdeck/daemon/query/serving/FollowTable.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/FollowTable.kt
@@ -33,12 +33,12 @@
 
 /**
  * Follows [table] until cancelled: reads a snapshot, then long-polls for changes after its version, and reads a new
- * snapshot if the store no longer has the history since then. Waits [minInterval] after each response with changes.
+ * snapshot if the store no longer has the history since then. Waits for [minInterval] after each response with changes.
  */
 internal suspend fun TableFeed.follow(
     table: String,
     random: Random,
-    minInterval: Duration,
+    minInterval: () -> Duration,
     follower: TableFollower,
 ) {
     var step: FollowStep = FollowStep.ReadSnapshot
@@ -73,7 +73,7 @@
 private suspend fun TableFeed.advance(
     table: String,
     step: FollowStep,
-    minInterval: Duration,
+    minInterval: () -> Duration,
     follower: TableFollower,
 ): FollowStep? = when (step) {
     FollowStep.ReadSnapshot -> snapshot(table).valueOrNull()?.let {
@@ -84,7 +84,7 @@
         is FeedReply.Changes -> {
             follower.change(reply.changes)
             if (reply.changes.isNotEmpty()) {
-                delay(minInterval)
+                delay(minInterval())
             }
             FollowStep.ReadChanges(maxOf(step.after, reply.version))
         }
