A stalled or faulty stream ends with the chunk that shows it, not with the next one

Cause: takeWhile looks at its condition before the next chunk, so that a stream found stalled, out of order or too long was held until another chunk came or the pause ended. Change: transformWhile, for callers' streams and batch items.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -6,7 +6,8 @@
 import figdeck.model.serving.ItemProgress
 import figdeck.model.serving.withEvent
 import figdeck.wire.serving.SseEvent
-import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.flow.collect
+import kotlinx.coroutines.flow.transformWhile
 import kotlin.time.Duration
 
 /** The output that an item has generated so far, across all hosts and upstreams that ran it. */
@@ -26,9 +27,10 @@
     suspend fun collect(reply: UpstreamReply, maxPause: Duration, clock: Clock): String? {
         val reader = EventReader(maxPause, clock())
         var fault: String? = null
-        reply.body.chunks.takeWhile { fault == null }.collect { chunk ->
+        reply.body.chunks.transformWhile<ByteArray, Unit> { chunk ->
             fault = reader.read(chunk, clock()).fold({ it }, { events -> events.firstNotNullOfOrNull { append(it) } })
-        }
+            fault == null
+        }.collect()
         return when {
             fault != null -> fault
             reader.hasPartialEvent -> "the stream ended in the middle of an event"
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -3,7 +3,8 @@
 import arrow.core.getOrElse
 import figdeck.model.Clock
 import figdeck.wire.serving.SseEvent
-import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.flow.collect
+import kotlinx.coroutines.flow.transformWhile
 import kotlin.time.Duration
 
 /** The result of relaying the stream of one upstream. */
@@ -34,7 +35,7 @@
     suspend fun relay(reply: UpstreamReply, maxPause: Duration, clock: Clock, caller: CallerChannel): RelayResult {
         val reader = EventReader(maxPause, clock())
         var error: String? = null
-        reply.body.chunks.takeWhile { error == null }.collect { chunk ->
+        reply.body.chunks.transformWhile<ByteArray, Unit> { chunk ->
             val readAt = clock()
             val events = reader.read(chunk, readAt).getOrElse { fault ->
                 error = fault
@@ -45,7 +46,8 @@
                 forwardEvents(events, reply, caller)
                 reader.exclude(clock() - readAt)
             }
-        }
+            error == null
+        }.collect()
         return when {
             error != null -> RelayResult.Broken(error.orEmpty())
             reader.hasPartialEvent -> RelayResult.Broken("the stream ended in the middle of an event")
