--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -97,15 +97,19 @@
     }
 
     private fun sendSampleRequests(eventLoops: EventLoopGroup, addresses: RehearsalAddresses) {
-        RunnerStandIn(eventLoops, UPSTREAM).use { upstream ->
-            HttpClient(eventLoops).use { client ->
-                runBlocking {
-                    client.storePlanAndUpstream(addresses.store, upstream)
-                    client.sendSampleRequests(addresses)
+        try {
+            RunnerStandIn(eventLoops, UPSTREAM).use { upstream ->
+                HttpClient(eventLoops).use { client ->
+                    runBlocking {
+                        client.storePlanAndUpstream(addresses.store, upstream)
+                        client.sendSampleRequests(addresses)
+                    }
                 }
             }
+        } finally {
+            // Also after a failure, so that the build does not wait for the daemon to end.
+            Signal.raise(Signal("TERM"))
         }
-        Signal.raise(Signal("TERM"))
     }
 
     private suspend fun HttpClient.storePlanAndUpstream(store: Address, upstream: RunnerStandIn) {
