Store stand-in: read a table's changes and their version in one step

The stand-in read the changes and then, later, the version it names for them; a commit in between was skipped by every follower. It also iterated over its sorted rows while the control thread changed them, and answered 500. Ruled out: the intervals at which hosts read jobs and confirm slots (host-a's log shows the job done in time).

--- a/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformStandIn.kt
@@ -104,10 +104,10 @@
         val reply = control.run { state, _ -> commit(state, transaction) }
         return when (reply) {
             is CommitReply.Conflict -> {
-                val currentRows = control.run { state, _ ->
-                    Step(state, transaction.checks.mapNotNull { state.rows[it.key] })
+                val (version, currentRows) = control.run { state, _ ->
+                    Step(state, state.version to transaction.checks.mapNotNull { state.rows[it.key] })
                 }
-                StandInResponse(PRECONDITION_FAILED, encodeRows(currentRows.map { it.toMessage() }))
+                StandInResponse(PRECONDITION_FAILED, encodeRows(currentRows.map { it.toMessage() }, version))
             }
             is CommitReply.Committed -> StandInResponse(HTTP_OK, encodeRows(emptyList(), version = reply.version))
         }
@@ -118,32 +118,30 @@
         val from = call.parameter(StoreParameter.FROM).orEmpty()
         val to = call.parameter(StoreParameter.TO)
         val limit = call.parameter(StoreParameter.LIMIT)?.toInt() ?: DEFAULT_ROW_LIMIT
-        val matching = control
-            .run { state, now -> Step(state, tableRows(state, table, visibleHosts(state, limits, now))) }
-            .filter { it.key >= from && (to == null || it.key < to) }
-        return StandInResponse(HTTP_OK, encodeRows(matching.take(limit), hasMore = matching.size > limit))
+        val (version, rows) = control.run { state, now ->
+            Step(state, state.version to tableRows(state, table, visibleHosts(state, limits, now)))
+        }
+        val matching = rows.filter { it.key >= from && (to == null || it.key < to) }
+        return StandInResponse(HTTP_OK, encodeRows(matching.take(limit), version, hasMore = matching.size > limit))
     }
 
     private suspend fun awaitChanges(call: HttpCall): StandInResponse {
         val prefix = rowKey(call.parameter(StoreParameter.TABLE).orEmpty(), "")
         val after = call.parameter(StoreParameter.AFTER)?.toLong() ?: 0
         val deadline = clock() + (call.parameter(StoreParameter.WAIT)?.toInt() ?: 0).milliseconds
-        var changes = changesAfter(control.snapshot, prefix, after)
-        while (changes.first.isEmpty() && changes.second.isEmpty() && clock() < deadline) {
+        var changes = control.readChanges(prefix, after)
+        while (changes.isEmpty && clock() < deadline) {
             delay(FEED_POLL_INTERVAL)
-            changes = changesAfter(control.snapshot, prefix, after)
+            changes = control.readChanges(prefix, after)
         }
-        val (written, removed) = changes
-        return StandInResponse(
-            HTTP_OK,
-            encodeRows(written.map { it.toMessage() } + removed.map { it.toMessage().copy(removed = true) })
-        )
+        val rows = changes.written.map { it.toMessage() } + changes.removed.map { it.toMessage().copy(removed = true) }
+        return StandInResponse(HTTP_OK, encodeRows(rows, changes.version))
     }
 
     private fun encodeRows(
         rows: List<RowMessage>,
+        version: Long,
         hasMore: Boolean = false,
-        version: Long = control.snapshot.version,
     ): ByteArray {
         val reply = RowsReply(rows, hasMore, version, clock().epochMillis)
         return encodeRowsReply(reply).encodeToByteArray()
@@ -210,3 +208,7 @@
     val status: Int,
     val body: ByteArray,
 )
+
+/** Reads the changes and their version in one step, so that no commit falls between the two. */
+private suspend fun Control<PlatformState>.readChanges(prefix: String, after: Long): TableChanges =
+    run { state, _ -> Step(state, changesAfter(state, prefix, after)) }
--- a/src/main/kotlin/figdeck/standin/PlatformState.kt
+++ b/src/main/kotlin/figdeck/standin/PlatformState.kt
@@ -103,12 +103,25 @@
     )
 }
 
-/** Returns the rows under [prefix] written after [version], by version, and the rows removed since. */
-internal fun changesAfter(state: PlatformState, prefix: String, version: Long): Pair<List<Row>, List<Row>> {
+/**
+ * The rows of a table written and removed up to [version] of the whole state.
+ *
+ * @property written the rows in the order of their versions.
+ */
+internal data class TableChanges(
+    val written: List<Row>,
+    val removed: List<Row>,
+    val version: Long,
+) {
+    val isEmpty: Boolean get() = written.isEmpty() && removed.isEmpty()
+}
+
+/** Returns the changes under [prefix] after [version]. */
+internal fun changesAfter(state: PlatformState, prefix: String, version: Long): TableChanges {
     val written = scan(state, prefix, "", Int.MAX_VALUE).filter { it.version > version }.sortedBy { it.version }
     val removed = state.removedRows
         .filter { it.key.startsWith(prefix) && it.version > version && it.key !in state.rows }
-    return written to removed
+    return TableChanges(written, removed, state.version)
 }
 
 /** Returns up to [limit] rows under [prefix] with a key greater than [after], by key. */
--- a/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
+++ b/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
@@ -16,12 +16,18 @@
 import figdeck.store.query.FeedReply
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val ROW_COUNT = 1_200
+private const val FOLLOWED_WRITES = 1_000
+private val WRITE_RETRY_DELAY = 10.milliseconds
 
 class StoreClientSpec : DescribeSpec({
     val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -94,6 +100,29 @@
         }
     }
 
+    describe("a follower of a table that is written all the time") {
+        it("misses no write") {
+            val writes = launch(Dispatchers.Default) {
+                repeat(FOLLOWED_WRITES) {
+                    while (commit(emptyList(), RowWrite("x/$it", "$it")) !is CallResult.Done) {
+                        delay(WRITE_RETRY_DELAY)
+                    }
+                }
+            }
+            val followed = mutableSetOf<String>()
+            var version = 0L
+            var isQuiet = false
+            while (writes.isActive || !isQuiet) {
+                val reply = platform.feed.changes("x", version, 20.milliseconds)
+                reply.shouldBeInstanceOf<CallResult.Done<FeedReply.Changes>>()
+                followed += reply.value.changes.map { it.key }
+                isQuiet = reply.value.changes.isEmpty()
+                version = reply.value.version
+            }
+            followed.size shouldBe FOLLOWED_WRITES
+        }
+    }
+
     describe("an object") {
         it("can be read after it is put, until it is deleted") {
             platform.store.commands.putObject("a/b c", byteArrayOf(1, 2))
