Bound whole replies of peers and of the store in time

A peer or a store that sent one byte of a body now and then was waited for without end: the time-outs were on silence. The loop that renews the lease, a request that waits for a token, and each table's follower would have hung with it. fetchWhole bounds an exchange from its start to its last byte; replies with rows are kept up to 4 MiB (16 before, which three followers at once would not have found in the heap of a host).

--- a/src/main/kotlin/figdeck/daemon/command/HttpPeerConfigurationClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HttpPeerConfigurationClient.kt
@@ -1,16 +1,16 @@
 package figdeck.daemon.command
 
-import arrow.core.getOrElse
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.fetchWhole
 import figdeck.http.newHeaders
-import figdeck.http.readAll
 import figdeck.model.Address
 import figdeck.model.PeerView
 import figdeck.wire.command.encodeChanges
 import figdeck.wire.query.decodePeerView
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The path at which daemons request and push configuration changes. */
 internal const val PEER_CONFIGURATION_PATH = "/peer/configuration"
@@ -18,6 +18,9 @@
 private const val OK = 200
 private val RESPONSE_TIMEOUT = 700.milliseconds
 
+/** How long a reply may take after its head is due. A whole configuration has several megabytes. */
+private val BODY_TIMEOUT = 2.seconds
+
 /** Creates a client that calls peers over HTTP with JSON and authenticates with [secret]. */
 internal fun httpPeerConfigurationClient(
     client: HttpClient,
@@ -59,8 +62,6 @@
         headTimeout = RESPONSE_TIMEOUT,
         idleTimeout = RESPONSE_TIMEOUT,
     )
-    return exchange(request) { reply ->
-        val text = reply.body.readAll(MAX_VIEW_BYTES).getOrElse { ByteArray(0) }.decodeToString()
-        if (reply.status == OK) decodePeerView(text).getOrNull() else null
-    }.getOrNull()
+    val reply = fetchWhole(request, MAX_VIEW_BYTES, RESPONSE_TIMEOUT + BODY_TIMEOUT).getOrNull()
+    return reply?.body?.takeIf { reply.status == OK }?.let { decodePeerView(it.decodeToString()).getOrNull() }
 }
--- a/src/main/kotlin/figdeck/daemon/command/PeerClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/PeerClient.kt
@@ -2,8 +2,8 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.fetchWhole
 import figdeck.http.newHeaders
-import figdeck.http.readAll
 import figdeck.model.Address
 import figdeck.wire.command.PromiseRequest
 import figdeck.wire.command.decodeGrants
@@ -51,9 +51,7 @@
             headTimeout = deadline,
             idleTimeout = deadline,
         )
-        return client.exchange(request) { reply ->
-            val text = reply.body.readAll(MAX_REPLY_BYTES).getOrNull()?.decodeToString()
-            text.takeIf { reply.status == OK }
-        }.getOrNull()
+        val reply = client.fetchWhole(request, MAX_REPLY_BYTES, deadline).getOrNull()
+        return reply?.body?.takeIf { reply.status == OK }?.decodeToString()
     }
 }
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -1,10 +1,9 @@
 package figdeck.platform
 
-import arrow.core.Either
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.fetchWhole
 import figdeck.http.newHeaders
-import figdeck.http.readAll
 import figdeck.model.Address
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
@@ -26,7 +25,13 @@
 
 /** The timeout of a call: several times what the store takes when it is slow. */
 private val CALL_TIMEOUT = 1.seconds
-private const val MAX_REPLY_BYTES = 16 * 1024 * 1024
+
+/** How long a reply may take after its head is due. */
+private val BODY_TIMEOUT = 2.seconds
+
+/** Several times the longest page of rows in Base64. The replies of all loops together must fit into a small heap. */
+private const val MAX_ROWS_BYTES = 4 * 1024 * 1024
+private const val MAX_OBJECT_BYTES = 16 * 1024 * 1024
 private const val SCAN_PAGE_ROWS = 500
 private const val JSON_TYPE = "application/json"
 
@@ -94,7 +99,9 @@
     }
 
     private suspend fun readObject(key: String): CallResult<Lookup<ByteArray>> =
-        send("GET", GET_OBJECT_PATH + urlEncode(key)).map { Lookup(it.body.takeIf { _ -> it.isFound }) }
+        send("GET", GET_OBJECT_PATH + urlEncode(key), maxBytes = MAX_OBJECT_BYTES).map {
+            Lookup(it.body.takeIf { _ -> it.isFound })
+        }
 
     private suspend fun snapshot(table: String): CallResult<TableSnapshot> {
         var read: CallResult<TablePage> = scan(table, "", null, SCAN_PAGE_ROWS)
@@ -145,16 +152,14 @@
         target: String,
         body: ByteArray = ByteArray(0),
         timeout: Duration = callTimeout,
+        maxBytes: Int = MAX_ROWS_BYTES,
     ): CallResult<StoreReply> {
         val headers = newHeaders()
         if (body.isNotEmpty()) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, JSON_TYPE)
         }
         val request = OutgoingRequest(address, method, target, headers, body, false, timeout, timeout)
-        val result = client.exchange(request) { it.status to it.body.readAll(MAX_REPLY_BYTES).getOrNull() }
-        return when (result) {
-            is Either.Left -> result.value.toResult()
-            is Either.Right -> toStoreResult(result.value.first, result.value.second)
-        }
+        return client.fetchWhole(request, maxBytes, timeout + BODY_TIMEOUT)
+            .fold({ it.toResult() }, { toStoreResult(it.status, it.body) })
     }
 }
--- /dev/null
+++ b/src/test/kotlin/figdeck/platform/UntrustedControlReplySpec.kt
@@ -0,0 +1,100 @@
+package figdeck.platform
+
+import figdeck.command.serving.TakeRequest
+import figdeck.daemon.command.PeerClient
+import figdeck.daemon.command.serving.httpFleetPeers
+import figdeck.http.RawUpstream
+import figdeck.http.client.HttpClient
+import figdeck.http.send
+import figdeck.http.untilClosed
+import figdeck.http.wholeResponse
+import figdeck.model.CallResult
+import figdeck.model.HostId
+import figdeck.model.TeamId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.withTimeoutOrNull
+import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTimedValue
+
+private const val BYTES_PER_WRITE = 64 * 1024
+private const val LONG_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n"
+private const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+/** Sends [begin], and then [repeated] every [pauseMillis] until the client closes the connection. */
+private data class EndlessReply(
+    val name: String,
+    val begin: String,
+    val repeated: String,
+    val pauseMillis: Long,
+) {
+    fun sendTo(socket: Socket) = untilClosed {
+        socket.send(begin)
+        while (true) {
+            socket.send(repeated)
+            Thread.sleep(pauseMillis)
+        }
+    }
+}
+
+private val endlessReplies = listOf(
+    EndlessReply("a byte of a head now and then", "HTTP/1.1 200 OK\r\nA: ", "a", 20),
+    EndlessReply("a byte of a body now and then", LONG_HEAD, " ", 20),
+    EndlessReply("a chunk now and then", CHUNKED_HEAD, "1\r\n \r\n", 20),
+    EndlessReply("a head without end", "HTTP/1.1 200 OK\r\nA: ", "a".repeat(BYTES_PER_WRITE), 0),
+    EndlessReply("a body without end", LONG_HEAD, " ".repeat(BYTES_PER_WRITE), 0),
+    EndlessReply("interim responses without end", "", "HTTP/1.1 100 Continue\r\n\r\n", 0),
+)
+
+/** Peers and the store can be in trouble as engines can. Their replies must not hold up whoever waits for them. */
+class UntrustedControlReplySpec : DescribeSpec({
+    val eventLoops = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    val client = HttpClient(eventLoops)
+    val peers = httpFleetPeers(PeerClient(client, "fleet"))
+    val request = TakeRequest(HostId("host-1"), TeamId("team-1"), isCutOff = false)
+
+    beforeSpec {
+        // The first exchange loads the classes.
+        RawUpstream { _, socket -> socket.send(wholeResponse("{}")) }.use { peers.takeToken(it.address, request) }
+    }
+
+    afterSpec {
+        client.close()
+        eventLoops.shutdownGracefully()
+    }
+
+    describe("a peer that sends instead of a reply") {
+        endlessReplies.forEach { endless ->
+            it("${endless.name} is given up within a second") {
+                RawUpstream { _, socket -> endless.sendTo(socket) }.use { peer ->
+                    val (answer, time) = measureTimedValue {
+                        withTimeoutOrNull(5.seconds) { peers.takeToken(peer.address, request) }
+                    }
+                    answer shouldBe null
+                    time shouldBeLessThan 1.seconds
+                }
+            }
+        }
+    }
+
+    describe("a store that sends instead of a reply") {
+        endlessReplies.forEach { endless ->
+            it("${endless.name} is given up, and the outcome is unknown") {
+                RawUpstream { _, socket -> endless.sendTo(socket) }.use { store ->
+                    val platform = StoreClient(client, store.address, 200.milliseconds)
+                    val (result, time) = measureTimedValue {
+                        withTimeoutOrNull(10.seconds) { platform.feed.snapshot("members") }
+                    }
+                    result.shouldBeInstanceOf<CallResult.Unknown>()
+                    time shouldBeLessThan 5.seconds
+                }
+            }
+        }
+    }
+})
