Background loops start again after a failure; rows with foreign keys don't end a follower

A removed row whose key is no identifier threw in the follower of the upstreams and of the jobs. The loop ended without a word, and the host went on with what it last knew. The same held for any exception in any loop, and for the cancellation or time-out of something that a loop waited for. Shown by FollowersSpec (both cases threw before) and LaunchLoopSpec.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -20,6 +20,7 @@
 import figdeck.daemon.command.deleteLease
 import figdeck.daemon.command.groupJournal
 import figdeck.daemon.command.httpPeerConfigurationClient
+import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.leaveFleet
 import figdeck.daemon.command.maintainJournals
 import figdeck.daemon.command.propagate
@@ -60,7 +61,6 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.job
-import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
@@ -132,12 +132,12 @@
     fun start() {
         registerGauges(control, telemetry)
         fleet.start()
-        scope.launch { follower.pollTable() }
-        scope.launch { follower.pollPeers() }
-        scope.launch { pollLeavingHosts(platform.queries, control) }
-        scope.launch { runJournalMaintenance() }
-        scope.launch { runBatches(batches) }
-        scope.launch { slots.tickPeriodically() }
+        scope.launchLoop("configuration") { follower.pollTable() }
+        scope.launchLoop("peers' configuration") { follower.pollPeers() }
+        scope.launchLoop("leaving hosts") { pollLeavingHosts(platform.queries, control) }
+        scope.launchLoop("journals") { runJournalMaintenance() }
+        scope.launchLoop("batches") { runBatches(batches) }
+        scope.launchLoop("slots") { slots.tickPeriodically() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -17,6 +17,7 @@
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
+import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.serving.FleetPeers
 import figdeck.daemon.command.serving.OnlineServices
 import figdeck.daemon.command.serving.PeerBootstrap
@@ -179,14 +180,14 @@
         )
         val jobInterval = { jobPollInterval(control.snapshot.fleet.liveMembers().size) }
         launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
-        scope.launch {
+        scope.launchLoop("bootstrap") {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
-        scope.launch { control.keepMembership(store, platform.feed, clock, random) }
-        scope.launch { slots.tickPeriodically() }
-        scope.launch { slotOwner.releaseUnconfirmed() }
-        scope.launch { slotClient.confirmHeldSlots() }
-        scope.launch { jobs.runJobs() }
+        scope.launchLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
+        scope.launchLoop("slots") { slots.tickPeriodically() }
+        scope.launchLoop("granted slots") { slotOwner.releaseUnconfirmed() }
+        scope.launchLoop("held slots") { slotClient.confirmHeldSlots() }
+        scope.launchLoop("jobs") { jobs.runJobs() }
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         readinessServer.listen(settings.readinessAddress.ip, settings.readinessAddress.port)
@@ -246,7 +247,7 @@
     )
 
     private fun launchFollower(table: String, minInterval: () -> Duration, follower: TableFollower) {
-        scope.launch { platform.feed.follow(table, random, minInterval, follower) }
+        scope.launchLoop("table $table") { platform.feed.follow(table, random, minInterval, follower) }
     }
 
     private fun revoke(host: HostId, ticket: Long) {
--- a/src/main/kotlin/figdeck/cli/FleetComponents.kt
+++ b/src/main/kotlin/figdeck/cli/FleetComponents.kt
@@ -15,6 +15,7 @@
 import figdeck.daemon.command.TokenDrawBatcher
 import figdeck.daemon.command.WAKE_PATH
 import figdeck.daemon.command.fleetRateLimiter
+import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.maintainShards
 import figdeck.daemon.command.renewLeasePeriodically
 import figdeck.daemon.command.requestPromisesPeriodically
@@ -26,7 +27,6 @@
 import figdeck.traffic.command.shardWakeHandler
 import figdeck.traffic.command.tokenDrawHandler
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlin.random.Random
 
 /** The components that make a daemon a member of the fleet: its lease, its shards and the fleet-wide rate limits. */
@@ -73,9 +73,9 @@
 
     /** Starts the loops that renew the lease, request promises and maintain the shards. */
     fun start() {
-        scope.launch { membership.renewLeasePeriodically() }
-        scope.launch { membership.requestPromisesPeriodically(clock) }
-        scope.launch { membership.maintainShards(clock) }
+        scope.launchLoop("lease") { membership.renewLeasePeriodically() }
+        scope.launchLoop("promises") { membership.requestPromisesPeriodically(clock) }
+        scope.launchLoop("shards") { membership.maintainShards(clock) }
     }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -5,6 +5,7 @@
 import figdeck.wire.serving.SseEvent
 import kotlinx.coroutines.flow.collect
 import kotlinx.coroutines.flow.transformWhile
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
 /** The result of relaying the stream of one upstream. */
@@ -61,10 +62,16 @@
             hasStarted = true
             caller.start(reply.status, reply.headers)
         }
-        caller.write(events.map { it.bytes }.reduce { all, next -> all + next })
+        caller.write(events.singleOrNull()?.bytes ?: joined(events))
         lastEventId = events.lastOrNull { it.id != null }?.id ?: lastEventId
     }
 
+    private fun joined(events: List<SseEvent>): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        events.forEach { bytes.write(it.bytes) }
+        return bytes.toByteArray()
+    }
+
     private fun orderError(event: SseEvent): String? {
         val last = lastEventId
         val id = event.id
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -1,6 +1,8 @@
 package figdeck.daemon.query.serving
 
 import arrow.core.Either
+import figdeck.command.serving.JobDirectory
+import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.VersionedJob
 import figdeck.command.serving.putJob
 import figdeck.command.serving.putMember
@@ -16,8 +18,10 @@
 import figdeck.log.DecisionLog
 import figdeck.log.PartLog
 import figdeck.log.orWarn
+import figdeck.model.Moment
 import figdeck.model.Row
 import figdeck.model.UpstreamId
+import figdeck.model.isId
 import figdeck.model.serving.JobId
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.ServingPlan
@@ -75,7 +79,7 @@
                 val member = change.row?.let { read(it) }
                 control.run { state, now ->
                     updatePools(state) { pools ->
-                        member?.let { putMember(pools, it) } ?: removeMember(pools, UpstreamId(change.key), now)
+                        if (member == null) pools.without(change.key, now) else putMember(pools, member)
                     }
                 }
                 decisions.note("upstream_changed", change.key) {
@@ -107,10 +111,16 @@
                 updateJobs(state) { jobs ->
                     changes.fold(jobs) { all, change ->
                         val job = change.row?.let { read(it) }
-                        if (job == null) removeJob(all, JobId(change.key)) else putJob(all, job)
+                        if (job == null) all.without(change.key) else putJob(all, job)
                     }.copy(lastUpdateAt = now)
                 }
             }
         },
     )
 }
+
+/** Drops the upstream of the row [key]. A key that is no identifier never named one. */
+private fun PoolMembers.without(key: String, now: Moment): PoolMembers =
+    if (isId(key)) removeMember(this, UpstreamId(key), now) else this
+
+private fun JobDirectory.without(key: String): JobDirectory = if (isId(key)) removeJob(this, JobId(key)) else this
