Streams: pass on all events of one read at once; cheaper event and id parsing

Chunks of one socket read are joined, an event's data is only parsed where it is used (batch items), and ids are checked without a regular expression. The ranking of hosts computes each score once instead of at each comparison.

--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
 
@@ -15,9 +16,9 @@
 /**
  * Transfers body chunks from a Netty channel to a coroutine.
  *
- * The queue buffers the chunks that one socket read decoded. It calls [requestRead] for the next read only when all of
- * them have been collected, so that a slow collector uses bounded memory. Collecting [body] fails when no chunk arrives
- * within [idleTimeout].
+ * The queue buffers the chunks that one socket read decoded and emits them as one. It calls [requestRead] for the next
+ * read only when they have been collected, so that a slow collector uses bounded memory. Collecting [body] fails when
+ * no chunk arrives within [idleTimeout].
  */
 internal class ChunkQueue(
     private val idleTimeout: Duration,
@@ -53,7 +54,8 @@
                 polled.exceptionOrNull()?.let { throw it }
                 return@flow
             }
-            emit(polled.getOrNull() ?: awaitChunk() ?: return@flow)
+            val first = polled.getOrNull() ?: awaitChunk() ?: return@flow
+            emit(withBuffered(first))
         }
     }
 
@@ -64,4 +66,17 @@
         next.exceptionOrNull()?.let { throw it }
         return next.getOrNull()
     }
+
+    /** Returns [first] followed by all chunks that are buffered. */
+    private fun withBuffered(first: ByteArray): ByteArray {
+        val second = queue.tryReceive().getOrNull() ?: return first
+        val joined = ByteArrayOutputStream(first.size + second.size)
+        joined.write(first)
+        var next: ByteArray? = second
+        while (next != null) {
+            joined.write(next)
+            next = queue.tryReceive().getOrNull()
+        }
+        return joined.toByteArray()
+    }
 }
--- a/src/main/kotlin/figdeck/model/Ids.kt
+++ b/src/main/kotlin/figdeck/model/Ids.kt
@@ -3,9 +3,11 @@
 /** The maximum length of an identifier, in characters. */
 public const val MAX_ID_LENGTH: Int = 128
 
-private val ID_PATTERN = Regex("[A-Za-z0-9][A-Za-z0-9._-]*")
+/** Whether [value] is an identifier. Every id in every message is checked, so this uses no regular expression. */
+internal fun isId(value: String): Boolean =
+    value.length in 1..MAX_ID_LENGTH && isLetterOrDigit(value[0]) && value.all { isLetterOrDigit(it) || it in "._-" }
 
-internal fun isId(value: String): Boolean = value.length <= MAX_ID_LENGTH && ID_PATTERN.matches(value)
+private fun isLetterOrDigit(char: Char): Boolean = char in 'a'..'z' || char in '0'..'9' || char in 'A'..'Z'
 
 internal fun requireId(kind: String, value: String) {
     require(isId(value)) {
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -14,7 +14,9 @@
     liveMembers()
         .filterNot { isSuspect(it.host, now) }
         .withMostCores()
-        .sortedByDescending { rendezvousScore(key, it.host) }
+        .map { it to rendezvousScore(key, it.host) }
+        .sortedByDescending { (_, score) -> score }
+        .map { (member, _) -> member }
 
 /**
  * The member that owns [key]. It is the same for all hosts that have read the same list, and null while no member has
--- a/src/main/kotlin/figdeck/wire/serving/SseFramer.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SseFramer.kt
@@ -4,19 +4,22 @@
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
+private const val ID_FIELD = "id"
+private const val DATA_FIELD = "data"
 
 /**
  * A server-sent event.
  *
  * @property bytes the event as received, including the empty line that ends it.
  * @property id the numeric id; null if there is none.
- * @property data the values of the data lines, joined by line feeds.
  */
 public data class SseEvent(
     public val bytes: ByteArray,
     public val id: Long?,
-    public val data: String,
-)
+) {
+    /** The values of the data lines, joined by line feeds. */
+    public val data: String get() = fieldsOf(bytes, DATA_FIELD).joinToString("\n")
+}
 
 /** Splits a stream of server-sent events into complete events. */
 public class SseFramer {
@@ -32,29 +35,44 @@
     /** Adds [chunk] and returns the events that it completes. */
     public fun decode(chunk: ByteArray): List<SseEvent> {
         val events = mutableListOf<SseEvent>()
-        for (byte in chunk) {
-            partial.write(byte.toInt())
+        var start = 0
+        for (index in chunk.indices) {
+            val byte = chunk[index]
             if (byte != LINE_FEED) {
                 lineLength += if (byte == CARRIAGE_RETURN) 0 else 1
             } else if (lineLength == 0) {
-                events += parseEvent(partial.toByteArray())
-                partial.reset()
+                events += eventOf(takeBytes(chunk, start, index + 1))
+                start = index + 1
             } else {
                 lineLength = 0
             }
         }
+        partial.write(chunk, start, chunk.size - start)
         return events
     }
+
+    /** Returns the bytes kept from earlier chunks and those of [chunk] from [start] to [end]. */
+    private fun takeBytes(chunk: ByteArray, start: Int, end: Int): ByteArray {
+        if (!hasPartialEvent) {
+            return chunk.copyOfRange(start, end)
+        }
+        partial.write(chunk, start, end - start)
+        return partial.toByteArray().also { partial.reset() }
+    }
 }
 
-private fun parseEvent(bytes: ByteArray): SseEvent {
-    val fields = bytes.decodeToString().lineSequence()
-        .filter { it.isNotEmpty() && !it.startsWith(':') }
-        .map { it.substringBefore(':') to it.substringAfter(':', "").removePrefix(" ") }
-        .toList()
-    return SseEvent(
-        bytes = bytes,
-        id = fields.lastOrNull { it.first == "id" }?.second?.trim()?.toLongOrNull(),
-        data = fields.filter { it.first == "data" }.joinToString("\n") { it.second },
-    )
+private fun eventOf(bytes: ByteArray): SseEvent =
+    SseEvent(bytes, fieldsOf(bytes, ID_FIELD).lastOrNull()?.trim()?.toLongOrNull())
+
+/** The values of the fields [name] in an event, in order. */
+private fun fieldsOf(bytes: ByteArray, name: String): List<String> {
+    val values = mutableListOf<String>()
+    for (line in linesOf(bytes.decodeToString())) {
+        if (line.startsWith(name) && (line.length == name.length || line[name.length] == ':')) {
+            values += line.drop(name.length + 1).removePrefix(" ")
+        }
+    }
+    return values
 }
+
+private fun linesOf(text: String): List<String> = if ('\r' in text) text.lines() else text.split('\n')
--- /dev/null
+++ b/src/test/kotlin/figdeck/http/ChunkQueueSpec.kt
@@ -0,0 +1,55 @@
+package figdeck.http
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.netty.buffer.Unpooled
+import kotlinx.coroutines.flow.toList
+import kotlin.time.Duration.Companion.seconds
+
+/** A channel that decodes the next of [reads] into a queue whenever the queue requests a read. */
+private class ScriptedReads(reads: List<List<String>>) {
+    private val reads = reads.iterator()
+    private val queue = ChunkQueue(1.seconds, ::read)
+    var readCount = 0
+        private set
+
+    private fun read() {
+        readCount++
+        if (reads.hasNext()) {
+            reads.next().forEach { queue.offer(Unpooled.wrappedBuffer(it.encodeToByteArray())) }
+        } else {
+            queue.complete()
+        }
+    }
+
+    suspend fun collect(): List<String> = queue.body.chunks.toList().map { it.decodeToString() }
+}
+
+class ChunkQueueSpec : DescribeSpec({
+    describe("a body of three reads") {
+        it("is emitted as one chunk for each read, in order") {
+            val body = ScriptedReads(listOf(listOf("a", "b", "c"), listOf("d"), listOf("e", "f")))
+            body.collect() shouldBe listOf("abc", "d", "ef")
+        }
+        it("is read on only after all chunks of a read were collected") {
+            val body = ScriptedReads(listOf(listOf("a", "b"), listOf("c")))
+            body.collect() shouldBe listOf("ab", "c")
+            body.readCount shouldBe 3
+        }
+    }
+
+    describe("a body that fails after buffered chunks") {
+        it("emits them before the failure") {
+            val queue = ChunkQueue(1.seconds) {}
+            val received = mutableListOf<String>()
+            queue.offer(Unpooled.wrappedBuffer("a".encodeToByteArray()))
+            queue.offer(Unpooled.wrappedBuffer("b".encodeToByteArray()))
+            queue.fail("the peer closed the connection in mid-answer")
+            shouldThrow<IncompleteMessageException> {
+                queue.body.chunks.collect { received += it.decodeToString() }
+            }
+            received shouldBe listOf("ab")
+        }
+    }
+})
