--- a/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
+++ b/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
@@ -85,14 +85,21 @@
     return record
 }
 
+private fun JobServices.hasFullPage(id: JobId, after: Int): Boolean =
+    cache.results(id).drop(after).sumOf { it.output.length } > MAX_PAGE_CHARACTERS
+
 private suspend fun JobServices.resultsFrom(record: JobRecord, after: Int): Either<Refusal, List<JobResult>> {
-    while (after < record.results && cache.results(record.id).size <= after) {
+    while (cache.results(record.id).size < record.results && !hasFullPage(record.id, after)) {
         val from = cache.results(record.id).size
         val read = store.readResults(record.id, from)
-        if (read !is CallResult.Done || read.value.isEmpty()) {
+        val found = (read as? CallResult.Done)?.value.orEmpty()
+        if (found.isEmpty() && from <= after) {
             return Refusal.StoreUnavailable(RETRY_AFTER).left()
         }
-        cache.addResults(record.id, from, read.value)
+        if (found.isEmpty()) {
+            break
+        }
+        cache.addResults(record.id, from, found)
     }
     var characters = 0
     return cache.results(record.id).drop(after).takeWhile {
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -106,12 +106,14 @@
     private suspend fun snapshot(table: String): CallResult<TableSnapshot> {
         var read: CallResult<TablePage> = scan(table, "", null, SCAN_PAGE_ROWS)
         var rows = read.rows()
+        // Rows that change while later pages are read are among the changes after the version of the first page.
+        val version = read.valueOrNull()?.version ?: 0
         while (read is CallResult.Done && read.value.hasMore && read.value.rows.isNotEmpty()) {
             read = scan(table, keyInTable(read.value.rows.last().key) + LOWEST_CHARACTER, null, SCAN_PAGE_ROWS)
             rows = rows + read.rows()
         }
         return read.map { last ->
-            TableSnapshot(rows.map { it.copy(key = keyInTable(it.key)) }, last.version, last.storeMillis)
+            TableSnapshot(rows.map { it.copy(key = keyInTable(it.key)) }, version, last.storeMillis)
         }
     }
 
