A host that was stopped for a while doesn't take its own silence for the upstream's

After a stop of the process (or of its machine) all its timers are due before it has read what arrived meanwhile. Items and streams were given up with 'nothing came for 2s' and begun again, although their events lay in the socket.

--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ChannelResult
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeoutOrNull
@@ -24,7 +26,10 @@
     private val idleTimeout: Duration,
     private val requestRead: () -> Unit,
 ) {
-    private val queue = Channel<ByteArray>(Channel.UNLIMITED)
+    /** A chunk that arrived while the wait for it timed out. */
+    @Volatile
+    private var undelivered: ByteArray? = null
+    private val queue = Channel<ByteArray>(Channel.UNLIMITED, onUndeliveredElement = { undelivered = it })
 
     val body: HttpBody = HttpBody(chunks())
 
@@ -61,10 +66,24 @@
 
     private suspend fun awaitChunk(): ByteArray? {
         requestRead()
-        val next = withTimeoutOrNull(idleTimeout) { queue.receiveCatching() }
-            ?: throw IncompleteMessageException("nothing came for $idleTimeout")
-        next.exceptionOrNull()?.let { throw it }
-        return next.getOrNull()
+        var next: ChannelResult<ByteArray>? = null
+        // The result is kept outside of the block: a block that ends as its time-out is due returns nothing.
+        withTimeoutOrNull(idleTimeout) { next = queue.receiveCatching() }
+        val received = next ?: return lateChunk()
+        received.exceptionOrNull()?.let { throw it }
+        return received.getOrNull()
+    }
+
+    private suspend fun lateChunk(): ByteArray? {
+        delay(READ_GRACE)
+        val late = undelivered
+        undelivered = null
+        val next = if (late == null) queue.tryReceive() else null
+        next?.exceptionOrNull()?.let { throw it }
+        if (late == null && next?.isClosed == false && next.isFailure) {
+            throw IncompleteMessageException("nothing came for $idleTimeout")
+        }
+        return late ?: next?.getOrNull()
     }
 
     /** Returns [first] followed by all chunks that are buffered. */
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -53,7 +54,8 @@
         this.ctx = ctx
     }
 
-    suspend fun send(request: OutgoingRequest): HttpReply {
+    /** Sends [request]; the result completes with the head of the response. */
+    fun send(request: OutgoingRequest): Deferred<HttpReply> {
         val reply = CompletableDeferred<HttpReply>()
         pendingReply = reply
         responseBody = null
@@ -66,7 +68,7 @@
             }
         }
         ctx.channel().read()
-        return reply.await()
+        return reply
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import figdeck.http.IncompleteMessageException
+import figdeck.http.READ_GRACE
 import figdeck.http.awaitChannel
 import figdeck.model.Address
 import figdeck.telemetry.injectTrace
@@ -75,7 +76,9 @@
         request: OutgoingRequest,
         handle: suspend (HttpReply) -> R,
     ): Either<ExchangeFailure, R> = try {
-        val reply = withTimeoutOrNull(request.headTimeout) { connection.send(request) }
+        val head = connection.send(request)
+        val reply = withTimeoutOrNull(request.headTimeout) { head.await() }
+            ?: withTimeoutOrNull(READ_GRACE) { head.await() }
         if (reply == null) {
             ExchangeFailure.Lost("${request.address} sent no response for ${request.headTimeout}").left()
         } else {
--- a/src/test/kotlin/figdeck/http/ChunkQueueSpec.kt
+++ b/src/test/kotlin/figdeck/http/ChunkQueueSpec.kt
@@ -5,6 +5,8 @@
 import io.kotest.matchers.shouldBe
 import io.netty.buffer.Unpooled
 import kotlinx.coroutines.flow.toList
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** A channel that decodes the next of [reads] into a queue whenever the queue requests a read. */
@@ -26,6 +28,19 @@
     suspend fun collect(): List<String> = queue.body.chunks.toList().map { it.decodeToString() }
 }
 
+/** A queue with a time-out of 20 ms whose only chunk arrives [chunkAfterMillis] after the read was requested. */
+private fun lateQueue(chunkAfterMillis: Int): ChunkQueue {
+    lateinit var queue: ChunkQueue
+    queue = ChunkQueue(20.milliseconds) {
+        thread(isDaemon = true) {
+            Thread.sleep(chunkAfterMillis.toLong())
+            queue.offer(Unpooled.wrappedBuffer("a".encodeToByteArray()))
+            queue.complete()
+        }
+    }
+    return queue
+}
+
 class ChunkQueueSpec : DescribeSpec({
     describe("a body of three reads") {
         it("is emitted as one chunk for each read, in order") {
@@ -39,6 +54,19 @@
         }
     }
 
+    describe("a wait for a chunk that times out") {
+        it("still gets a chunk that arrives right then, as after this process was stopped for a while") {
+            lateQueue(chunkAfterMillis = 40).body.chunks.toList().map { it.decodeToString() } shouldBe listOf("a")
+        }
+        it("loses no chunk that arrives in the same moment") {
+            val received = List(200) { lateQueue(chunkAfterMillis = 19 + it % 3).body.chunks.toList().size }
+            received.toSet() shouldBe setOf(1)
+        }
+        it("fails if nothing comes") {
+            shouldThrow<IncompleteMessageException> { ChunkQueue(20.milliseconds) {}.body.chunks.toList() }
+        }
+    }
+
     describe("a body that fails after buffered chunks") {
         it("emits them before the failure") {
             val queue = ChunkQueue(1.seconds) {}
--- a/src/test/kotlin/figdeck/process/EdgeEndToEndSpec.kt
+++ b/src/test/kotlin/figdeck/process/EdgeEndToEndSpec.kt
@@ -4,13 +4,16 @@
 import figdeck.standin.RunnerStandIn
 import figdeck.standin.StreamSettings
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.maps.shouldNotContainKey
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.delay
 import java.util.Base64
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -68,6 +71,13 @@
 private suspend fun Fleet.results(daemon: Address, id: String): String =
     send(daemon, request("GET", "/lots/$id?After=0", "read", headers = mapOf("X-Wait-Ms" to "500"))).body
 
+/** A host that does nothing for [duration], and how often each of its items may run. */
+private data class Silence(
+    val name: String,
+    val duration: Duration,
+    val runs: IntRange,
+)
+
 class EdgeEndToEndSpec : DescribeSpec({
     describe("two daemons on the users' platform") {
         val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -169,4 +179,46 @@
             eventLoops.shutdownGracefully()
         }
     }
+
+    // A run of 4 s. Slots are freed after 2.5 s without a word from their holder, leases end after 3.5 s.
+    describe("a host that is silent while it runs a batch job") {
+        listOf(
+            Silence("shorter than its lease and its slots last", 2_300.milliseconds, runs = 1..1),
+            Silence("longer than its lease", 6.seconds, runs = 1..2),
+        ).forEach { silence ->
+            it("has each item listed once, complete, after a silence ${silence.name}") {
+                val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+                Fleet().use { fleet ->
+                    RunnerStandIn(
+                        eventLoops,
+                        "r-1",
+                        StreamSettings(100, eventInterval = 40.milliseconds)
+                    ).use { runner ->
+                        fleet.storePlanAndRunners(mapOf("r-1" to runner))
+                        val daemons = listOf("a", "b").map { fleet.edgeDaemon("host-$it") }
+                        fleet.awaitReady(daemons)
+                        val submission = request("POST", "/notes/j", "job-1", job("x", "y"))
+                        fleet.send(daemons[0].address, submission).status shouldBe 202
+                        eventually(10.seconds) { runner.received.size == 2 }
+                        delay(500.milliseconds)
+                        daemons[0].pause()
+                        delay(silence.duration)
+                        daemons[0].resume()
+                        eventually(25.seconds) {
+                            daemons.all { "\"Next\":2" in fleet.results(it.address, "job-1") }
+                        }
+                        val output = (1..100).joinToString("\\n") { "word $it" }
+                        daemons.map { fleet.results(it.address, "job-1") }.toSet().single().let { text ->
+                            listOf("item-0", "item-1").forEach { item ->
+                                text shouldContain """{"Id":"$item","State":"completed","Output":"$output"}"""
+                            }
+                        }
+                        val runs = runner.received.groupingBy { it.headers["x-attempt-id"] }.eachCount()
+                        runs.values.filterNot { it in silence.runs }.shouldBeEmpty()
+                    }
+                }
+                eventLoops.shutdownGracefully()
+            }
+        }
+    }
 })
