Logs and metrics tell how a send to an upstream ended, what it had brought and which parts its prompt had

On call for the crashing engines, nobody could tell a turn that killed its engine from those that were lost with it: both read 'the peer closed the connection in mid-answer'. The prompt's parts stood in no line, and no metric counted failed sends. A failed send that may have run now notes its ending (lost before the answer, lost in it, other), its events and the parts that other requests may share; items of batch jobs note their parts too; figdeck_failed_sends_total counts by ending. Exchanges report a typed cause, connection ended or timeout, instead of a text alone. No decision changes.

The result of collecting an item's output is the type of the relay's result, so one function derives the ending of both. Specs: the cause of answers that end early (3 cases) and that stop (2 new cases); CallerHeadersSpec names the parts.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -58,7 +58,9 @@
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
 import figdeck.platform.readinessHandler
+import figdeck.platform.sharedPartsOf
 import figdeck.query.serving.jobPollInterval
+import figdeck.query.serving.label
 import figdeck.query.serving.liveMembers
 import figdeck.telemetry.Meters
 import figdeck.telemetry.Telemetry
@@ -141,7 +143,9 @@
     private val slotOwner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
     private val slotClient: SlotClient = SlotClient(control, clock, slotOwner, RemoteSlotOwners(control, peers), scope)
     private val teamLimits = TeamLimits(control, clock, peers, DecisionLog("limits"))
-    private val online = OnlineServices(clock, teamLimits, slotClient, random, DecisionLog("serve"))
+    private val online = OnlineServices(clock, teamLimits, slotClient, random, DecisionLog("serve")) {
+        telemetry.meters.countFailedSend(it.label)
+    }
     private val jobs = JobServices(
         control = control,
         clock = clock,
@@ -153,6 +157,7 @@
         forward = httpItemForwarder(upstreamClient),
         random = random,
         log = DecisionLog("jobs"),
+        sharedParts = ::sharedPartsOf,
     )
     private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
     private val readinessServer = server(readinessHandler(control))
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.jobs
 
 import figdeck.daemon.command.serving.EventReader
+import figdeck.daemon.command.serving.RelayResult
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.model.Clock
 import figdeck.model.serving.ItemProgress
@@ -21,10 +22,10 @@
     val text: String get() = progress.events.joinToString("\n")
 
     /**
-     * Appends the events of [reply] until it ends, or until no event is completed within [maxPause]. Returns null if
-     * the output is complete, otherwise the error.
+     * Appends the events of [reply] until it ends, or until no event is completed within [maxPause]. The output is
+     * complete if the result is.
      */
-    suspend fun collect(reply: UpstreamReply, maxPause: Duration, clock: Clock): String? {
+    suspend fun collect(reply: UpstreamReply, maxPause: Duration, clock: Clock): RelayResult {
         val reader = EventReader(maxPause, clock())
         var fault: String? = null
         reply.body.chunks.transformWhile<ByteArray, Unit> { chunk ->
@@ -32,10 +33,10 @@
             fault == null
         }.collect()
         return when {
-            fault != null -> fault
-            reader.hasPartialEvent -> "the stream ended in the middle of an event"
-            progress.events.isEmpty() -> "the stream ended before its first event"
-            else -> null
+            fault != null -> RelayResult.Broken(fault.orEmpty(), hasEnded = false)
+            reader.hasPartialEvent -> RelayResult.Broken("the stream ended in the middle of an event", hasEnded = true)
+            progress.events.isEmpty() -> RelayResult.Broken("the stream ended before its first event", hasEnded = true)
+            else -> RelayResult.Complete
         }
     }
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -3,8 +3,10 @@
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.daemon.command.serving.ExecutionStatus
 import figdeck.daemon.command.serving.HeldPermit
+import figdeck.daemon.command.serving.RelayResult
 import figdeck.daemon.command.serving.SendOptions
 import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.ending
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.model.Clock
 import figdeck.model.Lane
@@ -13,6 +15,7 @@
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.SlotRequest
+import figdeck.query.serving.SendEnding
 import figdeck.query.serving.poolFor
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -44,10 +47,15 @@
 
     data class Failed(val reason: String) : AttemptResult
 
-    /** The item continues elsewhere and no failure is counted for it. [use] is the result for the upstream's slot. */
+    /**
+     * The item continues elsewhere and no failure is counted for it.
+     *
+     * @property use the result for the upstream's slot.
+     */
     data class Interrupted(
         val reason: String,
         val use: SlotOutcome,
+        val ending: SendEnding = SendEnding.OTHER,
     ) : AttemptResult
 }
 
@@ -91,6 +99,7 @@
                 put("upstream", permit.upstream.id.value)
                 put("events", output.progress.events.size.toLong())
                 put("end", attemptResult.toString())
+                put("shared_parts", services.sharedParts(item).joinToString(" "))
             }
         }
         return when (attemptResult) {
@@ -174,12 +183,19 @@
             freshConnection = false,
         )
         var attemptResult: AttemptResult = AttemptResult.Interrupted("no response", SlotOutcome.FAILED)
+        val before = output.progress.events.size
         val result = services.forward(
             ItemCall(item, route, record.team),
             options
         ) { reply -> attemptResult = output.receive(reply, services.clock) }
         return result.fold(
-            { AttemptResult.Interrupted(it.reason, SlotOutcome.FAILED) },
+            {
+                AttemptResult.Interrupted(
+                    it.reason,
+                    SlotOutcome.FAILED,
+                    it.ending(output.progress.events.size > before)
+                )
+            },
             { attemptResult },
         )
     }
@@ -196,11 +212,18 @@
         AttemptResult.Interrupted("the upstream did not run it", SlotOutcome.ABANDONED)
     }
     ExecutionStatus.RAN -> when {
-        reply.isSuccess ->
-            collect(reply, STALL_TIMEOUT, clock)?.let { AttemptResult.Interrupted(it, SlotOutcome.FAILED) }
-                ?: AttemptResult.Whole
+        reply.isSuccess -> collectEvents(reply, clock)
         reply.status == UNPROCESSABLE -> AttemptResult.Impossible
         reply.status >= FIRST_SERVER_ERROR -> AttemptResult.Failed("the upstream answered ${reply.status}")
         else -> AttemptResult.Interrupted("the upstream answered ${reply.status}", SlotOutcome.FAILED)
     }
 }
+
+private suspend fun ItemOutput.collectEvents(reply: UpstreamReply, clock: Clock): AttemptResult {
+    val before = progress.events.size
+    return when (val result = collect(reply, STALL_TIMEOUT, clock)) {
+        RelayResult.Complete -> AttemptResult.Whole
+        is RelayResult.Broken ->
+            AttemptResult.Interrupted(result.reason, SlotOutcome.FAILED, result.ending(progress.events.size > before))
+    }
+}
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -15,6 +15,7 @@
 import figdeck.model.TeamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobOwner
+import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
 import kotlin.random.Random
 
@@ -31,7 +32,11 @@
 internal typealias ForwardItem =
     suspend (ItemCall, SendOptions, suspend (UpstreamReply) -> Unit) -> Either<ExchangeFailure, Unit>
 
-/** The dependencies for running batch jobs. */
+/**
+ * The dependencies for running batch jobs.
+ *
+ * @property sharedParts returns the parts of an item's prompt that other requests may share.
+ */
 internal data class JobServices(
     val control: Control<ServingState>,
     val clock: Clock,
@@ -43,6 +48,7 @@
     val forward: ForwardItem,
     val random: Random,
     val log: DecisionLog,
+    val sharedParts: (JobItem) -> List<PromptPart>,
 )
 
 /** This host in its current incarnation. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -5,6 +5,7 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.model.Moment
 import figdeck.model.Upstream
+import figdeck.model.serving.PromptPart
 import figdeck.query.serving.RouteAccess
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
@@ -17,6 +18,7 @@
  * @property cost the expected tokens; 1 for a call to a service.
  * @property affinity a hash of the prompt's shared prefix; null without one.
  * @property lastEventId the event after which the stream resumes; null for the whole stream.
+ * @property sharedParts the parts of the prompt that other requests may share; empty without a prompt.
  */
 internal data class OnlineCall(
     val id: String,
@@ -26,6 +28,7 @@
     val cost: Int,
     val affinity: Long?,
     val lastEventId: Long?,
+    val sharedParts: List<PromptPart> = emptyList(),
 )
 
 /** How long the final answer may still take at [now], by the caller's deadline and the route's timeout. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
@@ -2,13 +2,19 @@
 
 import figdeck.log.DecisionLog
 import figdeck.model.Clock
+import figdeck.query.serving.FailedSend
 import kotlin.random.Random
 
-/** The dependencies for serving online requests. */
+/**
+ * The dependencies for serving online requests.
+ *
+ * @property countFailedSend counts a send without a complete answer in the metrics.
+ */
 internal data class OnlineServices(
     val clock: Clock,
     val limits: TeamLimits,
     val slots: SlotClient,
     val random: Random,
     val log: DecisionLog,
+    val countFailedSend: (FailedSend) -> Unit,
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -13,8 +13,15 @@
     /** The stream has ended and is complete. */
     data object Complete : RelayResult
 
-    /** The stream ended early or violated the event order, so nothing more of it can be forwarded. */
-    data class Broken(val reason: String) : RelayResult
+    /**
+     * Nothing more of the stream can be forwarded.
+     *
+     * @property hasEnded whether the upstream ended the stream early; otherwise the stream is of no use.
+     */
+    data class Broken(
+        val reason: String,
+        val hasEnded: Boolean,
+    ) : RelayResult
 }
 
 /**
@@ -22,12 +29,15 @@
  *
  * @property lastEventId the last event sent to the caller, or the one from which the caller resumes.
  * @property hasStarted whether the response head has been sent to the caller.
+ * @property eventCount the number of events sent to the caller.
  */
 internal class StreamRelay(lastEventId: Long?) {
     var lastEventId: Long? = lastEventId
         private set
     var hasStarted: Boolean = false
         private set
+    var eventCount: Int = 0
+        private set
 
     /**
      * Forwards the events of [reply] as they arrive, with the response head before the first event. Gives the stream up
@@ -50,9 +60,9 @@
             error == null
         }.collect()
         return when {
-            error != null -> RelayResult.Broken(error.orEmpty())
-            reader.hasPartialEvent -> RelayResult.Broken("the stream ended in the middle of an event")
-            !hasStarted -> RelayResult.Broken("the stream ended before its first event")
+            error != null -> RelayResult.Broken(error.orEmpty(), hasEnded = false)
+            reader.hasPartialEvent -> RelayResult.Broken("the stream ended in the middle of an event", hasEnded = true)
+            !hasStarted -> RelayResult.Broken("the stream ended before its first event", hasEnded = true)
             else -> RelayResult.Complete
         }
     }
@@ -62,6 +72,7 @@
             hasStarted = true
             caller.start(reply.status, reply.headers)
         }
+        eventCount += events.size
         caller.write(events.singleOrNull()?.bytes ?: joined(events))
         lastEventId = events.lastOrNull { it.id != null }?.id ?: lastEventId
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -8,6 +8,7 @@
 import figdeck.query.serving.FailedSend
 import figdeck.query.serving.NotRunCause
 import figdeck.query.serving.SendHistory
+import figdeck.query.serving.label
 import figdeck.query.serving.possibleRuns
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration.Companion.milliseconds
@@ -54,23 +55,29 @@
         val sentAt = services.clock()
         val upstream = permit.upstream.id
         val options = sendOptions(permit, history)
+        val eventsBefore = stream.eventCount
         val result = forward(options) { reply -> failure = receive(reply, options) }
+        val hasBegun = stream.eventCount > eventsBefore
+        val failed = result.fold({ failedSend(upstream, it, hasBegun) }, { failure })
         services.log.note("sent", call.id) {
             put("upstream", upstream.value)
             put("owner", permit.owner?.host?.value ?: "self")
             put("waited_ms", (sentAt - call.receivedAt).inWholeMilliseconds)
             put("took_ms", (services.clock() - sentAt).inWholeMilliseconds)
-            put("failure", failure?.reason ?: result.leftOrNull()?.reason ?: "none")
+            put("failure", failed?.reason ?: "none")
+            if (failed is FailedSend.MayHaveRun) {
+                put("ending", failed.label)
+                put("events", (stream.eventCount - eventsBefore).toLong())
+                put("shared_parts", call.sharedParts.joinToString(" "))
+            }
         }
-        return result.fold(
-            { lost ->
-                when (lost) {
-                    is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason, NotRunCause.UNREACHABLE)
-                    is ExchangeFailure.Lost -> FailedSend.MayHaveRun(upstream, lost.reason)
-                }
-            },
-            { failure },
-        )
+        failed?.let { services.countFailedSend(it) }
+        return failed
+    }
+
+    private fun failedSend(upstream: UpstreamId, lost: ExchangeFailure, hasBegun: Boolean): FailedSend = when (lost) {
+        is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason, NotRunCause.UNREACHABLE)
+        is ExchangeFailure.Lost -> FailedSend.MayHaveRun(upstream, lost.reason, lost.ending(hasBegun))
     }
 
     private fun sendOptions(permit: HeldPermit, history: SendHistory): SendOptions {
@@ -99,11 +106,18 @@
         }
     }
 
-    private suspend fun relay(reply: UpstreamReply, options: SendOptions): FailedSend? =
-        when (val result = stream.relay(reply, options.idleTimeout, services.clock, caller)) {
+    private suspend fun relay(reply: UpstreamReply, options: SendOptions): FailedSend? {
+        val eventsBefore = stream.eventCount
+        return when (val result = stream.relay(reply, options.idleTimeout, services.clock, caller)) {
             RelayResult.Complete -> null
-            is RelayResult.Broken -> FailedSend.MayHaveRun(options.upstream.id, result.reason)
+            is RelayResult.Broken ->
+                FailedSend.MayHaveRun(
+                    options.upstream.id,
+                    result.reason,
+                    result.ending(stream.eventCount > eventsBefore)
+                )
         }
+    }
 
     private suspend fun deliver(upstream: UpstreamId, reply: UpstreamReply): FailedSend? {
         val body = reply.body.readAll(MAX_BUFFERED_ANSWER_BYTES).getOrNull()
--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -1,5 +1,6 @@
 package figdeck.http
 
+import figdeck.http.client.LossCause
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import kotlinx.coroutines.channels.Channel
@@ -13,7 +14,10 @@
 import kotlin.time.Duration
 
 /** An HTTP message ended before it was complete. */
-internal class IncompleteMessageException(reason: String) : IOException(reason)
+internal class IncompleteMessageException(
+    reason: String,
+    val lossCause: LossCause = LossCause.CONNECTION_ENDED,
+) : IOException(reason)
 
 /**
  * Transfers body chunks from a Netty channel to a coroutine.
@@ -88,7 +92,7 @@
         return if (next.isClosed) {
             null
         } else {
-            next.getOrNull() ?: throw IncompleteMessageException("nothing came for $idleTimeout")
+            next.getOrNull() ?: throw IncompleteMessageException("nothing came for $idleTimeout", LossCause.TIMEOUT)
         }
     }
 
--- a/src/main/kotlin/figdeck/http/client/ExchangeFailure.kt
+++ b/src/main/kotlin/figdeck/http/client/ExchangeFailure.kt
@@ -9,5 +9,14 @@
     public data class NotSent(override val reason: String) : ExchangeFailure
 
     /** All or part of the request was sent, so it may have taken effect. */
-    public data class Lost(override val reason: String) : ExchangeFailure
+    public data class Lost(override val reason: String, public val cause: LossCause) : ExchangeFailure
+}
+
+/** What ended an exchange before its response was complete. */
+public enum class LossCause {
+    /** The peer closed or reset the connection, or sent bytes that are no response. */
+    CONNECTION_ENDED,
+
+    /** The peer sent nothing for longer than allowed. */
+    TIMEOUT,
 }
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -80,12 +80,13 @@
         val reply = withTimeoutOrNull(request.headTimeout) { head.await() }
             ?: withTimeoutOrNull(READ_GRACE) { head.await() }
         if (reply == null) {
-            ExchangeFailure.Lost("${request.address} sent no response for ${request.headTimeout}").left()
+            val reason = "${request.address} sent no response for ${request.headTimeout}"
+            ExchangeFailure.Lost(reason, LossCause.TIMEOUT).left()
         } else {
             handle(reply).right()
         }
     } catch (e: IncompleteMessageException) {
-        ExchangeFailure.Lost("${request.address}: ${e.message}").left()
+        ExchangeFailure.Lost("${request.address}: ${e.message}", e.lossCause).left()
     }
 
     private suspend fun acquire(request: OutgoingRequest): Channel {
--- a/src/main/kotlin/figdeck/http/client/WholeReply.kt
+++ b/src/main/kotlin/figdeck/http/client/WholeReply.kt
@@ -27,4 +27,4 @@
 ): Either<ExchangeFailure, WholeReply> =
     withTimeoutOrNull(limit) {
         exchange(request) { reply -> WholeReply(reply.status, reply.body.readAll(maxBytes).getOrNull()) }
-    } ?: ExchangeFailure.Lost("${request.address} sent no whole response within $limit").left()
+    } ?: ExchangeFailure.Lost("${request.address} sent no whole response within $limit", LossCause.TIMEOUT).left()
--- a/src/main/kotlin/figdeck/platform/CallerHeaders.kt
+++ b/src/main/kotlin/figdeck/platform/CallerHeaders.kt
@@ -8,6 +8,8 @@
 import figdeck.http.server.HttpCall
 import figdeck.model.Refusal
 import figdeck.model.UpstreamId
+import figdeck.model.serving.JobItem
+import figdeck.model.serving.PromptPart
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
@@ -45,6 +47,7 @@
  * @property tokens the number of prompt tokens plus the maximum number of output tokens; 1 if the header is missing.
  * @property affinity a hash of the prompt prefix that other requests share; null if there is none.
  * @property lastEventId the event after which the stream resumes; null to start at the beginning.
+ * @property sharedParts the parts of the prompt that other requests may share, in order.
  */
 internal data class CallerHeaders(
     val id: String,
@@ -54,6 +57,7 @@
     val tokens: Int,
     val affinity: Long?,
     val lastEventId: Long?,
+    val sharedParts: List<PromptPart>,
 )
 
 /** Parses the headers of [call]; refuses a request without a Host header. */
@@ -61,6 +65,7 @@
     val headers = call.headers
     val id = headers.get(ATTEMPT_ID_HEADER)
     val host = headers.get(HttpHeaderNames.HOST)
+    val sharedParts = headers.get(PROMPT_PREFIX_HEADER)?.let { parseSharedParts(it) }.orEmpty()
     return when {
         host.isNullOrBlank() -> Refusal.BadRequest("Host", "name the host").left()
         else -> CallerHeaders(
@@ -72,12 +77,18 @@
                 ?.trim(),
             timeLeft = headers.get(DEADLINE_HEADER)?.toLongOrNull()?.milliseconds ?: DEFAULT_DEADLINE,
             tokens = headers.get(TOKEN_USAGE_HEADER)?.let { parseTokenCount(it) } ?: 1,
-            affinity = headers.get(PROMPT_PREFIX_HEADER)?.let { hashSharedPrefix(it) },
+            affinity = hashOf(sharedParts),
             lastEventId = headers.get(LAST_EVENT_ID_HEADER)?.trim()?.toLongOrNull(),
+            sharedParts = sharedParts,
         ).right()
     }
 }
 
+/** Returns the parts of the prompt of [item] that other requests may share, in order. */
+internal fun sharedPartsOf(item: JobItem): List<PromptPart> =
+    item.headers.entries.find { it.key.equals(PROMPT_PREFIX_HEADER, ignoreCase = true) }
+        ?.let { parseSharedParts(it.value) }.orEmpty()
+
 /**
  * Returns the request headers to send to [upstream]: the end-to-end headers of [original] and the gateway's own.
  *
@@ -115,10 +126,11 @@
 private fun parseTokenCount(text: String): Int = text.split(',').sumOf { it.trim().toIntOrNull() ?: 0 }.coerceAtLeast(1)
 
 /**
- * Hashes the ids of all prompt parts except the last one, which belongs to this request or its session. The header
- * lists the parts in order as `id:tokens`.
+ * Returns all prompt parts except the last one, which belongs to this request or its session. The header lists the
+ * parts in order as `id:tokens`.
  */
-private fun hashSharedPrefix(text: String): Long? {
-    val shared = text.split(',').map { it.trim().substringBefore(':') }.dropLast(1)
-    return if (shared.isEmpty()) null else Hashing.komihash5_0().hashCharsToLong(shared.joinToString(","))
-}
+private fun parseSharedParts(text: String): List<PromptPart> =
+    text.split(',').dropLast(1).map { PromptPart(it.trim().substringBefore(':')) }
+
+private fun hashOf(sharedParts: List<PromptPart>): Long? =
+    if (sharedParts.isEmpty()) null else Hashing.komihash5_0().hashCharsToLong(sharedParts.joinToString(","))
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -151,6 +151,7 @@
         cost = headers.tokens,
         affinity = headers.affinity,
         lastEventId = headers.lastEventId,
+        sharedParts = headers.sharedParts,
     )
     val caller = CallerChannel(responder.start, responder.write, responder.respond)
     this.online.serveOnline(onlineCall, forward(received, access), caller).onLeft { refusal ->
--- a/src/main/kotlin/figdeck/query/serving/NextStep.kt
+++ b/src/main/kotlin/figdeck/query/serving/NextStep.kt
@@ -23,7 +23,23 @@
     ) : FailedSend
 
     /** The upstream may have run the request. */
-    public data class MayHaveRun(override val upstream: UpstreamId, override val reason: String) : FailedSend
+    public data class MayHaveRun(
+        override val upstream: UpstreamId,
+        override val reason: String,
+        public val ending: SendEnding = SendEnding.OTHER,
+    ) : FailedSend
+}
+
+/** How a send ended after which the request may have run. */
+public enum class SendEnding {
+    /** The connection ended before the upstream began its answer. */
+    LOST_BEFORE_ANSWER,
+
+    /** The connection ended within the answer. */
+    LOST_IN_ANSWER,
+
+    /** The upstream was too slow, or what it answered is of no use. */
+    OTHER,
 }
 
 /** Why an upstream did not run a request. */
@@ -38,6 +54,13 @@
     REPLACED,
 }
 
+/** How this send ended, as metrics and logs name it. */
+internal val FailedSend.label: String
+    get() = when (this) {
+        is FailedSend.MayHaveRun -> ending.name.lowercase()
+        is FailedSend.NotRun -> "not_run_${cause.name.lowercase()}"
+    }
+
 /**
  * The sends of a request so far.
  *
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -36,6 +36,11 @@
         registry.counter("figdeck.refusals", "type", type, "team", teamLabel(team)).increment()
     }
 
+    /** Counts a send to an upstream without a complete answer. The [ending] is from a small set. */
+    fun countFailedSend(ending: String) {
+        registry.counter("figdeck.failed.sends", "ending", ending).increment()
+    }
+
     /** Records [duration] in the timer [name]. [tags] alternates label names and values, both from small sets. */
     fun recordTime(name: String, duration: Duration, tags: List<String> = emptyList()) {
         val timer = timers.computeIfAbsent(TimerKey(name, tags)) { register(it) }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -16,6 +16,7 @@
 import figdeck.daemon.query.jobs.readResults
 import figdeck.http.HttpBody
 import figdeck.http.client.ExchangeFailure
+import figdeck.http.client.LossCause
 import figdeck.http.newHeaders
 import figdeck.log.DecisionLog
 import figdeck.model.CallResult
@@ -30,6 +31,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.servingPlan
 import figdeck.model.systemClock
+import figdeck.platform.sharedPartsOf
 import figdeck.process.eventually
 import figdeck.store.Store
 import io.kotest.core.spec.style.DescribeSpec
@@ -93,7 +95,7 @@
             if (last < EVENTS) awaitCancellation()
         }
         use(UpstreamReply(ExecutionStatus.RAN, 200, newHeaders(), HttpBody(chunks)))
-        if (last < EVENTS) ExchangeFailure.Lost("cut").left() else Unit.right()
+        if (last < EVENTS) ExchangeFailure.Lost("cut", LossCause.CONNECTION_ENDED).left() else Unit.right()
     }
 }
 
@@ -108,6 +110,7 @@
     forward = engine.forward,
     random = Random(3),
     log = DecisionLog("jobs"),
+    sharedParts = ::sharedPartsOf,
 )
 
 private suspend fun <R> onHost(name: String, store: Store, engine: FakeEngine, use: suspend (JobServices) -> R): R =
--- a/src/test/kotlin/figdeck/daemon/command/serving/StalledStreamSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/StalledStreamSpec.kt
@@ -74,14 +74,15 @@
         it("ends a stalled stream and keeps the events before, so that the item continues elsewhere") {
             val stream = stalledAfter(3)
             val output = ItemOutput(noProgress)
-            output.collect(stream.reply, maxPause, stream.clock).orEmpty() shouldContain "no event was completed"
+            output.collect(stream.reply, maxPause, stream.clock)
+                .shouldBeInstanceOf<RelayResult.Broken>().reason shouldContain "no event was completed"
             output.progress.events.size shouldBe 3
         }
 
         it("is complete after a slow but sound stream") {
             val stream = slowButSound()
             val output = ItemOutput(noProgress)
-            output.collect(stream.reply, maxPause, stream.clock) shouldBe null
+            output.collect(stream.reply, maxPause, stream.clock) shouldBe RelayResult.Complete
             output.progress.events.size shouldBe 200
         }
     }
--- a/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
+++ b/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
+import figdeck.http.client.LossCause
 import figdeck.http.client.OutgoingRequest
 import figdeck.model.Address
 import io.kotest.core.spec.style.DescribeSpec
@@ -110,6 +111,26 @@
                 upstream.use {
                     client.exchange(get(it.address)) { reply -> reply.body.readAll(MAX_BYTES) }
                         .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
+                        .cause shouldBe LossCause.CONNECTION_ENDED
+                }
+            }
+        }
+    }
+
+    describe("an answer that stops while its connection stays open") {
+        listOf(
+            "before its head" to "",
+            "within its body" to "${CHUNKED_RESPONSE_HEAD}4\r\npart\r\n"
+        ).forEach { (name, text) ->
+            it("is lost to a timeout: $name") {
+                val upstream = RawUpstream { _, socket ->
+                    socket.send(text)
+                    Thread.sleep(1_000)
+                }
+                val request = get(upstream.address).copy(headTimeout = 200.milliseconds, idleTimeout = 200.milliseconds)
+                upstream.use {
+                    client.exchange(request) { reply -> reply.body.readAll(MAX_BYTES) }
+                        .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>().cause shouldBe LossCause.TIMEOUT
                 }
             }
         }
--- a/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
+++ b/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
@@ -7,6 +7,7 @@
 import figdeck.http.newHeaders
 import figdeck.http.server.HttpCall
 import figdeck.model.UpstreamId
+import figdeck.model.serving.PromptPart
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.netty.handler.codec.http.HttpHeaders
@@ -41,7 +42,16 @@
 
         it("are parsed into the values that serving needs") {
             parsed.copy(affinity = null) shouldBe
-                CallerHeaders("9c41", "ficu95.example", "k1", 5.seconds, 1540, null, 12)
+                CallerHeaders(
+                    id = "9c41",
+                    host = "ficu95.example",
+                    key = "k1",
+                    timeLeft = 5.seconds,
+                    tokens = 1540,
+                    affinity = null,
+                    lastEventId = 12,
+                    sharedParts = listOf(PromptPart("5c1e07a2"), PromptPart("91bd3f06")),
+                )
         }
 
         it("have the same affinity if the prompts differ only in their last part") {
