--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -18,10 +18,12 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import java.io.IOException
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -55,11 +57,14 @@
 /**
  * A stand-in for an upstream of the users' platform. It answers as a plain service under paths that contain `desk`, and
  * streams as an engine under all others.
+ *
+ * @property isFatal whether a request makes it crash: it closes itself and answers nobody.
  */
 internal class RunnerStandIn(
     eventLoops: EventLoopGroup,
     private val id: String,
     private val settings: StreamSettings = StreamSettings(),
+    private val isFatal: (ReceivedRequest) -> Boolean = { false },
 ) : AutoCloseable {
     private val server = HttpServer(eventLoops, HttpServerLimits()) { call, responder -> handle(call, responder) }
 
@@ -77,13 +82,15 @@
 
     private suspend fun handle(call: HttpCall, responder: HttpResponder) {
         val body = call.body.readAll(MAX_BODY_BYTES).getOrElse { ByteArray(0) }.decodeToString()
-        received += ReceivedRequest(
+        val request = ReceivedRequest(
             call.method,
             call.target,
             call.headers.associate { it.key.lowercase() to it.value },
             body
         )
+        received += request
         when {
+            isFatal(request) -> crash()
             call.headers.get(EXPECTED_UPSTREAM_HEADER) != id -> responder.respond(
                 MISDIRECTED_REQUEST,
                 responseHeaders(call),
@@ -99,6 +106,12 @@
         }
     }
 
+    /** Closes the server on another thread, because closing waits for the event loop that this runs on. */
+    private suspend fun crash() {
+        thread(isDaemon = true) { close() }
+        awaitCancellation()
+    }
+
     private suspend fun stream(call: HttpCall, responder: HttpResponder) {
         val firstEvent = (call.headers.get(LAST_EVENT_ID_HEADER)?.toInt() ?: 0) + 1
         val breaksOff = settings.remainingBreaks.getAndDecrement() > 0
