Hold back parts of prompts that crash upstreams, on evidence that all hosts share

Callers saw: while 1 in 20 chat turns had one part in its prompt, engines crashed one after the other, 40 to 45 times in 22 s, and turns without the part were cut or refused: 111 to 135 of some 290 sound ones of the same caller or beginning were served, 67 to 71 of as many at other times.

Cause: a loss counted against the upstream alone. Nothing kept which requests had been lost with it, so the request's next send and each later request with the part took another engine.

Change: hosts report losses before the first event to the store (table promptrisk) and follow it. Three requests, or five sends, at two upstreams quarantine the parts without an answer in the last 10 s; prompts with them get 503 prompt_quarantined before they take a token of the limit, and batch items wait without a permit. A host that gets or had an answer to a part clears it for all. Losses are reported after the next answer to another prompt, so upstreams that answer nobody quarantine nothing. An item whose upstreams are lost waits longer each time.

Why it works: the evidence names what the lost requests share, whichever hosts and engines they met, and the contrast with answered prompts takes out the parts that sound ones share. Two parts that came together each time are held back only together, until one answer or one loss tells them apart.

PromptGuardSpec plays 30 seeded runs of upstreams that crash by themselves: no prompt is held back.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -21,6 +21,8 @@
 import figdeck.daemon.command.serving.FleetPeers
 import figdeck.daemon.command.serving.OnlineServices
 import figdeck.daemon.command.serving.PeerBootstrap
+import figdeck.daemon.command.serving.PromptGuard
+import figdeck.daemon.command.serving.PromptRiskWriter
 import figdeck.daemon.command.serving.RemoteSlotOwners
 import figdeck.daemon.command.serving.SlotClient
 import figdeck.daemon.command.serving.SlotOwner
@@ -35,6 +37,7 @@
 import figdeck.daemon.query.serving.jobFollower
 import figdeck.daemon.query.serving.planFollower
 import figdeck.daemon.query.serving.poolFollower
+import figdeck.daemon.query.serving.promptRiskFollower
 import figdeck.daemon.query.serving.upstreamReader
 import figdeck.http.client.HttpClient
 import figdeck.http.newHeaders
@@ -69,6 +72,7 @@
 import figdeck.traffic.command.fleetServingHandlers
 import figdeck.traffic.peerApi
 import figdeck.wire.serving.JOB_TABLE
+import figdeck.wire.serving.PROMPT_RISK_TABLE
 import figdeck.wire.serving.StoreView
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CompletableDeferred
@@ -143,7 +147,9 @@
     private val slotOwner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
     private val slotClient: SlotClient = SlotClient(control, clock, slotOwner, RemoteSlotOwners(control, peers), scope)
     private val teamLimits = TeamLimits(control, clock, peers, DecisionLog("limits"))
-    private val online = OnlineServices(clock, teamLimits, slotClient, random, DecisionLog("serve")) {
+    private val promptRiskWriter = PromptRiskWriter(control, clock, store)
+    private val promptGuard = PromptGuard(control, clock, promptRiskWriter, random, DecisionLog("prompts"))
+    private val online = OnlineServices(clock, teamLimits, slotClient, promptGuard, random, DecisionLog("serve")) {
         telemetry.meters.countFailedSend(it.label)
     }
     private val jobs = JobServices(
@@ -154,6 +160,7 @@
         cache = JobCache(),
         timeEstimator = ItemTimeEstimator(),
         slots = slotClient,
+        prompts = promptGuard,
         forward = httpItemForwarder(upstreamClient),
         random = random,
         log = DecisionLog("jobs"),
@@ -185,6 +192,7 @@
         )
         val jobInterval = { jobPollInterval(control.snapshot.fleet.liveMembers().size) }
         launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
+        launchFollower(PROMPT_RISK_TABLE, jobInterval, promptRiskFollower(control, promptGuard::onReports))
         scope.launchLoop("bootstrap") {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
@@ -193,6 +201,7 @@
         scope.launchLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         scope.launchLoop("held slots") { slotClient.confirmHeldSlots() }
         scope.launchLoop("jobs") { jobs.runJobs() }
+        scope.launchLoop("prompt reports") { promptRiskWriter.writeRows() }
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         readinessServer.listen(settings.readinessAddress.ip, settings.readinessAddress.port)
--- /dev/null
+++ b/src/main/kotlin/figdeck/command/serving/AssessPrompts.kt
@@ -0,0 +1,64 @@
+package figdeck.command.serving
+
+import figdeck.model.Moment
+import figdeck.model.serving.CRASH_REPORT_RETENTION
+import figdeck.model.serving.KnownCrash
+import figdeck.model.serving.PromptPart
+import figdeck.model.serving.PromptRisks
+import figdeck.model.serving.Quarantine
+import kotlinx.collections.immutable.toPersistentMap
+
+/**
+ * The number of requests with a part that must have lost their upstream before the part is quarantined. A crashing
+ * upstream takes all requests with it that wait for their first event, so one or two losses prove nothing.
+ */
+private const val QUARANTINE_REQUESTS = 3
+
+/** The number of losses that is enough without so many requests, such as those of one batch item that is repeated. */
+private const val QUARANTINE_LOSSES = 5
+
+/** At a single upstream, the upstream itself may be the cause. */
+private const val QUARANTINE_UPSTREAMS = 2
+
+/** The newest reports are kept if there are more. */
+private const val MAX_CRASHES = 1_000
+
+/** Derives from the reports in [state] which parts are suspected and which are quarantined. */
+internal fun assessPrompts(state: PromptRisks, now: Moment): PromptRisks {
+    val crashes = state.crashes.entries.sortedByDescending { it.value.reportedAt.monotonicNanos }.take(MAX_CRASHES)
+    val byPart = crashes
+        .map { it.value }
+        .filter { now - it.reportedAt < CRASH_REPORT_RETENTION }
+        .flatMap { crash -> state.suspectsOf(crash).map { it to crash } }
+        .groupBy({ (part, _) -> part }, { (_, crash) -> crash })
+    return state.copy(
+        crashes = if (crashes.size < state.crashes.size) {
+            crashes.associate { it.key to it.value }.toPersistentMap()
+        } else {
+            state.crashes
+        },
+        suspected = byPart.filterValues { it.size > 1 }.keys,
+        quarantined = byPart.mapNotNull { (part, losses) ->
+            state.quarantineOf(part, losses)?.let { part to it }
+        }.toMap(),
+    )
+}
+
+/** The parts that [crash] still counts against. */
+private fun PromptRisks.suspectsOf(crash: KnownCrash): List<PromptPart> = crash.report.suspects.filter { part ->
+    val clearance = clearances[part]
+    clearance == null || crash.version == null || crash.version > clearance.version
+}
+
+/** The quarantine of [part] after [losses], which all count against it, the latest first; null if they are too few. */
+private fun PromptRisks.quarantineOf(part: PromptPart, losses: List<KnownCrash>): Quarantine? {
+    val enough = (QUARANTINE_REQUESTS..losses.size).map { losses.take(it) }.firstOrNull { isEnough(it) }
+    val companions = losses.map { suspectsOf(it).toSet() - part }.reduce { all, next -> all intersect next }
+    return enough?.let { Quarantine(it.last().reportedAt + CRASH_REPORT_RETENTION, companions) }
+}
+
+private fun isEnough(losses: List<KnownCrash>): Boolean {
+    val requests = losses.distinctBy { it.report.request }.size
+    val upstreams = losses.distinctBy { it.report.upstream }.size
+    return upstreams >= QUARANTINE_UPSTREAMS && (requests >= QUARANTINE_REQUESTS || losses.size >= QUARANTINE_LOSSES)
+}
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -14,7 +14,10 @@
 import figdeck.command.serving.singleMemberFleet
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
+import figdeck.model.serving.PromptPart
+import figdeck.model.serving.PromptRisks
 import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.noPromptRisks
 import figdeck.query.serving.PlanIndex
 import figdeck.query.serving.planIndexOf
 
@@ -23,6 +26,7 @@
  *
  * @property index the active plan, indexed for look-ups, or null before the first plan was read.
  * @property slots the state of the slots that this host assigns.
+ * @property prompts the parts of prompts that may crash upstreams.
  * @property isDraining whether this host is stopping and accepts no new connections.
  */
 public data class ServingState(
@@ -32,6 +36,7 @@
     public val slots: DispatchState,
     public val limits: SharedLimits,
     public val jobs: JobDirectory,
+    public val prompts: PromptRisks,
     public val isDraining: Boolean,
 )
 
@@ -47,6 +52,7 @@
     slots = emptyDispatch(self.dataCentre),
     limits = emptySharedLimits,
     jobs = emptyJobDirectory,
+    prompts = noPromptRisks,
     isDraining = false,
 )
 
@@ -69,6 +75,15 @@
 internal fun updateJobs(state: ServingState, change: (JobDirectory) -> JobDirectory): Step<ServingState, Unit> =
     Step(state.copy(jobs = change(state.jobs)), Unit)
 
+/** Updates what is known about prompts, and returns the parts that this quarantines. */
+internal fun updatePrompts(
+    state: ServingState,
+    change: (PromptRisks) -> PromptRisks,
+): Step<ServingState, Set<PromptPart>> {
+    val next = change(state.prompts)
+    return Step(state.copy(prompts = next), next.quarantined.keys - state.prompts.quarantined.keys)
+}
+
 /** Updates the state of the limits and returns the result of [change]. */
 internal fun <R> updateLimits(
     state: ServingState,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -23,13 +23,21 @@
 
     /**
      * Appends the events of [reply] until it ends, or until no event is completed within [maxPause]. The output is
-     * complete if the result is.
+     * complete if the result is. Calls [onBegun] after the first events of [reply].
      */
-    suspend fun collect(reply: UpstreamReply, maxPause: Duration, clock: Clock): RelayResult {
+    suspend fun collect(
+        reply: UpstreamReply,
+        maxPause: Duration,
+        clock: Clock,
+        onBegun: suspend () -> Unit = {},
+    ): RelayResult {
+        val eventsBefore = progress.events.size
         val reader = EventReader(maxPause, clock())
         var fault: String? = null
         reply.body.chunks.transformWhile<ByteArray, Unit> { chunk ->
+            val hadBegun = progress.events.size > eventsBefore
             fault = reader.read(chunk, clock()).fold({ it }, { events -> events.firstNotNullOfOrNull { append(it) } })
+            if (!hadBegun && progress.events.size > eventsBefore) onBegun()
             fault == null
         }.collect()
         return when {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -10,6 +10,7 @@
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.model.Clock
 import figdeck.model.Lane
+import figdeck.model.UpstreamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
@@ -29,6 +30,8 @@
 private val SLOT_WAIT_LIMIT = 1_500.milliseconds
 private val SLOT_RETRY_DELAY = 150.milliseconds
 private val FAILURE_RETRY_DELAY = 100.milliseconds
+private val MAX_LOSS_DELAY = 10.seconds
+private const val MAX_LOSS_DOUBLINGS = 10
 
 /** How long an upstream may complete no event before the item continues at another one. */
 private val STALL_TIMEOUT = 2.seconds
@@ -66,30 +69,40 @@
     private val item: JobItem,
     private val output: ItemOutput,
 ) {
+    private val sharedParts = services.sharedParts(item)
     private var failures = 0
+    private var losses = 0
     private var spent = Duration.ZERO
 
-    /** Runs the item until its output is complete or it is given up. */
-    suspend fun run(): JobResult {
+    /** Runs the item until its output is complete or it is given up. Returns null while its prompt is quarantined. */
+    suspend fun run(): JobResult? {
         var result: JobResult? = null
-        while (result == null) {
+        var isHeld = false
+        while (result == null && !isHeld) {
             val route = services.control.snapshot.index?.routesByName?.get(record.route)
-            result = if (route == null || isExpired(route)) giveUp("expired or route removed") else tryOnce(route)
+            isHeld = services.prompts.holdOf(sharedParts) != null
+            result = when {
+                route == null || route.isExpired(record.age(services.clock())) -> giveUp("expired or route removed")
+                isHeld -> null
+                else -> tryOnce(route)
+            }
         }
         return result
     }
 
-    private fun isExpired(route: ServingRoute): Boolean {
-        val limit = route.batch?.abandonAfter ?: return true
-        return limit > Duration.ZERO && record.age(services.clock()) > limit
-    }
-
     private suspend fun tryOnce(route: ServingRoute): JobResult? = services.slots.acquire(newSlotRequest(route)).fold(
         {
             delay(SLOT_RETRY_DELAY)
             null
         },
-        { permit -> resultOf(runWithPermit(permit, route), permit, route) },
+        { permit ->
+            if (services.prompts.holdOf(sharedParts) == null) {
+                resultOf(runWithPermit(permit, route), permit, route)
+            } else {
+                services.slots.release(permit, SlotOutcome.ABANDONED, 0)
+                null
+            }
+        },
     )
 
     private suspend fun resultOf(attemptResult: AttemptResult, permit: HeldPermit, route: ServingRoute): JobResult? {
@@ -99,7 +112,7 @@
                 put("upstream", permit.upstream.id.value)
                 put("events", output.progress.events.size.toLong())
                 put("end", attemptResult.toString())
-                put("shared_parts", services.sharedParts(item).joinToString(" "))
+                put("shared_parts", sharedParts.joinToString(" "))
             }
         }
         return when (attemptResult) {
@@ -108,7 +121,10 @@
                 JobResult(item.id, isComplete = true, output = output.text)
             }
             AttemptResult.Impossible -> giveUp("the upstream can't process the item")
-            is AttemptResult.Interrupted -> null
+            is AttemptResult.Interrupted -> {
+                if (attemptResult.ending == SendEnding.LOST_BEFORE_ANSWER) onLoss(permit.upstream.id)
+                null
+            }
             is AttemptResult.Failed -> {
                 failures++
                 delay(FAILURE_RETRY_DELAY)
@@ -117,6 +133,13 @@
         }
     }
 
+    /** Reports the loss of [upstream], and waits longer after each loss: the item may be the cause. */
+    private suspend fun onLoss(upstream: UpstreamId) {
+        services.prompts.recordLoss(item.id, upstream, sharedParts)
+        delay((FAILURE_RETRY_DELAY * (1 shl losses)).coerceAtMost(MAX_LOSS_DELAY))
+        losses = (losses + 1).coerceAtMost(MAX_LOSS_DOUBLINGS)
+    }
+
     private fun giveUp(reason: String): JobResult {
         services.log.note("item_given_up", item.id) {
             put("job", record.id.value)
@@ -187,23 +210,27 @@
         val result = services.forward(
             ItemCall(item, route, record.team),
             options
-        ) { reply -> attemptResult = output.receive(reply, services.clock) }
+        ) { reply ->
+            attemptResult = output.receive(reply, services.clock) { services.prompts.recordAnswer(sharedParts) }
+        }
+        val hasBegun = output.progress.events.size > before
         return result.fold(
-            {
-                AttemptResult.Interrupted(
-                    it.reason,
-                    SlotOutcome.FAILED,
-                    it.ending(output.progress.events.size > before)
-                )
-            },
+            { lost -> AttemptResult.Interrupted(lost.reason, SlotOutcome.FAILED, lost.ending(hasBegun)) },
             { attemptResult },
         )
     }
 }
 
+/** Whether items of a job submitted [age] ago may be given up. */
+private fun ServingRoute.isExpired(age: Duration): Boolean {
+    val limit = batch?.abandonAfter ?: return true
+    return limit > Duration.ZERO && age > limit
+}
+
 private suspend fun ItemOutput.receive(
     reply: UpstreamReply,
     clock: Clock,
+    onBegun: suspend () -> Unit,
 ): AttemptResult = when (reply.executionStatus) {
     ExecutionStatus.UNVERIFIED -> AttemptResult.Interrupted("the response matches no request", SlotOutcome.FAILED)
     ExecutionStatus.WRONG_UPSTREAM -> AttemptResult.Interrupted("another upstream answered", SlotOutcome.GONE)
@@ -212,16 +239,20 @@
         AttemptResult.Interrupted("the upstream did not run it", SlotOutcome.ABANDONED)
     }
     ExecutionStatus.RAN -> when {
-        reply.isSuccess -> collectEvents(reply, clock)
+        reply.isSuccess -> collectEvents(reply, clock, onBegun)
         reply.status == UNPROCESSABLE -> AttemptResult.Impossible
         reply.status >= FIRST_SERVER_ERROR -> AttemptResult.Failed("the upstream answered ${reply.status}")
         else -> AttemptResult.Interrupted("the upstream answered ${reply.status}", SlotOutcome.FAILED)
     }
 }
 
-private suspend fun ItemOutput.collectEvents(reply: UpstreamReply, clock: Clock): AttemptResult {
+private suspend fun ItemOutput.collectEvents(
+    reply: UpstreamReply,
+    clock: Clock,
+    onBegun: suspend () -> Unit,
+): AttemptResult {
     val before = progress.events.size
-    return when (val result = collect(reply, STALL_TIMEOUT, clock)) {
+    return when (val result = collect(reply, STALL_TIMEOUT, clock, onBegun)) {
         RelayResult.Complete -> AttemptResult.Whole
         is RelayResult.Broken ->
             AttemptResult.Interrupted(result.reason, SlotOutcome.FAILED, result.ending(progress.events.size > before))
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -6,6 +6,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.updateJobs
+import figdeck.daemon.command.serving.PromptGuard
 import figdeck.daemon.command.serving.SendOptions
 import figdeck.daemon.command.serving.SlotClient
 import figdeck.daemon.command.serving.UpstreamReply
@@ -45,6 +46,7 @@
     val cache: JobCache,
     val timeEstimator: ItemTimeEstimator,
     val slots: SlotClient,
+    val prompts: PromptGuard,
     val forward: ForwardItem,
     val random: Random,
     val log: DecisionLog,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val RETRY_DELAY = 250.milliseconds
 
@@ -23,6 +24,7 @@
 /** Once the collected results reach this length, the write takes no more of them. */
 private const val MAX_WRITE_CHARACTERS = 300_000
 private const val MAX_WRITE_RESULTS = 20
+private val QUARANTINE_CHECK_INTERVAL = 1.seconds
 private val partLog = PartLog("jobs")
 
 /** Runs the items of [job] that have no result and stores their results, until all are stored or the job is lost. */
@@ -36,10 +38,8 @@
         val finished = Channel<JobResult>(Channel.UNLIMITED)
         val runs = pending.map { (position, item) ->
             launch {
-                val result = itemPermits.withPermit {
-                    ItemRunner(this@runJob, job.record, item, checkpointer.trackOutput(position)).run()
-                }
-                finished.send(result)
+                val runner by lazy { ItemRunner(this@runJob, job.record, item, checkpointer.trackOutput(position)) }
+                finished.send(runUntilFinished(itemPermits) { runner.run() })
             }
         }
         val allWritten = ResultWriter(this@runJob, job, pending, checkpointer).writeAll(finished)
@@ -48,6 +48,16 @@
     }
 }
 
+/** Repeats [run] until it has a result. No permit is held between two runs, so a quarantined item delays no other. */
+private suspend fun runUntilFinished(itemPermits: Semaphore, run: suspend () -> JobResult?): JobResult {
+    var result = itemPermits.withPermit { run() }
+    while (result == null) {
+        delay(QUARANTINE_CHECK_INTERVAL)
+        result = itemPermits.withPermit { run() }
+    }
+    return result
+}
+
 /** Reads the outputs that an earlier owner saved. If they can't be read, the items restart. */
 private suspend fun JobServices.loadProgress(record: JobRecord): Map<Int, SavedOutput> {
     val read = progress.read(record.id)
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
@@ -14,6 +14,7 @@
     val clock: Clock,
     val limits: TeamLimits,
     val slots: SlotClient,
+    val prompts: PromptGuard,
     val random: Random,
     val log: DecisionLog,
     val countFailedSend: (FailedSend) -> Unit,
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -37,13 +37,18 @@
     forward: Forward,
     caller: CallerChannel,
 ): Either<Refusal, Unit> {
-    val taken = call.access.team?.let { limits.takeToken(it, call.id) } ?: Unit.right()
-    return taken.fold(
+    val held = refusalOfHeldPrompt(call)?.left()
+    val allowed = held ?: call.access.team?.let { limits.takeToken(it, call.id) } ?: Unit.right()
+    return allowed.fold(
         { it.left() },
         { OnlineRequest(this, call, UpstreamSender(this, call, forward, caller), caller).serve() },
     )
 }
 
+/** The refusal of a call whose prompt must not be sent to upstreams; null if it may be sent. */
+private fun OnlineServices.refusalOfHeldPrompt(call: OnlineCall): Refusal? =
+    prompts.holdOf(call.sharedParts)?.let { Refusal.PromptQuarantined(it.part.id, it.timeLeft) }
+
 /** One request while it is served, across all upstreams that it is sent to. */
 private class OnlineRequest(
     private val services: OnlineServices,
@@ -64,21 +69,41 @@
     private suspend fun sendUntilServed(): Either<Refusal, Unit> {
         var result: Either<Refusal, Unit>? = null
         while (result == null) {
-            result = services.slots.acquire(newSlotRequest()).fold(
-                { refusal -> if (history.hasStarted) waitForSlot() else refuseWithoutSlot(refusal) },
-                { permit -> if (sendTo(permit)) Unit.right() else handleFailure() },
-            )
+            result = refusalBeforeStart()?.let { refuse(it) } ?: acquireAndSend()
         }
         return result
     }
 
-    /** A started stream is worth more than a new request, so it keeps requesting a slot instead of being refused. */
-    private suspend fun waitForSlot(): Either<Refusal, Unit>? {
-        delay(RESUME_RETRY_DELAY)
-        return null
+    /** A prompt whose stream has started is not held: an upstream has answered it. */
+    private fun refusalBeforeStart(): Refusal? =
+        if (history.hasStarted) null else services.refusalOfHeldPrompt(call)
+
+    private suspend fun acquireAndSend(): Either<Refusal, Unit>? = services.slots.acquire(
+        services.slotRequest(call, history)
+    ).fold(
+        { refusal -> onSlotRefused(refusal) },
+        { permit -> useSlot(permit) },
+    )
+
+    /** Sends the request, unless its prompt was quarantined while it waited for the slot. */
+    private suspend fun useSlot(permit: HeldPermit): Either<Refusal, Unit>? {
+        val refusal = refusalBeforeStart()
+        return when {
+            refusal != null -> {
+                services.slots.release(permit, SlotOutcome.ABANDONED, 0)
+                refuse(refusal)
+            }
+            sendTo(permit) -> Unit.right()
+            else -> handleFailure()
+        }
     }
 
-    private suspend fun refuseWithoutSlot(refusal: Refusal): Either<Refusal, Unit> {
+    /** A started stream is worth more than a new request, so it keeps requesting a slot instead of being refused. */
+    private suspend fun onSlotRefused(refusal: Refusal): Either<Refusal, Unit>? {
+        if (history.hasStarted) {
+            delay(RESUME_RETRY_DELAY)
+            return null
+        }
         services.log.note("no_slot", call.id) {
             put("pool", route.poolFor(call.id).value)
             put("reason", refusal.message)
@@ -120,22 +145,6 @@
         else -> Refusal.Overloaded("this route", 1.seconds).left()
     }
 
-    private fun newSlotRequest(): SlotRequest {
-        val elapsed = services.clock() - call.receivedAt
-        val maxQueueTime = route.latencyObjective * QUEUE_FRACTION
-        return SlotRequest(
-            ticket = services.random.nextLong(),
-            from = services.slots.self,
-            pool = route.poolFor(call.id),
-            team = call.access.team?.id,
-            lane = Lane.ONLINE,
-            cost = call.cost,
-            affinity = call.affinity,
-            excluded = history.failedUpstreams,
-            maxWait = (maxQueueTime - elapsed).coerceAtLeast(maxQueueTime / 2),
-        )
-    }
-
     /** Sends the request to the upstream of [permit] and returns whether the caller got its answer. */
     private suspend fun sendTo(permit: HeldPermit): Boolean {
         var use = SlotOutcome.ABANDONED
@@ -152,6 +161,23 @@
     }
 }
 
+private fun OnlineServices.slotRequest(call: OnlineCall, history: SendHistory): SlotRequest {
+    val route = call.access.route
+    val elapsed = clock() - call.receivedAt
+    val maxQueueTime = route.latencyObjective * QUEUE_FRACTION
+    return SlotRequest(
+        ticket = random.nextLong(),
+        from = slots.self,
+        pool = route.poolFor(call.id),
+        team = call.access.team?.id,
+        lane = Lane.ONLINE,
+        cost = call.cost,
+        affinity = call.affinity,
+        excluded = history.failedUpstreams,
+        maxWait = (maxQueueTime - elapsed).coerceAtLeast(maxQueueTime / 2),
+    )
+}
+
 /** The result to report for the upstream's slot after a send that ended with [failure]. */
 private fun slotOutcomeOf(failure: FailedSend?): SlotOutcome = when (failure) {
     null -> SlotOutcome.ANSWERED
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -41,9 +41,16 @@
 
     /**
      * Forwards the events of [reply] as they arrive, with the response head before the first event. Gives the stream up
-     * if no event is completed within [maxPause].
+     * if no event is completed within [maxPause]. Calls [onBegun] after the first events of [reply].
      */
-    suspend fun relay(reply: UpstreamReply, maxPause: Duration, clock: Clock, caller: CallerChannel): RelayResult {
+    suspend fun relay(
+        reply: UpstreamReply,
+        maxPause: Duration,
+        clock: Clock,
+        caller: CallerChannel,
+        onBegun: suspend () -> Unit = {},
+    ): RelayResult {
+        val eventsBefore = eventCount
         val reader = EventReader(maxPause, clock())
         var error: String? = null
         reply.body.chunks.transformWhile<ByteArray, Unit> { chunk ->
@@ -54,7 +61,9 @@
             }
             error = error ?: events.firstNotNullOfOrNull { orderError(it) }
             if (error == null && events.isNotEmpty()) {
+                val hasBegun = eventCount > eventsBefore
                 forwardEvents(events, reply, caller)
+                if (!hasBegun) onBegun()
                 reader.exclude(clock() - readAt)
             }
             error == null
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -7,6 +7,7 @@
 import figdeck.model.serving.isStream
 import figdeck.query.serving.FailedSend
 import figdeck.query.serving.NotRunCause
+import figdeck.query.serving.SendEnding
 import figdeck.query.serving.SendHistory
 import figdeck.query.serving.label
 import figdeck.query.serving.possibleRuns
@@ -71,10 +72,17 @@
                 put("shared_parts", call.sharedParts.joinToString(" "))
             }
         }
-        failed?.let { services.countFailedSend(it) }
+        failed?.let { onFailure(it) }
         return failed
     }
 
+    private fun onFailure(failed: FailedSend) {
+        services.countFailedSend(failed)
+        if (failed is FailedSend.MayHaveRun && failed.ending == SendEnding.LOST_BEFORE_ANSWER) {
+            services.prompts.recordLoss(call.id, failed.upstream, call.sharedParts)
+        }
+    }
+
     private fun failedSend(upstream: UpstreamId, lost: ExchangeFailure, hasBegun: Boolean): FailedSend = when (lost) {
         is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason, NotRunCause.UNREACHABLE)
         is ExchangeFailure.Lost -> FailedSend.MayHaveRun(upstream, lost.reason, lost.ending(hasBegun))
@@ -108,7 +116,10 @@
 
     private suspend fun relay(reply: UpstreamReply, options: SendOptions): FailedSend? {
         val eventsBefore = stream.eventCount
-        return when (val result = stream.relay(reply, options.idleTimeout, services.clock, caller)) {
+        val result = stream.relay(reply, options.idleTimeout, services.clock, caller) {
+            services.prompts.recordAnswer(call.sharedParts)
+        }
+        return when (result) {
             RelayResult.Complete -> null
             is RelayResult.Broken ->
                 FailedSend.MayHaveRun(
@@ -131,6 +142,7 @@
                 FailedSend.MayHaveRun(upstream, "the upstream answered ${reply.status}")
             }
             else -> {
+                services.prompts.recordAnswer(call.sharedParts)
                 caller.full(reply.status, reply.headers, body)
                 null
             }
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -81,6 +81,13 @@
         override val message: String get() = "$resource is overloaded: send again after the time in Retry-After"
     }
 
+    /** The prompt has a [part] that crashed several upstreams. It is not sent for [retryAfter]. */
+    public data class PromptQuarantined(public val part: String, override val retryAfter: Duration) : Refusal {
+        override val message: String
+            get() = "part '$part' of the prompt crashed several upstreams: send another prompt, " +
+                "or the same after the time in Retry-After"
+    }
+
     /** No upstream could be reached; nothing was sent. */
     public data class NoUpstream(public val resource: String) : Refusal {
         override val message: String get() = "no upstream of $resource can be reached: send again after a second"
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -157,6 +157,7 @@
     this.online.serveOnline(onlineCall, forward(received, access), caller).onLeft { refusal ->
         this.online.log.note("refused", headers.id) {
             put("refusal", refusal.type)
+            put("reason", refusal.message)
             put("route", access.route.name)
             put("team", access.team?.id?.value ?: "none")
             put("after_ms", (this@serveOnline.online.clock() - received.receivedAt).inWholeMilliseconds)
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -43,6 +43,7 @@
         is Refusal.RateLimited -> "over_rate"
         is Refusal.LimitUnavailable -> "limit_unavailable"
         is Refusal.Overloaded -> "overloaded"
+        is Refusal.PromptQuarantined -> "prompt_quarantined"
         is Refusal.NoUpstream -> "no_upstream"
         is Refusal.UpstreamLost -> "upstream_lost"
         is Refusal.AnswerTimeout -> "answer_timeout"
@@ -73,7 +74,7 @@
         is Refusal.IdempotencyKeyReused, Refusal.Cancelled, is Refusal.StillRunning -> CONFLICT
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> SERVICE_UNAVAILABLE
         is Refusal.StoreUnavailable, is Refusal.Unconfirmed, Refusal.Draining -> SERVICE_UNAVAILABLE
-        is Refusal.LimitUnavailable -> SERVICE_UNAVAILABLE
+        is Refusal.LimitUnavailable, is Refusal.PromptQuarantined -> SERVICE_UNAVAILABLE
         is Refusal.InDoubt, is Refusal.TakenOver, is Refusal.AnswerTimeout -> GATEWAY_TIMEOUT
         is Refusal.HostLost, is Refusal.NotStarted -> BAD_GATEWAY
     }
--- /dev/null
+++ b/src/test/kotlin/figdeck/command/serving/PromptRisksSpec.kt
@@ -0,0 +1,137 @@
+package figdeck.command.serving
+
+import figdeck.model.Moment
+import figdeck.model.UpstreamId
+import figdeck.model.serving.CRASH_REPORT_RETENTION
+import figdeck.model.serving.Clearance
+import figdeck.model.serving.CrashReport
+import figdeck.model.serving.KnownCrash
+import figdeck.model.serving.PromptPart
+import figdeck.model.serving.PromptRisks
+import figdeck.model.serving.noPromptRisks
+import figdeck.query.serving.PromptHold
+import figdeck.query.serving.expiredClearances
+import figdeck.query.serving.expiredCrashes
+import figdeck.query.serving.holdOf
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+private val start = Moment(0, 0)
+private val deadly = PromptPart("deadly")
+private val topic = PromptPart("topic")
+
+/** The loss of [upstream] by [request], seconds after the start and with the row version of the same number. */
+private data class Loss(
+    val request: String,
+    val upstream: String,
+    val second: Int,
+    val suspects: Set<PromptPart> = setOf(deadly),
+)
+
+private fun PromptRisks.after(vararg losses: Loss): PromptRisks = losses.fold(this) { risks, loss ->
+    val at = start + loss.second.seconds
+    val report = CrashReport(loss.request, UpstreamId(loss.upstream), loss.suspects)
+    putCrash(risks, "crash-${loss.second}", KnownCrash(report, at, loss.second.toLong()), at)
+}
+
+private fun PromptRisks.holds(parts: List<PromptPart>): PromptHold? = holdOf(parts, start + 10.seconds)
+
+private fun PromptRisks.holds(part: PromptPart): PromptHold? = holds(listOf(part))
+
+private val quarantined = noPromptRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2), Loss("c", "e-1", 3))
+
+class PromptRisksSpec : DescribeSpec({
+    describe("a part of a prompt") {
+        it("is held back after three requests have lost two upstreams") {
+            noPromptRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2)).holds(deadly).shouldBeNull()
+            quarantined.holds(listOf(topic, deadly)) shouldBe PromptHold(deadly, CRASH_REPORT_RETENTION - 9.seconds)
+            quarantined.holds(topic).shouldBeNull()
+        }
+
+        it("is not held back for losses at a single upstream") {
+            noPromptRisks.after(*Array(6) { Loss("request-$it", "e-1", it + 1) }).holds(deadly).shouldBeNull()
+        }
+
+        it("is held back after one request has lost five upstreams") {
+            val losses = Array(5) { Loss("item", "e-$it", it + 1) }
+            noPromptRisks.after(*losses.copyOf(4).requireNoNulls()).holds(deadly).shouldBeNull()
+            noPromptRisks.after(*losses).holds(deadly).shouldNotBeNull()
+        }
+
+        it("is tried again when its reports no longer count") {
+            val end = start + 1.seconds + CRASH_REPORT_RETENTION
+            quarantined.holdOf(listOf(deadly), start + CRASH_REPORT_RETENTION).shouldNotBeNull()
+            quarantined.holdOf(listOf(deadly), end).shouldBeNull()
+            quarantined.expiredCrashes(end) shouldBe emptySet()
+            quarantined.expiredCrashes(end + 2.seconds) shouldBe setOf("crash-1", "crash-2")
+        }
+    }
+
+    describe("a part that was answered after its reports") {
+        val cleared = clearPart(quarantined, deadly, Clearance(3, start + 4.seconds), start + 4.seconds)
+
+        it("is sent again on every host that knows it") {
+            cleared.holds(deadly).shouldBeNull()
+        }
+
+        it("is held back again only by as many later reports") {
+            val later = cleared.after(Loss("d", "e-1", 5), Loss("e", "e-2", 6))
+            later.holds(deadly).shouldBeNull()
+            later.after(Loss("f", "e-3", 7)).holds(deadly).shouldNotBeNull()
+        }
+
+        it("is cleared of reports that the store has not confirmed, on the host that answered it") {
+            val unconfirmed = quarantined.crashes.mapValues { it.value.copy(version = null) }
+            val risks = unconfirmed.entries.fold(
+                noPromptRisks
+            ) { all, (key, crash) -> putCrash(all, key, crash, start) }
+            risks.holds(deadly).shouldNotBeNull()
+            clearLocally(risks, deadly, start).holds(deadly).shouldBeNull()
+        }
+
+        it("stays cleared for longer than its reports are kept") {
+            cleared.expiredClearances(start + CRASH_REPORT_RETENTION * 2) shouldBe emptySet()
+            cleared.expiredClearances(start + CRASH_REPORT_RETENTION * 2 + 5.seconds) shouldBe setOf(deadly)
+        }
+    }
+
+    describe("two parts that every lost prompt had") {
+        val both = setOf(topic, deadly)
+        val risks = noPromptRisks.after(
+            Loss("a", "e-1", 1, both),
+            Loss("b", "e-2", 2, both),
+            Loss("c", "e-3", 3, both),
+        )
+
+        it("are held back together, and each alone is sent to find out which it is") {
+            risks.holds(listOf(topic, deadly)).shouldNotBeNull()
+            risks.holds(topic).shouldBeNull()
+            risks.holds(deadly).shouldBeNull()
+        }
+
+        it("are told apart by the next loss with one of them") {
+            val next = risks.after(Loss("d", "e-1", 4))
+            next.holds(deadly).shouldNotBeNull()
+            next.holds(topic).shouldBeNull()
+        }
+
+        it("are told apart by an answer to one of them") {
+            val next = clearPart(risks, topic, Clearance(3, start), start)
+            next.holds(deadly).shouldNotBeNull()
+            next.holds(topic).shouldBeNull()
+        }
+    }
+
+    describe("a host that reads the table anew") {
+        it("keeps its own reports that the store has not confirmed") {
+            val own = KnownCrash(CrashReport("own", UpstreamId("e-1"), setOf(deadly)), start, version = null)
+            val listed = quarantined.crashes - "crash-1"
+            val risks = replaceRisks(putCrash(quarantined, "crash-own", own, start), listed, emptyMap(), start)
+            risks.crashes.keys shouldBe setOf("crash-own", "crash-2", "crash-3")
+            risks.holds(deadly).shouldNotBeNull()
+        }
+    }
+})
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -8,6 +8,8 @@
 import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.MemoryBackends
 import figdeck.daemon.command.serving.ExecutionStatus
+import figdeck.daemon.command.serving.PromptGuard
+import figdeck.daemon.command.serving.PromptRiskWriter
 import figdeck.daemon.command.serving.SendOptions
 import figdeck.daemon.command.serving.TestHost
 import figdeck.daemon.command.serving.UpstreamReply
@@ -107,6 +109,13 @@
     cache = JobCache(),
     timeEstimator = ItemTimeEstimator(),
     slots = slots,
+    prompts = PromptGuard(
+        control,
+        systemClock,
+        PromptRiskWriter(control, systemClock, store),
+        Random(4),
+        DecisionLog("prompts"),
+    ),
     forward = engine.forward,
     random = Random(3),
     log = DecisionLog("jobs"),
--- /dev/null
+++ b/src/test/kotlin/figdeck/daemon/command/serving/PromptGuardSpec.kt
@@ -0,0 +1,141 @@
+package figdeck.daemon.command.serving
+
+import figdeck.model.UpstreamId
+import figdeck.model.serving.PromptPart
+import figdeck.process.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val UPSTREAMS = 6
+private const val SEEDS = 30
+private val deadly = PromptPart("deadly")
+private val intro = PromptPart("intro")
+private val topic = PromptPart("topic")
+private val reactionTime = 5.seconds
+
+private fun PromptGuard.lose(request: String, upstream: Int, parts: List<PromptPart>) =
+    recordLoss(request, UpstreamId("e-$upstream"), parts)
+
+private suspend fun <R> withFleet(hosts: Int, use: suspend (GuardedFleet) -> R): R = GuardedFleet(hosts).use { use(it) }
+
+/** A request that waits for its first event at [upstream]. */
+private data class Waiting(
+    val id: String,
+    val guard: PromptGuard,
+    val upstream: Int,
+    val parts: List<PromptPart>,
+)
+
+/**
+ * Two minutes in which upstreams crash one or several at a time, whatever they run, and every fifth prompt is of a rare
+ * topic. Returns the number of prompts that were held back.
+ */
+private suspend fun heldWhileUpstreamsCrash(fleet: GuardedFleet, random: Random): Int {
+    var held = 0
+    repeat(1_200) { step ->
+        fleet.advance(100.milliseconds)
+        val arrivals = List(4) { i ->
+            val topic = if (random.nextInt(5) == 0) "rare${random.nextInt(1_000)}" else "topic${random.nextInt(60)}"
+            Waiting(
+                id = "$step-$i",
+                guard = fleet.guards.random(random),
+                upstream = random.nextInt(UPSTREAMS),
+                parts = listOf(PromptPart("intro${random.nextInt(8)}"), PromptPart(topic)),
+            )
+        }
+        val sent = arrivals.filter { it.guard.holdOf(it.parts) == null }
+        held += arrivals.size - sent.size
+        val crashed = if (random.nextInt(8) == 0) {
+            List(1 + random.nextInt(UPSTREAMS)) {
+                random.nextInt(UPSTREAMS)
+            }
+        } else {
+            emptyList()
+        }
+        for (request in sent) {
+            if (request.upstream in crashed) {
+                request.guard.lose(request.id, request.upstream, request.parts)
+            } else {
+                request.guard.recordAnswer(request.parts)
+            }
+        }
+        fleet.settle()
+    }
+    return held
+}
+
+class PromptGuardSpec : DescribeSpec({
+    describe("a part whose requests lose one upstream after the other") {
+        it("is held back at every host, whichever hosts sent the requests") {
+            withFleet(3) { fleet ->
+                fleet.guards.forEachIndexed { i, guard ->
+                    guard.lose("request-$i", i, listOf(intro, deadly))
+                    guard.recordAnswer(listOf(intro))
+                }
+                eventually(reactionTime) { fleet.guards.all { it.holdOf(listOf(intro, deadly))?.part == deadly } }
+                fleet.guards.count { it.holdOf(listOf(intro, topic)) != null } shouldBe 0
+            }
+        }
+
+        it("is held back at the host that lost them while the store is down, and at all hosts after that") {
+            withFleet(2) { fleet ->
+                fleet.isStoreDown = true
+                val (first, second) = fleet.guards
+                (1..3).forEach { first.lose("request-$it", it, listOf(intro, deadly)) }
+                first.recordAnswer(listOf(intro))
+                first.holdOf(listOf(deadly))?.part shouldBe deadly
+                second.holdOf(listOf(deadly)) shouldBe null
+                fleet.isStoreDown = false
+                eventually(reactionTime) { second.holdOf(listOf(deadly))?.part == deadly }
+            }
+        }
+    }
+
+    describe("a sound part") {
+        it("that another host has answered a short time ago is cleared at all hosts") {
+            withFleet(2) { fleet ->
+                val (first, second) = fleet.guards
+                second.recordAnswer(listOf(topic))
+                (1..3).forEach { first.lose("request-$it", it, listOf(topic)) }
+                first.recordAnswer(listOf(intro))
+                eventually(reactionTime) { fleet.guards.all { it.holdOf(listOf(topic)) == null } }
+            }
+        }
+
+        it("is sent without the part with which it was held back, and cleared by the answer") {
+            withFleet(2) { fleet ->
+                val (first, second) = fleet.guards
+                (1..3).forEach { first.lose("request-$it", it, listOf(topic, deadly)) }
+                first.recordAnswer(listOf(intro))
+                eventually(reactionTime) { second.holdOf(listOf(topic, deadly)) != null }
+                second.holdOf(listOf(topic)) shouldBe null
+                second.recordAnswer(listOf(topic))
+                eventually(reactionTime) { fleet.guards.all { it.holdOf(listOf(deadly))?.part == deadly } }
+                fleet.guards.count { it.holdOf(listOf(topic)) != null } shouldBe 0
+            }
+        }
+    }
+
+    describe("upstreams that crash by themselves") {
+        it("hold no prompt back when they answer none") {
+            withFleet(2) { fleet ->
+                fleet.guards.forEach { it.recordAnswer(listOf(intro)) }
+                repeat(100) { i ->
+                    fleet.advance(300.milliseconds)
+                    fleet.guards.forEach { it.lose("$i", i % UPSTREAMS, listOf(intro, topic)) }
+                }
+                fleet.guards.count { it.holdOf(listOf(intro, topic)) != null } shouldBe 0
+            }
+        }
+
+        it("hold no prompt back for its part, in $SEEDS seeded runs") {
+            val held = (1..SEEDS).associateWith { seed ->
+                withFleet(3) { heldWhileUpstreamsCrash(it, Random(seed)) }
+            }
+            held.filterValues { it > 0 } shouldBe emptyMap()
+        }
+    }
+})
