An odd entry among those of the upstreams no longer ends what reads the list

Decoding 20,000 nested lists among an entry's models throws StackOverflowError on a thread with 256 KB, the stack of a daemon's threads. That is no Exception, so neither the decoder nor the loop that follows the table caught it: the loop ended for good, without a log line, and the host went on with the upstreams that it knew.

A loop that runs out of stack starts again, as after any failure.

Other odd entries named an upstream although they should not: 2,147,483,647 slots (which draw all work), a host name in place of the IP number (resolving it blocks the traffic thread) or an IP number out of range, a sequence number or version of another type. Ports out of range and numbers too large for an Int were rejected before.

--- a/src/main/kotlin/figdeck/daemon/command/LaunchLoop.kt
+++ b/src/main/kotlin/figdeck/daemon/command/LaunchLoop.kt
@@ -37,4 +37,7 @@
     currentCoroutineContext().ensureActive()
     log.error(e) { "the loop '$name' failed and starts again" }
     false
+} catch (e: StackOverflowError) {
+    log.error(e) { "the loop '$name' ran out of stack and starts again" }
+    false
 }
--- a/src/main/kotlin/figdeck/model/Upstream.kt
+++ b/src/main/kotlin/figdeck/model/Upstream.kt
@@ -2,7 +2,8 @@
 
 import arrow.core.raise.nullable
 
-private const val MAX_SLOTS = 4096
+/** More slots than any upstream has. */
+public const val MAX_SLOTS: Int = 4096
 private const val DEFAULT_SLOTS = 8
 
 /** What an upstream serves. */
--- a/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import figdeck.model.DataCentre
+import figdeck.model.MAX_SLOTS
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.model.UpstreamKind
@@ -10,6 +11,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
+import io.netty.util.NetUtil
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
@@ -25,6 +27,11 @@
     @SerialName("Zone") val dataCentre: String,
     @SerialName("Slots") val slots: Int,
     @SerialName("State") val state: String,
+    /** The version of its software. Unused like the two numbers, but an entry with a wrong type is no upstream's. */
+    @SerialName("Version") val version: String? = null,
+    @SerialName("ColdRemainingMs") val slowStartMillis: Double? = null,
+    /** The number of orders that it has accepted. */
+    @SerialName("Seq") val sequence: Long? = null,
     /** The loaded models; empty for a plain service. */
     @SerialName("Models") val models: List<JsonElement> = emptyList(),
 )
@@ -39,10 +46,13 @@
 
 private fun UpstreamMessage.toMember(id: String): PoolMember {
     require(state == READY_STATE || state == LEAVING_STATE) { "unknown state '$state'" }
-    require(slots > 0) { "slots must be positive, but was $slots" }
+    require(slots in 1..MAX_SLOTS) { "$slots slots are out of range: 1 to $MAX_SLOTS are possible" }
+    val listensAt = parseAddress(address)
+    // Resolving a name would block the thread that carries the traffic.
+    require(NetUtil.createByteArrayFromIpAddressString(listensAt.ip) != null) { "'${listensAt.ip}' is no IP number" }
     val upstream = Upstream(
         id = UpstreamId(id),
-        address = parseAddress(address),
+        address = listensAt,
         dataCentre = DataCentre(dataCentre),
         kind = if (models.isEmpty()) UpstreamKind.SERVICE else UpstreamKind.ENGINE,
         slots = slots,
--- a/src/main/kotlin/figdeck/wire/command/TemplateCodec.kt
+++ b/src/main/kotlin/figdeck/wire/command/TemplateCodec.kt
@@ -7,11 +7,11 @@
 import arrow.core.right
 import figdeck.model.Fault
 import figdeck.model.Template
+import figdeck.wire.decodeTree
 import figdeck.wire.lenientJson
 import figdeck.wire.strictJson
 import figdeck.wire.validateJson
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 
@@ -84,13 +84,13 @@
 internal fun templateName(text: String): String? =
     parseObject(text).getOrNull()?.get("name")?.let { it as? JsonPrimitive }?.content
 
-private fun parseObject(text: String): Either<String, JsonObject> = try {
-    (lenientJson.parseToJsonElement(text) as? JsonObject)?.right()
-        ?: "the template is no JSON object: see the example in docs/OPERATIONS.md".left()
-} catch (e: SerializationException) {
-    val reason = e.message.orEmpty().lineSequence().first()
-    "the template is not valid JSON ($reason): see the example in docs/OPERATIONS.md".left()
-}
+private fun parseObject(text: String): Either<String, JsonObject> = lenientJson.decodeTree(text).fold(
+    { reason -> "the template is not valid JSON ($reason): see the example in docs/OPERATIONS.md".left() },
+    { tree ->
+        (tree as? JsonObject)?.right()
+            ?: "the template is no JSON object: see the example in docs/OPERATIONS.md".left()
+    },
+)
 
 internal fun encodeTemplate(template: Template): String =
     strictJson.encodeToString(TemplateDto.serializer(), template.toDto())
--- a/src/test/kotlin/figdeck/daemon/command/LaunchLoopSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/LaunchLoopSpec.kt
@@ -18,6 +18,7 @@
         listOf<Pair<String, suspend () -> Unit>>(
             "a failure" to { throw IOException("the table is unreadable") },
             "a time-out of something it waited for" to { withTimeout(1.milliseconds) { awaitCancellation() } },
+            "an overflow of its stack" to { throw StackOverflowError() },
             "the cancellation of something it waited for" to { throw CancellationException("the call was cancelled") },
         ).forEach { (name, fail) ->
             it("is started again after $name") {
--- a/src/test/kotlin/figdeck/daemon/query/serving/FollowersSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/FollowersSpec.kt
@@ -25,6 +25,20 @@
 
     afterSpec { control.close() }
 
+    describe("a follower of upstreams that gets an entry of another writer") {
+        val deep = "[".repeat(20_000)
+        val odd = """{"Service":"p","Address":"10.0.0.1:80","Zone":"z","Slots":8,"State":"ready","Models":$deep}"""
+        val sound = """{"Service":"p","Address":"10.0.0.2:80","Zone":"z","Slots":8,"State":"ready"}"""
+        val follower = poolFollower(control, upstreamReader(::decodeUpstream), DecisionLog("test"))
+
+        it("uses the others, and follows the changes after it") {
+            follower.replace(listOf(Row("odd", odd, 1), Row("sound", sound, 1)))
+            control.snapshot.pools.members.keys.map { it.value } shouldBe listOf("sound")
+            follower.change(listOf(RowChange("odd", Row("odd", odd, 2)), RowChange("sound", null)))
+            control.snapshot.pools.members.size shouldBe 0
+        }
+    }
+
     describe("a follower that gets rows with foreign keys") {
         val changes = foreignKeys.flatMap { listOf(RowChange(it, null), RowChange(it, Row(it, "no JSON", 1))) }
 
