A stream that goes on elsewhere ends in nothing but its own events

Other operators: a stream had begun and broke off, the next upstream answered with an error, and clients found its text in the middle of their stream, or a stream that ended as if it were complete. Looked for here:

- A next upstream that answered 4xx was handed to the caller as a whole response within the begun one.
The HTTP server refuses that, so no text got out, but the request ended with 'the request handler failed' in place of a typed failure.

A response that declares its end may still say that nothing is left.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -43,7 +43,8 @@
         return when {
             fault != null -> RelayResult.Broken(fault.orEmpty(), hasEnded = false)
             reader.hasPartialEvent -> RelayResult.Broken("the stream ended in the middle of an event", hasEnded = true)
-            progress.events.isEmpty() -> RelayResult.Broken("the stream ended before its first event", hasEnded = true)
+            progress.events.isEmpty() || (progress.events.size == eventsBefore && !reply.isDelimited) ->
+                RelayResult.Broken("the stream ended before its first event", hasEnded = true)
             else -> RelayResult.Complete
         }
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -70,12 +70,14 @@
  * A response whose head has arrived.
  *
  * @property headers the headers that are forwarded to the caller.
+ * @property isDelimited whether the response declares where its body ends. Otherwise it ends with its connection.
  */
 internal data class UpstreamReply(
     val executionStatus: ExecutionStatus,
     val status: Int,
     val headers: HttpHeaders,
     val body: HttpBody,
+    val isDelimited: Boolean = true,
 )
 
 private const val FIRST_SUCCESS = 200
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -71,7 +71,8 @@
         return when {
             error != null -> RelayResult.Broken(error.orEmpty(), hasEnded = false)
             reader.hasPartialEvent -> RelayResult.Broken("the stream ended in the middle of an event", hasEnded = true)
-            !hasStarted -> RelayResult.Broken("the stream ended before its first event", hasEnded = true)
+            !hasStarted || (eventCount == eventsBefore && !reply.isDelimited) ->
+                RelayResult.Broken("the stream ended before its first event", hasEnded = true)
             else -> RelayResult.Complete
         }
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -109,8 +109,15 @@
                 FailedSend.NotRun(id, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
             ExecutionStatus.WRONG_UPSTREAM -> FailedSend.NotRun(id, "another upstream answered", NotRunCause.REPLACED)
             ExecutionStatus.UNVERIFIED -> FailedSend.MayHaveRun(id, "the response matches no request")
-            ExecutionStatus.RAN ->
-                if (reply.isSuccess && route.kind.isStream) relay(reply, options) else deliver(id, reply)
+            ExecutionStatus.RAN -> when {
+                reply.isSuccess && route.kind.isStream -> relay(reply, options)
+                // Whatever this upstream answers would reach the caller within the stream of an earlier one.
+                stream.hasStarted -> FailedSend.MayHaveRun(
+                    id,
+                    "the upstream answered ${reply.status} to a begun stream"
+                )
+                else -> deliver(id, reply)
+            }
         }
     }
 
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -192,7 +192,8 @@
         NOT_EXECUTED_HEADER in headers -> ExecutionStatus.NOT_RUN
         else -> ExecutionStatus.RAN
     }
-    return UpstreamReply(executionStatus, reply.status, forwardableHeaders(headers), reply.body)
+    val isDelimited = HttpHeaderNames.CONTENT_LENGTH in headers || HttpHeaderNames.TRANSFER_ENCODING in headers
+    return UpstreamReply(executionStatus, reply.status, forwardableHeaders(headers), reply.body, isDelimited)
 }
 
 /** Sends [refusal] with its status; 429 and 503 carry the seconds to wait in Retry-After. */
