A connection on which a refusal came carries no further request

Looked for here: requests that may not be repeated always go out on a new connection, and a refusal that names another attempt is not trusted. But refusals without an id are, and an item is sent to one upstream again under the same id; on a kept connection the copy of an earlier refusal was then taken for the answer, and the work sent to a second upstream while the first ran it.

The client kept connections whose response was received but not read, against its own contract. It now keeps only those whose response was read to its end, and nobody reads a refusal's body: its connection is closed, and no later request can meet the copy. UntrustedResponseSpec failed before: the second request got the first one's 503.

--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -41,6 +41,11 @@
     var isComplete: Boolean = false
         private set
 
+    /** Whether [body] was collected to its end. */
+    @Volatile
+    var isConsumed: Boolean = false
+        private set
+
     fun offer(content: ByteBuf) {
         if (content.isReadable) {
             queue.trySend(ByteBufUtil.getBytes(content))
@@ -57,14 +62,15 @@
     }
 
     private fun chunks(): Flow<ByteArray> = flow {
-        while (true) {
+        while (!isConsumed) {
             val polled = queue.tryReceive()
             if (polled.isClosed) {
                 polled.exceptionOrNull()?.let { throw it }
-                return@flow
+                isConsumed = true
+            } else {
+                val first = polled.getOrNull() ?: awaitChunk()
+                if (first == null) isConsumed = true else emit(withBuffered(first))
             }
-            val first = polled.getOrNull() ?: awaitChunk() ?: return@flow
-            emit(withBuffered(first))
         }
     }
 
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -47,8 +47,11 @@
     var keepAliveTimeout: Duration? = null
         private set
 
-    /** Whether the latest response is complete and the peer keeps the connection open. */
-    val isReusable: Boolean get() = keepsAlive && responseBody?.isComplete == true
+    /**
+     * Whether the latest response was read to its end and the peer keeps the connection open. A response that is left
+     * unread is of no use to its reader, such as a refusal; its peer may be in trouble and send it once more.
+     */
+    val isReusable: Boolean get() = keepsAlive && responseBody?.isConsumed == true
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
--- a/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
+++ b/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.withContext
+import java.net.Socket
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.measureTime
@@ -76,6 +77,24 @@
         }
     }
 
+    describe("a refusal that its upstream writes again on the connection") {
+        it("is not taken for the answer to the next request") {
+            val refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            var refusedOn: Socket? = null
+            val upstream = RawUpstream { request, socket ->
+                when {
+                    request == 1 -> socket.send(refusal).also { refusedOn = socket }
+                    socket == refusedOn -> socket.send(refusal + wholeResponse("answer"))
+                    else -> socket.send(wholeResponse("answer"))
+                }
+            }
+            upstream.use {
+                client.exchange(get(it.address)) { reply -> reply.status }.getOrNull() shouldBe 503
+                client.exchange(get(it.address)) { reply -> reply.status }.getOrNull() shouldBe 200
+            }
+        }
+    }
+
     describe("an answer without length") {
         it("is whole if its connection ends in order") {
             RawUpstream { _, socket ->
