The spec of the crashing prompt doesn't need five crashes

Traced by the arrivals in the report: four within 0.41 s, and none in the 9 s after, so the part was held back before a fifth engine crashed. That is what the promise wants; the spec was wrong to require the damage.

The bounds stay: at most three arrivals later than 3 s after the fifth crash, counted from the last one if there are fewer, as the users' rule has it, and at least one crash, without which the spec would show nothing.

--- a/src/test/kotlin/figdeck/process/CrashingPromptSpec.kt
+++ b/src/test/kotlin/figdeck/process/CrashingPromptSpec.kt
@@ -3,7 +3,7 @@
 import figdeck.standin.ReceivedRequest
 import figdeck.standin.RunnerStandIn
 import io.kotest.core.spec.style.DescribeSpec
-import io.kotest.matchers.collections.shouldHaveAtLeastSize
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.netty.channel.EventLoopGroup
@@ -65,6 +65,9 @@
     /** When each request with the part reached an engine. */
     val deadlyArrivals = CopyOnWriteArrayList<ComparableTimeMark>()
 
+    /** The fifth crash, or the last one if there are fewer. */
+    val decisiveCrash: ComparableTimeMark get() = deadlyArrivals.getOrNull(4) ?: deadlyArrivals.last()
+
     suspend fun start(replaced: String? = null) {
         val id = "engine-${starts.incrementAndGet()}"
         val engine = RunnerStandIn(eventLoops, id, isFatal = { it.isDeadly && onCrash(id) })
@@ -135,13 +138,13 @@
         }
 
         it("reaches at most three engines later than 3 s after the fifth crash") {
-            engines.deadlyArrivals shouldHaveAtLeastSize 5
-            val reactedAt = engines.deadlyArrivals[4] + REACTION_TIME
+            engines.deadlyArrivals.shouldNotBeEmpty()
+            val reactedAt = engines.decisiveCrash + REACTION_TIME
             engines.deadlyArrivals.count { it > reactedAt } shouldBeLessThanOrEqual 3
         }
 
         it("does not keep prompts with the same other parts from being answered") {
-            val reactedAt = engines.deadlyArrivals[4] + REACTION_TIME * 2
+            val reactedAt = engines.decisiveCrash + REACTION_TIME * 2
             val later = sound.filter { it.at > reactedAt }
             val statuses = later.map { it.response }.awaitAll().map { it.status }
             statuses.count { it == 200 }.toDouble() / statuses.size shouldBeGreaterThan 0.9
