Rows keep characters of two UTF-16 units whole

What callers saw: results of a batch job read differently at another host.

Cause: a result that needs several rows was cut after every 16,000 UTF-16 units. Each row's value is encoded in UTF-8 by itself, and half a surrogate pair has no encoding: both halves became '?'. The host that ran the job answered from memory, so the loss showed at the next host only. The list of a job's items was cut in the same way.

Evidence: RowPartsSpec failed before on both (results shifted by 0 characters, items shifted by 1), the stored rows hold '?' from the first write on.

Fix: splitIntoRowValues, for results and items, ends a row before a pair that would be cut. A row never grows, so the size limits hold as before. Rows that earlier versions wrote are read as before, with what they lost.

--- a/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
@@ -36,9 +36,7 @@
 
 /** The writes that store the encoded items [text], split over as many rows as needed. */
 internal fun itemWrites(id: JobId, text: String): List<RowWrite> =
-    text.chunked(
-        MAX_ROW_CHARACTERS
-    ).mapIndexed { i, part -> RowWrite("${itemKeyPrefix(id)}${padded(i)}", part) }
+    splitIntoRowValues(text).mapIndexed { i, part -> RowWrite("${itemKeyPrefix(id)}${padded(i)}", part) }
 
 /** The prefix of the keys of the rows that hold the items of [id]. */
 internal fun itemKeyPrefix(id: JobId): String = "$ITEM_TABLE/$id/"
--- a/src/main/kotlin/figdeck/wire/serving/JobResultCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobResultCodec.kt
@@ -26,7 +26,7 @@
 /** The writes that store [result] at [position], split over as many rows as needed. */
 internal fun resultWrites(id: JobId, position: Int, result: JobResult): List<RowWrite> {
     val dto = JobResultDto(result.item, result.isComplete, result.output)
-    val parts = lenientJson.encodeToString(JobResultDto.serializer(), dto).chunked(MAX_ROW_CHARACTERS)
+    val parts = splitIntoRowValues(lenientJson.encodeToString(JobResultDto.serializer(), dto))
     return parts.mapIndexed { i, part ->
         RowWrite(
             "${resultKeyPrefix(id)}${padded(position)}/${padded(i)}$PART_COUNT_SEPARATOR${parts.size}",
--- a/src/main/kotlin/figdeck/wire/serving/RowParts.kt
+++ b/src/main/kotlin/figdeck/wire/serving/RowParts.kt
@@ -7,5 +7,24 @@
 internal const val MAX_ROW_CHARACTERS = 16_000
 private const val PADDED_NUMBER_DIGITS = 5
 
+/**
+ * Splits [text] into the values of consecutive rows. Surrogate pairs are kept whole, because each row is encoded in
+ * UTF-8 by itself, and half a pair has no encoding.
+ */
+internal fun splitIntoRowValues(text: String): List<String> = buildList {
+    var start = 0
+    while (start < text.length) {
+        val end = text.rowEnd(start)
+        add(text.substring(start, end))
+        start = end
+    }
+}
+
+private fun String.rowEnd(start: Int): Int {
+    val end = minOf(start + MAX_ROW_CHARACTERS, length)
+    val cutsPair = end < length && this[end - 1].isHighSurrogate() && this[end].isLowSurrogate()
+    return if (cutsPair) end - 1 else end
+}
+
 /** Pads [value] with zeros so that keys containing it sort in numeric order. */
 internal fun padded(value: Int): String = value.toString().padStart(PADDED_NUMBER_DIGITS, '0')
