Results after one that can't be decoded keep their positions

What callers would see: at a host that reads a job's results from the store, a result that can't be decoded was left out, and each later one moved up a position.

Cause: JobStore.readResults skipped what decodeResult refused, without a log line.

Evidence: JobStoreSpec failed before: positions 0 and 1 held the items 1 and 3.

Fix: reading stops before such a result and logs why. A job's owner waits between two reads that found nothing; it used to repeat them without a pause.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -103,13 +103,20 @@
         return text?.let { decodeJobItems(it) } ?: "the items of job ${record.id} can't be read now".left()
     }
 
-    /** Reads the results of [id] from position [from] on, up to the size of one page. */
+    /**
+     * Reads the results of [id] from position [from] on, up to the size of one page. Stops before a result that can't be
+     * decoded, so that each later one keeps its position.
+     */
     suspend fun readResults(id: JobId, from: Int): CallResult<List<JobResult>> =
         store.queries.scanRows(resultKeyPrefix(id), keyBeforeResult(id, from), RESULT_PAGE_ROWS).map { rows ->
             rows.groupBy { resultPosition(id, it) }
                 .values
+                .asSequence()
                 .takeWhile { isCompleteResult(it) }
-                .mapNotNull { decodeResult(it).getOrNull() }
+                .map { decodeResult(it).orWarn(log) }
+                .takeWhile { it != null }
+                .filterNotNull()
+                .toList()
         }
 
     /** Returns the row writes that store [results] from position [from] on. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -91,10 +91,8 @@
 private suspend fun JobServices.loadResults(record: JobRecord): List<JobResult> {
     while (cache.results(record.id).size < record.results) {
         val from = cache.results(record.id).size
-        when (val read = store.readResults(record.id, from)) {
-            is CallResult.Done -> cache.addResults(record.id, from, read.value)
-            is CallResult.NotDone, is CallResult.Unknown -> delay(RETRY_DELAY)
-        }
+        val found = store.readResults(record.id, from).valueOrNull().orEmpty()
+        if (found.isEmpty()) delay(RETRY_DELAY) else cache.addResults(record.id, from, found)
     }
     return cache.results(record.id)
 }
