A submission with half of a surrogate pair is refused

What callers would see: an item whose id, path or header holds half of a surrogate pair (a JSON escape can write one) was accepted, and read with '?' in its place by every host but the one that accepted it. Its result could then stand under two ids.

Cause: such text has no encoding in UTF-8, and the store's client replaces it.

Fix: decodeSubmission refuses the submission with 400 and the item's position. Whole pairs pass as before. Text of upstreams can't hold half a pair, since it is decoded from UTF-8.

--- a/src/main/kotlin/figdeck/platform/JobMessages.kt
+++ b/src/main/kotlin/figdeck/platform/JobMessages.kt
@@ -57,15 +57,29 @@
 internal fun decodeSubmission(body: ByteArray): Either<Refusal, List<JobItem>> =
     lenientJson.decode(SubmissionMessage.serializer(), body.decodeToString()).fold(
         { Refusal.BadRequest("body", it).left() },
-        { message ->
-            try {
-                message.items.map { it.toItem() }.right()
-            } catch (e: IllegalArgumentException) {
-                Refusal.BadRequest("body", "an item's body is not Base64: ${e.message}").left()
-            }
-        },
+        { message -> malformedItem(message)?.left() ?: decodeItems(message) },
     )
 
+/** Refuses a message with an item whose texts can't be stored as they are. */
+private fun malformedItem(message: SubmissionMessage): Refusal? {
+    val encoder = Charsets.UTF_8.newEncoder()
+    val position = message.items.indexOfFirst { item ->
+        val texts = listOf(item.id, item.path) + item.headers.flatMap { (name, value) -> listOf(name, value) }
+        texts.any { !encoder.canEncode(it) }
+    }
+    return if (position < 0) {
+        null
+    } else {
+        Refusal.BadRequest("Requests[$position]", "half of a surrogate pair is no character: send whole characters")
+    }
+}
+
+private fun decodeItems(message: SubmissionMessage): Either<Refusal, List<JobItem>> = try {
+    message.items.map { it.toItem() }.right()
+} catch (e: IllegalArgumentException) {
+    Refusal.BadRequest("body", "an item's body is not Base64: ${e.message}").left()
+}
+
 internal fun encodeResults(page: ResultPage): String {
     val results = page.results.map { result ->
         ResultMessage(result.item, if (result.isComplete) "completed" else "dead_letter", result.output)
