A planned stop accepts no request that it can't be sure to answer

Cause: a draining listener refused new requests only once no call was in progress. Under load there was always one, so every request was accepted until the connections were closed 700 ms before the platform kills the process.

Fix: the moment at which a stop ends is part of the control state. A request is accepted only if its own limit (its deadline or its route's timeout) comes before that, so whatever is accepted is answered or has timed out by then; calls about batch jobs get 4 s. Others are refused at once with 503 and Retry-After 0, because another host can serve them now. A listener also refuses what comes between the end of its wait and its close.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -3,9 +3,10 @@
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.command.dispatch.HeadroomPolicy
 import figdeck.command.dispatch.mostFreeSlotsChoice
+import figdeck.command.serving.planStop
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
-import figdeck.control.serving.beginDrain
+import figdeck.control.serving.beginStop
 import figdeck.control.serving.initialServingState
 import figdeck.control.serving.updateSlots
 import figdeck.daemon.command.LocalSlots
@@ -91,14 +92,6 @@
 private const val ID_RADIX = 36
 private const val HTTP_OK = 200
 
-/**
- * How long the listener accepts new connections after the readiness check starts to fail. This leaves time for two
- * probes of the load balancer, which are one second apart, and one more.
- */
-private val BALANCER_REMOVAL_DELAY = 3.seconds
-
-/** How long before the platform kills the process the planned stop must be complete. */
-private val STOP_MARGIN = 700.milliseconds
 
 /**
  * The connect timeout for upstreams, after which a request is tried at another one. It covers several round trips
@@ -210,17 +203,16 @@
 
     /**
      * Performs a planned stop: first fails the readiness check, so that the load balancer takes this host out of
-     * rotation, then lets calls in progress finish until [STOP_MARGIN] before the platform kills the process.
+     * rotation, then lets calls in progress finish. From the start on, a request is accepted only if it is sure to be
+     * answered before the stop ends.
      */
     suspend fun drain() {
-        val startedAt = clock()
-        val limit = settings.terminationGrace - STOP_MARGIN
         log.info { "stopping: ${callerServer.activeCalls} calls in progress" }
-        control.run { state, _ -> beginDrain(state) }
+        val stop = control.run { state, now -> beginStop(state, planStop(settings.terminationGrace, now)) }
         callerServer.announceDrain()
         scope.launch { control.leaveMembership(store) }
-        delay(minOf(BALANCER_REMOVAL_DELAY, limit / 2))
-        callerServer.drain(Duration.ZERO, limit - (clock() - startedAt))
+        delay(stop.leavesRotationAt - clock())
+        callerServer.drain(Duration.ZERO, stop.endsAt - clock())
         log.info { "stopped: ${callerServer.activeCalls} calls in progress" }
     }
 
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -14,6 +14,7 @@
 import figdeck.command.serving.singleMemberFleet
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
+import figdeck.model.serving.PlannedStop
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.PromptRisks
 import figdeck.model.serving.ServingPlan
@@ -27,7 +28,7 @@
  * @property index the active plan, indexed for look-ups, or null before the first plan was read.
  * @property slots the state of the slots that this host assigns.
  * @property prompts the parts of prompts that may crash upstreams.
- * @property isDraining whether this host is stopping and accepts no new connections.
+ * @property stop the planned stop of this host; null while none has begun.
  */
 public data class ServingState(
     public val index: PlanIndex?,
@@ -37,7 +38,7 @@
     public val limits: SharedLimits,
     public val jobs: JobDirectory,
     public val prompts: PromptRisks,
-    public val isDraining: Boolean,
+    public val stop: PlannedStop?,
 )
 
 /** Whether this host has read the plan, the pools and the member list that it needs to serve requests. */
@@ -53,7 +54,7 @@
     limits = emptySharedLimits,
     jobs = emptyJobDirectory,
     prompts = noPromptRisks,
-    isDraining = false,
+    stop = null,
 )
 
 /** Activates [plan] if it is newer than the active one. The result tells whether it was. */
@@ -102,5 +103,8 @@
     return Step(state.copy(slots = step.state), step.result)
 }
 
-/** Starts draining: this host accepts no new connections. */
-internal fun beginDrain(state: ServingState): Step<ServingState, Unit> = Step(state.copy(isDraining = true), Unit)
+/** Begins the planned stop [stop], unless one has begun before. Returns the one that applies. */
+internal fun beginStop(state: ServingState, stop: PlannedStop): Step<ServingState, PlannedStop> {
+    val current = state.stop ?: stop
+    return Step(state.copy(stop = current), current)
+}
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -104,8 +104,8 @@
     }
 
     /**
-     * Reads the results of [id] from position [from] on, up to the size of one page. Stops before a result that can't be
-     * decoded, so that each later one keeps its position.
+     * Reads the results of [id] from position [from] on, up to the size of one page. Stops before a result that can't
+     * be decoded, so that each later one keeps its position.
      */
     suspend fun readResults(id: JobId, from: Int): CallResult<List<JobResult>> =
         store.queries.scanRows(resultKeyPrefix(id), keyBeforeResult(id, from), RESULT_PAGE_ROWS).map { rows ->
--- a/src/main/kotlin/figdeck/http/server/HttpServer.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpServer.kt
@@ -68,7 +68,8 @@
     /**
      * Stops accepting connections, sends `Connection: close` in every response and waits for the calls in progress. The
      * wait takes at least [idleGrace], because a request may already be in transit on an idle connection, and at most
-     * [timeout]. Requests that arrive after the last call are refused with 503, so that [close] interrupts no handler.
+     * [timeout]. Requests that arrive after the last call, or after the wait, are refused with 503, so that [close]
+     * interrupts no handler that began later.
      */
     public suspend fun drain(idleGrace: Duration, timeout: Duration) {
         stopAccepting()
@@ -81,6 +82,7 @@
             awaitIdle()
             delay(REFUSAL_PERIOD)
         }
+        listenerState.refusing.set(true)
     }
 
     private suspend fun awaitIdle() {
--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -173,7 +173,10 @@
 
 /** Answers a request that arrives while the server closes, and that has therefore not run. */
 private fun refuse(ctx: ChannelHandlerContext) {
-    ctx.writeAndFlush(closingResponse(HttpResponseStatus.SERVICE_UNAVAILABLE))
+    val response = closingResponse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    // Another server can answer at once.
+    response.headers().set(HttpHeaderNames.RETRY_AFTER, 0)
+    ctx.writeAndFlush(response)
     ctx.pipeline().replace(ctx.handler(), null, LingeringClose())
 }
 
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -129,7 +129,9 @@
     /** The daemon is draining before it stops. */
     public data object Draining : Refusal {
         override val message: String get() = "this host is stopping: send again, and another host will answer"
-        override val retryAfter: Duration get() = 1.seconds
+
+        /** The other hosts are as ready now as later. */
+        override val retryAfter: Duration get() = Duration.ZERO
     }
 
     /** The idempotency key was already used with a different body. */
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -7,43 +7,32 @@
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.hasRequiredData
 import figdeck.daemon.command.serving.CallerChannel
-import figdeck.daemon.command.serving.ExecutionStatus
 import figdeck.daemon.command.serving.Forward
 import figdeck.daemon.command.serving.OnlineCall
 import figdeck.daemon.command.serving.OnlineServices
-import figdeck.daemon.command.serving.UpstreamReply
-import figdeck.daemon.command.serving.isSuccess
 import figdeck.daemon.command.serving.serveOnline
+import figdeck.daemon.command.serving.timeLeft
 import figdeck.http.client.HttpClient
-import figdeck.http.client.HttpReply
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpResponder
-import figdeck.model.MayHaveRun
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.serving.CallKind
 import figdeck.query.serving.RouteAccess
 import figdeck.query.serving.access
-import figdeck.telemetry.REFUSAL_HEADER
-import figdeck.wire.encodeRefusal
-import figdeck.wire.status
+import figdeck.query.serving.hasTimeFor
 import figdeck.wire.type
-import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
+import kotlin.time.Duration.Companion.seconds
 
-private const val JSON_TYPE = "application/json"
 private const val HTTP_OK = 200
-private const val TOO_MANY_REQUESTS = 429
-private const val MISDIRECTED_REQUEST = 421
 private const val SERVICE_UNAVAILABLE = 503
-private const val INTERNAL_ERROR = 500
-private const val REQUEST_TIMEOUT = 408
 
 /** The maximum body size while no plan is loaded. */
 private const val DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -52,8 +41,8 @@
 private val STARTUP_TIMEOUT = 600.milliseconds
 private val STARTUP_POLL_INTERVAL = 10.milliseconds
 
-/** Statuses by which callers conclude that the request did not run and never will. */
-private val NOT_RUN_STATUSES = setOf(REQUEST_TIMEOUT, MISDIRECTED_REQUEST, TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE)
+/** The longest time that a call about a batch job takes while the store is slow. */
+private val JOB_CALL_LIMIT = 4.seconds
 
 /** The dependencies of the listener for callers. */
 internal data class GatewayServices(
@@ -69,9 +58,11 @@
     parseCallerHeaders(call).fold(
         { responder.refuse(it) },
         { headers ->
-            val handled = services.jobs.handle(call, headers, responder)
-            if (!handled) {
+            val jobHandler = services.jobs.handlerOf(call)
+            if (jobHandler == null) {
                 services.serve(call, headers, receivedAt, responder)
+            } else {
+                services.unlessStopping(call, headers, responder) { jobHandler(headers, responder) }
             }
         },
     )
@@ -80,7 +71,7 @@
 /** Handles the load balancer's readiness check. */
 internal fun readinessHandler(control: Control<ServingState>): HttpHandler = { _, responder ->
     val state = control.snapshot
-    val ready = state.hasRequiredData && !state.isDraining
+    val ready = state.hasRequiredData && state.stop == null
     responder.respond(if (ready) HTTP_OK else SERVICE_UNAVAILABLE, newHeaders(), ByteArray(0))
 }
 
@@ -117,21 +108,16 @@
             .flatMap { access -> body.mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.map { access } }
     }
     access.fold(
-        { refusal ->
-            online.log.note("refused", headers.id) {
-                put("refusal", refusal.type)
-                put("path", call.path)
-                put("plan", index?.plan?.version ?: 0)
-            }
-            responder.refuse(refusal)
-        },
+        { refuse(it, call, headers, responder) },
         { serve(ReceivedRequest(call, headers, body.getOrElse { ByteArray(0) }, receivedAt), it, responder) },
     )
 }
 
 private suspend fun GatewayServices.serve(received: ReceivedRequest, access: RouteAccess, responder: HttpResponder) {
     if (access.route.kind == CallKind.BATCH) {
-        jobs.submit(access, received.headers, received.body, responder)
+        unlessStopping(received.call, received.headers, responder) {
+            jobs.submit(access, received.headers, received.body, responder)
+        }
     } else {
         serveOnline(received, access, responder)
     }
@@ -154,7 +140,9 @@
         sharedParts = headers.sharedParts,
     )
     val caller = CallerChannel(responder.start, responder.write, responder.respond)
-    this.online.serveOnline(onlineCall, forward(received, access), caller).onLeft { refusal ->
+    val refusalOfStop = refusalOfStop(onlineCall.timeLeft(this.online.clock()))?.left()
+    val result = refusalOfStop ?: this.online.serveOnline(onlineCall, forward(received, access), caller)
+    result.onLeft { refusal ->
         this.online.log.note("refused", headers.id) {
             put("refusal", refusal.type)
             put("reason", refusal.message)
@@ -167,47 +155,39 @@
     }
 }
 
-private fun GatewayServices.forward(received: ReceivedRequest, access: RouteAccess): Forward = { options, handleReply ->
-    val call = received.call
-    val request = ForwardedRequest(call.method, call.target, call.headers, access.team?.id)
-    client.exchange(options.toOutgoingRequest(request, received.body)) { reply ->
-        handleReply(upstreamReply(reply, call.headers.get(ATTEMPT_ID_HEADER)))
-    }
+/** The refusal of a request that may take [limit] if this host stops before that; null otherwise. */
+private fun GatewayServices.refusalOfStop(limit: Duration): Refusal? =
+    control.snapshot.stop?.takeUnless { it.hasTimeFor(limit, online.clock()) }?.let { Refusal.Draining }
+
+/** Handles a call about a batch job with [handle], unless this host stops before the call is sure to be answered. */
+private suspend fun GatewayServices.unlessStopping(
+    call: HttpCall,
+    headers: CallerHeaders,
+    responder: HttpResponder,
+    handle: suspend () -> Unit,
+) {
+    val refusal = refusalOfStop(JOB_CALL_LIMIT)
+    if (refusal == null) handle() else refuse(refusal, call, headers, responder)
 }
 
-/**
- * Converts [reply] to the response to the attempt [id]. A response with another attempt id is not trusted, nor is a
- * successful one that lacks the id or the upstream's stamp, or has a content encoding: it may be a late copy of the
- * answer to an earlier request on the connection.
- */
-internal fun upstreamReply(reply: HttpReply, id: String?): UpstreamReply {
-    val headers = reply.headers
-    val receivedId = headers.get(ATTEMPT_ID_HEADER)
-    val hasOtherId = receivedId != null && receivedId != id
-    val lacksProof = receivedId != id || RESPONSE_STAMP_HEADER !in headers
-    val isUnverified = isSuccess(reply.status) && (lacksProof || HttpHeaderNames.CONTENT_ENCODING in headers)
-    val executionStatus = when {
-        hasOtherId || isUnverified -> ExecutionStatus.UNVERIFIED
-        reply.status == MISDIRECTED_REQUEST -> ExecutionStatus.WRONG_UPSTREAM
-        NOT_EXECUTED_HEADER in headers -> ExecutionStatus.NOT_RUN
-        else -> ExecutionStatus.RAN
+private suspend fun GatewayServices.refuse(
+    refusal: Refusal,
+    call: HttpCall,
+    headers: CallerHeaders,
+    responder: HttpResponder,
+) {
+    online.log.note("refused", headers.id) {
+        put("refusal", refusal.type)
+        put("path", call.path)
+        put("plan", control.snapshot.index?.plan?.version ?: 0)
     }
-    val isDelimited = HttpHeaderNames.CONTENT_LENGTH in headers || HttpHeaderNames.TRANSFER_ENCODING in headers
-    return UpstreamReply(executionStatus, reply.status, forwardableHeaders(headers), reply.body, isDelimited)
+    responder.refuse(refusal)
 }
 
-/** Sends [refusal] with its status; 429 and 503 carry the seconds to wait in Retry-After. */
-internal suspend fun HttpResponder.refuse(refusal: Refusal) {
-    val headers = newHeaders()
-        .set(HttpHeaderNames.CONTENT_TYPE, JSON_TYPE)
-        .set(REFUSAL_HEADER, refusal.type)
-    // If the work may have run, 500 replaces a status by which callers conclude that it did not.
-    val status =
-        if (refusal.ran == MayHaveRun.UNKNOWN && refusal.status in NOT_RUN_STATUSES) INTERNAL_ERROR else refusal.status
-    if (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS) {
-        refusal.retryAfter?.let {
-            headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it.toDouble(DurationUnit.SECONDS)))
-        }
+private fun GatewayServices.forward(received: ReceivedRequest, access: RouteAccess): Forward = { options, handleReply ->
+    val call = received.call
+    val request = ForwardedRequest(call.method, call.target, call.headers, access.team?.id)
+    client.exchange(options.toOutgoingRequest(request, received.body)) { reply ->
+        handleReply(upstreamReply(reply, call.headers.get(ATTEMPT_ID_HEADER)))
     }
-    respond(status, headers, encodeRefusal(refusal).encodeToByteArray())
 }
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -34,10 +34,13 @@
 private const val ACCEPTED = 202
 private val MAX_RESULTS_WAIT = 1.seconds
 
+/** Answers a call about a submitted job. */
+internal typealias JobCallHandler = suspend (CallerHeaders, HttpResponder) -> Unit
+
 /** The batch job API that the platform's callers use. */
 internal class JobApi(private val services: JobServices) {
-    /** Handles a call about a submitted job; returns false if [call] is none. */
-    suspend fun handle(call: HttpCall, headers: CallerHeaders, responder: HttpResponder): Boolean {
+    /** The handler of [call] if it is about a submitted job; null otherwise. */
+    fun handlerOf(call: HttpCall): JobCallHandler? {
         val path = call.path
         val handler = when {
             path.startsWith(RESULTS_PATH) && call.method == "GET" -> ::results
@@ -45,8 +48,7 @@
             path.startsWith(ITEM_BODY_PATH) && call.method == "GET" -> ::itemBody
             else -> null
         }
-        handler?.let { respond -> respond(call, headers, responder) }
-        return handler != null
+        return handler?.let { respond -> { headers, responder -> respond(call, headers, responder) } }
     }
 
     /** Submits the job that [body] describes. */
--- /dev/null
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -0,0 +1,30 @@
+package figdeck.platform
+
+import figdeck.daemon.command.serving.ExecutionStatus
+import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.isSuccess
+import figdeck.http.client.HttpReply
+import io.netty.handler.codec.http.HttpHeaderNames
+
+private const val MISDIRECTED_REQUEST = 421
+
+/**
+ * Converts [reply] to the response to the attempt [id]. A response with another attempt id is not trusted, nor is a
+ * successful one that lacks the id or the upstream's stamp, or has a content encoding: it may be a late copy of the
+ * answer to an earlier request on the connection.
+ */
+internal fun upstreamReply(reply: HttpReply, id: String?): UpstreamReply {
+    val headers = reply.headers
+    val receivedId = headers.get(ATTEMPT_ID_HEADER)
+    val hasOtherId = receivedId != null && receivedId != id
+    val lacksProof = receivedId != id || RESPONSE_STAMP_HEADER !in headers
+    val isUnverified = isSuccess(reply.status) && (lacksProof || HttpHeaderNames.CONTENT_ENCODING in headers)
+    val executionStatus = when {
+        hasOtherId || isUnverified -> ExecutionStatus.UNVERIFIED
+        reply.status == MISDIRECTED_REQUEST -> ExecutionStatus.WRONG_UPSTREAM
+        NOT_EXECUTED_HEADER in headers -> ExecutionStatus.NOT_RUN
+        else -> ExecutionStatus.RAN
+    }
+    val isDelimited = HttpHeaderNames.CONTENT_LENGTH in headers || HttpHeaderNames.TRANSFER_ENCODING in headers
+    return UpstreamReply(executionStatus, reply.status, forwardableHeaders(headers), reply.body, isDelimited)
+}
--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -32,6 +32,7 @@
 private const val MISDIRECTED_REQUEST = 421
 private const val UNPROCESSABLE_CONTENT = 422
 private const val MAX_BODY_BYTES = 1024 * 1024
+private const val DEFAULT_SLOTS = 4
 
 /** A request as an upstream received it. */
 internal data class ReceivedRequest(
@@ -42,16 +43,18 @@
 )
 
 /**
- * How a [RunnerStandIn] streams.
+ * How a [RunnerStandIn] answers.
  *
  * @property eventCount the number of events per stream.
  * @property remainingBreaks how many more streams to abort after two events; upstreams may share the counter.
  * @property eventInterval the delay before each event.
+ * @property serviceTime the delay before the answer of a plain service.
  */
-internal data class StreamSettings(
+internal data class RunnerSettings(
     val eventCount: Int = 5,
     val remainingBreaks: AtomicInteger = AtomicInteger(),
     val eventInterval: Duration = 5.milliseconds,
+    val serviceTime: Duration = Duration.ZERO,
 )
 
 /**
@@ -63,7 +66,7 @@
 internal class RunnerStandIn(
     eventLoops: EventLoopGroup,
     private val id: String,
-    private val settings: StreamSettings = StreamSettings(),
+    private val settings: RunnerSettings = RunnerSettings(),
     private val isFatal: (ReceivedRequest) -> Boolean = { false },
 ) : AutoCloseable {
     private val server = HttpServer(eventLoops, HttpServerLimits()) { call, responder -> handle(call, responder) }
@@ -75,9 +78,9 @@
     override fun close() = server.close()
 
     /** Encodes its store entry as an upstream of [pool]. */
-    fun encodeEntry(pool: String): String =
+    fun encodeEntry(pool: String, slots: Int = DEFAULT_SLOTS): String =
         encodeUpstream(
-            UpstreamMessage(pool, address.toString(), dataCentre = "centre-a", slots = 4, state = READY_STATE)
+            UpstreamMessage(pool, address.toString(), dataCentre = "centre-a", slots = slots, state = READY_STATE)
         )
 
     private suspend fun handle(call: HttpCall, responder: HttpResponder) {
@@ -97,11 +100,7 @@
                 ByteArray(0)
             )
             "impossible" in body -> responder.respond(UNPROCESSABLE_CONTENT, responseHeaders(call), ByteArray(0))
-            "desk" in call.path -> responder.respond(
-                HTTP_OK,
-                responseHeaders(call),
-                "answer to $body".encodeToByteArray()
-            )
+            "desk" in call.path -> answer(call, body, responder)
             else -> stream(call, responder)
         }
     }
@@ -112,6 +111,11 @@
         awaitCancellation()
     }
 
+    private suspend fun answer(call: HttpCall, body: String, responder: HttpResponder) {
+        delay(settings.serviceTime)
+        responder.respond(HTTP_OK, responseHeaders(call), "answer to $body".encodeToByteArray())
+    }
+
     private suspend fun stream(call: HttpCall, responder: HttpResponder) {
         val firstEvent = (call.headers.get(LAST_EVENT_ID_HEADER)?.toInt() ?: 0) + 1
         val breaksOff = settings.remainingBreaks.getAndDecrement() > 0
--- a/src/test/kotlin/figdeck/http/PlannedStopSpec.kt
+++ b/src/test/kotlin/figdeck/http/PlannedStopSpec.kt
@@ -4,6 +4,7 @@
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.model.Address
+import figdeck.process.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
@@ -13,8 +14,10 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 import java.io.BufferedReader
 import java.io.IOException
 import java.net.Socket
@@ -85,6 +88,32 @@
 }
 
 class PlannedStopSpec : DescribeSpec({
+    describe("a planned stop whose calls outlast it") {
+        it("refuses requests that come after its wait, on connections that were kept open") {
+            val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+            val started = ConcurrentHashMap.newKeySet<String>()
+            val server = HttpServer(eventLoops, HttpServerLimits()) { call, responder ->
+                started += call.path
+                if (call.path == "/long") awaitCancellation()
+                responder.respond(200, newHeaders(), "whole".encodeToByteArray())
+            }
+            val address = server.listen("127.0.0.1", 0)
+            Socket(address.ip, address.port).use { kept ->
+                val input = kept.getInputStream().bufferedReader()
+                kept.statusOf("first", input) shouldBe 200
+                Socket(address.ip, address.port).use { busy ->
+                    busy.send("GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+                    eventually(5.seconds) { "/long" in started }
+                    server.drain(Duration.ZERO, 100.milliseconds)
+                    withContext(Dispatchers.IO) { kept.statusOf("late", input) } shouldBe 503
+                }
+            }
+            started shouldBe setOf("/first", "/long")
+            server.close()
+            eventLoops.shutdownGracefully()
+        }
+    }
+
     describe("a planned stop under load") {
         it("answers every request that reached its handler, and refuses or leaves unread all others") {
             val eventLoops = MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory())
--- a/src/test/kotlin/figdeck/process/EdgeEndToEndSpec.kt
+++ b/src/test/kotlin/figdeck/process/EdgeEndToEndSpec.kt
@@ -1,8 +1,8 @@
 package figdeck.process
 
 import figdeck.model.Address
+import figdeck.standin.RunnerSettings
 import figdeck.standin.RunnerStandIn
-import figdeck.standin.StreamSettings
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.maps.shouldNotContainKey
@@ -86,7 +86,7 @@
 ) {
     val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     Fleet().use { fleet ->
-        RunnerStandIn(eventLoops, "r-1", StreamSettings(EVENTS, eventInterval = eventInterval)).use { runner ->
+        RunnerStandIn(eventLoops, "r-1", RunnerSettings(EVENTS, eventInterval = eventInterval)).use { runner ->
             fleet.storePlanAndRunners(mapOf("r-1" to runner))
             val daemons = listOf("a", "b").map { fleet.edgeDaemon("host-$it") }
             fleet.awaitReady(daemons)
@@ -103,8 +103,8 @@
         val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         val fleet = Fleet()
         val remainingBreaks = AtomicInteger(1)
-        val firstRunner = RunnerStandIn(eventLoops, "r-1", StreamSettings(remainingBreaks = remainingBreaks))
-        val secondRunner = RunnerStandIn(eventLoops, "r-2", StreamSettings(remainingBreaks = remainingBreaks))
+        val firstRunner = RunnerStandIn(eventLoops, "r-1", RunnerSettings(remainingBreaks = remainingBreaks))
+        val secondRunner = RunnerStandIn(eventLoops, "r-2", RunnerSettings(remainingBreaks = remainingBreaks))
         fleet.storePlanAndRunners(mapOf("r-1" to firstRunner, "r-2" to secondRunner))
         val daemons = listOf("a", "b").map { fleet.edgeDaemon("host-$it") }
         fleet.awaitReady(daemons)
