Requests that outlast a planned stop get their final answer

What callers would see: a request that was accepted before a planned stop and still in progress at its end was cut off, also if it had only waited for a slot and had never been forwarded. Its caller could not know that it may be sent again.

Cause: closing the listener cancelled the handlers, and nothing answered in their place.

Those that waited are refused with 503, forwarded ones with 504 (they may have run), and only those whose answer has begun are broken off. A request whose whole answer was being written when its time was up no longer fails with an internal error on the attempt to send a second one.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -19,6 +19,7 @@
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
 import figdeck.daemon.command.launchLoop
+import figdeck.daemon.command.serving.CallsInProgress
 import figdeck.daemon.command.serving.FleetPeers
 import figdeck.daemon.command.serving.OnlineServices
 import figdeck.daemon.command.serving.PeerBootstrap
@@ -92,6 +93,8 @@
 private const val ID_RADIX = 36
 private const val HTTP_OK = 200
 
+/** How long the final answers of requests that a planned stop ends may take. */
+private val FINAL_ANSWER_TIMEOUT = 200.milliseconds
 
 /**
  * The connect timeout for upstreams, after which a request is tried at another one. It covers several round trips
@@ -142,9 +145,17 @@
     private val teamLimits = TeamLimits(control, clock, peers, DecisionLog("limits"))
     private val promptRiskWriter = PromptRiskWriter(control, clock, store)
     private val promptGuard = PromptGuard(control, clock, promptRiskWriter, random, DecisionLog("prompts"))
-    private val online = OnlineServices(clock, teamLimits, slotClient, promptGuard, random, DecisionLog("serve")) {
-        telemetry.meters.countFailedSend(it.label)
-    }
+    private val calls = CallsInProgress()
+    private val online = OnlineServices(
+        clock = clock,
+        limits = teamLimits,
+        slots = slotClient,
+        prompts = promptGuard,
+        random = random,
+        log = DecisionLog("serve"),
+        calls = calls,
+        countFailedSend = { telemetry.meters.countFailedSend(it.label) },
+    )
     private val jobs = JobServices(
         control = control,
         clock = clock,
@@ -204,7 +215,7 @@
     /**
      * Performs a planned stop: first fails the readiness check, so that the load balancer takes this host out of
      * rotation, then lets calls in progress finish. From the start on, a request is accepted only if it is sure to be
-     * answered before the stop ends.
+     * answered before the stop ends. Calls that are still in progress then get their final answer.
      */
     suspend fun drain() {
         log.info { "stopping: ${callerServer.activeCalls} calls in progress" }
@@ -213,6 +224,11 @@
         scope.launch { control.leaveMembership(store) }
         delay(stop.leavesRotationAt - clock())
         callerServer.drain(Duration.ZERO, stop.endsAt - clock())
+        if (callerServer.activeCalls > 0) {
+            log.warn { "ending ${callerServer.activeCalls} calls that are still in progress" }
+            calls.endAll()
+            callerServer.drain(Duration.ZERO, FINAL_ANSWER_TIMEOUT)
+        }
         log.info { "stopped: ${callerServer.activeCalls} calls in progress" }
     }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
@@ -8,6 +8,7 @@
 /**
  * The dependencies for serving online requests.
  *
+ * @property calls the calls in progress.
  * @property countFailedSend counts a send without a complete answer in the metrics.
  */
 internal data class OnlineServices(
@@ -17,5 +18,6 @@
     val prompts: PromptGuard,
     val random: Random,
     val log: DecisionLog,
+    val calls: CallsInProgress,
     val countFailedSend: (FailedSend) -> Unit,
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -41,7 +41,7 @@
     val allowed = held ?: call.access.team?.let { limits.takeToken(it, call.id) } ?: Unit.right()
     return allowed.fold(
         { it.left() },
-        { OnlineRequest(this, call, UpstreamSender(this, call, forward, caller), caller).serve() },
+        { OnlineRequest(this, call, UpstreamSender(this, call, forward, caller)).serve() },
     )
 }
 
@@ -54,7 +54,6 @@
     private val services: OnlineServices,
     private val call: OnlineCall,
     private val sender: UpstreamSender,
-    private val caller: CallerChannel,
 ) {
     private val route = call.access.route
     private var history = SendHistory()
@@ -62,8 +61,13 @@
 
     suspend fun serve(): Either<Refusal, Unit> {
         val limit = call.timeLeft(services.clock())
-        return withTimeoutOrNull((limit - ANSWER_MARGIN).coerceAtLeast(1.milliseconds)) { sendUntilServed() }
-            ?: timedOut(limit)
+        return try {
+            withTimeoutOrNull((limit - ANSWER_MARGIN).coerceAtLeast(1.milliseconds)) {
+                services.calls.track { sendUntilServed() }
+            } ?: unfinished(limit, Refusal.Overloaded("this route", 1.seconds))
+        } catch (_: CallEndedException) {
+            unfinished(services.clock() - call.receivedAt, Refusal.Draining)
+        }
     }
 
     private suspend fun sendUntilServed(): Either<Refusal, Unit> {
@@ -133,16 +137,17 @@
     private suspend fun refuse(refusal: Refusal): Either<Refusal, Unit> {
         val answer = sender.lastErrorResponse
         return when {
-            answer != null -> caller.full(answer.status, answer.headers, answer.body).right()
+            answer != null -> sender.answer(answer.status, answer.headers, answer.body).right()
             history.possibleRuns > 0 -> Refusal.UpstreamLost(history.failures.last().upstream).left()
             else -> refusal.left()
         }
     }
 
-    private fun timedOut(limit: Duration): Either<Refusal, Unit> = when {
-        sender.stream.hasStarted -> throw IOException("the answer of ${call.id} was not whole after $limit")
+    /** Ends the request after [limit] without a whole answer, with [notRun] if no upstream may have run it. */
+    private fun unfinished(limit: Duration, notRun: Refusal): Either<Refusal, Unit> = when {
+        sender.hasAnswerBegun -> throw IOException("the answer of ${call.id} was not whole after $limit")
         isSending || history.possibleRuns > 0 -> Refusal.AnswerTimeout(limit).left()
-        else -> Refusal.Overloaded("this route", 1.seconds).left()
+        else -> notRun.left()
     }
 
     /** Sends the request to the upstream of [permit] and returns whether the caller got its answer. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -50,6 +50,17 @@
     var lastErrorResponse: ErrorResponse? = null
         private set
 
+    private var hasWholeAnswerBegun = false
+
+    /** Whether a part of an answer may have been sent to the caller, so that no other one can be. */
+    val hasAnswerBegun: Boolean get() = stream.hasStarted || hasWholeAnswerBegun
+
+    /** Sends a whole answer to the caller. */
+    suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray) {
+        hasWholeAnswerBegun = true
+        caller.full(status, headers, body)
+    }
+
     /** Sends the request to the upstream of [permit]. Returns null if the caller got its answer. */
     suspend fun send(permit: HeldPermit, history: SendHistory): FailedSend? {
         var failure: FailedSend? = null
@@ -150,7 +161,7 @@
             }
             else -> {
                 services.prompts.recordAnswer(call.sharedParts)
-                caller.full(reply.status, reply.headers, body)
+                answer(reply.status, reply.headers, body)
                 null
             }
         }
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -101,7 +101,7 @@
         override val ran: MayHaveRun get() = MayHaveRun.UNKNOWN
     }
 
-    /** The response was incomplete after [limit], the maximum time that the caller or the operators allow. */
+    /** The response was incomplete after [limit], the time that the caller, the operators or a planned stop allow. */
     public data class AnswerTimeout(public val limit: Duration) : Refusal {
         override val message: String
             get() = "no whole answer came within $limit: the work may have run, so check before sending again"
--- a/src/test/kotlin/figdeck/daemon/command/serving/ResumedStreamSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/ResumedStreamSpec.kt
@@ -4,14 +4,11 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import figdeck.daemon.command.FaultInjector
-import figdeck.daemon.command.MemoryBackends
 import figdeck.daemon.command.jobs.ItemOutput
 import figdeck.http.HttpBody
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.LossCause
 import figdeck.http.newHeaders
-import figdeck.log.DecisionLog
 import figdeck.model.Refusal
 import figdeck.model.serving.CallKind
 import figdeck.model.serving.PoolName
@@ -25,7 +22,6 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.flow.flowOf
 import java.io.IOException
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 private val pool = PoolName("engines")
@@ -77,19 +73,6 @@
         host.onlineServices().serveOnline(call, forward, answer.channel)
     }
 
-private fun TestHost.onlineServices(): OnlineServices {
-    val writer = PromptRiskWriter(control, systemClock, MemoryBackends().platform(FaultInjector(null)))
-    return OnlineServices(
-        clock = systemClock,
-        limits = TeamLimits(control, systemClock, unresponsivePeers, DecisionLog("limits")),
-        slots = slots,
-        prompts = PromptGuard(control, systemClock, writer, Random(1), DecisionLog("prompts")),
-        random = Random(2),
-        log = DecisionLog("serve"),
-        countFailedSend = {},
-    )
-}
-
 class ResumedStreamSpec : DescribeSpec({
     describe("a stream that breaks off after two events") {
         val twoEvents = listOf("started 200", event(1) + event(2))
--- a/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -9,8 +9,11 @@
 import figdeck.control.serving.updateFleet
 import figdeck.control.serving.updatePools
 import figdeck.control.serving.updateSlots
+import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.LocalSlots
+import figdeck.daemon.command.MemoryBackends
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.log.DecisionLog
 import figdeck.model.Address
 import figdeck.model.DataCentre
 import figdeck.model.HostId
@@ -89,3 +92,18 @@
         control.close()
     }
 }
+
+/** The services of this host for online requests, with a store of its own. */
+internal fun TestHost.onlineServices(calls: CallsInProgress = CallsInProgress()): OnlineServices {
+    val writer = PromptRiskWriter(control, systemClock, MemoryBackends().platform(FaultInjector(null)))
+    return OnlineServices(
+        clock = systemClock,
+        limits = TeamLimits(control, systemClock, unresponsivePeers, DecisionLog("limits")),
+        slots = slots,
+        prompts = PromptGuard(control, systemClock, writer, Random(1), DecisionLog("prompts")),
+        random = Random(2),
+        log = DecisionLog("serve"),
+        calls = calls,
+        countFailedSend = {},
+    )
+}
