Rename what guards against crashing prompts: it is about to guard against crashing requests too

Names alone: PromptGuard is CrashGuard, PromptRisks CrashRisks, PromptHold CrashHold, and their files with them. The table promptrisk, the log part 'prompts' and its events keep their names.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -20,11 +20,11 @@
 import figdeck.daemon.command.jobs.runJobs
 import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.serving.CallsInProgress
+import figdeck.daemon.command.serving.CrashGuard
+import figdeck.daemon.command.serving.CrashRiskWriter
 import figdeck.daemon.command.serving.FleetPeers
 import figdeck.daemon.command.serving.OnlineServices
 import figdeck.daemon.command.serving.PeerBootstrap
-import figdeck.daemon.command.serving.PromptGuard
-import figdeck.daemon.command.serving.PromptRiskWriter
 import figdeck.daemon.command.serving.RemoteSlotOwners
 import figdeck.daemon.command.serving.SlotClient
 import figdeck.daemon.command.serving.SlotOwner
@@ -35,11 +35,11 @@
 import figdeck.daemon.command.serving.leaveMembership
 import figdeck.daemon.query.serving.FollowedRowCache
 import figdeck.daemon.query.serving.TableFollower
+import figdeck.daemon.query.serving.crashRiskFollower
 import figdeck.daemon.query.serving.follow
 import figdeck.daemon.query.serving.jobFollower
 import figdeck.daemon.query.serving.planFollower
 import figdeck.daemon.query.serving.poolFollower
-import figdeck.daemon.query.serving.promptRiskFollower
 import figdeck.daemon.query.serving.upstreamReader
 import figdeck.http.client.HttpClient
 import figdeck.http.newHeaders
@@ -73,8 +73,8 @@
 import figdeck.telemetry.observed
 import figdeck.traffic.command.fleetServingHandlers
 import figdeck.traffic.peerApi
+import figdeck.wire.serving.CRASH_RISK_TABLE
 import figdeck.wire.serving.JOB_TABLE
-import figdeck.wire.serving.PROMPT_RISK_TABLE
 import figdeck.wire.serving.StoreView
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CompletableDeferred
@@ -143,14 +143,14 @@
     private val slotOwner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
     private val slotClient: SlotClient = SlotClient(control, clock, slotOwner, RemoteSlotOwners(control, peers), scope)
     private val teamLimits = TeamLimits(control, clock, peers, DecisionLog("limits"))
-    private val promptRiskWriter = PromptRiskWriter(control, clock, store)
-    private val promptGuard = PromptGuard(control, clock, promptRiskWriter, random, DecisionLog("prompts"))
+    private val crashRiskWriter = CrashRiskWriter(control, clock, store)
+    private val crashGuard = CrashGuard(control, clock, crashRiskWriter, random, DecisionLog("prompts"))
     private val calls = CallsInProgress()
     private val online = OnlineServices(
         clock = clock,
         limits = teamLimits,
         slots = slotClient,
-        prompts = promptGuard,
+        crashGuard = crashGuard,
         random = random,
         log = DecisionLog("serve"),
         calls = calls,
@@ -164,7 +164,7 @@
         cache = JobCache(),
         timeEstimator = ItemTimeEstimator(),
         slots = slotClient,
-        prompts = promptGuard,
+        crashGuard = crashGuard,
         forward = httpItemForwarder(upstreamClient),
         random = random,
         log = DecisionLog("jobs"),
@@ -196,7 +196,7 @@
         )
         val jobInterval = { jobPollInterval(control.snapshot.fleet.liveMembers().size) }
         launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
-        launchFollower(PROMPT_RISK_TABLE, jobInterval, promptRiskFollower(control, promptGuard::onReports))
+        launchFollower(CRASH_RISK_TABLE, jobInterval, crashRiskFollower(control, crashGuard::onReports))
         scope.launchLoop("bootstrap") {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
@@ -205,7 +205,7 @@
         scope.launchLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         scope.launchLoop("held slots") { slotClient.confirmHeldSlots() }
         scope.launchLoop("jobs") { jobs.runJobs() }
-        scope.launchLoop("prompt reports") { promptRiskWriter.writeRows() }
+        scope.launchLoop("prompt reports") { crashRiskWriter.writeRows() }
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         readinessServer.listen(settings.readinessAddress.ip, settings.readinessAddress.port)
--- a/src/main/kotlin/figdeck/command/serving/AssessPrompts.kt
+++ b/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
@@ -2,9 +2,9 @@
 
 import figdeck.model.Moment
 import figdeck.model.serving.CRASH_REPORT_RETENTION
+import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
-import figdeck.model.serving.PromptRisks
 import figdeck.model.serving.Quarantine
 import kotlinx.collections.immutable.toPersistentMap
 
@@ -24,7 +24,7 @@
 private const val MAX_CRASHES = 1_000
 
 /** Derives from the reports in [state] which parts are suspected and which are quarantined. */
-internal fun assessPrompts(state: PromptRisks, now: Moment): PromptRisks {
+internal fun assessCrashes(state: CrashRisks, now: Moment): CrashRisks {
     val crashes = state.crashes.entries.sortedByDescending { it.value.reportedAt.monotonicNanos }.take(MAX_CRASHES)
     val byPart = crashes
         .map { it.value }
@@ -45,13 +45,13 @@
 }
 
 /** The parts that [crash] still counts against. */
-private fun PromptRisks.suspectsOf(crash: KnownCrash): List<PromptPart> = crash.report.suspects.filter { part ->
+private fun CrashRisks.suspectsOf(crash: KnownCrash): List<PromptPart> = crash.report.suspects.filter { part ->
     val clearance = clearances[part]
     clearance == null || crash.version == null || crash.version > clearance.version
 }
 
 /** The quarantine of [part] after [losses], which all count against it, the latest first; null if they are too few. */
-private fun PromptRisks.quarantineOf(part: PromptPart, losses: List<KnownCrash>): Quarantine? {
+private fun CrashRisks.quarantineOf(part: PromptPart, losses: List<KnownCrash>): Quarantine? {
     val enough = (QUARANTINE_REQUESTS..losses.size).map { losses.take(it) }.firstOrNull { isEnough(it) }
     val companions = losses.map { suspectsOf(it).toSet() - part }.reduce { all, next -> all intersect next }
     return enough?.let { Quarantine(it.last().reportedAt + CRASH_REPORT_RETENTION, companions) }
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -12,13 +12,13 @@
 import figdeck.command.serving.emptyPoolMembers
 import figdeck.command.serving.emptySharedLimits
 import figdeck.command.serving.singleMemberFleet
+import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.PlannedStop
 import figdeck.model.serving.PromptPart
-import figdeck.model.serving.PromptRisks
 import figdeck.model.serving.ServingPlan
-import figdeck.model.serving.noPromptRisks
+import figdeck.model.serving.noCrashRisks
 import figdeck.query.serving.PlanIndex
 import figdeck.query.serving.planIndexOf
 
@@ -27,7 +27,7 @@
  *
  * @property index the active plan, indexed for look-ups, or null before the first plan was read.
  * @property slots the state of the slots that this host assigns.
- * @property prompts the parts of prompts that may crash upstreams.
+ * @property crashRisks the parts of prompts that may crash upstreams.
  * @property stop the planned stop of this host; null while none has begun.
  */
 public data class ServingState(
@@ -37,7 +37,7 @@
     public val slots: DispatchState,
     public val limits: SharedLimits,
     public val jobs: JobDirectory,
-    public val prompts: PromptRisks,
+    public val crashRisks: CrashRisks,
     public val stop: PlannedStop?,
 )
 
@@ -53,7 +53,7 @@
     slots = emptyDispatch(self.dataCentre),
     limits = emptySharedLimits,
     jobs = emptyJobDirectory,
-    prompts = noPromptRisks,
+    crashRisks = noCrashRisks,
     stop = null,
 )
 
@@ -76,13 +76,13 @@
 internal fun updateJobs(state: ServingState, change: (JobDirectory) -> JobDirectory): Step<ServingState, Unit> =
     Step(state.copy(jobs = change(state.jobs)), Unit)
 
-/** Updates what is known about prompts, and returns the parts that this quarantines. */
-internal fun updatePrompts(
+/** Updates what is known about prompts that crash upstreams, and returns the parts that this quarantines. */
+internal fun updateCrashRisks(
     state: ServingState,
-    change: (PromptRisks) -> PromptRisks,
+    change: (CrashRisks) -> CrashRisks,
 ): Step<ServingState, Set<PromptPart>> {
-    val next = change(state.prompts)
-    return Step(state.copy(prompts = next), next.quarantined.keys - state.prompts.quarantined.keys)
+    val next = change(state.crashRisks)
+    return Step(state.copy(crashRisks = next), next.quarantined.keys - state.crashRisks.quarantined.keys)
 }
 
 /** Updates the state of the limits and returns the result of [change]. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -80,7 +80,7 @@
         var isHeld = false
         while (result == null && !isHeld) {
             val route = services.control.snapshot.index?.routesByName?.get(record.route)
-            isHeld = services.prompts.holdOf(sharedParts) != null
+            isHeld = services.crashGuard.holdOf(sharedParts) != null
             result = when {
                 route == null || route.isExpired(record.age(services.clock())) -> giveUp("expired or route removed")
                 isHeld -> null
@@ -96,7 +96,7 @@
             null
         },
         { permit ->
-            if (services.prompts.holdOf(sharedParts) == null) {
+            if (services.crashGuard.holdOf(sharedParts) == null) {
                 resultOf(runWithPermit(permit, route), permit, route)
             } else {
                 services.slots.release(permit, SlotOutcome.ABANDONED, 0)
@@ -135,7 +135,7 @@
 
     /** Reports the loss of [upstream], and waits longer after each loss: the item may be the cause. */
     private suspend fun onLoss(upstream: UpstreamId) {
-        services.prompts.recordLoss(item.id, upstream, sharedParts)
+        services.crashGuard.recordLoss(item.id, upstream, sharedParts)
         delay((FAILURE_RETRY_DELAY * (1 shl losses)).coerceAtMost(MAX_LOSS_DELAY))
         losses = (losses + 1).coerceAtMost(MAX_LOSS_DOUBLINGS)
     }
@@ -211,7 +211,7 @@
             ItemCall(item, route, record.team),
             options
         ) { reply ->
-            attemptResult = output.receive(reply, services.clock) { services.prompts.recordAnswer(sharedParts) }
+            attemptResult = output.receive(reply, services.clock) { services.crashGuard.recordAnswer(sharedParts) }
         }
         val hasBegun = output.progress.events.size > before
         return result.fold(
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -6,7 +6,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.updateJobs
-import figdeck.daemon.command.serving.PromptGuard
+import figdeck.daemon.command.serving.CrashGuard
 import figdeck.daemon.command.serving.SendOptions
 import figdeck.daemon.command.serving.SlotClient
 import figdeck.daemon.command.serving.UpstreamReply
@@ -46,7 +46,7 @@
     val cache: JobCache,
     val timeEstimator: ItemTimeEstimator,
     val slots: SlotClient,
-    val prompts: PromptGuard,
+    val crashGuard: CrashGuard,
     val forward: ForwardItem,
     val random: Random,
     val log: DecisionLog,
--- a/src/main/kotlin/figdeck/daemon/command/serving/PromptGuard.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
@@ -4,16 +4,16 @@
 import figdeck.command.serving.putCrash
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
-import figdeck.control.serving.updatePrompts
+import figdeck.control.serving.updateCrashRisks
 import figdeck.log.DecisionLog
 import figdeck.model.Clock
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CrashReport
+import figdeck.model.serving.CrashRiskRow
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
-import figdeck.model.serving.PromptRiskRow
-import figdeck.query.serving.PromptHold
+import figdeck.query.serving.CrashHold
 import figdeck.query.serving.holdOf
 import figdeck.wire.serving.crashKey
 import figdeck.wire.serving.soundKey
@@ -31,10 +31,10 @@
  * reports. Parts that were answered a short time ago are no suspects, so popular parts are never blamed for an upstream
  * that crashes by itself. A suspect that is answered after all is cleared for all hosts.
  */
-internal class PromptGuard(
+internal class CrashGuard(
     private val control: Control<ServingState>,
     private val clock: Clock,
-    private val writer: PromptRiskWriter,
+    private val writer: CrashRiskWriter,
     private val random: Random,
     private val log: DecisionLog,
 ) {
@@ -42,13 +42,13 @@
     private val unreported = ConcurrentLinkedQueue<UnreportedLoss>()
 
     /** Why a prompt with [parts] must not be sent to upstreams; null if it may be sent. */
-    fun holdOf(parts: List<PromptPart>): PromptHold? = control.snapshot.prompts.holdOf(parts, clock())
+    fun holdOf(parts: List<PromptPart>): CrashHold? = control.snapshot.crashRisks.holdOf(parts, clock())
 
     /** Records that an upstream began its answer to a prompt with [parts]. */
     suspend fun recordAnswer(parts: List<PromptPart>) {
         val now = clock()
         answered.record(parts, now)
-        clear(parts.filter { it in control.snapshot.prompts.suspected })
+        clear(parts.filter { it in control.snapshot.crashRisks.suspected })
         generateSequence { unreported.poll() }
             .filter { now - it.lostAt < MAX_REPORT_DELAY }
             .map { it.report.copy(suspects = it.report.suspects - parts.toSet()) }
@@ -76,7 +76,7 @@
     /** Clears those of the newly reported [suspects] that were answered for this host a short time ago. */
     suspend fun onReports(suspects: Set<PromptPart>, quarantined: Set<PromptPart>) {
         val now = clock()
-        val suspected = control.snapshot.prompts.suspected
+        val suspected = control.snapshot.crashRisks.suspected
         clear(suspects.filter { it in suspected && answered.isRecent(it, now) })
         noteQuarantines(quarantined)
     }
@@ -84,22 +84,22 @@
     private suspend fun report(report: CrashReport) {
         val key = crashKey(random.nextLong())
         val quarantined = control.run { state, now ->
-            updatePrompts(state) { putCrash(it, key, KnownCrash(report, now, version = null), now) }
+            updateCrashRisks(state) { putCrash(it, key, KnownCrash(report, now, version = null), now) }
         }
-        writer.submit(key, PromptRiskRow.Crash(report, clock().epochMillis))
+        writer.submit(key, CrashRiskRow.Crash(report, clock().epochMillis))
         noteQuarantines(quarantined)
     }
 
     private suspend fun clear(parts: List<PromptPart>) {
         for (part in parts) {
             log.note("part_cleared", part.id)
-            control.run { state, now -> updatePrompts(state) { clearLocally(it, part, now) } }
-            writer.submit(soundKey(part), PromptRiskRow.Sound(part, clock().epochMillis))
+            control.run { state, now -> updateCrashRisks(state) { clearLocally(it, part, now) } }
+            writer.submit(soundKey(part), CrashRiskRow.Sound(part, clock().epochMillis))
         }
     }
 
     private fun noteQuarantines(parts: Set<PromptPart>) {
-        val risks = control.snapshot.prompts
+        val risks = control.snapshot.crashRisks
         for (part in parts) {
             val against = risks.crashes.values.filter { part in it.report.suspects }
             log.note("quarantined", part.id) {
--- a/src/main/kotlin/figdeck/daemon/command/serving/PromptRiskWriter.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/CrashRiskWriter.kt
@@ -7,12 +7,12 @@
 import figdeck.model.Clock
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
-import figdeck.model.serving.PromptRiskRow
+import figdeck.model.serving.CrashRiskRow
 import figdeck.query.serving.expiredClearances
 import figdeck.query.serving.expiredCrashes
 import figdeck.store.Store
-import figdeck.wire.serving.PROMPT_RISK_TABLE
-import figdeck.wire.serving.encodePromptRisk
+import figdeck.wire.serving.CRASH_RISK_TABLE
+import figdeck.wire.serving.encodeCrashRisk
 import figdeck.wire.serving.soundKey
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
@@ -28,7 +28,7 @@
 private val log = PartLog("prompts")
 
 /** Writes the rows of this host about prompts to the store, in their order. */
-internal class PromptRiskWriter(
+internal class CrashRiskWriter(
     private val control: Control<ServingState>,
     private val clock: Clock,
     private val store: Store,
@@ -36,8 +36,8 @@
     private val pendingRows = Channel<RowWrite>(MAX_PENDING_ROWS, BufferOverflow.DROP_OLDEST)
 
     /** Queues [row] under [key], a key within the table. */
-    fun submit(key: String, row: PromptRiskRow) {
-        pendingRows.trySend(RowWrite(tableKey(key), encodePromptRisk(row)))
+    fun submit(key: String, row: CrashRiskRow) {
+        pendingRows.trySend(RowWrite(tableKey(key), encodeCrashRisk(row)))
     }
 
     /** Writes queued rows until cancelled, and removes those that no longer count. */
@@ -65,7 +65,7 @@
 
     private fun removalsBeside(rows: List<RowWrite>): List<RowWrite> {
         val now = clock()
-        val risks = control.snapshot.prompts
+        val risks = control.snapshot.crashRisks
         val expired = risks.expiredCrashes(now) + risks.expiredClearances(now).map { soundKey(it) }
         return expired.map { tableKey(it) }
             .filter { key -> rows.none { it.key == key } }
@@ -74,4 +74,4 @@
     }
 }
 
-private fun tableKey(key: String): String = "$PROMPT_RISK_TABLE/$key"
+private fun tableKey(key: String): String = "$CRASH_RISK_TABLE/$key"
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
@@ -15,7 +15,7 @@
     val clock: Clock,
     val limits: TeamLimits,
     val slots: SlotClient,
-    val prompts: PromptGuard,
+    val crashGuard: CrashGuard,
     val random: Random,
     val log: DecisionLog,
     val calls: CallsInProgress,
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -47,7 +47,7 @@
 
 /** The refusal of a call whose prompt must not be sent to upstreams; null if it may be sent. */
 private fun OnlineServices.refusalOfHeldPrompt(call: OnlineCall): Refusal? =
-    prompts.holdOf(call.sharedParts)?.let { Refusal.PromptQuarantined(it.part.id, it.timeLeft) }
+    crashGuard.holdOf(call.sharedParts)?.let { Refusal.PromptQuarantined(it.part.id, it.timeLeft) }
 
 /** One request while it is served, across all upstreams that it is sent to. */
 private class OnlineRequest(
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -90,7 +90,7 @@
     private fun onFailure(failed: FailedSend) {
         services.countFailedSend(failed)
         if (failed is FailedSend.MayHaveRun && failed.ending == SendEnding.LOST_BEFORE_ANSWER) {
-            services.prompts.recordLoss(call.id, failed.upstream, call.sharedParts)
+            services.crashGuard.recordLoss(call.id, failed.upstream, call.sharedParts)
         }
     }
 
@@ -135,7 +135,7 @@
     private suspend fun relay(reply: UpstreamReply, options: SendOptions): FailedSend? {
         val eventsBefore = stream.eventCount
         val result = stream.relay(reply, options.idleTimeout, services.clock, caller) {
-            services.prompts.recordAnswer(call.sharedParts)
+            services.crashGuard.recordAnswer(call.sharedParts)
         }
         return when (result) {
             RelayResult.Complete -> null
@@ -160,7 +160,7 @@
                 FailedSend.MayHaveRun(upstream, "the upstream answered ${reply.status}")
             }
             else -> {
-                services.prompts.recordAnswer(call.sharedParts)
+                services.crashGuard.recordAnswer(call.sharedParts)
                 answer(reply.status, reply.headers, body)
                 null
             }
--- a/src/main/kotlin/figdeck/daemon/query/serving/PromptRiskFollower.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/CrashRiskFollower.kt
@@ -7,18 +7,18 @@
 import figdeck.command.serving.replaceRisks
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
-import figdeck.control.serving.updatePrompts
+import figdeck.control.serving.updateCrashRisks
 import figdeck.log.PartLog
 import figdeck.log.orWarn
 import figdeck.model.Moment
 import figdeck.model.Row
 import figdeck.model.serving.Clearance
+import figdeck.model.serving.CrashRiskRow
+import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
-import figdeck.model.serving.PromptRiskRow
-import figdeck.model.serving.PromptRisks
 import figdeck.store.query.RowChange
-import figdeck.wire.serving.decodePromptRisk
+import figdeck.wire.serving.decodeCrashRisk
 import figdeck.wire.serving.soundKey
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -29,18 +29,18 @@
  *
  * @param onReports receives the parts that new reports suspect, and those that are quarantined since.
  */
-internal fun promptRiskFollower(
+internal fun crashRiskFollower(
     control: Control<ServingState>,
     onReports: suspend (suspects: Set<PromptPart>, quarantined: Set<PromptPart>) -> Unit,
 ): TableFollower = TableFollower(
     replace = { rows ->
         val read = rows.mapNotNull { readRow(it) }
-        onReports(read.suspects(), control.run { state, now -> updatePrompts(state) { it.replacedBy(read, now) } })
+        onReports(read.suspects(), control.run { state, now -> updateCrashRisks(state) { it.replacedBy(read, now) } })
     },
     change = { changes ->
         val read = changes.map { ChangedRow(it, it.row?.let { row -> readRow(row) }) }
         val quarantined = control.run { state, now ->
-            updatePrompts(state) { risks -> read.fold(risks) { all, changed -> all.after(changed, now) } }
+            updateCrashRisks(state) { risks -> read.fold(risks) { all, changed -> all.after(changed, now) } }
         }
         onReports(read.mapNotNull { it.content }.suspects(), quarantined)
     },
@@ -48,7 +48,7 @@
 
 private data class StoredRisk(
     val row: Row,
-    val content: PromptRiskRow,
+    val content: CrashRiskRow,
 )
 
 private data class ChangedRow(
@@ -56,41 +56,41 @@
     val content: StoredRisk?,
 )
 
-private fun readRow(row: Row): StoredRisk? = decodePromptRisk(row.value).orWarn(log)?.let { StoredRisk(row, it) }
+private fun readRow(row: Row): StoredRisk? = decodeCrashRisk(row.value).orWarn(log)?.let { StoredRisk(row, it) }
 
 private fun List<StoredRisk>.suspects(): Set<PromptPart> =
-    flatMap { (it.content as? PromptRiskRow.Crash)?.report?.suspects.orEmpty() }.toSet()
+    flatMap { (it.content as? CrashRiskRow.Crash)?.report?.suspects.orEmpty() }.toSet()
 
-private fun PromptRisks.after(changed: ChangedRow, now: Moment): PromptRisks {
+private fun CrashRisks.after(changed: ChangedRow, now: Moment): CrashRisks {
     val stored = changed.content
     return when (val content = stored?.content) {
-        is PromptRiskRow.Crash -> putCrash(this, stored.row.key, content.toKnown(stored.row, now), now)
-        is PromptRiskRow.Sound -> clearPart(this, content.part, content.toClearance(stored.row, now), now)
+        is CrashRiskRow.Crash -> putCrash(this, stored.row.key, content.toKnown(stored.row, now), now)
+        is CrashRiskRow.Sound -> clearPart(this, content.part, content.toClearance(stored.row, now), now)
         null -> dropRow(this, changed.change.key, now)
     }
 }
 
-private fun dropRow(risks: PromptRisks, key: String, now: Moment): PromptRisks {
+private fun dropRow(risks: CrashRisks, key: String, now: Moment): CrashRisks {
     val cleared = risks.clearances.keys.find { soundKey(it) == key }
     return if (cleared == null) dropCrash(risks, key, now) else dropClearance(risks, cleared, now)
 }
 
-private fun PromptRisks.replacedBy(stored: List<StoredRisk>, now: Moment): PromptRisks {
+private fun CrashRisks.replacedBy(stored: List<StoredRisk>, now: Moment): CrashRisks {
     val crashes = mutableMapOf<String, KnownCrash>()
     val clearances = mutableMapOf<PromptPart, Clearance>()
     for ((row, content) in stored) {
         when (content) {
-            is PromptRiskRow.Crash -> crashes[row.key] = content.toKnown(row, now)
-            is PromptRiskRow.Sound -> clearances[content.part] = content.toClearance(row, now)
+            is CrashRiskRow.Crash -> crashes[row.key] = content.toKnown(row, now)
+            is CrashRiskRow.Sound -> clearances[content.part] = content.toClearance(row, now)
         }
     }
     return replaceRisks(this, crashes, clearances, now)
 }
 
-private fun PromptRiskRow.Crash.toKnown(row: Row, now: Moment) = KnownCrash(report, writtenAt(now), row.version)
+private fun CrashRiskRow.Crash.toKnown(row: Row, now: Moment) = KnownCrash(report, writtenAt(now), row.version)
 
-private fun PromptRiskRow.Sound.toClearance(row: Row, now: Moment) = Clearance(row.version, writtenAt(now))
+private fun CrashRiskRow.Sound.toClearance(row: Row, now: Moment) = Clearance(row.version, writtenAt(now))
 
 /** When the row was written, by this host's clock. Hosts' wall clocks differ a little. */
-private fun PromptRiskRow.writtenAt(now: Moment): Moment =
+private fun CrashRiskRow.writtenAt(now: Moment): Moment =
     now + (writtenAtMillis - now.epochMillis).coerceAtMost(0).milliseconds
--- a/src/main/kotlin/figdeck/model/serving/PromptRiskRow.kt
+++ b/src/main/kotlin/figdeck/model/serving/CrashRiskRow.kt
@@ -1,7 +1,7 @@
 package figdeck.model.serving
 
 /** A row that hosts share about parts of prompts that may crash upstreams. */
-public sealed interface PromptRiskRow {
+public sealed interface CrashRiskRow {
     /** When the row was written, by the wall clock of its writer. */
     public val writtenAtMillis: Long
 
@@ -9,11 +9,11 @@
     public data class Crash(
         public val report: CrashReport,
         override val writtenAtMillis: Long,
-    ) : PromptRiskRow
+    ) : CrashRiskRow
 
     /** An upstream answered a prompt with [part] although it had been reported. */
     public data class Sound(
         public val part: PromptPart,
         override val writtenAtMillis: Long,
-    ) : PromptRiskRow
+    ) : CrashRiskRow
 }
--- a/src/main/kotlin/figdeck/model/serving/PromptRisks.kt
+++ b/src/main/kotlin/figdeck/model/serving/CrashRisks.kt
@@ -50,7 +50,7 @@
  * @property suspected the parts with more than one report against them.
  * @property quarantined the parts that are not sent to upstreams.
  */
-public data class PromptRisks(
+public data class CrashRisks(
     public val crashes: PersistentMap<String, KnownCrash>,
     public val clearances: PersistentMap<PromptPart, Clearance>,
     public val suspected: Set<PromptPart>,
@@ -58,4 +58,4 @@
 )
 
 /** The state before the first report. */
-public val noPromptRisks: PromptRisks = PromptRisks(persistentMapOf(), persistentMapOf(), emptySet(), emptyMap())
+public val noCrashRisks: CrashRisks = CrashRisks(persistentMapOf(), persistentMapOf(), emptySet(), emptyMap())
--- a/src/main/kotlin/figdeck/wire/serving/PromptRiskCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/CrashRiskCodec.kt
@@ -4,19 +4,19 @@
 import com.dynatrace.hash4j.hashing.Hashing
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CrashReport
+import figdeck.model.serving.CrashRiskRow
 import figdeck.model.serving.PromptPart
-import figdeck.model.serving.PromptRiskRow
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
 
 /** The table in which hosts report prompts that may crash upstreams. */
-internal const val PROMPT_RISK_TABLE = "promptrisk"
+internal const val CRASH_RISK_TABLE = "promptrisk"
 private const val HEX_RADIX = 16
 
 /** A row of the table as stored: either a report, with its request and upstream, or the part that is sound. */
 @Serializable
-internal data class PromptRiskDto(
+internal data class CrashRiskDto(
     val writtenAt: Long,
     val request: String? = null,
     val upstream: String? = null,
@@ -31,30 +31,30 @@
 internal fun soundKey(part: PromptPart): String =
     "sound-${Hashing.komihash5_0().hashCharsToLong(part.id).toULong().toString(HEX_RADIX)}"
 
-internal fun encodePromptRisk(row: PromptRiskRow): String {
+internal fun encodeCrashRisk(row: CrashRiskRow): String {
     val dto = when (row) {
-        is PromptRiskRow.Crash -> PromptRiskDto(
+        is CrashRiskRow.Crash -> CrashRiskDto(
             writtenAt = row.writtenAtMillis,
             request = row.report.request,
             upstream = row.report.upstream.value,
             suspects = row.report.suspects.map { it.id },
         )
-        is PromptRiskRow.Sound -> PromptRiskDto(row.writtenAtMillis, sound = row.part.id)
+        is CrashRiskRow.Sound -> CrashRiskDto(row.writtenAtMillis, sound = row.part.id)
     }
-    return lenientJson.encodeToString(PromptRiskDto.serializer(), dto)
+    return lenientJson.encodeToString(CrashRiskDto.serializer(), dto)
 }
 
 /** Decodes a row, or returns why it is invalid. */
-internal fun decodePromptRisk(text: String): Either<String, PromptRiskRow> =
-    decodeAs(text, PromptRiskDto.serializer()) { it.toRow() }
+internal fun decodeCrashRisk(text: String): Either<String, CrashRiskRow> =
+    decodeAs(text, CrashRiskDto.serializer()) { it.toRow() }
 
-private fun PromptRiskDto.toRow(): PromptRiskRow = if (sound != null) {
-    PromptRiskRow.Sound(PromptPart(sound), writtenAt)
+private fun CrashRiskDto.toRow(): CrashRiskRow = if (sound != null) {
+    CrashRiskRow.Sound(PromptPart(sound), writtenAt)
 } else {
     val report = CrashReport(
         request = requireNotNull(request) { "the report names no request" },
         upstream = UpstreamId(requireNotNull(upstream) { "the report names no upstream" }),
         suspects = suspects.map { PromptPart(it) }.toSet(),
     )
-    PromptRiskRow.Crash(report, writtenAt)
+    CrashRiskRow.Crash(report, writtenAt)
 }
--- a/src/test/kotlin/figdeck/command/serving/PromptRisksSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
@@ -5,11 +5,11 @@
 import figdeck.model.serving.CRASH_REPORT_RETENTION
 import figdeck.model.serving.Clearance
 import figdeck.model.serving.CrashReport
+import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
-import figdeck.model.serving.PromptRisks
-import figdeck.model.serving.noPromptRisks
-import figdeck.query.serving.PromptHold
+import figdeck.model.serving.noCrashRisks
+import figdeck.query.serving.CrashHold
 import figdeck.query.serving.expiredClearances
 import figdeck.query.serving.expiredCrashes
 import figdeck.query.serving.holdOf
@@ -31,34 +31,34 @@
     val suspects: Set<PromptPart> = setOf(deadly),
 )
 
-private fun PromptRisks.after(vararg losses: Loss): PromptRisks = losses.fold(this) { risks, loss ->
+private fun CrashRisks.after(vararg losses: Loss): CrashRisks = losses.fold(this) { risks, loss ->
     val at = start + loss.second.seconds
     val report = CrashReport(loss.request, UpstreamId(loss.upstream), loss.suspects)
     putCrash(risks, "crash-${loss.second}", KnownCrash(report, at, loss.second.toLong()), at)
 }
 
-private fun PromptRisks.holds(parts: List<PromptPart>): PromptHold? = holdOf(parts, start + 10.seconds)
+private fun CrashRisks.holds(parts: List<PromptPart>): CrashHold? = holdOf(parts, start + 10.seconds)
 
-private fun PromptRisks.holds(part: PromptPart): PromptHold? = holds(listOf(part))
+private fun CrashRisks.holds(part: PromptPart): CrashHold? = holds(listOf(part))
 
-private val quarantined = noPromptRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2), Loss("c", "e-1", 3))
+private val quarantined = noCrashRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2), Loss("c", "e-1", 3))
 
-class PromptRisksSpec : DescribeSpec({
+class CrashRisksSpec : DescribeSpec({
     describe("a part of a prompt") {
         it("is held back after three requests have lost two upstreams") {
-            noPromptRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2)).holds(deadly).shouldBeNull()
-            quarantined.holds(listOf(topic, deadly)) shouldBe PromptHold(deadly, CRASH_REPORT_RETENTION - 9.seconds)
+            noCrashRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2)).holds(deadly).shouldBeNull()
+            quarantined.holds(listOf(topic, deadly)) shouldBe CrashHold(deadly, CRASH_REPORT_RETENTION - 9.seconds)
             quarantined.holds(topic).shouldBeNull()
         }
 
         it("is not held back for losses at a single upstream") {
-            noPromptRisks.after(*Array(6) { Loss("request-$it", "e-1", it + 1) }).holds(deadly).shouldBeNull()
+            noCrashRisks.after(*Array(6) { Loss("request-$it", "e-1", it + 1) }).holds(deadly).shouldBeNull()
         }
 
         it("is held back after one request has lost five upstreams") {
             val losses = Array(5) { Loss("item", "e-$it", it + 1) }
-            noPromptRisks.after(*losses.copyOf(4).requireNoNulls()).holds(deadly).shouldBeNull()
-            noPromptRisks.after(*losses).holds(deadly).shouldNotBeNull()
+            noCrashRisks.after(*losses.copyOf(4).requireNoNulls()).holds(deadly).shouldBeNull()
+            noCrashRisks.after(*losses).holds(deadly).shouldNotBeNull()
         }
 
         it("is tried again when its reports no longer count") {
@@ -86,7 +86,7 @@
         it("is cleared of reports that the store has not confirmed, on the host that answered it") {
             val unconfirmed = quarantined.crashes.mapValues { it.value.copy(version = null) }
             val risks = unconfirmed.entries.fold(
-                noPromptRisks
+                noCrashRisks
             ) { all, (key, crash) -> putCrash(all, key, crash, start) }
             risks.holds(deadly).shouldNotBeNull()
             clearLocally(risks, deadly, start).holds(deadly).shouldBeNull()
@@ -100,7 +100,7 @@
 
     describe("two parts that every lost prompt had") {
         val both = setOf(topic, deadly)
-        val risks = noPromptRisks.after(
+        val risks = noCrashRisks.after(
             Loss("a", "e-1", 1, both),
             Loss("b", "e-2", 2, both),
             Loss("c", "e-3", 3, both),
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -7,9 +7,9 @@
 import figdeck.control.serving.adoptPlan
 import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.MemoryBackends
+import figdeck.daemon.command.serving.CrashGuard
+import figdeck.daemon.command.serving.CrashRiskWriter
 import figdeck.daemon.command.serving.ExecutionStatus
-import figdeck.daemon.command.serving.PromptGuard
-import figdeck.daemon.command.serving.PromptRiskWriter
 import figdeck.daemon.command.serving.SendOptions
 import figdeck.daemon.command.serving.TestHost
 import figdeck.daemon.command.serving.UpstreamReply
@@ -109,10 +109,10 @@
     cache = JobCache(),
     timeEstimator = ItemTimeEstimator(),
     slots = slots,
-    prompts = PromptGuard(
+    crashGuard = CrashGuard(
         control,
         systemClock,
-        PromptRiskWriter(control, systemClock, store),
+        CrashRiskWriter(control, systemClock, store),
         Random(4),
         DecisionLog("prompts"),
     ),
--- a/src/test/kotlin/figdeck/daemon/command/serving/PromptGuardSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/CrashGuardSpec.kt
@@ -16,7 +16,7 @@
 private val topic = PromptPart("topic")
 private val reactionTime = 5.seconds
 
-private fun PromptGuard.lose(request: String, upstream: Int, parts: List<PromptPart>) =
+private fun CrashGuard.lose(request: String, upstream: Int, parts: List<PromptPart>) =
     recordLoss(request, UpstreamId("e-$upstream"), parts)
 
 private suspend fun <R> withFleet(hosts: Int, use: suspend (GuardedFleet) -> R): R = GuardedFleet(hosts).use { use(it) }
@@ -24,7 +24,7 @@
 /** A request that waits for its first event at [upstream]. */
 private data class Waiting(
     val id: String,
-    val guard: PromptGuard,
+    val guard: CrashGuard,
     val upstream: Int,
     val parts: List<PromptPart>,
 )
@@ -67,7 +67,7 @@
     return held
 }
 
-class PromptGuardSpec : DescribeSpec({
+class CrashGuardSpec : DescribeSpec({
     describe("a part whose requests lose one upstream after the other") {
         it("is held back at every host, whichever hosts sent the requests") {
             withFleet(3) { fleet ->
--- a/src/test/kotlin/figdeck/daemon/command/serving/GuardedFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/GuardedFleet.kt
@@ -3,7 +3,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.initialServingState
 import figdeck.daemon.query.serving.TableFollower
-import figdeck.daemon.query.serving.promptRiskFollower
+import figdeck.daemon.query.serving.crashRiskFollower
 import figdeck.log.DecisionLog
 import figdeck.log.LineWriter
 import figdeck.model.CallResult
@@ -50,10 +50,10 @@
     @Volatile
     private var now = Moment(0, 0)
     private val controls = List(hosts) { Control(initialServingState(fleetMember("host-$it")), { now }) }
-    val guards: List<PromptGuard> = controls.mapIndexed { i, control ->
-        val writer = PromptRiskWriter(control, { now }, store())
-        val guard = PromptGuard(control, { now }, writer, Random(i), DecisionLog("prompts", discardedLog))
-        followers += promptRiskFollower(control, guard::onReports)
+    val guards: List<CrashGuard> = controls.mapIndexed { i, control ->
+        val writer = CrashRiskWriter(control, { now }, store())
+        val guard = CrashGuard(control, { now }, writer, Random(i), DecisionLog("prompts", discardedLog))
+        followers += crashRiskFollower(control, guard::onReports)
         scope.launch { writer.writeRows() }
         guard
     }
--- a/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -95,12 +95,12 @@
 
 /** The services of this host for online requests, with a store of its own. */
 internal fun TestHost.onlineServices(calls: CallsInProgress = CallsInProgress()): OnlineServices {
-    val writer = PromptRiskWriter(control, systemClock, MemoryBackends().platform(FaultInjector(null)))
+    val writer = CrashRiskWriter(control, systemClock, MemoryBackends().platform(FaultInjector(null)))
     return OnlineServices(
         clock = systemClock,
         limits = TeamLimits(control, systemClock, unresponsivePeers, DecisionLog("limits")),
         slots = slots,
-        prompts = PromptGuard(control, systemClock, writer, Random(1), DecisionLog("prompts")),
+        crashGuard = CrashGuard(control, systemClock, writer, Random(1), DecisionLog("prompts")),
         random = Random(2),
         log = DecisionLog("serve"),
         calls = calls,
