An upstream that says in an answer that it is leaving gets no more requests

What callers would see: an upstream that is shutting down says so in its answers (Server-Leaving: 1), while its entry in the store still says that it is ready, or the host can't reach the store. The host went on sending requests to it, which are lost when it ends.

Cause: hosts learned of leaving upstreams from the store alone.

Fix: the header is decoded once, in platform/, for answers that are the expected upstream's own. The host marks the upstream as leaving whatever its entries say, until it starts again under its id (its entry names the start) or, if it names none, for two minutes. Slots granted there are returned as before, and each release tells the owner of the slots, so that other hosts get no slots there either. The release has a new field that older hosts ignore. Items of batch jobs do the same.

The entry in UpstreamMessageSpec names a start, which is now decoded and compared.

--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 /**
  * How long an entry that expired during a store outage may take to reappear. The platform promises that it does within
@@ -15,21 +16,39 @@
  */
 private val REAPPEARANCE_GRACE: Duration = 2_200.milliseconds
 
+/**
+ * How long the announcement of an upstream that it is leaving counts. The upstream ends within a minute, and what has
+ * its id later is another start of it.
+ */
+private val LEAVING_RETENTION: Duration = 2.minutes
+
 /** The store counts as unavailable if it has not answered for longer than this. */
 private val OUTAGE_THRESHOLD: Duration = 2_500.milliseconds
 
+/**
+ * The announcement of an upstream that it is leaving, which came with an answer.
+ *
+ * @property startedAtMillis the start of the upstream to which it applies; null if that is unknown.
+ */
+public data class LeavingAnnouncement(
+    public val startedAtMillis: Long?,
+    public val announcedAt: Moment,
+)
+
 /**
  * The upstreams that have registered in their pools.
  *
  * @property lastResponseAt when the store last answered, or null before its first answer.
  * @property recoveredAt when the store first answered after its latest outage, or null without an outage.
  * @property missing the upstreams without an entry in the store, with the time at which they are dropped.
+ * @property leaving the upstreams that have said in an answer that they are leaving, whatever their entries say.
  */
 public data class PoolMembers(
     public val members: PersistentMap<UpstreamId, PoolMember>,
     public val lastResponseAt: Moment?,
     public val recoveredAt: Moment?,
     public val missing: PersistentMap<UpstreamId, Moment>,
+    public val leaving: PersistentMap<UpstreamId, LeavingAnnouncement> = persistentMapOf(),
 )
 
 /** The state before the first answer of the store. */
@@ -45,10 +64,25 @@
 }
 
 /** Adds or updates the entry of one upstream. */
-public fun putMember(state: PoolMembers, member: PoolMember): PoolMembers = state.copy(
-    members = state.members.put(member.upstream.id, member),
-    missing = state.missing.remove(member.upstream.id),
-)
+public fun putMember(state: PoolMembers, member: PoolMember): PoolMembers {
+    val id = member.upstream.id
+    val hasAnnounced = state.leaving[id]?.appliesTo(member) ?: false
+    return state.copy(
+        members = state.members.put(id, if (hasAnnounced) member.copy(isLeaving = true) else member),
+        missing = state.missing.remove(id),
+        leaving = if (hasAnnounced) state.leaving else state.leaving.remove(id),
+    )
+}
+
+private fun LeavingAnnouncement.appliesTo(member: PoolMember): Boolean =
+    startedAtMillis == null || startedAtMillis == member.startedAtMillis
+
+/** Records that the upstream [id] has said in an answer that it is leaving, until it starts again. */
+public fun announceLeaving(state: PoolMembers, id: UpstreamId, now: Moment): PoolMembers {
+    val member = state.members[id]
+    val announced = state.copy(leaving = state.leaving.put(id, LeavingAnnouncement(member?.startedAtMillis, now)))
+    return if (member == null) announced else putMember(announced, member)
+}
 
 /** Adds upstreams known to another host. They count as missing until the store lists them. */
 public fun adoptUnconfirmed(state: PoolMembers, members: List<PoolMember>, now: Moment): PoolMembers = members
@@ -80,6 +114,7 @@
     return dropMissing(state, now).copy(
         lastResponseAt = now,
         recoveredAt = if (wasUnavailable) now else state.recoveredAt,
+        leaving = state.leaving.filterValues { now - it.announcedAt < LEAVING_RETENTION }.toPersistentMap(),
     )
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -211,6 +211,7 @@
             ItemCall(item, route, record.team),
             options
         ) { reply ->
+            if (reply.isLeaving) services.slots.recordLeaving(permit.upstream.id, item.id, services.log)
             attemptResult = output.receive(reply, services.clock) { services.crashGuard.recordAnswer(sharedParts) }
         }
         val hasBegun = output.progress.events.size > before
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -66,11 +66,16 @@
     UNVERIFIED,
 }
 
+/** Whether the response is the expected upstream's own. */
+internal val ExecutionStatus.isFromExpectedUpstream: Boolean
+    get() = this == ExecutionStatus.RAN || this == ExecutionStatus.NOT_RUN
+
 /**
  * A response whose head has arrived.
  *
  * @property headers the headers that are forwarded to the caller.
  * @property isDelimited whether the response declares where its body ends. Otherwise it ends with its connection.
+ * @property isLeaving whether the upstream says that it is shutting down.
  */
 internal data class UpstreamReply(
     val executionStatus: ExecutionStatus,
@@ -78,6 +83,7 @@
     val headers: HttpHeaders,
     val body: HttpBody,
     val isDelimited: Boolean = true,
+    val isLeaving: Boolean = false,
 )
 
 private const val FIRST_SUCCESS = 200
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -4,8 +4,11 @@
 import arrow.core.left
 import arrow.core.right
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.serving.announceLeaving
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.updatePools
+import figdeck.log.DecisionLog
 import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
@@ -122,7 +125,21 @@
     /** Returns the slot of [permit] to its owner without waiting for a reply. */
     fun release(permit: HeldPermit, use: SlotOutcome, cost: Int) {
         held.remove(permit.request.ticket)
-        sendRelease(permit.owner, SlotRelease(permit.request.ticket, use, cost))
+        sendRelease(
+            permit.owner,
+            SlotRelease(permit.request.ticket, use, cost, hasAnnouncedLeaving(permit.upstream.id))
+        )
+    }
+
+    /**
+     * Records that [upstream] has said in its answer to [request] that it is leaving, whatever its entry in the store
+     * says. It gets no new work from this host, and the owner of its slots is told when the next one is returned.
+     */
+    suspend fun recordLeaving(upstream: UpstreamId, request: String, decisions: DecisionLog) {
+        if (!hasAnnouncedLeaving(upstream)) {
+            control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
+            decisions.note("upstream_leaving", request) { put("upstream", upstream.value) }
+        }
     }
 
     /** Marks the slots with [tickets] as revoked, so that the requests that use them stop. */
@@ -164,10 +181,13 @@
     private fun returnUnusableSlot(granted: SlotResponse.Granted?, owner: FleetMember?, request: SlotRequest) {
         if (granted != null) {
             log.warn { "slot ${request.ticket} is returned: upstream ${granted.upstream} is leaving or unknown" }
-            sendRelease(owner, SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0))
+            val isLeaving = hasAnnouncedLeaving(granted.upstream)
+            sendRelease(owner, SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0, isLeaving))
         }
     }
 
+    private fun hasAnnouncedLeaving(upstream: UpstreamId): Boolean = upstream in control.snapshot.pools.leaving
+
     private fun sendRelease(owner: FleetMember?, release: SlotRelease) {
         scope.launch { if (owner == null) localOwner.release(release) else remoteOwners.release(owner, release) }
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.serving.announceLeaving
 import figdeck.command.serving.removeImmediately
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
@@ -71,12 +72,16 @@
         }
     }
 
-    /** Frees a slot. Drops the upstream if it is gone. */
+    /** Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. */
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
         slots.dispatcher.release(slot.permit, release.outcome, release.cost)
+        val upstream = slot.permit.upstream.id
         if (release.outcome == SlotOutcome.GONE) {
-            control.run { state, _ -> updatePools(state) { removeImmediately(it, slot.permit.upstream.id) } }
+            control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
+        }
+        if (release.isLeaving) {
+            control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
         }
     }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -115,6 +115,7 @@
 
     private suspend fun receive(reply: UpstreamReply, options: SendOptions): FailedSend? {
         val id = options.upstream.id
+        if (reply.isLeaving) services.slots.recordLeaving(id, call.id, services.log)
         return when (reply.executionStatus) {
             ExecutionStatus.NOT_RUN ->
                 FailedSend.NotRun(id, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
--- a/src/main/kotlin/figdeck/model/serving/PoolMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/PoolMember.kt
@@ -6,9 +6,12 @@
  * The announcement of an upstream in its pool.
  *
  * @property isLeaving whether it accepts no new work because it is shutting down.
+ * @property startedAtMillis when it started, in Unix milliseconds, by its own clock; null if it doesn't say so. An
+ * upstream may start again under its id.
  */
 public data class PoolMember(
     public val upstream: Upstream,
     public val pool: PoolName,
     public val isLeaving: Boolean,
+    public val startedAtMillis: Long? = null,
 )
--- a/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
@@ -32,6 +32,8 @@
     @SerialName("ColdRemainingMs") val slowStartMillis: Double? = null,
     /** The number of orders that it has accepted. */
     @SerialName("Seq") val sequence: Long? = null,
+    /** When it started, in Unix milliseconds. */
+    @SerialName("born") val startedAtMillis: Double? = null,
     /** The loaded models; empty for a plain service. */
     @SerialName("Models") val models: List<JsonElement> = emptyList(),
 )
@@ -58,5 +60,5 @@
         slots = slots,
         honoursFencing = false,
     )
-    return PoolMember(upstream, PoolName(pool), isLeaving = state == LEAVING_STATE)
+    return PoolMember(upstream, PoolName(pool), isLeaving = state == LEAVING_STATE, startedAtMillis?.toLong())
 }
--- a/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -2,12 +2,16 @@
 
 import figdeck.daemon.command.serving.ExecutionStatus
 import figdeck.daemon.command.serving.UpstreamReply
+import figdeck.daemon.command.serving.isFromExpectedUpstream
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.http.client.HttpReply
 import io.netty.handler.codec.http.HttpHeaderNames
 
 private const val MISDIRECTED_REQUEST = 421
 
+/** The value of [LEAVING_HEADER] in the answers of an upstream that is shutting down. */
+private const val IS_LEAVING = "1"
+
 /**
  * Converts [reply] to the response to the attempt [id]. A response with another attempt id is not trusted, nor is a
  * successful one that lacks the id or the upstream's stamp, or has a content encoding: it may be a late copy of the
@@ -26,5 +30,12 @@
         else -> ExecutionStatus.RAN
     }
     val isDelimited = HttpHeaderNames.CONTENT_LENGTH in headers || HttpHeaderNames.TRANSFER_ENCODING in headers
-    return UpstreamReply(executionStatus, reply.status, forwardableHeaders(headers), reply.body, isDelimited)
+    return UpstreamReply(
+        executionStatus = executionStatus,
+        status = reply.status,
+        headers = forwardableHeaders(headers),
+        body = reply.body,
+        isDelimited = isDelimited,
+        isLeaving = executionStatus.isFromExpectedUpstream && headers.get(LEAVING_HEADER)?.trim() == IS_LEAVING,
+    )
 }
--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -11,6 +11,7 @@
 import figdeck.platform.ATTEMPT_ID_HEADER
 import figdeck.platform.EXPECTED_UPSTREAM_HEADER
 import figdeck.platform.LAST_EVENT_ID_HEADER
+import figdeck.platform.LEAVING_HEADER
 import figdeck.platform.READY_STATE
 import figdeck.platform.RESPONSE_STAMP_HEADER
 import figdeck.platform.UpstreamMessage
@@ -49,12 +50,14 @@
  * @property remainingBreaks how many more streams to abort after two events; upstreams may share the counter.
  * @property eventInterval the delay before each event.
  * @property serviceTime the delay before the answer of a plain service.
+ * @property isLeaving whether its answers say that it is shutting down.
  */
 internal data class RunnerSettings(
     val eventCount: Int = 5,
     val remainingBreaks: AtomicInteger = AtomicInteger(),
     val eventInterval: Duration = 5.milliseconds,
     val serviceTime: Duration = Duration.ZERO,
+    val isLeaving: Boolean = false,
 )
 
 /**
@@ -133,4 +136,5 @@
     private fun responseHeaders(call: HttpCall): HttpHeaders = newHeaders()
         .set(ATTEMPT_ID_HEADER, call.headers.get(ATTEMPT_ID_HEADER) ?: "none")
         .set(RESPONSE_STAMP_HEADER, "stamp-$id")
+        .also { if (settings.isLeaving) it.set(LEAVING_HEADER, "1") }
 }
--- a/src/main/kotlin/figdeck/wire/serving/SlotMessages.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotMessages.kt
@@ -39,6 +39,7 @@
     val ticket: Long,
     val use: String,
     val cost: Int,
+    val leaving: Boolean = false,
 )
 
 /** The tickets whose slots are revoked. */
@@ -50,11 +51,13 @@
  *
  * @property ticket the ticket of the request to which the slot was granted.
  * @property outcome how the use of the slot ended.
+ * @property isLeaving whether the upstream has said to the holder that it is shutting down.
  */
 public data class SlotRelease(
     public val ticket: Long,
     public val outcome: SlotOutcome,
     public val cost: Int,
+    public val isLeaving: Boolean = false,
 )
 
 /** All slots that the host [from] still uses. */
@@ -98,12 +101,14 @@
     }
 
 internal fun encodeSlotRelease(release: SlotRelease): String {
-    val dto = SlotReleaseDto(release.ticket, release.outcome.name, release.cost)
+    val dto = SlotReleaseDto(release.ticket, release.outcome.name, release.cost, release.isLeaving)
     return lenientJson.encodeToString(SlotReleaseDto.serializer(), dto)
 }
 
 internal fun decodeSlotRelease(text: String): Either<String, SlotRelease> =
-    decodeAs(text, SlotReleaseDto.serializer()) { SlotRelease(it.ticket, SlotOutcome.valueOf(it.use), it.cost) }
+    decodeAs(text, SlotReleaseDto.serializer()) {
+        SlotRelease(it.ticket, SlotOutcome.valueOf(it.use), it.cost, it.leaving)
+    }
 
 internal fun encodeRevocation(tickets: List<Long>): String =
     lenientJson.encodeToString(RevocationDto.serializer(), RevocationDto(tickets))
--- a/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -14,12 +14,15 @@
 
 private val start = Moment(0, 0)
 
-private fun member(id: String) = PoolMember(
+private fun member(id: String, startedAt: Long? = null) = PoolMember(
     Upstream(UpstreamId(id), Address("10.0.0.1", 80), DataCentre("a"), UpstreamKind.ENGINE, 8, false),
     PoolName("p"),
     isLeaving = false,
+    startedAt,
 )
 
+private fun PoolMembers.isLeaving(id: String): Boolean? = members[UpstreamId(id)]?.isLeaving
+
 private fun PoolMembers.ids() = members.keys.map { it.value }.sorted()
 
 class PoolMembersSpec : DescribeSpec({
@@ -32,6 +35,38 @@
         }
     }
 
+    // Guards against work for an upstream that has said in an answer that it is leaving while its entry says "ready".
+    describe("an upstream that has said that it is leaving") {
+        val first = UpstreamId("i-1")
+        val announced = announceLeaving(both, first, start)
+
+        it("is leaving, and the others are not") {
+            announced.isLeaving("i-1") shouldBe true
+            announced.isLeaving("i-2") shouldBe false
+        }
+
+        it("is still leaving after later entries, and after its entry was lost and came back") {
+            putMember(announced, member("i-1")).isLeaving("i-1") shouldBe true
+            putMember(removeMember(announced, first, start), member("i-1")).isLeaving("i-1") shouldBe true
+            replaceMembers(announced, listOf(member("i-1")), start).isLeaving("i-1") shouldBe true
+        }
+
+        it("is ready again once it has started again under its id") {
+            val started = announceLeaving(putMember(both, member("i-1", startedAt = 5)), first, start)
+            putMember(started, member("i-1", startedAt = 5)).isLeaving("i-1") shouldBe true
+            val restarted = putMember(started, member("i-1", startedAt = 6))
+            restarted.isLeaving("i-1") shouldBe false
+            putMember(restarted, member("i-1", startedAt = 6)).isLeaving("i-1") shouldBe false
+        }
+
+        it("is remembered for two minutes if it names no start") {
+            val later = recordStoreResponse(announced, start + 119.seconds)
+            putMember(later, member("i-1")).isLeaving("i-1") shouldBe true
+            val end = recordStoreResponse(announced, start + 120.seconds)
+            putMember(end, member("i-1")).isLeaving("i-1") shouldBe false
+        }
+    }
+
     describe("upstreams learned from another host") {
         val unconfirmed = adoptUnconfirmed(emptyPoolMembers, listOf(member("i-1"), member("i-2")), start)
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.serving
 
+import figdeck.log.DecisionLog
 import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
@@ -61,6 +62,21 @@
     }
 
 class SlotClientSpec : DescribeSpec({
+    describe("an upstream that has said that it is leaving") {
+        it("gets no more requests, and the owner of its slots is told") {
+            val owner = GrantingOwner(listOf("ready-1", "ready-1", "ready-2"))
+            TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
+                val upstreams = listOf("ready-1", "ready-2").map { poolMember(pool, it) }
+                host.setView(listOf(fleetMember("host-2", cores = 2.0)), upstreams)
+                host.slots.acquire(slotRequest(1)).getOrNull()?.upstream?.id shouldBe UpstreamId("ready-1")
+                host.slots.recordLeaving(UpstreamId("ready-1"), "request", DecisionLog("serve"))
+                host.slots.acquire(slotRequest(2)).getOrNull()?.upstream?.id shouldBe UpstreamId("ready-2")
+                eventually(5.seconds) { owner.released.size == 1 }
+                owner.released.single().isLeaving shouldBe true
+            }
+        }
+    }
+
     describe("an owner that does not know which upstreams are leaving") {
         it("gets slots at leaving upstreams back and is asked for others") {
             val owner = GrantingOwner(listOf("leaving-1", "leaving-2", "ready-1"))
--- a/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
+++ b/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
@@ -117,6 +117,15 @@
             ).forEach { upstreamReply(it, "1").executionStatus shouldBe ExecutionStatus.UNVERIFIED }
         }
 
+        it("says that its upstream is leaving, unless another one may have sent it") {
+            val leaving = "Server-Leaving" to "1"
+            upstreamReply(reply(503, "X-Not-Executed" to "1", leaving), "1").isLeaving shouldBe true
+            upstreamReply(reply(500, "X-Attempt-Id" to "1", leaving), "1").isLeaving shouldBe true
+            upstreamReply(reply(500, "X-Attempt-Id" to "1"), "1").isLeaving shouldBe false
+            upstreamReply(reply(500, "X-Attempt-Id" to "2", leaving), "1").isLeaving shouldBe false
+            upstreamReply(reply(421, leaving), "1").isLeaving shouldBe false
+        }
+
         it("reports that the request did not run") {
             upstreamReply(reply(503, "X-Not-Executed" to "1"), "1").executionStatus shouldBe ExecutionStatus.NOT_RUN
             upstreamReply(reply(421, "X-Instance-Id" to "i-2"), "1").executionStatus shouldBe
--- a/src/test/kotlin/figdeck/platform/UpstreamMessageSpec.kt
+++ b/src/test/kotlin/figdeck/platform/UpstreamMessageSpec.kt
@@ -40,7 +40,7 @@
                 honoursFencing = false,
             )
             decodeUpstream("i-7f3a91c2", entry()) shouldBe
-                PoolMember(upstream, PoolName("huvo11a"), isLeaving = false).right()
+                PoolMember(upstream, PoolName("huvo11a"), isLeaving = false, startedAtMillis = 17).right()
         }
 
         it("is decoded as leaving while it drains") {
--- a/src/test/kotlin/figdeck/process/CrashingPromptSpec.kt
+++ b/src/test/kotlin/figdeck/process/CrashingPromptSpec.kt
@@ -17,7 +17,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
@@ -42,17 +41,6 @@
    "Service":"pool","MaxAttempts":2,"Resumable":true}],
  "Tenants":[{"Name":"walkers","ApiKeys":["$KEY"],"RatePerS":500,"Burst":500}]}"""
 
-private fun base64(text: String): String = Base64.getEncoder().encodeToString(text.encodeToByteArray())
-
-private fun row(table: String, key: String, value: String) =
-    """{"Table":"$table","part":"","Key":"$key","Value":"${base64(value)}"}"""
-
-private suspend fun Fleet.write(puts: List<String>, removals: List<String> = emptyList()) {
-    val removed = removals.joinToString(",") { """{"Table":"servers","part":"","Key":"$it"}""" }
-    val body = """{"ExpectedRev":[],"Puts":[${puts.joinToString(",")}],"Remove":[$removed]}"""
-    check(send(platform.address, TestRequest("POST", "/rows-tx", body)).status == 200) { "the rows were not written" }
-}
-
 /** Engines that crash on [DEADLY_PART] and start again after [RESTART_TIME] under another id. */
 private class CrashingEngines(
     private val fleet: Fleet,
@@ -72,7 +60,7 @@
         val id = "engine-${starts.incrementAndGet()}"
         val engine = RunnerStandIn(eventLoops, id, isFatal = { it.isDeadly && onCrash(id) })
         running += engine
-        fleet.write(listOf(row("servers", id, engine.encodeEntry("pool"))), listOfNotNull(replaced))
+        fleet.writeRows(listOf(storeRow("servers", id, engine.encodeEntry("pool"))), listOfNotNull(replaced))
     }
 
     private fun onCrash(id: String): Boolean {
@@ -121,12 +109,10 @@
         val eventLoops = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
         val fleet = Fleet()
         val engines = CrashingEngines(fleet, eventLoops)
-        fleet.write(listOf(row("op", "config", PLAN)))
+        fleet.writeRows(listOf(storeRow("op", "config", PLAN)))
         repeat(ENGINES) { engines.start() }
         val daemons = listOf("a", "b").map { fleet.edgeDaemon("host-$it") }
-        daemons.forEach { daemon ->
-            eventually(20.seconds) { fleet.send(daemon.addresses[1], TestRequest("GET", "/")).status == 200 }
-        }
+        fleet.awaitReady(daemons)
         val sound = coroutineScope {
             launch { sendEvery(150.milliseconds, fleet, daemons, "deadly") { "intro${it % 3}:10,$DEADLY_PART:10" } }
             sendEvery(30.milliseconds, fleet, daemons, "sound") { "intro${it % 3}:10,topic${it % 40}:10" }
--- a/src/test/kotlin/figdeck/process/EdgeEndToEndSpec.kt
+++ b/src/test/kotlin/figdeck/process/EdgeEndToEndSpec.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.delay
-import java.util.Base64
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,11 +28,6 @@
    "Service":"pool","MaxAttempts":3,"RunTargetMs":18000,"MaxWaitS":60,"MaxCount":100000}],
  "Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"walkers","ApiKeys":["$KEY"],"RatePerS":500,"Burst":500}]}"""
 
-private fun base64(text: String): String = Base64.getEncoder().encodeToString(text.encodeToByteArray())
-
-private fun row(table: String, key: String, value: String) =
-    """{"Table":"$table","part":"","Key":"$key","Value":"${base64(value)}"}"""
-
 private fun request(
     method: String,
     target: String,
@@ -56,19 +50,6 @@
     return """{"Requests":[${items.joinToString(",")}]}"""
 }
 
-private suspend fun Fleet.storePlanAndRunners(runners: Map<String, RunnerStandIn>) {
-    val entries = runners.map { (id, runner) -> row("servers", id, runner.encodeEntry("pool")) }
-    val rows = listOf(row("op", "config", PLAN)) + entries
-    val body = """{"ExpectedRev":[],"Puts":[${rows.joinToString(",")}],"Remove":[]}"""
-    send(platform.address, TestRequest("POST", "/rows-tx", body)).status shouldBe 200
-}
-
-private suspend fun Fleet.awaitReady(daemons: List<FleetProcess>) {
-    daemons.forEach { daemon ->
-        eventually(20.seconds) { send(daemon.addresses[1], TestRequest("GET", "/")).status == 200 }
-    }
-}
-
 private suspend fun Fleet.results(daemon: Address, id: String): String =
     send(daemon, request("GET", "/lots/$id?After=0", "read", headers = mapOf("X-Wait-Ms" to "500"))).body
 
@@ -87,7 +68,7 @@
     val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     Fleet().use { fleet ->
         RunnerStandIn(eventLoops, "r-1", RunnerSettings(EVENTS, eventInterval = eventInterval)).use { runner ->
-            fleet.storePlanAndRunners(mapOf("r-1" to runner))
+            fleet.storePlanAndRunners(PLAN, mapOf("r-1" to runner))
             val daemons = listOf("a", "b").map { fleet.edgeDaemon("host-$it") }
             fleet.awaitReady(daemons)
             fleet.send(daemons[0].address, request("POST", "/notes/j", "job-1", job("x", "y"))).status shouldBe 202
@@ -105,7 +86,7 @@
         val remainingBreaks = AtomicInteger(1)
         val firstRunner = RunnerStandIn(eventLoops, "r-1", RunnerSettings(remainingBreaks = remainingBreaks))
         val secondRunner = RunnerStandIn(eventLoops, "r-2", RunnerSettings(remainingBreaks = remainingBreaks))
-        fleet.storePlanAndRunners(mapOf("r-1" to firstRunner, "r-2" to secondRunner))
+        fleet.storePlanAndRunners(PLAN, mapOf("r-1" to firstRunner, "r-2" to secondRunner))
         val daemons = listOf("a", "b").map { fleet.edgeDaemon("host-$it") }
         fleet.awaitReady(daemons)
         afterSpec {
--- a/src/test/kotlin/figdeck/process/EdgeStopSpec.kt
+++ b/src/test/kotlin/figdeck/process/EdgeStopSpec.kt
@@ -17,7 +17,6 @@
 import java.io.BufferedReader
 import java.io.IOException
 import java.net.Socket
-import java.util.Base64
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,11 +37,6 @@
    "TargetLatencyMs":1000,"Service":"pool","MaxAttempts":2}],
  "Tenants":[{"Name":"walkers","ApiKeys":["$KEY"],"RatePerS":500,"Burst":500}]}"""
 
-private fun row(table: String, key: String, value: String): String {
-    val encoded = Base64.getEncoder().encodeToString(value.encodeToByteArray())
-    return """{"Table":"$table","part":"","Key":"$key","Value":"$encoded"}"""
-}
-
 /** A connection that its caller keeps open between requests. */
 private class KeptConnection(daemon: FleetProcess) {
     private val socket = Socket(daemon.address.ip, daemon.address.port)
@@ -80,11 +74,10 @@
         val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         val fleet = Fleet()
         val runner = RunnerStandIn(eventLoops, "r-1", RunnerSettings(serviceTime = SERVICE_TIME))
-        val puts = listOf(row("op", "config", PLAN), row("servers", "r-1", runner.encodeEntry("pool", slots = 64)))
-        val body = """{"ExpectedRev":[],"Puts":[${puts.joinToString(",")}],"Remove":[]}"""
-        fleet.send(fleet.platform.address, TestRequest("POST", "/rows-tx", body))
+        val entry = storeRow("servers", "r-1", runner.encodeEntry("pool", slots = 64))
+        fleet.writeRows(listOf(storeRow("op", "config", PLAN), entry))
         val daemon = fleet.edgeDaemon("host-a")
-        eventually(20.seconds) { fleet.send(daemon.addresses[1], TestRequest("GET", "/")).status == HTTP_OK }
+        fleet.awaitReady(listOf(daemon))
         val requests = coroutineScope {
             val kept = List(CONNECTIONS) { i ->
                 async(Dispatchers.IO) { KeptConnection(daemon).also { it.statusOf("/desk/1", "first-$i") } }
