A part of a prompt is not blamed for crashes that it met by chance

What callers would see: while upstreams crash by themselves again and again, a sound part of prompts that is rather rare, or new, loses three requests in a row by chance, and all prompts with it are refused for 10 minutes.

Cause: three losses without an answer between them were enough, however many other requests lost their upstreams meanwhile.

Evidence: the new case of CrashRisksSpec failed before: a part was held back although two thirds of the crashes were without it.

Fix: the losses must be at least half of the upstreams' crashes since the first of them. A part that causes crashes takes part in nearly all of them, whatever else the crashed upstreams were doing. Six losses are enough in any case, so that several causes at the same time don't hide each other.

--- a/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
+++ b/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
@@ -1,12 +1,14 @@
 package figdeck.command.serving
 
 import figdeck.model.Moment
+import figdeck.model.UpstreamId
 import figdeck.model.serving.CRASH_REPORT_RETENTION
 import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.Quarantine
 import kotlinx.collections.immutable.toPersistentMap
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The number of requests with a part that must have lost their upstream before the part is quarantined. A crashing
@@ -20,15 +22,23 @@
 /** At a single upstream, the upstream itself may be the cause. */
 private const val QUARANTINE_UPSTREAMS = 2
 
+/**
+ * While upstreams crash for another reason too, a suspect that takes part in less than half of their losses may have
+ * met them by chance. Several causes at the same time each take part in less, so this many losses are always enough.
+ */
+private const val LOSSES_BEYOND_CHANCE = 6
+
+/** Losses of one upstream within this time are one crash of it. A crashed upstream is away for longer. */
+private val SAME_CRASH = 2.seconds
+
 /** The newest reports are kept if there are more. */
 private const val MAX_CRASHES = 1_000
 
 /** Derives from the reports in [state] which parts are suspected and which are quarantined. */
 internal fun assessCrashes(state: CrashRisks, now: Moment): CrashRisks {
     val crashes = state.crashes.entries.sortedByDescending { it.value.reportedAt.monotonicNanos }.take(MAX_CRASHES)
-    val byPart = crashes
-        .map { it.value }
-        .filter { now - it.reportedAt < CRASH_REPORT_RETENTION }
+    val counted = crashes.map { it.value }.filter { now - it.reportedAt < CRASH_REPORT_RETENTION }
+    val byPart = counted
         .flatMap { crash -> state.suspectsOf(crash).map { it to crash } }
         .groupBy({ (part, _) -> part }, { (_, crash) -> crash })
     return state.copy(
@@ -39,7 +49,7 @@
         },
         suspected = byPart.filterValues { it.size > 1 }.keys,
         quarantined = byPart.mapNotNull { (part, losses) ->
-            state.quarantineOf(part, losses)?.let { part to it }
+            state.quarantineOf(part, losses, counted)?.let { part to it }
         }.toMap(),
     )
 }
@@ -50,13 +60,32 @@
     clearance == null || crash.version == null || crash.version > clearance.version
 }
 
-/** The quarantine of [part] after [losses], which all count against it, the latest first; null if they are too few. */
-private fun CrashRisks.quarantineOf(part: PromptPart, losses: List<KnownCrash>): Quarantine? {
-    val enough = (QUARANTINE_REQUESTS..losses.size).map { losses.take(it) }.firstOrNull { isEnough(it) }
+/**
+ * The quarantine of [part] after [losses], which all count against it; null if too few do. These and [all] losses are
+ * ordered, the latest first.
+ */
+private fun CrashRisks.quarantineOf(part: PromptPart, losses: List<KnownCrash>, all: List<KnownCrash>): Quarantine? {
+    val enough = (QUARANTINE_REQUESTS..losses.size).asSequence().map { losses.take(it) }
+        .firstOrNull { isEnough(it) && isBeyondChance(it, all) }
     val companions = losses.map { suspectsOf(it).toSet() - part }.reduce { all, next -> all intersect next }
     return enough?.let { Quarantine(it.last().reportedAt + CRASH_REPORT_RETENTION, companions) }
 }
 
+private fun isBeyondChance(losses: List<KnownCrash>, all: List<KnownCrash>): Boolean {
+    val since = losses.last().reportedAt
+    val crashes = all.takeWhile { it.reportedAt >= since }.distinctBy { it.upstreamCrash }.size
+    return losses.size >= LOSSES_BEYOND_CHANCE || losses.distinctBy { it.upstreamCrash }.size * 2 >= crashes
+}
+
+/** Identifies one crash of an upstream among those of the same upstream. */
+private data class UpstreamCrash(
+    val upstream: UpstreamId,
+    val period: Long,
+)
+
+private val KnownCrash.upstreamCrash: UpstreamCrash
+    get() = UpstreamCrash(report.upstream, reportedAt.monotonicNanos / SAME_CRASH.inWholeNanoseconds)
+
 private fun isEnough(losses: List<KnownCrash>): Boolean {
     val requests = losses.distinctBy { it.report.request }.size
     val upstreams = losses.distinctBy { it.report.upstream }.size
--- a/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
@@ -61,6 +61,15 @@
             noCrashRisks.after(*losses).holds(deadly).shouldNotBeNull()
         }
 
+        it("is not held back while most upstreams are lost without it, until chance is ruled out") {
+            val losses = Array(16) { i ->
+                val isDeadly = i % 3 == 0
+                Loss("request-$i", "e-$i", i + 1, setOf(if (isDeadly) deadly else PromptPart("other-$i")))
+            }
+            noCrashRisks.after(*losses.copyOf(13).requireNoNulls()).holds(deadly).shouldBeNull()
+            noCrashRisks.after(*losses).holds(deadly).shouldNotBeNull()
+        }
+
         it("is tried again when its reports no longer count") {
             val end = start + 1.seconds + CRASH_REPORT_RETENTION
             quarantined.holdOf(listOf(deadly), start + CRASH_REPORT_RETENTION).shouldNotBeNull()
