Hold back requests that crash their upstreams, not only parts of prompts

Cause: the guard knew parts of prompts only, and never the last one, which is the request's own. All other parts were shared with sound requests, whose answers cleared them again and again ('part_cleared', 'quarantined' by turns in the logs). A trial with whole requests in the logs shows the identity: target, prompt and body are the same in each attempt.

Fix: a hash of what a caller repeats (method, host, target, prompt, body) is a suspect beside the parts of the prompt, and is held back after three losses at two upstreams. It is reported at once; parts still wait for the next answer. While it is a suspect too, parts are held back only together with it, so sound requests that share them are answered. Requests that were answered a short time ago are no suspects, and any answer clears them, as with parts. Callers get 503 request_quarantined.

--- a/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
+++ b/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
@@ -4,9 +4,11 @@
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CRASH_REPORT_RETENTION
 import figdeck.model.serving.CrashRisks
+import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.Quarantine
+import figdeck.model.serving.RequestFingerprint
 import kotlinx.collections.immutable.toPersistentMap
 import kotlin.time.Duration.Companion.seconds
 
@@ -19,6 +21,9 @@
 /** The number of losses that is enough without so many requests, such as those of one batch item that is repeated. */
 private const val QUARANTINE_LOSSES = 5
 
+/** The number of losses after which a request itself is quarantined, from whichever attempts of its caller. */
+private const val QUARANTINE_REQUEST_LOSSES = 3
+
 /** At a single upstream, the upstream itself may be the cause. */
 private const val QUARANTINE_UPSTREAMS = 2
 
@@ -34,40 +39,44 @@
 /** The newest reports are kept if there are more. */
 private const val MAX_CRASHES = 1_000
 
-/** Derives from the reports in [state] which parts are suspected and which are quarantined. */
+/** Derives from the reports in [state] which suspects count as such and which are quarantined. */
 internal fun assessCrashes(state: CrashRisks, now: Moment): CrashRisks {
     val crashes = state.crashes.entries.sortedByDescending { it.value.reportedAt.monotonicNanos }.take(MAX_CRASHES)
     val counted = crashes.map { it.value }.filter { now - it.reportedAt < CRASH_REPORT_RETENTION }
-    val byPart = counted
+    val bySuspect = counted
         .flatMap { crash -> state.suspectsOf(crash).map { it to crash } }
-        .groupBy({ (part, _) -> part }, { (_, crash) -> crash })
+        .groupBy({ (suspect, _) -> suspect }, { (_, crash) -> crash })
     return state.copy(
         crashes = if (crashes.size < state.crashes.size) {
             crashes.associate { it.key to it.value }.toPersistentMap()
         } else {
             state.crashes
         },
-        suspected = byPart.filterValues { it.size > 1 }.keys,
-        quarantined = byPart.mapNotNull { (part, losses) ->
-            state.quarantineOf(part, losses, counted)?.let { part to it }
+        suspected = bySuspect.filterValues { it.size > 1 }.keys,
+        quarantined = bySuspect.mapNotNull { (suspect, losses) ->
+            state.quarantineOf(suspect, losses, counted)?.let { suspect to it }
         }.toMap(),
     )
 }
 
-/** The parts that [crash] still counts against. */
-private fun CrashRisks.suspectsOf(crash: KnownCrash): List<PromptPart> = crash.report.suspects.filter { part ->
-    val clearance = clearances[part]
+/** The suspects that [crash] still counts against. */
+private fun CrashRisks.suspectsOf(crash: KnownCrash): List<CrashSuspect> = crash.report.suspects.filter { suspect ->
+    val clearance = clearances[suspect]
     clearance == null || crash.version == null || crash.version > clearance.version
 }
 
 /**
- * The quarantine of [part] after [losses], which all count against it; null if too few do. These and [all] losses are
- * ordered, the latest first.
+ * The quarantine of [suspect] after [losses], which all count against it; null if too few do. These and [all] losses
+ * are ordered, the latest first.
  */
-private fun CrashRisks.quarantineOf(part: PromptPart, losses: List<KnownCrash>, all: List<KnownCrash>): Quarantine? {
-    val enough = (QUARANTINE_REQUESTS..losses.size).asSequence().map { losses.take(it) }
-        .firstOrNull { isEnough(it) && isBeyondChance(it, all) }
-    val companions = losses.map { suspectsOf(it).toSet() - part }.reduce { all, next -> all intersect next }
+private fun CrashRisks.quarantineOf(
+    suspect: CrashSuspect,
+    losses: List<KnownCrash>,
+    all: List<KnownCrash>,
+): Quarantine? {
+    val enough = (QUARANTINE_UPSTREAMS..losses.size).asSequence().map { losses.take(it) }
+        .firstOrNull { isEnough(suspect, it) && isBeyondChance(it, all) }
+    val companions = losses.map { suspectsOf(it).toSet() - suspect }.reduce { all, next -> all intersect next }
     return enough?.let { Quarantine(it.last().reportedAt + CRASH_REPORT_RETENTION, companions) }
 }
 
@@ -86,8 +95,11 @@
 private val KnownCrash.upstreamCrash: UpstreamCrash
     get() = UpstreamCrash(report.upstream, reportedAt.monotonicNanos / SAME_CRASH.inWholeNanoseconds)
 
-private fun isEnough(losses: List<KnownCrash>): Boolean {
-    val requests = losses.distinctBy { it.report.request }.size
+private fun isEnough(suspect: CrashSuspect, losses: List<KnownCrash>): Boolean {
     val upstreams = losses.distinctBy { it.report.upstream }.size
-    return upstreams >= QUARANTINE_UPSTREAMS && (requests >= QUARANTINE_REQUESTS || losses.size >= QUARANTINE_LOSSES)
+    return upstreams >= QUARANTINE_UPSTREAMS && when (suspect) {
+        is RequestFingerprint -> losses.size >= QUARANTINE_REQUEST_LOSSES
+        is PromptPart ->
+            losses.distinctBy { it.report.request }.size >= QUARANTINE_REQUESTS || losses.size >= QUARANTINE_LOSSES
+    }
 }
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -13,10 +13,10 @@
 import figdeck.command.serving.emptySharedLimits
 import figdeck.command.serving.singleMemberFleet
 import figdeck.model.serving.CrashRisks
+import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.PlannedStop
-import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingPlan
 import figdeck.model.serving.noCrashRisks
 import figdeck.query.serving.PlanIndex
@@ -27,7 +27,7 @@
  *
  * @property index the active plan, indexed for look-ups, or null before the first plan was read.
  * @property slots the state of the slots that this host assigns.
- * @property crashRisks the parts of prompts that may crash upstreams.
+ * @property crashRisks the parts of prompts, and requests, that may crash upstreams.
  * @property stop the planned stop of this host; null while none has begun.
  */
 public data class ServingState(
@@ -76,11 +76,11 @@
 internal fun updateJobs(state: ServingState, change: (JobDirectory) -> JobDirectory): Step<ServingState, Unit> =
     Step(state.copy(jobs = change(state.jobs)), Unit)
 
-/** Updates what is known about prompts that crash upstreams, and returns the parts that this quarantines. */
+/** Updates what is known about requests that crash upstreams, and returns the suspects that this quarantines. */
 internal fun updateCrashRisks(
     state: ServingState,
     change: (CrashRisks) -> CrashRisks,
-): Step<ServingState, Set<PromptPart>> {
+): Step<ServingState, Set<CrashSuspect>> {
     val next = change(state.crashRisks)
     return Step(state.copy(crashRisks = next), next.quarantined.keys - state.crashRisks.quarantined.keys)
 }
--- a/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
@@ -11,8 +11,10 @@
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CrashReport
 import figdeck.model.serving.CrashRiskRow
+import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.RequestFingerprint
 import figdeck.query.serving.CrashHold
 import figdeck.query.serving.holdOf
 import figdeck.wire.serving.crashKey
@@ -25,11 +27,11 @@
 private const val MAX_UNREPORTED = 256
 
 /**
- * Keeps prompts that crash upstreams from reaching one upstream after the other.
+ * Keeps requests that crash upstreams from reaching one upstream after the other.
  *
  * Each host reports to the store which requests lost their upstream before its answer began, and all hosts follow these
- * reports. Parts that were answered a short time ago are no suspects, so popular parts are never blamed for an upstream
- * that crashes by itself. A suspect that is answered after all is cleared for all hosts.
+ * reports. What was answered a short time ago is no suspect, so popular parts of prompts and popular requests are never
+ * blamed for an upstream that crashes by itself. A suspect that is answered after all is cleared for all hosts.
  */
 internal class CrashGuard(
     private val control: Control<ServingState>,
@@ -38,51 +40,62 @@
     private val random: Random,
     private val log: DecisionLog,
 ) {
-    private val answered = AnsweredParts()
+    private val answeredParts = RecentAnswers()
+    private val answeredRequests = RecentAnswers()
     private val unreported = ConcurrentLinkedQueue<UnreportedLoss>()
 
-    /** Why a prompt with [parts] must not be sent to upstreams; null if it may be sent. */
-    fun holdOf(parts: List<PromptPart>): CrashHold? = control.snapshot.crashRisks.holdOf(parts, clock())
+    /** Why a request with [suspects] must not be sent to upstreams; null if it may be sent. */
+    fun holdOf(suspects: List<CrashSuspect>): CrashHold? = control.snapshot.crashRisks.holdOf(suspects, clock())
 
-    /** Records that an upstream began its answer to a prompt with [parts]. */
-    suspend fun recordAnswer(parts: List<PromptPart>) {
+    /** Records that an upstream began its answer to a request with [suspects]. */
+    suspend fun recordAnswer(suspects: List<CrashSuspect>) {
         val now = clock()
-        answered.record(parts, now)
-        clear(parts.filter { it in control.snapshot.crashRisks.suspected })
+        suspects.forEach { answersOf(it).record(it, now) }
+        clear(suspects.filter { it in control.snapshot.crashRisks.suspected })
         generateSequence { unreported.poll() }
             .filter { now - it.lostAt < MAX_REPORT_DELAY }
-            .map { it.report.copy(suspects = it.report.suspects - parts.toSet()) }
-            .filter { it.suspects.isNotEmpty() }
+            .map { it.copy(report = it.report.copy(suspects = it.report.suspects - suspects.toSet())) }
+            .filter { it.report.suspects.isNotEmpty() }
             .toList()
-            .forEach { report(it) }
+            .forEach { report(it.key, it.report) }
     }
 
     /**
-     * Records that [upstream] was lost before it began its answer to the attempt [request] with [parts]. The loss is
-     * reported after the next answer to another prompt: where no prompt is answered, the upstreams are at fault.
+     * Records that [upstream] was lost before it began its answer to the attempt [request] with [suspects]. The request
+     * itself is reported at once, since it counts only if it is lost again and again. Parts of its prompt are reported
+     * after the next answer to another request: where none is answered, the upstreams are at fault.
      */
-    fun recordLoss(request: String, upstream: UpstreamId, parts: List<PromptPart>) {
+    suspend fun recordLoss(request: String, upstream: UpstreamId, suspects: List<CrashSuspect>) {
         val now = clock()
-        val suspects = parts.filterNot { answered.isRecent(it, now) }.toSet()
+        val unanswered = suspects.filterNot { answersOf(it).contains(it, now) }.toSet()
         log.note("upstream_lost", request) {
             put("upstream", upstream.value)
-            put("suspects", suspects.joinToString(" "))
+            put("suspects", unanswered.joinToString(" "))
         }
-        if (suspects.isNotEmpty() && unreported.size < MAX_UNREPORTED) {
-            unreported += UnreportedLoss(CrashReport(request, upstream, suspects), now)
+        val loss = UnreportedLoss(crashKey(random.nextLong()), CrashReport(request, upstream, unanswered), now)
+        val itself = unanswered.filterIsInstance<RequestFingerprint>().toSet()
+        if (itself.isNotEmpty()) {
+            report(loss.key, loss.report.copy(suspects = itself))
+        }
+        if (itself.size < unanswered.size && unreported.size < MAX_UNREPORTED) {
+            unreported += loss
         }
     }
 
     /** Clears those of the newly reported [suspects] that were answered for this host a short time ago. */
-    suspend fun onReports(suspects: Set<PromptPart>, quarantined: Set<PromptPart>) {
+    suspend fun onReports(suspects: Set<CrashSuspect>, quarantined: Set<CrashSuspect>) {
         val now = clock()
         val suspected = control.snapshot.crashRisks.suspected
-        clear(suspects.filter { it in suspected && answered.isRecent(it, now) })
+        clear(suspects.filter { it in suspected && answersOf(it).contains(it, now) })
         noteQuarantines(quarantined)
     }
 
-    private suspend fun report(report: CrashReport) {
-        val key = crashKey(random.nextLong())
+    private fun answersOf(suspect: CrashSuspect): RecentAnswers = when (suspect) {
+        is PromptPart -> answeredParts
+        is RequestFingerprint -> answeredRequests
+    }
+
+    private suspend fun report(key: String, report: CrashReport) {
         val quarantined = control.run { state, now ->
             updateCrashRisks(state) { putCrash(it, key, KnownCrash(report, now, version = null), now) }
         }
@@ -90,27 +103,29 @@
         noteQuarantines(quarantined)
     }
 
-    private suspend fun clear(parts: List<PromptPart>) {
-        for (part in parts) {
-            log.note("part_cleared", part.id)
-            control.run { state, now -> updateCrashRisks(state) { clearLocally(it, part, now) } }
-            writer.submit(soundKey(part), CrashRiskRow.Sound(part, clock().epochMillis))
+    private suspend fun clear(suspects: List<CrashSuspect>) {
+        for (suspect in suspects) {
+            log.note("part_cleared", suspect.id)
+            control.run { state, now -> updateCrashRisks(state) { clearLocally(it, suspect, now) } }
+            writer.submit(soundKey(suspect), CrashRiskRow.Sound(suspect, clock().epochMillis))
         }
     }
 
-    private fun noteQuarantines(parts: Set<PromptPart>) {
+    private fun noteQuarantines(suspects: Set<CrashSuspect>) {
         val risks = control.snapshot.crashRisks
-        for (part in parts) {
-            val against = risks.crashes.values.filter { part in it.report.suspects }
-            log.note("quarantined", part.id) {
-                put("companions", risks.quarantined[part]?.companions.orEmpty().joinToString(" "))
+        for (suspect in suspects) {
+            val against = risks.crashes.values.filter { suspect in it.report.suspects }
+            log.note("quarantined", suspect.id) {
+                put("companions", risks.quarantined[suspect]?.companions.orEmpty().joinToString(" "))
                 put("requests", against.joinToString(" ") { it.report.request })
                 put("upstreams", against.joinToString(" ") { it.report.upstream.value })
             }
         }
     }
 
+    /** A loss whose suspects are not all reported yet, and the [key] of the row for them. */
     private data class UnreportedLoss(
+        val key: String,
         val report: CrashReport,
         val lostAt: Moment,
     )
--- a/src/main/kotlin/figdeck/daemon/command/serving/CrashRiskWriter.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/CrashRiskWriter.kt
@@ -27,7 +27,7 @@
 private val RETRY_DELAY = 250.milliseconds
 private val log = PartLog("prompts")
 
-/** Writes the rows of this host about prompts to the store, in their order. */
+/** Writes the rows of this host about what may crash upstreams to the store, in their order. */
 internal class CrashRiskWriter(
     private val control: Control<ServingState>,
     private val clock: Clock,
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -5,7 +5,9 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.model.Moment
 import figdeck.model.Upstream
+import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.RequestFingerprint
 import figdeck.query.serving.RouteAccess
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
@@ -19,6 +21,7 @@
  * @property affinity a hash of the prompt's shared prefix; null without one.
  * @property lastEventId the event after which the stream resumes; null for the whole stream.
  * @property sharedParts the parts of the prompt that other requests may share; empty without a prompt.
+ * @property fingerprint the same for each repetition of the request by its caller; null if it was not computed.
  */
 internal data class OnlineCall(
     val id: String,
@@ -29,7 +32,11 @@
     val affinity: Long?,
     val lastEventId: Long?,
     val sharedParts: List<PromptPart> = emptyList(),
-)
+    val fingerprint: RequestFingerprint? = null,
+) {
+    /** What may be the cause if this request loses its upstreams. */
+    val suspects: List<CrashSuspect> = sharedParts + listOfNotNull(fingerprint)
+}
 
 /** How long the final answer may still take at [now], by the caller's deadline and the route's timeout. */
 internal fun OnlineCall.timeLeft(now: Moment): Duration = minOf(deadline - now, receivedAt + access.route.timeout - now)
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -6,6 +6,8 @@
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.model.Lane
 import figdeck.model.Refusal
+import figdeck.model.serving.PromptPart
+import figdeck.model.serving.RequestFingerprint
 import figdeck.model.serving.SlotRequest
 import figdeck.query.serving.FailedSend
 import figdeck.query.serving.NextStep
@@ -37,7 +39,7 @@
     forward: Forward,
     caller: CallerChannel,
 ): Either<Refusal, Unit> {
-    val held = refusalOfHeldPrompt(call)?.left()
+    val held = refusalOfHold(call)?.left()
     val allowed = held ?: call.access.team?.let { limits.takeToken(it, call.id) } ?: Unit.right()
     return allowed.fold(
         { it.left() },
@@ -45,9 +47,13 @@
     )
 }
 
-/** The refusal of a call whose prompt must not be sent to upstreams; null if it may be sent. */
-private fun OnlineServices.refusalOfHeldPrompt(call: OnlineCall): Refusal? =
-    crashGuard.holdOf(call.sharedParts)?.let { Refusal.PromptQuarantined(it.part.id, it.timeLeft) }
+/** The refusal of a call that must not be sent to upstreams; null if it may be sent. */
+private fun OnlineServices.refusalOfHold(call: OnlineCall): Refusal? = crashGuard.holdOf(call.suspects)?.let { hold ->
+    when (val suspect = hold.suspect) {
+        is PromptPart -> Refusal.PromptQuarantined(suspect.id, hold.timeLeft)
+        is RequestFingerprint -> Refusal.RequestQuarantined(hold.timeLeft)
+    }
+}
 
 /** One request while it is served, across all upstreams that it is sent to. */
 private class OnlineRequest(
@@ -78,9 +84,9 @@
         return result
     }
 
-    /** A prompt whose stream has started is not held: an upstream has answered it. */
+    /** A request whose stream has started is not held: an upstream has answered it. */
     private fun refusalBeforeStart(): Refusal? =
-        if (history.hasStarted) null else services.refusalOfHeldPrompt(call)
+        if (history.hasStarted) null else services.refusalOfHold(call)
 
     private suspend fun acquireAndSend(): Either<Refusal, Unit>? = services.slots.acquire(
         services.slotRequest(call, history)
@@ -89,7 +95,7 @@
         { permit -> useSlot(permit) },
     )
 
-    /** Sends the request, unless its prompt was quarantined while it waited for the slot. */
+    /** Sends the request, unless it or its prompt was quarantined while it waited for the slot. */
     private suspend fun useSlot(permit: HeldPermit): Either<Refusal, Unit>? {
         val refusal = refusalBeforeStart()
         return when {
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -83,14 +83,14 @@
                 put("shared_parts", call.sharedParts.joinToString(" "))
             }
         }
-        failed?.let { onFailure(it) }
+        failed?.let { recordFailure(it) }
         return failed
     }
 
-    private fun onFailure(failed: FailedSend) {
+    private suspend fun recordFailure(failed: FailedSend) {
         services.countFailedSend(failed)
         if (failed is FailedSend.MayHaveRun && failed.ending == SendEnding.LOST_BEFORE_ANSWER) {
-            services.crashGuard.recordLoss(call.id, failed.upstream, call.sharedParts)
+            services.crashGuard.recordLoss(call.id, failed.upstream, call.suspects)
         }
     }
 
@@ -136,7 +136,7 @@
     private suspend fun relay(reply: UpstreamReply, options: SendOptions): FailedSend? {
         val eventsBefore = stream.eventCount
         val result = stream.relay(reply, options.idleTimeout, services.clock, caller) {
-            services.crashGuard.recordAnswer(call.sharedParts)
+            services.crashGuard.recordAnswer(call.suspects)
         }
         return when (result) {
             RelayResult.Complete -> null
@@ -161,7 +161,7 @@
                 FailedSend.MayHaveRun(upstream, "the upstream answered ${reply.status}")
             }
             else -> {
-                services.crashGuard.recordAnswer(call.sharedParts)
+                services.crashGuard.recordAnswer(call.suspects)
                 answer(reply.status, reply.headers, body)
                 null
             }
--- a/src/main/kotlin/figdeck/daemon/query/serving/CrashRiskFollower.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/CrashRiskFollower.kt
@@ -1,6 +1,6 @@
 package figdeck.daemon.query.serving
 
-import figdeck.command.serving.clearPart
+import figdeck.command.serving.clear
 import figdeck.command.serving.dropClearance
 import figdeck.command.serving.dropCrash
 import figdeck.command.serving.putCrash
@@ -15,8 +15,8 @@
 import figdeck.model.serving.Clearance
 import figdeck.model.serving.CrashRiskRow
 import figdeck.model.serving.CrashRisks
+import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.KnownCrash
-import figdeck.model.serving.PromptPart
 import figdeck.store.query.RowChange
 import figdeck.wire.serving.decodeCrashRisk
 import figdeck.wire.serving.soundKey
@@ -25,13 +25,13 @@
 private val log = PartLog("prompts")
 
 /**
- * Returns a follower of the hosts' reports about prompts.
+ * Returns a follower of the hosts' reports of lost upstreams.
  *
- * @param onReports receives the parts that new reports suspect, and those that are quarantined since.
+ * @param onReports receives the suspects of new reports, and those that are quarantined since.
  */
 internal fun crashRiskFollower(
     control: Control<ServingState>,
-    onReports: suspend (suspects: Set<PromptPart>, quarantined: Set<PromptPart>) -> Unit,
+    onReports: suspend (suspects: Set<CrashSuspect>, quarantined: Set<CrashSuspect>) -> Unit,
 ): TableFollower = TableFollower(
     replace = { rows ->
         val read = rows.mapNotNull { readRow(it) }
@@ -58,14 +58,14 @@
 
 private fun readRow(row: Row): StoredRisk? = decodeCrashRisk(row.value).orWarn(log)?.let { StoredRisk(row, it) }
 
-private fun List<StoredRisk>.suspects(): Set<PromptPart> =
+private fun List<StoredRisk>.suspects(): Set<CrashSuspect> =
     flatMap { (it.content as? CrashRiskRow.Crash)?.report?.suspects.orEmpty() }.toSet()
 
 private fun CrashRisks.after(changed: ChangedRow, now: Moment): CrashRisks {
     val stored = changed.content
     return when (val content = stored?.content) {
         is CrashRiskRow.Crash -> putCrash(this, stored.row.key, content.toKnown(stored.row, now), now)
-        is CrashRiskRow.Sound -> clearPart(this, content.part, content.toClearance(stored.row, now), now)
+        is CrashRiskRow.Sound -> clear(this, content.suspect, content.toClearance(stored.row, now), now)
         null -> dropRow(this, changed.change.key, now)
     }
 }
@@ -77,11 +77,11 @@
 
 private fun CrashRisks.replacedBy(stored: List<StoredRisk>, now: Moment): CrashRisks {
     val crashes = mutableMapOf<String, KnownCrash>()
-    val clearances = mutableMapOf<PromptPart, Clearance>()
+    val clearances = mutableMapOf<CrashSuspect, Clearance>()
     for ((row, content) in stored) {
         when (content) {
             is CrashRiskRow.Crash -> crashes[row.key] = content.toKnown(row, now)
-            is CrashRiskRow.Sound -> clearances[content.part] = content.toClearance(row, now)
+            is CrashRiskRow.Sound -> clearances[content.suspect] = content.toClearance(row, now)
         }
     }
     return replaceRisks(this, crashes, clearances, now)
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -88,6 +88,13 @@
                 "or the same after the time in Retry-After"
     }
 
+    /** The request itself crashed several upstreams. It is not sent for [retryAfter]. */
+    public data class RequestQuarantined(override val retryAfter: Duration) : Refusal {
+        override val message: String
+            get() = "this request crashed several upstreams: send another one, " +
+                "or the same after the time in Retry-After"
+    }
+
     /** No upstream could be reached; nothing was sent. */
     public data class NoUpstream(public val resource: String) : Refusal {
         override val message: String get() = "no upstream of $resource can be reached: send again after a second"
--- a/src/main/kotlin/figdeck/model/serving/CrashRiskRow.kt
+++ b/src/main/kotlin/figdeck/model/serving/CrashRiskRow.kt
@@ -1,6 +1,6 @@
 package figdeck.model.serving
 
-/** A row that hosts share about parts of prompts that may crash upstreams. */
+/** A row that hosts share about parts of prompts, and requests, that may crash upstreams. */
 public sealed interface CrashRiskRow {
     /** When the row was written, by the wall clock of its writer. */
     public val writtenAtMillis: Long
@@ -11,9 +11,9 @@
         override val writtenAtMillis: Long,
     ) : CrashRiskRow
 
-    /** An upstream answered a prompt with [part] although it had been reported. */
+    /** An upstream answered a request with [suspect] although it had been reported. */
     public data class Sound(
-        public val part: PromptPart,
+        public val suspect: CrashSuspect,
         override val writtenAtMillis: Long,
     ) : CrashRiskRow
 }
--- a/src/main/kotlin/figdeck/model/serving/CrashRisks.kt
+++ b/src/main/kotlin/figdeck/model/serving/CrashRisks.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
-/** How long a report counts. After that a quarantined part is tried again. */
+/** How long a report counts. After that what was quarantined is tried again. */
 public val CRASH_REPORT_RETENTION: Duration = 10.minutes
 
 /**
@@ -21,9 +21,9 @@
 )
 
 /**
- * The fact that a part was answered after it had been reported.
+ * The fact that a suspect was answered after it had been reported.
  *
- * @property version the version up to which reports no longer count against the part.
+ * @property version the version up to which reports no longer count against the suspect.
  */
 public data class Clearance(
     public val version: Long,
@@ -31,30 +31,30 @@
 )
 
 /**
- * A part of prompts that is not sent to upstreams.
+ * A part of prompts, or a request, that is not sent to upstreams.
  *
  * @property until when it is tried again.
- * @property companions the other suspects of every report against it. Any of them may be the cause, so only prompts
+ * @property companions the other suspects of every report against it. Any of them may be the cause, so only requests
  * that have them all are held back: one without them shows which it is.
  */
 public data class Quarantine(
     public val until: Moment,
-    public val companions: Set<PromptPart>,
+    public val companions: Set<CrashSuspect>,
 )
 
 /**
- * What a host knows about parts of prompts that may crash upstreams.
+ * What a host knows about parts of prompts, and requests, that may crash upstreams.
  *
  * @property crashes the reports of all hosts, by the key of their row.
- * @property clearances the parts that were cleared of reports.
- * @property suspected the parts with more than one report against them.
- * @property quarantined the parts that are not sent to upstreams.
+ * @property clearances the suspects that were cleared of reports.
+ * @property suspected the suspects with more than one report against them.
+ * @property quarantined the suspects that are not sent to upstreams.
  */
 public data class CrashRisks(
     public val crashes: PersistentMap<String, KnownCrash>,
-    public val clearances: PersistentMap<PromptPart, Clearance>,
-    public val suspected: Set<PromptPart>,
-    public val quarantined: Map<PromptPart, Quarantine>,
+    public val clearances: PersistentMap<CrashSuspect, Clearance>,
+    public val suspected: Set<CrashSuspect>,
+    public val quarantined: Map<CrashSuspect, Quarantine>,
 )
 
 /** The state before the first report. */
--- a/src/main/kotlin/figdeck/platform/CallerHeaders.kt
+++ b/src/main/kotlin/figdeck/platform/CallerHeaders.kt
@@ -26,7 +26,7 @@
 internal const val WAIT_HEADER = "X-Wait-Ms"
 internal const val EXPECTED_UPSTREAM_HEADER = "X-Expect-Instance"
 private const val TOKEN_USAGE_HEADER = "X-Token-Usage"
-private const val PROMPT_PREFIX_HEADER = "X-Prompt-Prefix"
+internal const val PROMPT_PREFIX_HEADER = "X-Prompt-Prefix"
 private const val BEARER_PREFIX = "Bearer "
 
 /** The deadline of a request that names none. */
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -138,6 +138,7 @@
         affinity = headers.affinity,
         lastEventId = headers.lastEventId,
         sharedParts = headers.sharedParts,
+        fingerprint = fingerprintOf(received.call, received.body),
     )
     val caller = CallerChannel(responder.start, responder.write, responder.respond)
     val refusalOfStop = refusalOfStop(onlineCall.timeLeft(this.online.clock()))?.left()
--- a/src/main/kotlin/figdeck/query/serving/CrashHold.kt
+++ b/src/main/kotlin/figdeck/query/serving/CrashHold.kt
@@ -2,26 +2,26 @@
 
 import figdeck.model.Moment
 import figdeck.model.serving.CrashRisks
-import figdeck.model.serving.PromptPart
+import figdeck.model.serving.CrashSuspect
 import kotlin.time.Duration
 
 /**
- * Why a prompt is not sent to upstreams.
+ * Why a request is not sent to upstreams.
  *
- * @property part its part that crashed several upstreams.
- * @property timeLeft how long the part is held back.
+ * @property suspect what crashed several upstreams: a part of its prompt, or the request itself.
+ * @property timeLeft how long it is held back.
  */
 public data class CrashHold(
-    public val part: PromptPart,
+    public val suspect: CrashSuspect,
     public val timeLeft: Duration,
 )
 
-/** Why a prompt with [parts] is not sent to upstreams at [now]; null if it may be sent. */
-public fun CrashRisks.holdOf(parts: List<PromptPart>, now: Moment): CrashHold? {
+/** Why a request with [suspects] is not sent to upstreams at [now]; null if it may be sent. */
+public fun CrashRisks.holdOf(suspects: List<CrashSuspect>, now: Moment): CrashHold? {
     if (quarantined.isEmpty()) return null
-    return parts.firstNotNullOfOrNull { part ->
-        quarantined[part]
-            ?.takeIf { it.until > now && parts.containsAll(it.companions) }
-            ?.let { CrashHold(part, it.until - now) }
+    return suspects.firstNotNullOfOrNull { suspect ->
+        quarantined[suspect]
+            ?.takeIf { it.until > now && suspects.containsAll(it.companions) }
+            ?.let { CrashHold(suspect, it.until - now) }
     }
 }
--- a/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
@@ -6,8 +6,10 @@
 import figdeck.model.serving.Clearance
 import figdeck.model.serving.CrashReport
 import figdeck.model.serving.CrashRisks
+import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.RequestFingerprint
 import figdeck.model.serving.noCrashRisks
 import figdeck.query.serving.CrashHold
 import figdeck.query.serving.expiredClearances
@@ -28,7 +30,7 @@
     val request: String,
     val upstream: String,
     val second: Int,
-    val suspects: Set<PromptPart> = setOf(deadly),
+    val suspects: Set<CrashSuspect> = setOf(deadly),
 )
 
 private fun CrashRisks.after(vararg losses: Loss): CrashRisks = losses.fold(this) { risks, loss ->
@@ -37,7 +39,7 @@
     putCrash(risks, "crash-${loss.second}", KnownCrash(report, at, loss.second.toLong()), at)
 }
 
-private fun CrashRisks.holds(parts: List<PromptPart>): CrashHold? = holdOf(parts, start + 10.seconds)
+private fun CrashRisks.holds(suspects: List<CrashSuspect>): CrashHold? = holdOf(suspects, start + 10.seconds)
 
 private fun CrashRisks.holds(part: PromptPart): CrashHold? = holds(listOf(part))
 
@@ -79,8 +81,33 @@
         }
     }
 
+    describe("a request that its caller repeats") {
+        val request = RequestFingerprint("17")
+
+        it("is held back after three losses at two upstreams, whichever attempts they come from") {
+            val losses = arrayOf(Loss("a", "e-1", 1, setOf(request)), Loss("a", "e-2", 2, setOf(request)))
+            val risks = noCrashRisks.after(*losses)
+            risks.holds(listOf(topic, request)).shouldBeNull()
+            val later = risks.after(Loss("b", "e-1", 3, setOf(request)))
+            later.holds(listOf(topic, request))?.suspect shouldBe request
+            later.holds(topic).shouldBeNull()
+        }
+
+        it("is not held back for losses at a single upstream") {
+            noCrashRisks.after(*Array(6) { Loss("a", "e-1", it + 1, setOf(request)) }).holds(listOf(request))
+                .shouldBeNull()
+        }
+
+        it("is the only one held back if the parts of its prompt had no other answer either") {
+            val losses = Array(6) { Loss("attempt-$it", "e-$it", it + 1, setOf(topic, request)) }
+            val risks = noCrashRisks.after(*losses)
+            risks.holds(listOf(topic, request)).shouldNotBeNull()
+            risks.holds(listOf(topic, RequestFingerprint("18"))).shouldBeNull()
+        }
+    }
+
     describe("a part that was answered after its reports") {
-        val cleared = clearPart(quarantined, deadly, Clearance(3, start + 4.seconds), start + 4.seconds)
+        val cleared = clear(quarantined, deadly, Clearance(3, start + 4.seconds), start + 4.seconds)
 
         it("is sent again on every host that knows it") {
             cleared.holds(deadly).shouldBeNull()
@@ -92,6 +119,19 @@
             later.after(Loss("f", "e-3", 7)).holds(deadly).shouldNotBeNull()
         }
 
+        it("stays cleared when one of its reports is written again") {
+            val first = checkNotNull(cleared.crashes["crash-1"])
+            val again = putCrash(cleared, "crash-1", first.copy(version = 9), start + 9.seconds)
+            val listed = replaceRisks(
+                again,
+                again.crashes + ("crash-1" to first.copy(version = 9)),
+                again.clearances,
+                start
+            )
+            listOf(again, listed).map { it.after(Loss("d", "e-1", 5), Loss("e", "e-2", 6)).holds(deadly) }
+                .forEach { it.shouldBeNull() }
+        }
+
         it("is cleared of reports that the store has not confirmed, on the host that answered it") {
             val unconfirmed = quarantined.crashes.mapValues { it.value.copy(version = null) }
             val risks = unconfirmed.entries.fold(
@@ -128,7 +168,7 @@
         }
 
         it("are told apart by an answer to one of them") {
-            val next = clearPart(risks, topic, Clearance(3, start), start)
+            val next = clear(risks, topic, Clearance(3, start), start)
             next.holds(deadly).shouldNotBeNull()
             next.holds(topic).shouldBeNull()
         }
--- a/src/test/kotlin/figdeck/wire/RefusalCodecSpec.kt
+++ b/src/test/kotlin/figdeck/wire/RefusalCodecSpec.kt
@@ -47,6 +47,7 @@
             Refusal.StaleConfiguration to CallerView(503, "stale_configuration", MayHaveRun.NO, 1),
             Refusal.StoreUnavailable(5.seconds) to CallerView(503, "store_unavailable", MayHaveRun.NO, 5),
             Refusal.Draining to CallerView(503, "draining", MayHaveRun.NO, 1),
+            Refusal.RequestQuarantined(3.seconds) to CallerView(503, "request_quarantined", MayHaveRun.NO, 3),
             Refusal.StillRunning(RequestId("r")) to CallerView(409, "still_running", MayHaveRun.UNKNOWN, 1),
         ).forEach { (refusal, expected) ->
             it("has type ${expected.type} and a Retry-After value") {
