A host that stops leaves the fleet with its end, not at the beginning of its stop

What callers would see: after a planned stop, requests for slots and limits that the ended host had owned met an owner that no longer existed, until its lease lapsed after 3.5 s; its jobs waited as long.

Cause: the host removed itself from the member list at the beginning of the stop, and its next renewal, up to a second later, added it again. So others changed owners for a moment, changed back, and got no word of the end.

Evidence: the new case of EdgeStopSpec failed before: the host's row was still in the member table when the process had ended.

Fix: the host stays a member while it still serves, then stops renewing and removes its row, within 250 ms, just before it exits.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -79,6 +79,7 @@
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
@@ -131,6 +132,7 @@
     private val control = Control(initialServingState(ownMember()), clock) { delay ->
         telemetry.meters.recordTime("figdeck.control.delay", delay)
     }
+    private var membership: Job? = null
     private val scope = CoroutineScope(eventLoops.next().asCoroutineDispatcher() + SupervisorJob())
     private val rowCache = FollowedRowCache()
     private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT)
@@ -200,7 +202,7 @@
         scope.launchLoop("bootstrap") {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
-        scope.launchLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
+        membership = scope.launchLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
         scope.launchLoop("slots") { slots.tickPeriodically() }
         scope.launchLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         scope.launchLoop("held slots") { slotClient.confirmHeldSlots() }
@@ -215,13 +217,13 @@
     /**
      * Performs a planned stop: first fails the readiness check, so that the load balancer takes this host out of
      * rotation, then lets calls in progress finish. From the start on, a request is accepted only if it is sure to be
-     * answered before the stop ends. Calls that are still in progress then get their final answer.
+     * answered before the stop ends. Calls that are still in progress then get their final answer. Until then this host
+     * stays a member of the fleet, since others ask it for the slots and limits that it owns.
      */
     suspend fun drain() {
         log.info { "stopping: ${callerServer.activeCalls} calls in progress" }
         val stop = control.run { state, now -> beginStop(state, planStop(settings.terminationGrace, now)) }
         callerServer.announceDrain()
-        scope.launch { control.leaveMembership(store) }
         delay(stop.leavesRotationAt - clock())
         callerServer.drain(Duration.ZERO, stop.endsAt - clock())
         if (callerServer.activeCalls > 0) {
@@ -229,6 +231,7 @@
             calls.endAll()
             callerServer.drain(Duration.ZERO, FINAL_ANSWER_TIMEOUT)
         }
+        control.leaveMembership(store, renewals = membership)
         log.info { "stopped: ${callerServer.activeCalls} calls in progress" }
     }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -22,8 +22,12 @@
 import figdeck.store.query.TableSnapshot
 import figdeck.wire.serving.decodeFleetMember
 import figdeck.wire.serving.encodeFleetMember
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val MEMBER_TABLE = "member"
@@ -35,6 +39,9 @@
 
 /** The interval of these renewals, as a part of the normal one, which grows with the fleet. */
 private const val STARTUP_RENEWAL_FRACTION = 0.3
+
+/** How long the last write of a host that stops may take. */
+private val LEAVE_TIMEOUT = 250.milliseconds
 private val log = PartLog("fleet")
 
 /** Renews this host's lease in the store and reads the member list, until cancelled. */
@@ -61,10 +68,17 @@
     }
 }
 
-/** Removes this host from the member list, because it is stopping. */
-internal suspend fun Control<ServingState>.leaveMembership(store: Store) {
+/**
+ * Ends the [renewals] of this host, which is stopping, and removes it from the member list, so that others own at once
+ * what it has owned. Takes at most [LEAVE_TIMEOUT].
+ */
+internal suspend fun Control<ServingState>.leaveMembership(store: Store, renewals: Job?) {
+    // A renewal after the removal would add the host again.
+    renewals?.cancelAndJoin()
     val key = memberKey(snapshot.fleet.self.host.value)
-    if (store.commands.commit(TableTransaction(emptyList(), listOf(RowWrite(key, null)))) !is CallResult.Done) {
+    val removal = TableTransaction(emptyList(), listOf(RowWrite(key, null)))
+    val reply = withTimeoutOrNull(LEAVE_TIMEOUT) { store.commands.commit(removal) }
+    if (reply !is CallResult.Done) {
         log.warn { "this host could not be removed from the member list: its lease will expire" }
     }
 }
--- a/src/test/kotlin/figdeck/process/EdgeStopSpec.kt
+++ b/src/test/kotlin/figdeck/process/EdgeStopSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldNotContain
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.Dispatchers
@@ -118,5 +119,12 @@
             daemon.process.waitFor(1, TimeUnit.SECONDS)
             daemon.process.isAlive shouldBe false
         }
+
+        // Guards against a host that still counts as a member, and owns slots, limits and jobs, after it has ended.
+        it("leaves the fleet with its end") {
+            val members = fleet.send(fleet.platform.address, TestRequest("GET", "/rows-get?Table=member&part="))
+            members.status shouldBe HTTP_OK
+            members.body shouldNotContain "host-a"
+        }
     }
 })
