A host that is stopping takes over no jobs

What callers would see: a job whose owner was lost is taken over by a host in its last seconds, and waits for yet another owner.

Cause: taking over looked at the owner alone, not at whether this host is stopping.

Evidence: the new case of RunJobSpec failed before: the stopping host owned the job.

Fix: a stopping host looks for no lost jobs. The other hosts rank the owners without it once its row is gone.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -40,7 +40,8 @@
         for (job in open.filter { it.record.owner == self && it.record.id !in running }) {
             running[job.record.id] = launch { runJob(job, semaphore) }
         }
-        val missing = findOrphans(state, open)
+        // A host that is stopping would leave the jobs to yet another owner.
+        val missing = if (state.stop == null) findOrphans(state, open) else emptyList()
         orphans.keys.retainAll(missing.map { it.record.id }.toSet())
         missing.forEach { orphans.putIfAbsent(it.record.id, clock()) }
         val restarted = state.fleet.liveMembers().map { it.host }.toSet()
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -3,7 +3,9 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import figdeck.command.Step
 import figdeck.command.serving.VersionedJob
+import figdeck.command.serving.planStop
 import figdeck.control.serving.adoptPlan
 import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.MemoryBackends
@@ -46,6 +48,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
@@ -188,6 +191,35 @@
         }
     }
 
+    // Guards against jobs that a host takes over shortly before it ends, and that wait for yet another owner then.
+    describe("a job whose owner is lost") {
+        suspend fun ownerAfterTakeOver(isStopping: Boolean): String {
+            val store = MemoryBackends().platform(FaultInjector(null))
+            val jobs = JobStore(store)
+            val orphan = record.copy(owner = JobOwner(fleetMember("host-9").host, "lost"))
+            val created = jobs.create(orphan, items) as RecordWrite.Written
+            onHost("host-1", store, FakeEngine(last = 3)) { services ->
+                services.updateJobDirectory(created.job)
+                services.control.run { state, now ->
+                    val stop = if (isStopping) planStop(8.seconds, now) else null
+                    Step(state.copy(stop = stop, fleet = state.fleet.copy(renewedAt = now)), Unit)
+                }
+                val run = CoroutineScope(Dispatchers.Default).launch { services.runJobs() }
+                delay(2.seconds)
+                run.cancelAndJoin()
+            }
+            return (jobs.read(id) as CallResult.Done).value?.record?.owner?.host?.value.orEmpty()
+        }
+
+        it("is taken over by another host") {
+            ownerAfterTakeOver(isStopping = false) shouldBe "host-1"
+        }
+
+        it("is not taken over by a host that is stopping") {
+            ownerAfterTakeOver(isStopping = true) shouldBe "host-9"
+        }
+    }
+
     describe("a host that has read the first result of a job") {
         it("returns all results that are stored since, from the first one on") {
             val store = MemoryBackends().platform(FaultInjector(null))
