--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -90,7 +90,10 @@
 private fun event(number: Long) = "id: $number\ndata: word $number\n\n".encodeToByteArray()
 
 /** An engine that sends the events after [SendOptions.resumeAfter], and hangs or breaks off after the event [last]. */
-private class FakeEngine(private val last: Long) {
+private class FakeEngine(
+    private val last: Long,
+    private val isLeaving: Boolean = false,
+) {
     val resumedAfter = CopyOnWriteArrayList<Long?>()
 
     val forward: ForwardItem = { _, options, use ->
@@ -99,7 +102,7 @@
             ((options.resumeAfter ?: 0) + 1..minOf(last, EVENTS)).forEach { emit(event(it)) }
             if (last < EVENTS) awaitCancellation()
         }
-        use(UpstreamReply(ExecutionStatus.RAN, 200, newHeaders(), HttpBody(chunks)))
+        use(UpstreamReply(ExecutionStatus.RAN, 200, newHeaders(), HttpBody(chunks), isLeaving = isLeaving))
         if (last < EVENTS) ExchangeFailure.Lost("cut", LossCause.CONNECTION_ENDED).left() else Unit.right()
     }
 }
@@ -191,6 +194,18 @@
         }
     }
 
+    // Guards against items for an upstream whose answers say that it is leaving while its entry says "ready".
+    describe("an item whose upstream says in its answer that it is leaving") {
+        it("is completed there, and no other work follows it") {
+            val store = MemoryBackends().platform(FaultInjector(null))
+            val created = JobStore(store).create(record.copy(total = 1), items.take(1)) as RecordWrite.Written
+            onHost("host-1", store, FakeEngine(last = EVENTS, isLeaving = true)) { services ->
+                services.runJob(created.job, Semaphore(1))
+                services.control.snapshot.pools.members.values.map { it.isLeaving } shouldBe listOf(true)
+            }
+        }
+    }
+
     // Guards against jobs that a host takes over shortly before it ends, and that wait for yet another owner then.
     describe("a job whose owner is lost") {
         suspend fun ownerAfterTakeOver(isStopping: Boolean): String {
