--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -83,6 +83,7 @@
  * @property headers the headers that are forwarded to the caller.
  * @property isDelimited whether the response declares where its body ends. Otherwise it ends with its connection.
  * @property isLeaving whether the upstream says that it is shutting down.
+ * @property earlierExchanges the number of exchanges that the connection had carried before this one.
  */
 internal data class UpstreamReply(
     val executionStatus: ExecutionStatus,
@@ -91,6 +92,7 @@
     val body: HttpBody,
     val isDelimited: Boolean = true,
     val isLeaving: Boolean = false,
+    val earlierExchanges: Int = 0,
 )
 
 private const val FIRST_SUCCESS = 200
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.readAll
+import figdeck.log.LogLine
 import figdeck.model.UpstreamId
 import figdeck.model.serving.isRepeatable
 import figdeck.model.serving.isStream
@@ -64,11 +65,15 @@
     /** Sends the request to the upstream of [permit]. Returns null if the caller got its answer. */
     suspend fun send(permit: HeldPermit, history: SendHistory): FailedSend? {
         var failure: FailedSend? = null
+        var answer: UpstreamReply? = null
         val sentAt = services.clock()
         val upstream = permit.upstream.id
         val options = sendOptions(permit, history)
         val eventsBefore = stream.eventCount
-        val result = forward(options) { reply -> failure = receive(reply, options) }
+        val result = forward(options) { reply ->
+            answer = reply
+            failure = receive(reply, options)
+        }
         val hasBegun = stream.eventCount > eventsBefore
         val failed = result.fold({ failedSend(upstream, it, hasBegun) }, { failure })
         services.log.note("sent", call.id) {
@@ -76,6 +81,7 @@
             put("owner", permit.owner?.host?.value ?: "self")
             put("waited_ms", (sentAt - call.receivedAt).inWholeMilliseconds)
             put("took_ms", (services.clock() - sentAt).inWholeMilliseconds)
+            answer?.let { logAnswer(it) }
             put("failure", failed?.reason ?: "none")
             if (failed is FailedSend.MayHaveRun) {
                 put("ending", failed.label)
@@ -87,6 +93,13 @@
         return failed
     }
 
+    /** Adds how the upstream answered, and whether the connection may have held bytes of an earlier answer. */
+    private fun LogLine.logAnswer(answer: UpstreamReply) {
+        put("status", answer.status.toLong())
+        put("execution", answer.executionStatus.name.lowercase())
+        put("earlier_exchanges", answer.earlierExchanges.toLong())
+    }
+
     private suspend fun recordFailure(failed: FailedSend) {
         services.countFailedSend(failed)
         if (failed is FailedSend.MayHaveRun && failed.ending == SendEnding.LOST_BEFORE_ANSWER) {
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -38,6 +38,7 @@
     @Volatile
     private var keepsAlive = true
     private var skippingInterim = false
+    private var exchangeCount = 0
 
     /** The body whose last byte was received in the current read. Confined to the event loop. */
     private var receivedBody: ChunkQueue? = null
@@ -151,7 +152,8 @@
         keepAliveTimeout = response.headers().get(KEEP_ALIVE)?.let { parseKeepAliveTimeout(it) }
         val queue = ChunkQueue(bodyIdleTimeout) { ctx.channel().read() }
         responseBody = queue
-        pendingReply?.complete(HttpReply(response.status().code(), response.headers(), queue.body))
+        pendingReply?.complete(HttpReply(response.status().code(), response.headers(), queue.body, exchangeCount))
+        exchangeCount++
     }
 
     private fun receiveContent(content: HttpContent) {
--- a/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -37,5 +37,6 @@
         body = reply.body,
         isDelimited = isDelimited,
         isLeaving = executionStatus.isFromExpectedUpstream && headers.get(LEAVING_HEADER)?.trim() == IS_LEAVING,
+        earlierExchanges = reply.earlierExchanges,
     )
 }
