--- a/src/test/kotlin/figdeck/http/RawUpstream.kt
+++ b/src/test/kotlin/figdeck/http/RawUpstream.kt
@@ -11,8 +11,18 @@
 
 private const val LOOPBACK = "127.0.0.1"
 
+/** A request as [RawUpstream] received it: its [number] since the start, and the lines of its [head]. */
+internal data class RawRequest(
+    val number: Int,
+    val head: List<String>,
+) {
+    /** The value of the header [name], or null if it is absent. */
+    fun header(name: String): String? =
+        head.find { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
+}
+
 /** A server that answers each request without a body by [script], which writes any bytes to the connection. */
-internal class RawUpstream(private val script: (request: Int, socket: Socket) -> Unit) : AutoCloseable {
+internal class RawUpstream(private val script: (request: RawRequest, socket: Socket) -> Unit) : AutoCloseable {
     private val listener = ServerSocket(0, 0, InetAddress.getByName(LOOPBACK))
     private val requests = AtomicInteger()
     val address: Address = Address(LOOPBACK, listener.localPort)
@@ -32,8 +42,10 @@
 
     private fun serve(socket: Socket) = socket.use {
         val input = it.getInputStream().bufferedReader()
-        while (input.readHead() && !it.isClosed) {
-            script(requests.incrementAndGet(), it)
+        var head = input.readHead()
+        while (head != null && !it.isClosed) {
+            script(RawRequest(requests.incrementAndGet(), head), it)
+            head = input.readHead()
         }
     }
 }
@@ -71,12 +83,15 @@
 /** A complete response with [body]. */
 internal fun wholeResponse(body: String): String = "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
 
-private fun BufferedReader.readHead(): Boolean {
+/** Returns the lines of the next head, or null if the connection ended before it. */
+private fun BufferedReader.readHead(): List<String>? {
+    val lines = mutableListOf<String>()
     var line = readLine()
     while (!line.isNullOrEmpty()) {
+        lines += line
         line = readLine()
     }
-    return line != null
+    return if (line == null) null else lines
 }
 
 /** Runs [action] until the peer or the spec closes its connection. */
--- a/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
+++ b/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
@@ -51,7 +51,7 @@
     describe("a second copy of an answer") {
         it("in the same read as the end of the first never reaches the next caller") {
             val upstream = RawUpstream { request, socket ->
-                socket.send(wholeResponse("$request") + wholeResponse("copy of $request"))
+                socket.send(wholeResponse("${request.number}") + wholeResponse("copy of ${request.number}"))
             }
             val received = upstream.use {
                 withContext(Dispatchers.Default) {
@@ -64,9 +64,9 @@
 
         it("that arrives on the idle connection closes it") {
             val upstream = RawUpstream { request, socket ->
-                socket.send(wholeResponse("$request"))
+                socket.send(wholeResponse("${request.number}"))
                 Thread.sleep(20)
-                socket.send(wholeResponse("copy of $request"))
+                socket.send(wholeResponse("copy of ${request.number}"))
                 Thread.sleep(20)
             }
             upstream.use {
@@ -83,7 +83,7 @@
             var refusedOn: Socket? = null
             val upstream = RawUpstream { request, socket ->
                 when {
-                    request == 1 -> socket.send(refusal).also { refusedOn = socket }
+                    request.number == 1 -> socket.send(refusal).also { refusedOn = socket }
                     socket == refusedOn -> socket.send(refusal + wholeResponse("answer"))
                     else -> socket.send(wholeResponse("answer"))
                 }
