Bytes that come outside of an exchange close their connection, whole messages or not

Callers got answers with the status of another one: a success under the right id and stamp, with the body of a failure. Others got none, since the answer to them could not be read.

Cause: the client noticed what came on an idle connection, or after the end of an answer, only as whole messages. The beginning of one, such as a late copy that broke off, stayed in the decoder, and the next answer was joined to it: 'HTTP/1.1 200 O' and 'HTTP/1.1 500 ...' are a status line with the status 200, and all headers are those of the failure. No race is needed: the bytes wait as long as the connection does. It is a fault of framing: the check that separates exchanges stood above the buffer that mixes them.

Why it works: the decoder itself knows whether an exchange is in progress, from the write of the request to the last byte of its response, and discards everything else before it is decoded. The connection is not used again.

--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -3,13 +3,15 @@
 import figdeck.http.ChunkQueue
 import figdeck.http.IncompleteMessageException
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
@@ -25,7 +27,7 @@
 private const val TIMEOUT_PARAMETER = "timeout="
 
 /** A client connection that carries one exchange at a time. */
-internal class ClientConnection : ChannelInboundHandlerAdapter() {
+internal class ClientConnection(private val decoder: ResponseDecoder) : ChannelDuplexHandler() {
     private lateinit var ctx: ChannelHandlerContext
 
     @Volatile
@@ -75,6 +77,13 @@
         return reply
     }
 
+    override fun write(ctx: ChannelHandlerContext, msg: Any, promise: ChannelPromise) {
+        if (msg is HttpRequest) {
+            decoder.expectResponseTo(msg.method())
+        }
+        ctx.write(msg, promise)
+    }
+
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
         val received = msg as HttpObject
         when {
@@ -99,13 +108,19 @@
 
     /**
      * Ends the exchange whose last byte was in this read. Another thread may start the next exchange as soon as the
-     * body is complete, so the body is completed after all bytes of the read: a second response among them closes the
-     * connection first.
+     * body is complete, so the body is completed after all bytes of the read: if some of them belong to no exchange,
+     * the connection is not reused.
      */
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         val received = receivedBody
         receivedBody = null
+        if (decoder.hasUnexpectedBytes) {
+            keepsAlive = false
+        }
         received?.complete()
+        if (decoder.hasUnexpectedBytes) {
+            ctx.close()
+        }
         // A pending read also detects that the peer closes the connection while it is idle.
         if (received != null || pendingReply?.isCompleted == false) {
             ctx.read()
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -15,7 +15,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import kotlin.time.Duration
@@ -115,9 +115,11 @@
 
 private object ClientInitializer : ChannelInitializer<SocketChannel>() {
     override fun initChannel(channel: SocketChannel) {
+        val decoder = ResponseDecoder()
         channel.pipeline()
-            .addLast(HttpClientCodec())
-            .addLast(ClientConnection())
+            .addLast(decoder)
+            .addLast(HttpRequestEncoder())
+            .addLast(ClientConnection(decoder))
     }
 
     override fun isSharable(): Boolean = true
--- /dev/null
+++ b/src/main/kotlin/figdeck/http/client/ResponseDecoder.kt
@@ -0,0 +1,52 @@
+package figdeck.http.client
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.LastHttpContent
+
+/**
+ * Decodes the responses of one connection, which carries one exchange at a time. Confined to the event loop.
+ *
+ * Bytes that are received outside of an exchange are discarded. A decoder keeps the beginning of a message until the
+ * rest is there, and would otherwise join these bytes to the next response.
+ */
+internal class ResponseDecoder : HttpResponseDecoder() {
+    private var awaitedMethod: HttpMethod? = null
+    private var isInterim = false
+
+    /** Whether bytes were received that belong to no exchange. */
+    var hasUnexpectedBytes: Boolean = false
+        private set
+
+    /** Begins an exchange: the next response is the one to a request with [method], which is being written. */
+    fun expectResponseTo(method: HttpMethod) {
+        awaitedMethod = method
+    }
+
+    override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (awaitedMethod == null) {
+            hasUnexpectedBytes = true
+            buffer.skipBytes(buffer.readableBytes())
+        } else {
+            super.decode(ctx, buffer, out)
+            out.forEach { endExchangeAfter(it) }
+        }
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        awaitedMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private fun endExchangeAfter(decoded: Any) {
+        if (decoded is HttpResponse) {
+            isInterim = decoded.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        }
+        if (decoded is LastHttpContent && !isInterim) {
+            awaitedMethod = null
+        }
+    }
+}
