A head that holds a second status line is no answer

Callers got the status of a late copy that broke off, under their own id, when the copy came after their request: the bytes were received within the exchange, so that the decoder could not tell them from its response.

Cause: a copy that breaks off within its status line or a header's value is joined to the head that follows it, and the joined head is well-formed. Copies that break off elsewhere could already not be read.

Why it works: the joined head always has the status line of the second response, in the reason phrase or a header's value, where no sound response has one.

--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -87,7 +87,7 @@
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
         val received = msg as HttpObject
         when {
-            received.decoderResult().isFailure || pendingReply == null -> {
+            received.decoderResult().isFailure || pendingReply == null || received.isJoined() -> {
                 ReferenceCountUtil.release(msg)
                 keepsAlive = false
                 ctx.close()
@@ -184,6 +184,13 @@
     }
 }
 
+/**
+ * Whether this is the head of a response that was joined to the beginning of another one, which broke off within its
+ * status line or a header. The status is that of the first response, the headers are those of the second.
+ */
+private fun HttpObject.isJoined(): Boolean = this is HttpResponse &&
+    (status().reasonPhrase().containsStatusLine() || headers().any { it.value.containsStatusLine() })
+
 private fun parseKeepAliveTimeout(keepAlive: String): Duration? = keepAlive.split(',')
     .map { it.trim() }
     .find { it.startsWith(TIMEOUT_PARAMETER) }
