A body that holds the beginning of another response isn't whole

Callers got answers whose body broke off and was completed by the bytes of a late copy: status, headers and length were right. Without a length, a copy was read as the rest of the body.

A length says how many bytes to read, not whose they are.

Evidence: LateCopySpec cuts a body at each byte: 8 of 8 answers with and without a length held bytes of the copy, now none does.

Why it works: bytes of a copy in a body begin with its status line, and more of the copy follows the declared end; a body without a declared end that holds a status line isn't trusted. A body that mentions one and ends where it should is passed on as before. What remains: a copy of which not a byte more than the missing ones has come in the same read.

--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -34,7 +34,7 @@
     private var pendingReply: CompletableDeferred<HttpReply>? = null
 
     @Volatile
-    private var responseBody: ChunkQueue? = null
+    private var responseBody: IncomingBody? = null
     private var bodyIdleTimeout = Duration.ZERO
 
     @Volatile
@@ -43,7 +43,7 @@
     private var exchangeCount = 0
 
     /** The body whose last byte was received in the current read. Confined to the event loop. */
-    private var receivedBody: ChunkQueue? = null
+    private var receivedBody: IncomingBody? = null
 
     /** The idle timeout that the peer sent in the `Keep-Alive` header, or null if it sent none. */
     @Volatile
@@ -54,7 +54,7 @@
      * Whether the latest response was read to its end and the peer keeps the connection open. A response that is left
      * unread is of no use to its reader, such as a refusal; its peer may be in trouble and send it once more.
      */
-    val isReusable: Boolean get() = keepsAlive && responseBody?.isConsumed == true
+    val isReusable: Boolean get() = keepsAlive && responseBody?.queue?.isConsumed == true
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -70,7 +70,7 @@
         written.addListener { done ->
             if (!done.isSuccess) {
                 reply.completeExceptionally(IncompleteMessageException("the request could not be written whole"))
-                responseBody?.fail("the connection failed while the request was written")
+                responseBody?.queue?.fail("the connection failed while the request was written")
             }
         }
         ctx.channel().read()
@@ -117,7 +117,7 @@
         if (decoder.hasUnexpectedBytes) {
             keepsAlive = false
         }
-        received?.complete()
+        received?.end(decoder.unexpectedBytes)
         if (decoder.hasUnexpectedBytes) {
             ctx.close()
         }
@@ -132,7 +132,7 @@
         pendingReply?.completeExceptionally(
             IncompleteMessageException("the peer closed the connection before it answered")
         )
-        val queue = responseBody
+        val queue = responseBody?.queue
         if (queue != null && !queue.isComplete) {
             queue.fail("the peer closed the connection in mid-answer")
         }
@@ -142,7 +142,7 @@
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
         keepsAlive = false
         // Without a length, the close that follows would look like the end of the body.
-        responseBody?.fail("the connection failed in mid-answer: ${cause.message}")
+        responseBody?.queue?.fail("the connection failed in mid-answer: ${cause.message}")
         ctx.close()
     }
 
@@ -166,20 +166,21 @@
         keepsAlive = HttpUtil.isKeepAlive(response)
         keepAliveTimeout = response.headers().get(KEEP_ALIVE)?.let { parseKeepAliveTimeout(it) }
         val queue = ChunkQueue(bodyIdleTimeout) { ctx.channel().read() }
-        responseBody = queue
+        val isDelimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        responseBody = IncomingBody(queue, isDelimited)
         pendingReply?.complete(HttpReply(response.status().code(), response.headers(), queue.body, exchangeCount))
         exchangeCount++
     }
 
     private fun receiveContent(content: HttpContent) {
-        val queue = responseBody
-        queue?.offer(content.content())
+        val body = responseBody
+        body?.receive(content.content())
         val last = content is LastHttpContent
         ReferenceCountUtil.release(content)
-        if (last && queue != null) {
+        if (last && body != null) {
             // Data received from now on belongs to no exchange.
             pendingReply = null
-            receivedBody = queue
+            receivedBody = body
         }
     }
 }
--- a/src/main/kotlin/figdeck/http/client/ResponseDecoder.kt
+++ b/src/main/kotlin/figdeck/http/client/ResponseDecoder.kt
@@ -1,6 +1,7 @@
 package figdeck.http.client
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
@@ -19,10 +20,13 @@
     private var awaitedMethod: HttpMethod? = null
     private var isInterim = false
 
-    /** Whether bytes were received that belong to no exchange. */
-    var hasUnexpectedBytes: Boolean = false
+    /** The first bytes that were received outside of an exchange, at most [STATUS_LINE_PREFIX_BYTES]. */
+    var unexpectedBytes: ByteArray = ByteArray(0)
         private set
 
+    /** Whether bytes were received that belong to no exchange. */
+    val hasUnexpectedBytes: Boolean get() = unexpectedBytes.isNotEmpty()
+
     /** Begins an exchange: the next response is the one to a request with [method], which is being written. */
     fun expectResponseTo(method: HttpMethod) {
         awaitedMethod = method
@@ -30,7 +34,9 @@
 
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (awaitedMethod == null) {
-            hasUnexpectedBytes = true
+            if (!hasUnexpectedBytes) {
+                unexpectedBytes = ByteBufUtil.getBytes(buffer, buffer.readerIndex(), prefixLength(buffer))
+            }
             buffer.skipBytes(buffer.readableBytes())
         } else {
             super.decode(ctx, buffer, out)
@@ -41,6 +47,8 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         awaitedMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
+    private fun prefixLength(buffer: ByteBuf): Int = minOf(buffer.readableBytes(), STATUS_LINE_PREFIX_BYTES)
+
     private fun endExchangeAfter(decoded: Any) {
         if (decoded is HttpResponse) {
             isInterim = decoded.status().codeClass() == HttpStatusClass.INFORMATIONAL
--- a/src/test/kotlin/figdeck/http/LateCopySpec.kt
+++ b/src/test/kotlin/figdeck/http/LateCopySpec.kt
@@ -5,6 +5,7 @@
 import figdeck.model.Address
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.net.Socket
@@ -101,6 +102,15 @@
         }
     }
 
+    describe("a body that holds a status line as text") {
+        it("is whole if it has a length that nothing follows") {
+            val text = "HTTP/1.1 200 OK is the usual answer"
+            RawUpstream { _, socket -> socket.send(wholeResponse(text)) }.use {
+                repeat(2) { _ -> client.call(it.address)?.body shouldBe text }
+            }
+        }
+    }
+
     describe("a body that breaks off") {
         listOf(
             "with a length" to success(1),
