Bytes that are no response don't count as the end of their upstream

Callers could be refused with request_quarantined, and sound turns with prompt_quarantined, because an upstream that answers twice or sends junk was counted as one that their requests crash: an answer that can't be read was reported as a connection that had ended, which is the evidence of the crash guard.

A connection that ends within a head is still reported as ended.

--- a/src/main/kotlin/figdeck/daemon/command/serving/SendEndings.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SendEndings.kt
@@ -9,7 +9,7 @@
     is ExchangeFailure.NotSent -> SendEnding.OTHER
     is ExchangeFailure.Lost -> when (cause) {
         LossCause.CONNECTION_ENDED -> earlyEnding(hasBegun)
-        LossCause.TIMEOUT -> SendEnding.OTHER
+        LossCause.INVALID_RESPONSE, LossCause.TIMEOUT -> SendEnding.OTHER
     }
 }
 
--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -57,8 +57,8 @@
         queue.close()
     }
 
-    fun fail(reason: String) {
-        queue.close(IncompleteMessageException(reason))
+    fun fail(reason: String, cause: LossCause = LossCause.CONNECTION_ENDED) {
+        queue.close(IncompleteMessageException(reason, cause))
     }
 
     private fun chunks(): Flow<ByteArray> = flow {
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -25,6 +26,7 @@
 
 private const val KEEP_ALIVE = "Keep-Alive"
 private const val TIMEOUT_PARAMETER = "timeout="
+private const val INVALID_BYTES = "the peer sent bytes that are no response"
 
 /** A client connection that carries one exchange at a time. */
 internal class ClientConnection(private val decoder: ResponseDecoder) : ChannelDuplexHandler() {
@@ -90,6 +92,9 @@
             received.decoderResult().isFailure || pendingReply == null || received.isJoined() -> {
                 ReferenceCountUtil.release(msg)
                 keepsAlive = false
+                if (received.decoderResult().cause() !is PrematureChannelClosureException) {
+                    failExchange(INVALID_BYTES, LossCause.INVALID_RESPONSE)
+                }
                 ctx.close()
             }
             received is HttpResponse && received.status().codeClass() == HttpStatusClass.INFORMATIONAL ->
@@ -119,6 +124,8 @@
         }
         received?.end(decoder.unexpectedBytes)
         if (decoder.hasUnexpectedBytes) {
+            // Another thread may already wait for the response to a request that has not been written yet.
+            pendingReply?.let { failExchange(INVALID_BYTES, LossCause.INVALID_RESPONSE) }
             ctx.close()
         }
         // A pending read also detects that the peer closes the connection while it is idle.
@@ -129,13 +136,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         keepsAlive = false
-        pendingReply?.completeExceptionally(
-            IncompleteMessageException("the peer closed the connection before it answered")
-        )
-        val queue = responseBody?.queue
-        if (queue != null && !queue.isComplete) {
-            queue.fail("the peer closed the connection in mid-answer")
-        }
+        failExchange("the peer closed the connection", LossCause.CONNECTION_ENDED)
     }
 
     @Deprecated("Deprecated in Java")
@@ -146,20 +147,10 @@
         ctx.close()
     }
 
-    private fun encode(request: OutgoingRequest): DefaultFullHttpRequest {
-        val message = DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(request.method),
-            request.target,
-            Unpooled.wrappedBuffer(request.body),
-        )
-        message.headers()
-            .set(request.headers)
-            .set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
-        if (HttpHeaderNames.HOST !in request.headers) {
-            message.headers().set(HttpHeaderNames.HOST, request.address.toString())
-        }
-        return message
+    /** Ends the exchange in progress, if any, because of [event]. */
+    private fun failExchange(event: String, cause: LossCause) {
+        pendingReply?.completeExceptionally(IncompleteMessageException("$event before it answered", cause))
+        responseBody?.queue?.takeUnless { it.isComplete }?.fail("$event in mid-answer", cause)
     }
 
     private fun startReply(response: HttpResponse) {
@@ -185,6 +176,22 @@
     }
 }
 
+private fun encode(request: OutgoingRequest): DefaultFullHttpRequest {
+    val message = DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        HttpMethod.valueOf(request.method),
+        request.target,
+        Unpooled.wrappedBuffer(request.body),
+    )
+    message.headers()
+        .set(request.headers)
+        .set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+    if (HttpHeaderNames.HOST !in request.headers) {
+        message.headers().set(HttpHeaderNames.HOST, request.address.toString())
+    }
+    return message
+}
+
 /**
  * Whether this is the head of a response that was joined to the beginning of another one, which broke off within its
  * status line or a header. The status is that of the first response, the headers are those of the second.
--- a/src/main/kotlin/figdeck/http/client/ExchangeFailure.kt
+++ b/src/main/kotlin/figdeck/http/client/ExchangeFailure.kt
@@ -14,9 +14,12 @@
 
 /** What ended an exchange before its response was complete. */
 public enum class LossCause {
-    /** The peer closed or reset the connection, or sent bytes that are no response. */
+    /** The peer closed or reset the connection. */
     CONNECTION_ENDED,
 
+    /** The peer sent bytes that are no response to the request. */
+    INVALID_RESPONSE,
+
     /** The peer sent nothing for longer than allowed. */
     TIMEOUT,
 }
--- a/src/main/kotlin/figdeck/http/client/IncomingBody.kt
+++ b/src/main/kotlin/figdeck/http/client/IncomingBody.kt
@@ -32,6 +32,6 @@
     }
 
     private fun failAsJoined() {
-        queue.fail("the body holds the beginning of another response")
+        queue.fail("the body holds the beginning of another response", LossCause.INVALID_RESPONSE)
     }
 }
--- a/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
+++ b/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
@@ -136,6 +136,24 @@
         }
     }
 
+    describe("bytes that are no answer") {
+        listOf(
+            "instead of the head" to "no answer\r\n\r\n",
+            "a head joined to another one" to "HTTP/1.1 200 O${wholeResponse("another")}",
+            "instead of a chunk" to "${CHUNKED_RESPONSE_HEAD}4\r\npart\r\nno chunk\r\n",
+            "a body completed by another answer" to
+                "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart${wholeResponse("another")}",
+        ).forEach { (name, text) ->
+            it("do not count as the end of their upstream: $name") {
+                RawUpstream { _, socket -> socket.send(text) }.use {
+                    client.exchange(get(it.address)) { reply -> reply.body.readAll(MAX_BYTES) }
+                        .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
+                        .cause shouldBe LossCause.INVALID_RESPONSE
+                }
+            }
+        }
+    }
+
     describe("an answer that stops while its connection stays open") {
         listOf(
             "before its head" to "",
--- a/src/test/kotlin/figdeck/process/StutteringUpstreamSpec.kt
+++ b/src/test/kotlin/figdeck/process/StutteringUpstreamSpec.kt
@@ -133,7 +133,11 @@
             it("passes on no answer but the caller's own, whole: ${stutter.name}") {
                 val upstreams = List(UPSTREAMS) { StutteringUpstream(stutter, SEED + it) }
                 val answers = Fleet().use { fleet ->
-                    val entries = upstreams.mapIndexed { i, it -> storeRow("servers", "u-$i", it.encodeEntry()) }
+                    val entries = upstreams.mapIndexed { i, upstream -> storeRow(
+                        "servers",
+                        "u-$i",
+                        upstream.encodeEntry()
+                    ) }
                     fleet.writeRows(listOf(storeRow("op", "config", PLAN)) + entries)
                     val daemon = fleet.edgeDaemon("host-a")
                     fleet.awaitReady(listOf(daemon))
