--- a/src/test/kotlin/figdeck/process/StutteringUpstreamSpec.kt
+++ b/src/test/kotlin/figdeck/process/StutteringUpstreamSpec.kt
@@ -126,27 +126,27 @@
     return isFromUpstream && (response.status != expected.status || response.body != expected.body)
 }
 
+/** Serves the calls of all callers through one daemon, and returns the answers by the ids of the calls. */
+private suspend fun callThroughDaemon(upstreams: List<StutteringUpstream>): List<Pair<String, TestResponse>> =
+    Fleet().use { fleet ->
+        val entries = upstreams.withIndex().map { (i, upstream) -> storeRow("servers", "u-$i", upstream.encodeEntry()) }
+        fleet.writeRows(listOf(storeRow("op", "config", PLAN)) + entries)
+        val daemon = fleet.edgeDaemon("host-a")
+        fleet.awaitReady(listOf(daemon))
+        withContext(Dispatchers.Default) {
+            List(CALLERS) { caller ->
+                async { List(REQUESTS_PER_CALLER) { "$caller-$it" }.map { id -> id to fleet.call(daemon, id) } }
+            }.awaitAll().flatten()
+        }
+    }
+
 class StutteringUpstreamSpec : DescribeSpec({
     // Guards against answers that are put together from an upstream's answer and a late copy of another one.
     describe("a daemon whose upstreams write answers a second time, late") {
         stutters.forEach { stutter ->
             it("passes on no answer but the caller's own, whole: ${stutter.name}") {
                 val upstreams = List(UPSTREAMS) { StutteringUpstream(stutter, SEED + it) }
-                val answers = Fleet().use { fleet ->
-                    val entries = upstreams.mapIndexed { i, upstream -> storeRow(
-                        "servers",
-                        "u-$i",
-                        upstream.encodeEntry()
-                    ) }
-                    fleet.writeRows(listOf(storeRow("op", "config", PLAN)) + entries)
-                    val daemon = fleet.edgeDaemon("host-a")
-                    fleet.awaitReady(listOf(daemon))
-                    withContext(Dispatchers.Default) {
-                        List(CALLERS) { caller ->
-                            async { List(REQUESTS_PER_CALLER) { "$caller-$it" }.map { it to fleet.call(daemon, it) } }
-                        }.awaitAll().flatten()
-                    }
-                }
+                val answers = callThroughDaemon(upstreams)
                 upstreams.forEach { it.close() }
                 answers.filter { (id, response) -> isMixedUp(id, response) }.shouldBeEmpty()
                 answers.count { (_, response) -> response.status == 200 } shouldBeGreaterThan MIN_SUCCESSES
