--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -28,6 +28,7 @@
 private const val MAX_BODY_BYTES = 64 * 1024 * 1024
 private const val FIRST_PORT = 20_000
 private const val LAST_PORT = 32_000
+private val JVM_FLAGS = listOf("-Xmx256m", "-XX:+UseSerialGC")
 private val nextPort = AtomicInteger(FIRST_PORT + (ProcessHandle.current().pid() * 97 % 10_000).toInt())
 
 /** One process of a fleet under test. */
@@ -35,6 +36,7 @@
     val name: String,
     val process: Process,
     val addresses: List<Address>,
+    val log: File,
 ) {
     val address: Address get() = addresses.first()
     val operatorAddress: Address get() = addresses[1]
@@ -116,12 +118,14 @@
     fun edgeDaemon(
         host: String,
         dataCentre: String = "centre-a",
-        seeds: List<FleetProcess> = emptyList()
+        seeds: List<FleetProcess> = emptyList(),
+        jvmFlags: List<String> = JVM_FLAGS,
     ): FleetProcess {
         val addresses = List(3) { freeAddress() }
-        return start(
+        return launch(
             host,
             addresses,
+            jvmFlags,
             "edge",
             "--host=$host",
             "--data-centre=$dataCentre",
@@ -201,23 +205,30 @@
         return start(name, listOf(address), "stand-in", kind, "--address=$address", *flags)
     }
 
-    private fun start(name: String, addresses: List<Address>, vararg arguments: String): FleetProcess {
-        val logs = File("target/process").apply { mkdirs() }
+    private fun start(name: String, addresses: List<Address>, vararg arguments: String): FleetProcess =
+        launch(name, addresses, JVM_FLAGS, *arguments)
+
+    private fun launch(
+        name: String,
+        addresses: List<Address>,
+        jvmFlags: List<String>,
+        vararg arguments: String,
+    ): FleetProcess {
+        val log = File(File("target/process").apply { mkdirs() }, "$name-${addresses[0].port}.log")
         val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
         val java = File(System.getProperty("java.home"), "bin/java").path
         val process = ProcessBuilder(
             java,
-            "-Xmx256m",
-            "-XX:+UseSerialGC",
+            *jvmFlags.toTypedArray(),
             "-cp",
             classPath,
             "figdeck.MainKt",
             *arguments
         )
             .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(File(logs, "$name-${addresses[0].port}.log")))
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
             .start()
-        val started = FleetProcess(name, process, addresses)
+        val started = FleetProcess(name, process, addresses, log)
         processes += started
         addresses.forEach { awaitListener(it, process) }
         return started
