--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -2,17 +2,19 @@
 
 import figdeck.http.client.LossCause
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.ByteBufUtil
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.channels.ChannelResult
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
 
+/** The longest chunk that is emitted, so that a collector handles little between two looks at its deadline. */
+private const val MAX_CHUNK_BYTES = 16 * 1024
+
 /** An HTTP message ended before it was complete. */
 internal class IncompleteMessageException(
     reason: String,
@@ -22,18 +24,24 @@
 /**
  * Transfers body chunks from a Netty channel to a coroutine.
  *
- * The queue buffers the chunks that one socket read decoded and emits them as one. It calls [requestRead] for the next
- * read only when they have been collected, so that a slow collector uses bounded memory. Collecting [body] fails when
- * no chunk arrives within [idleTimeout].
+ * The queue joins the chunks that one socket read decoded: a peer may send a megabyte in chunks of one byte each. It
+ * calls [requestRead] for the next read only when they have been collected, so that a slow collector uses bounded
+ * memory. Collecting [body] fails when no chunk arrives within [idleTimeout].
  */
 internal class ChunkQueue(
     private val idleTimeout: Duration,
     private val requestRead: () -> Unit,
 ) {
-    /** A chunk whose receiver timed out before it could take it. */
-    @Volatile
-    private var undelivered: ByteArray? = null
-    private val queue = Channel<ByteArray>(Channel.UNLIMITED, onUndeliveredElement = { undelivered = it })
+    private val lock = Any()
+
+    /** The bytes that were received and not emitted, in order. Guarded by [lock]. */
+    private val buffered = ArrayDeque<ByteArrayOutputStream>()
+
+    /** How the body ended, or null if it goes on. Guarded by [lock]. */
+    private var ending: Ending? = null
+
+    /** Holds an element if something was received since the latest wait. */
+    private val changed = Channel<Unit>(Channel.CONFLATED)
 
     val body: HttpBody = HttpBody(chunks())
 
@@ -48,70 +56,72 @@
 
     fun offer(content: ByteBuf) {
         if (content.isReadable) {
-            queue.trySend(ByteBufUtil.getBytes(content))
+            val size = content.readableBytes()
+            synchronized(lock) {
+                val last = buffered.lastOrNull()?.takeIf { it.size() + size <= MAX_CHUNK_BYTES }
+                val target = last ?: ByteArrayOutputStream(size).also { buffered.addLast(it) }
+                content.getBytes(content.readerIndex(), target, size)
+            }
+            changed.trySend(Unit)
         }
     }
 
     fun complete() {
         isComplete = true
-        queue.close()
+        end(Ending(failure = null))
     }
 
-    fun fail(reason: String, cause: LossCause = LossCause.CONNECTION_ENDED) {
-        queue.close(IncompleteMessageException(reason, cause))
+    fun fail(reason: String, cause: LossCause = LossCause.CONNECTION_ENDED) =
+        end(Ending(IncompleteMessageException(reason, cause)))
+
+    private fun end(newEnding: Ending) {
+        synchronized(lock) { ending = ending ?: newEnding }
+        changed.trySend(Unit)
     }
 
     private fun chunks(): Flow<ByteArray> = flow {
         while (!isConsumed) {
-            val polled = queue.tryReceive()
-            if (polled.isClosed) {
-                polled.exceptionOrNull()?.let { throw it }
-                isConsumed = true
-            } else {
-                val first = polled.getOrNull() ?: awaitChunk()
-                if (first == null) isConsumed = true else emit(withBuffered(first))
+            when (val next = poll() ?: awaitNext()) {
+                is Ending -> {
+                    next.failure?.let { throw it }
+                    isConsumed = true
+                }
+                is Chunk -> {
+                    emit(next.bytes)
+                    // The body is long: others who share the thread, and the collector's deadline, have their turn.
+                    if (next.bytes.size > MAX_CHUNK_BYTES / 2) yield()
+                }
             }
         }
     }
 
-    private suspend fun awaitChunk(): ByteArray? {
+    /** Takes what comes next, or returns null if nothing has been received. */
+    private fun poll(): Received? = synchronized(lock) {
+        buffered.removeFirstOrNull()?.let { Chunk(it.toByteArray()) } ?: ending
+    }
+
+    private suspend fun awaitNext(): Received {
         requestRead()
-        var next: ChannelResult<ByteArray>? = null
+        var next: Received? = null
         // The result is kept outside of the block: a block that ends as its time-out is due returns nothing.
-        withTimeoutOrNull(idleTimeout) { next = queue.receiveCatching() }
-        val received = next ?: return lateChunk()
-        received.exceptionOrNull()?.let { throw it }
-        return received.getOrNull()
+        withTimeoutOrNull(idleTimeout) {
+            while (next == null) {
+                changed.receive()
+                next = poll()
+            }
+        }
+        return next ?: lateNext()
     }
 
-    /** Returns a chunk that is there although the wait for it timed out; null at the end of the body. */
-    private suspend fun lateChunk(): ByteArray? {
+    /** Returns what is there although the wait for it timed out. */
+    private suspend fun lateNext(): Received {
         delay(READ_GRACE)
-        val late = undelivered ?: bufferedChunk()
-        undelivered = null
-        return late
+        return poll() ?: throw IncompleteMessageException("nothing came for $idleTimeout", LossCause.TIMEOUT)
     }
 
-    private fun bufferedChunk(): ByteArray? {
-        val next = queue.tryReceive()
-        next.exceptionOrNull()?.let { throw it }
-        return if (next.isClosed) {
-            null
-        } else {
-            next.getOrNull() ?: throw IncompleteMessageException("nothing came for $idleTimeout", LossCause.TIMEOUT)
-        }
-    }
+    private sealed interface Received
 
-    /** Returns [first] followed by all chunks that are buffered. */
-    private fun withBuffered(first: ByteArray): ByteArray {
-        val second = queue.tryReceive().getOrNull() ?: return first
-        val joined = ByteArrayOutputStream(first.size + second.size)
-        joined.write(first)
-        var next: ByteArray? = second
-        while (next != null) {
-            joined.write(next)
-            next = queue.tryReceive().getOrNull()
-        }
-        return joined.toByteArray()
-    }
+    private class Chunk(val bytes: ByteArray) : Received
+
+    private class Ending(val failure: IncompleteMessageException?) : Received
 }
--- a/src/test/kotlin/figdeck/http/ChunkQueueSpec.kt
+++ b/src/test/kotlin/figdeck/http/ChunkQueueSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.netty.buffer.Unpooled
 import kotlinx.coroutines.flow.toList
@@ -54,6 +55,17 @@
         }
     }
 
+    // Guards against a peer whose bytes take many times their number in memory, or hold up all others on the thread.
+    describe("a read of 100,000 chunks of one byte") {
+        it("is emitted in few chunks, none of them long, in order") {
+            val bytes = List(100_000) { "${it % 10}" }
+            val emitted = ScriptedReads(listOf(bytes)).collect()
+            emitted.joinToString("") shouldBe bytes.joinToString("")
+            emitted.maxOf { it.length } shouldBeLessThanOrEqual 16 * 1024
+            emitted.size shouldBeLessThanOrEqual 7
+        }
+    }
+
     describe("a wait for a chunk that times out") {
         it("still gets a chunk that arrives right then, as after this process was stopped for a while") {
             lateQueue(chunkAfterMillis = 40).body.chunks.toList().map { it.decodeToString() } shouldBe listOf("a")
