--- a/src/main/kotlin/figdeck/wire/serving/SseFramer.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SseFramer.kt
@@ -4,6 +4,7 @@
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
+private const val FIELD_SEPARATOR = ':'.code.toByte()
 private const val ID_FIELD = "id"
 private const val DATA_FIELD = "data"
 
@@ -64,15 +65,30 @@
 private fun eventOf(bytes: ByteArray): SseEvent =
     SseEvent(bytes, fieldsOf(bytes, ID_FIELD).lastOrNull()?.trim()?.toLongOrNull())
 
-/** The values of the fields [name] in an event, in order. */
+/** The values of the fields [name] in an event, in order. Decodes no other line: an upstream may send any number. */
 private fun fieldsOf(bytes: ByteArray, name: String): List<String> {
     val values = mutableListOf<String>()
-    for (line in linesOf(bytes.decodeToString())) {
-        if (line.startsWith(name) && (line.length == name.length || line[name.length] == ':')) {
-            values += line.drop(name.length + 1).removePrefix(" ")
+    var start = 0
+    while (start < bytes.size) {
+        val end = lineEnd(bytes, start)
+        if (isField(bytes, start, end, name)) {
+            values += bytes.decodeToString(start, end).drop(name.length + 1).removePrefix(" ")
         }
+        start = end + 1
     }
     return values
 }
 
-private fun linesOf(text: String): List<String> = if ('\r' in text) text.lines() else text.split('\n')
+private fun lineEnd(bytes: ByteArray, start: Int): Int {
+    var end = start
+    while (end < bytes.size && bytes[end] != LINE_FEED && bytes[end] != CARRIAGE_RETURN) end++
+    return end
+}
+
+/** Whether the line from [start] to [end] is the field [name], with or without a value. */
+private fun isField(bytes: ByteArray, start: Int, end: Int, name: String): Boolean {
+    val nameEnd = start + name.length
+    return nameEnd <= end &&
+        name.indices.all { bytes[start + it] == name[it].code.toByte() } &&
+        (nameEnd == end || bytes[nameEnd] == FIELD_SEPARATOR)
+}
