--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -43,7 +43,7 @@
     val allowed = held ?: call.access.team?.let { limits.takeToken(it, call.id) } ?: Unit.right()
     return allowed.fold(
         { it.left() },
-        { OnlineRequest(this, call, UpstreamSender(this, call, forward, caller)).serve() },
+        { UpstreamSender(this, call, forward, caller).use { OnlineRequest(this, call, it).serve() } },
     )
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -15,10 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration.Companion.milliseconds
 
-/**
- * The size limit of an answer that is buffered until it is complete. An upstream in trouble may send bytes without end
- * to each of its callers, and their buffers together must fit into the heap of a small host.
- */
+/** The size limit of an answer that is buffered until it is complete. [AnswerMemory] limits all of them together. */
 private const val MAX_BUFFERED_ANSWER_BYTES = 1024 * 1024
 private const val FIRST_SERVER_ERROR = 500
 
@@ -41,7 +38,7 @@
     private val call: OnlineCall,
     private val forward: Forward,
     private val caller: CallerChannel,
-) {
+) : AutoCloseable {
     private val route = call.access.route
 
     /** Relays a streamed answer to the caller. */
@@ -51,11 +48,16 @@
     var lastErrorResponse: ErrorResponse? = null
         private set
 
+    /** The memory of the answers read so far; an error response is kept until the request ends. */
+    private val shares = mutableListOf<AnswerMemory.AnswerShare>()
     private var hasWholeAnswerBegun = false
 
     /** Whether a part of an answer may have been sent to the caller, so that no other one can be. */
     val hasAnswerBegun: Boolean get() = stream.hasStarted || hasWholeAnswerBegun
 
+    /** Ends the request, whose answers are needed no more. */
+    override fun close() = shares.forEach { it.close() }
+
     /** Sends a whole answer to the caller. */
     suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray) {
         hasWholeAnswerBegun = true
@@ -163,11 +165,13 @@
     }
 
     private suspend fun deliver(upstream: UpstreamId, reply: UpstreamReply): FailedSend? {
-        val body = reply.body.readAll(MAX_BUFFERED_ANSWER_BYTES).getOrNull()
+        val share = services.answerMemory.newShare().also { shares += it }
+        val body = reply.body.readAll(MAX_BUFFERED_ANSWER_BYTES) { share.growTo(it) }.getOrNull()
+        if (body == null) share.close()
         return when {
             body == null -> FailedSend.MayHaveRun(
                 upstream,
-                "the answer is longer than $MAX_BUFFERED_ANSWER_BYTES bytes"
+                "the answer is longer than $MAX_BUFFERED_ANSWER_BYTES bytes or than the memory that is left for it"
             )
             reply.status >= FIRST_SERVER_ERROR -> {
                 lastErrorResponse = ErrorResponse(reply.status, reply.headers, body)
--- a/src/main/kotlin/figdeck/http/HttpBody.kt
+++ b/src/main/kotlin/figdeck/http/HttpBody.kt
@@ -13,11 +13,22 @@
 /** The body is longer than [limitBytes]. */
 public data class BodyOverLimit(public val limitBytes: Int)
 
-/** Reads the whole body into memory, or stops as soon as it exceeds [limitBytes]. */
-public suspend fun HttpBody.readAll(limitBytes: Int): Either<BodyOverLimit, ByteArray> {
+/**
+ * Reads the whole body into memory, or stops with the chunk by which it would exceed [limitBytes], or grow to a size
+ * that [mayGrowTo] refuses.
+ */
+public suspend fun HttpBody.readAll(
+    limitBytes: Int,
+    mayGrowTo: (size: Int) -> Boolean = { true },
+): Either<BodyOverLimit, ByteArray> {
     val collected = ByteArrayOutputStream()
+    var fits = true
     chunks
-        .takeWhile { collected.size() <= limitBytes }
+        .takeWhile { chunk ->
+            val size = collected.size() + chunk.size
+            fits = size <= limitBytes && mayGrowTo(size)
+            fits
+        }
         .collect { collected.write(it) }
-    return if (collected.size() > limitBytes) BodyOverLimit(limitBytes).left() else collected.toByteArray().right()
+    return if (fits) collected.toByteArray().right() else BodyOverLimit(limitBytes).left()
 }
