--- a/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
@@ -39,12 +39,15 @@
     /** Returns the output of the item at [position] and includes it in later checkpoints. */
     fun trackOutput(position: Int): ItemOutput {
         val known = saved[position] ?: SavedOutput(noProgress, emptyList())
-        val output = ItemOutput(known.progress)
+        val output = ItemOutput(known.progress) { discard(position) }
         trackedItems[position] = TrackedItem(output, known.progress.events.size, known.keys)
         return output
     }
 
-    /** Stops saving the item at [position], whose result is stored, and schedules the removal of its rows. */
+    /**
+     * Stops saving the item at [position] and schedules the removal of its rows: its result is stored, or its rows hold
+     * events that don't belong to its output, and a later owner must restart it.
+     */
     fun discard(position: Int) {
         trackedItems.remove(position)?.let { obsoleteKeys.addAll(it.keys) }
     }
