--- a/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
+++ b/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
@@ -161,7 +161,7 @@
     private val endless = answers.map { answer ->
         RawUpstream { request, socket -> answer.sendTo(socket, request.header("X-Attempt-Id").orEmpty()) }
     }
-    private val entries = endless.mapIndexed { i, upstream -> storeRow("servers", "e-$i", upstream.entry("endless-$i")) } +
+    private val entries = endless.mapIndexed { i, server -> storeRow("servers", "e-$i", server.entry("endless-$i")) } +
         storeRow("servers", "sound", sound.entry("sound")) +
         if (soundMembers) answers.indices.map { storeRow("servers", "s-$it", sound.entry("endless-$it")) } else listOf()
     private val rows = listOf(storeRow("op", "config", plan(kind))) + entries
