--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -15,7 +15,7 @@
  * The largest size of an output: many times that of a sound one, and so small that the outputs of all items that a host
  * runs at once fit into a small heap.
  */
-private const val MAX_OUTPUT_SIZE = 256 * 1024
+private const val MAX_OUTPUT_SIZE = 512 * 1024
 
 /** What an event adds to the size of an output besides its data, at least as much as its objects take. */
 private const val EVENT_SIZE = 64
