A stream's event or a chunked body that holds another response's head is broken off

Callers could get bytes of a late copy within a stream, and items of batch jobs within their output: a chunk that broke off was filled by the head of an answer written a second time, whose blank line ended the event. The events were passed on before the chunk's end was found to be wrong. A chunked answer could be completed by a copy, too, with nothing after it.

Why it works: a line with a status line that headers follow is no field of an event, and an event of headers alone has none; a text that quotes a response has it within its fields. A whole answer that holds a status line and the id of its own attempt holds another answer to the attempt.

--- a/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import figdeck.http.client.containsStatusLine
 import figdeck.model.Moment
 import figdeck.wire.serving.SseEvent
 import figdeck.wire.serving.SseFramer
@@ -11,6 +12,9 @@
 /** Larger than an event with all tokens of an answer, and small enough for as many streams as a host carries. */
 private const val MAX_EVENT_BYTES = 256 * 1024
 
+/** The names of the fields of an event; the name of a comment is empty. */
+private val EVENT_FIELDS = setOf("", "data", "event", "id", "retry")
+
 /**
  * Reads the events of one upstream's stream and judges its progress.
  *
@@ -35,6 +39,7 @@
         }
         return when {
             framer.partialBytes > MAX_EVENT_BYTES -> "an event is longer than $MAX_EVENT_BYTES bytes".left()
+            events.any { it.holdsResponseHead } -> "an event holds the head of another response".left()
             now - progressAt > maxPause -> "no event was completed for ${now - progressAt}".left()
             else -> events.right()
         }
@@ -47,3 +52,19 @@
 }
 
 private val SseEvent.hasContent: Boolean get() = id != null || data.isNotEmpty()
+
+/**
+ * Whether the head of a response was joined to the event: a late answer may fill a chunk that broke off. Its status line
+ * is followed by headers, which are no fields of an event; in a text it is part of a field. If the status line went into
+ * the length of the chunk, only headers are left.
+ */
+private val SseEvent.holdsResponseHead: Boolean
+    get() = when {
+        bytes.containsStatusLine() -> lines.dropWhile { !it.containsStatusLine() }.any { !it.isField }
+        hasContent -> false
+        else -> lines.isNotEmpty() && lines.none { it.isField }
+    }
+
+private val SseEvent.lines: List<String> get() = bytes.decodeToString().lines().filter { it.isNotEmpty() }
+
+private val String.isField: Boolean get() = substringBefore(':') in EVENT_FIELDS
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.serving
 
 import figdeck.http.client.ExchangeFailure
+import figdeck.http.client.containsStatusLine
 import figdeck.http.readAll
 import figdeck.log.LogLine
 import figdeck.model.UpstreamId
@@ -25,6 +26,13 @@
 /** The stall timeout of a repeatable request, as a multiple of its route's objective. */
 private const val STALL_FACTOR = 2
 
+/**
+ * Whether [body] holds a second answer to the request [id]: a late copy may complete a body that broke off, and end just
+ * where the body should.
+ */
+internal fun holdsAnswerTo(id: String, body: ByteArray): Boolean =
+    id.isNotEmpty() && body.containsStatusLine() && id in body.decodeToString()
+
 /** An error response from an upstream that ran the request. */
 internal class ErrorResponse(
     val status: Int,
@@ -173,6 +181,10 @@
                 upstream,
                 "the answer is longer than $MAX_BUFFERED_ANSWER_BYTES bytes or than the memory that is left for it"
             )
+            holdsAnswerTo(call.id, body) -> FailedSend.MayHaveRun(
+                upstream,
+                "the answer holds the head of another one to the same request"
+            )
             reply.status >= FIRST_SERVER_ERROR -> {
                 lastErrorResponse = ErrorResponse(reply.status, reply.headers, body)
                 FailedSend.MayHaveRun(upstream, "the upstream answered ${reply.status}")
--- a/src/test/kotlin/figdeck/daemon/command/serving/EventReaderSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/EventReaderSpec.kt
@@ -43,6 +43,25 @@
         }
     }
 
+    describe("an event with a status line") {
+        it("is read if the line is part of its text") {
+            val reader = EventReader(maxPause, start)
+            listOf(
+                "id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Length: 4\n\n",
+                "x-weight-versions: 2\nid: 2\ndata: HTTP/1.1 404\n\n",
+                ": HTTP/1.1 200\n\n",
+            ).forEach { reader.read(it.encodeToByteArray(), start).isRight() shouldBe true }
+        }
+
+        it("is no event if headers follow it") {
+            listOf(
+                "id: 1\ndata: woHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+                "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\n",
+            ).forEach { EventReader(maxPause, start).read(it.encodeToByteArray(), start).isLeft() shouldBe true }
+        }
+    }
+
     describe("an event without end") {
         it("is given up before it takes much memory") {
             val reader = EventReader(60.seconds, start)
