--- a/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
@@ -54,9 +54,9 @@
 private val SseEvent.hasContent: Boolean get() = id != null || data.isNotEmpty()
 
 /**
- * Whether the head of a response was joined to the event: a late answer may fill a chunk that broke off. Its status line
- * is followed by headers, which are no fields of an event; in a text it is part of a field. If the status line went into
- * the length of the chunk, only headers are left.
+ * Whether the head of a response was joined to the event: a late answer may fill a chunk that broke off. Its status
+ * line is followed by headers, which are no fields of an event; in a text it is part of a field. If the status line
+ * went into the length of the chunk, only headers are left.
  */
 private val SseEvent.holdsResponseHead: Boolean
     get() = when {
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -27,8 +27,8 @@
 private const val STALL_FACTOR = 2
 
 /**
- * Whether [body] holds a second answer to the request [id]: a late copy may complete a body that broke off, and end just
- * where the body should.
+ * Whether [body] holds a second answer to the request [id]: a late copy may complete a body that broke off, and end
+ * just where the body should.
  */
 internal fun holdsAnswerTo(id: String, body: ByteArray): Boolean =
     id.isNotEmpty() && body.containsStatusLine() && id in body.decodeToString()
--- a/src/test/kotlin/figdeck/daemon/command/serving/ChunkedCopySpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/ChunkedCopySpec.kt
@@ -12,7 +12,6 @@
 import figdeck.platform.upstreamReply
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
-import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.io.ByteArrayOutputStream
--- a/src/test/kotlin/figdeck/http/LateCopySpec.kt
+++ b/src/test/kotlin/figdeck/http/LateCopySpec.kt
@@ -14,6 +14,7 @@
 
 private const val MAX_BYTES = 100_000
 private const val BODY = "the body"
+private const val STATUS_LINE = "HTTP/1.1 200 OK"
 private const val FAILURE_BODY = "failed"
 
 /** How long the client gets to read what the upstream has written. */
@@ -131,4 +132,19 @@
             }
         }
     }
+
+    describe("an answer without a length") {
+        it("does not end with the first bytes of a copy that breaks off within its status line") {
+            val wrong = (1..STATUS_LINE.length).mapNotNull { length ->
+                val upstream = RawUpstream { _, socket ->
+                    socket.send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n$BODY")
+                    Thread.sleep(READ_PAUSE_MILLIS)
+                    socket.send(STATUS_LINE.take(length))
+                    socket.close()
+                }
+                upstream.use { client.call(it.address)?.body?.takeIf { body -> body != BODY } }
+            }
+            wrong.shouldBeEmpty()
+        }
+    }
 })
--- /dev/null
+++ b/src/test/kotlin/figdeck/upstream/command/HttpServiceSpec.kt
@@ -0,0 +1,44 @@
+package figdeck.upstream.command
+
+import figdeck.http.RawUpstream
+import figdeck.http.client.HttpClient
+import figdeck.http.send
+import figdeck.http.wholeResponse
+import figdeck.model.CallResult
+import figdeck.model.DataCentre
+import figdeck.model.RequestId
+import figdeck.model.RouteName
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.UpstreamKind
+import figdeck.model.Work
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldNotBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+
+class HttpServiceSpec : DescribeSpec({
+    val eventLoops = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    val client = HttpClient(eventLoops)
+
+    afterSpec {
+        client.close()
+        eventLoops.shutdownGracefully()
+    }
+
+    describe("a call of a plain service whose answers come twice, the second time late") {
+        it("is not answered with the copy of an earlier answer") {
+            RawUpstream { request, socket ->
+                val late = if (request.number == 1) "" else wholeResponse("answer ${request.number - 1}")
+                socket.send(late + wholeResponse("answer ${request.number}"))
+            }.use {
+                val upstream =
+                    Upstream(UpstreamId("u"), it.address, DataCentre("a"), UpstreamKind.SERVICE, 1, false)
+                val call = Work.ServiceCall(RouteName("desk"), "GET", "/", "text/plain", "", idempotent = true)
+                callOverHttp(client, "credential", upstream, RequestId("first"), call)
+                val second = callOverHttp(client, "credential", upstream, RequestId("second"), call)
+                (second as? CallResult.Done)?.value?.body shouldNotBe "answer 1"
+            }
+        }
+    }
+})
