Specs: pace of upstreams without end, and a close that is waited for

The spec had given the client 40 ms to read the copy; when it came after the next request, that request was lost, as it has to be. It waits for the end of the first connection now, at most 2 s, so it asks for more: that the client closes it.

EndlessUpstreamSpec's upstreams wrote as fast as the loopback goes, which kept all processors from the specs beside it.

--- a/src/test/kotlin/figdeck/http/LateCopySpec.kt
+++ b/src/test/kotlin/figdeck/http/LateCopySpec.kt
@@ -3,6 +3,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
 import figdeck.model.Address
+import figdeck.process.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -17,6 +18,8 @@
 private const val STATUS_LINE = "HTTP/1.1 200 OK"
 private const val FAILURE_BODY = "failed"
 
+private val CLOSE_LIMIT = 2.seconds
+
 /** How long the client gets to read what the upstream has written. */
 private const val READ_PAUSE_MILLIS = 20L
 
@@ -76,7 +79,7 @@
                     }
                     upstream.use {
                         client.call(it.address)
-                        Thread.sleep(2 * READ_PAUSE_MILLIS)
+                        eventually(CLOSE_LIMIT) { it.endedConnections == 1 }
                         val received = client.call(it.address)
                         if (received == Received("2", 500, FAILURE_BODY)) null else length to received
                     }
--- a/src/test/kotlin/figdeck/http/RawUpstream.kt
+++ b/src/test/kotlin/figdeck/http/RawUpstream.kt
@@ -25,8 +25,12 @@
 internal class RawUpstream(private val script: (request: RawRequest, socket: Socket) -> Unit) : AutoCloseable {
     private val listener = ServerSocket(0, 0, InetAddress.getByName(LOOPBACK))
     private val requests = AtomicInteger()
+    private val ended = AtomicInteger()
     val address: Address = Address(LOOPBACK, listener.localPort)
 
+    /** The number of connections that have ended. */
+    val endedConnections: Int get() = ended.get()
+
     init {
         thread(isDaemon = true) {
             untilClosed {
@@ -41,11 +45,15 @@
     override fun close() = listener.close()
 
     private fun serve(socket: Socket) = socket.use {
-        val input = it.getInputStream().bufferedReader()
-        var head = input.readHead()
-        while (head != null && !it.isClosed) {
-            script(RawRequest(requests.incrementAndGet(), head), it)
-            head = input.readHead()
+        try {
+            val input = it.getInputStream().bufferedReader()
+            var head = input.readHead()
+            while (head != null && !it.isClosed) {
+                script(RawRequest(requests.incrementAndGet(), head), it)
+                head = input.readHead()
+            }
+        } finally {
+            ended.incrementAndGet()
         }
     }
 }
--- a/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
+++ b/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
@@ -48,6 +48,9 @@
 private const val WARM_UP_REQUESTS = 100
 private const val REPEATED_BYTES = 64 * 1024
 
+/** All callers' blocks together fill the link of a machine of the deployment, 1,000 Mbit/s. */
+private const val BLOCK_INTERVAL_MILLIS = REPEATED_BYTES * CALLERS / 125_000L
+
 /** The memory of a machine of the deployment, which runs one daemon and nothing else. */
 private const val MACHINE_MEMORY_KB = 460 * 1000L
 private val DEADLINE = 800.milliseconds
@@ -76,7 +79,10 @@
 ) {
     fun sendTo(socket: Socket, id: String) = untilClosed {
         socket.send(begin(id))
-        generateSequence(0L) { it + 1 }.forEach { socket.send(block(it)) }
+        generateSequence(0L) { it + 1 }.forEach {
+            socket.send(block(it))
+            Thread.sleep(BLOCK_INTERVAL_MILLIS)
+        }
     }
 }
 
