Own interface: a connection for each call of a service and each generation of an engine

What callers saw: the answer to an earlier call, or the text of an earlier generation, when an upstream wrote an answer a second time, late, on a kept connection.

Cause: services and engines of the own interface need not return the id of the request, and lookups and generations used kept connections. A whole copy that comes after the next request was sent can't be told from its answer.

HttpServiceSpec wrote the copy on whichever connection the next request came by. A peer can write it only on the connection of the request that it answers, so the spec does that now, and expects each caller's own answer in place of any but one.

Why it works: a connection that carried no other request holds no copy of another answer. The request asks its upstream to close the connection, and the client does not keep one that was used so.

--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -15,6 +15,8 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
@@ -63,7 +65,7 @@
         return try {
             sendAndHandle(connection, request, handle)
         } finally {
-            release(request.address, channel, connection)
+            release(request, channel, connection)
         }
     }
 
@@ -104,9 +106,11 @@
         .connect(address.ip, address.port)
         .awaitChannel()
 
-    private fun release(address: Address, channel: Channel, connection: ClientConnection) {
-        if (connection.isReusable && channel.isActive) {
-            idle.put(address, channel, connection.keepAliveTimeout?.let { it - CLOSE_MARGIN } ?: DEFAULT_KEEP_ALIVE)
+    private fun release(request: OutgoingRequest, channel: Channel, connection: ClientConnection) {
+        val mayReuse = !request.headers.contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
+        if (mayReuse && connection.isReusable && channel.isActive) {
+            val duration = connection.keepAliveTimeout?.let { it - CLOSE_MARGIN } ?: DEFAULT_KEEP_ALIVE
+            idle.put(request.address, channel, duration)
         } else {
             channel.close()
         }
--- a/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
+++ b/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
@@ -21,7 +21,10 @@
 private val RESPONSE_HEAD_TIMEOUT = 3.seconds
 private val IDLE_TIMEOUT = 5.seconds
 
-/** Runs [generation] as a streaming chat completion, authenticated with figdeck's own [credential]. */
+/**
+ * Runs [generation] as a streaming chat completion, authenticated with figdeck's own [credential]. Engines need not
+ * return the id of the request, so only a connection of its own shows which request an answer belongs to.
+ */
 internal suspend fun generateOverHttp(
     client: HttpClient,
     credential: String,
@@ -34,6 +37,7 @@
         target = "/v1/chat/completions",
         headers = upstreamHeaders(credential, generation.request.value),
         body = encodeEngineChat(generation.chat, generation.generated).encodeToByteArray(),
+        freshConnection = true,
         headTimeout = RESPONSE_HEAD_TIMEOUT,
         idleTimeout = IDLE_TIMEOUT,
     )
@@ -79,8 +83,12 @@
     is ExchangeFailure.Lost -> EngineResult.Lost(reason)
 }
 
-/** Returns the headers of a request to an upstream. They contain figdeck's own credential, never a caller's. */
+/**
+ * Returns the headers of a request to an upstream, which closes the connection after its answer. They contain figdeck's
+ * own credential, never a caller's.
+ */
 internal fun upstreamHeaders(credential: String, requestId: String): HttpHeaders = newHeaders()
     .set(HttpHeaderNames.AUTHORIZATION, "Bearer $credential")
+    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
     .set("X-Request-Id", requestId)
--- a/src/main/kotlin/figdeck/upstream/command/HttpService.kt
+++ b/src/main/kotlin/figdeck/upstream/command/HttpService.kt
@@ -15,7 +15,10 @@
 private const val MAX_RESPONSE_BYTES = 1024 * 1024
 private val RESPONSE_HEAD_TIMEOUT = 10.seconds
 
-/** Runs [call] at a plain service, authenticated with figdeck's own [credential]. */
+/**
+ * Runs [call] at a plain service, authenticated with figdeck's own [credential]. Services need not return the id of the
+ * request, so only a connection of its own shows which request an answer belongs to.
+ */
 internal suspend fun callOverHttp(
     client: HttpClient,
     credential: String,
@@ -29,7 +32,7 @@
         target = call.path,
         headers = upstreamHeaders(credential, request.value).set(HttpHeaderNames.CONTENT_TYPE, call.contentType),
         body = call.body.encodeToByteArray(),
-        freshConnection = !call.idempotent,
+        freshConnection = true,
         headTimeout = RESPONSE_HEAD_TIMEOUT,
     )
     val result = client.exchange(outgoing) { reply ->
--- a/src/test/kotlin/figdeck/upstream/command/HttpServiceSpec.kt
+++ b/src/test/kotlin/figdeck/upstream/command/HttpServiceSpec.kt
@@ -1,8 +1,6 @@
 package figdeck.upstream.command
 
-import figdeck.http.RawUpstream
 import figdeck.http.client.HttpClient
-import figdeck.http.send
 import figdeck.http.wholeResponse
 import figdeck.model.CallResult
 import figdeck.model.DataCentre
@@ -13,7 +11,7 @@
 import figdeck.model.UpstreamKind
 import figdeck.model.Work
 import io.kotest.core.spec.style.DescribeSpec
-import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 
@@ -27,17 +25,16 @@
     }
 
     describe("a call of a plain service whose answers come twice, the second time late") {
+        // Guards against a caller that gets the answer to an earlier call on the same connection.
         it("is not answered with the copy of an earlier answer") {
-            RawUpstream { request, socket ->
-                val late = if (request.number == 1) "" else wholeResponse("answer ${request.number - 1}")
-                socket.send(late + wholeResponse("answer ${request.number}"))
-            }.use {
+            answeringTwice { wholeResponse("answer to $it") }.use {
                 val upstream =
                     Upstream(UpstreamId("u"), it.address, DataCentre("a"), UpstreamKind.SERVICE, 1, false)
                 val call = Work.ServiceCall(RouteName("desk"), "GET", "/", "text/plain", "", idempotent = true)
-                callOverHttp(client, "credential", upstream, RequestId("first"), call)
-                val second = callOverHttp(client, "credential", upstream, RequestId("second"), call)
-                (second as? CallResult.Done)?.value?.body shouldNotBe "answer 1"
+                val answers = listOf("first", "second", "third").map { id ->
+                    (callOverHttp(client, "credential", upstream, RequestId(id), call) as? CallResult.Done)?.value?.body
+                }
+                answers shouldBe listOf("answer to first", "answer to second", "answer to third")
             }
         }
     }
