Own interface: a probe of a paused engine does not hold its caller for 3 s

What callers saw: a chat turn that was taken for the probe of a paused engine waited 3 s for an engine that never answers, and ran elsewhere only then.

Cause: the probe is a caller's turn, and it waited for the response head as long as any other turn, although three failures had just been seen. The pause before the first probe is 0.5 to 0.75 s, so a second round of turns met it whenever the first round ended late.

Change: the decision that grants a probe says how long to wait for its answer to begin: twice the pause before it, so 1 s, 2 s, and then the usual 3 s. A slow engine that is sound gets its full time at the third probe at the latest.

DispatchSpec and HttpEngineSpec check the limit.

--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -53,7 +53,7 @@
     val running = state.running.put(next.ticket, RunningRequest(next.ticket, request, now, revokedAt = null))
     return Step(
         state.withQueue(lane, left).copy(running = running),
-        listOf(DispatchEffect.Granted(next.ticket, state.upstream)),
+        listOf(DispatchEffect.Granted(next.ticket, state.upstream, state.health.probeTimeout)),
     )
 }
 
--- a/src/main/kotlin/figdeck/command/dispatch/Health.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Health.kt
@@ -8,6 +8,9 @@
 private const val FAILURES_TO_PAUSE = 3
 private const val PAUSE_GROWTH = 2
 private const val PAUSE_JITTER = 0.5
+
+/** How long a probe may wait for an answer, relative to the pause before it. */
+private const val PROBE_TIMEOUT_FACTOR = 2
 private val INITIAL_PAUSE = 500.milliseconds
 private val MAX_PAUSE = 15.seconds
 
@@ -33,6 +36,12 @@
 /** Whether the upstream was paused and has not answered since. */
 public val Health.isProbing: Boolean get() = pausedUntil != null
 
+/**
+ * How long a probe waits for the answer to begin, or null while the upstream is in use. The probe is the request of a
+ * caller, so the first wait is short. It grows with the pause, so that a slow upstream is found to be sound in the end.
+ */
+public val Health.probeTimeout: Duration? get() = if (isProbing) pause * PROBE_TIMEOUT_FACTOR else null
+
 /** The health after a use ended with [result]. A [jitter] between 0 and 1 spreads the probes of many hosts. */
 public fun Health.after(result: SlotOutcome, jitter: Double, now: Moment): Health = when (result) {
     SlotOutcome.ANSWERED -> healthy
--- a/src/main/kotlin/figdeck/daemon/command/Dispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/Dispatcher.kt
@@ -6,16 +6,19 @@
 import figdeck.model.Refusal
 import figdeck.model.Upstream
 import kotlinx.coroutines.Deferred
+import kotlin.time.Duration
 
 /**
  * A slot at an upstream that is held until it is released.
  *
  * @property revoked completes when the holder must release the slot at once. Only slots of batch work are revoked.
+ * @property answerWithin how long to wait for the answer to begin if the holder probes the upstream, else null.
  */
 public data class Permit(
     public val id: Long,
     public val upstream: Upstream,
     public val revoked: Deferred<Unit>,
+    public val answerWithin: Duration? = null,
 )
 
 /**
--- a/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeChat.kt
@@ -163,7 +163,7 @@
 ): EngineResult {
     val startedAt = clock()
     val upstream = permit.upstream
-    val generation = Generation(upstream, run.record.id, chat, run.generated.toString())
+    val generation = Generation(upstream, run.record.id, chat, run.generated.toString(), permit.answerWithin)
     var slotOutcome = SlotOutcome.ABANDONED
     var cost = 0
     val result = try {
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -139,13 +139,16 @@
         val holder = holders[effect.ticket] ?: return
         when (effect) {
             is DispatchEffect.Granted ->
-                holder.granted.complete(Permit(effect.ticket, effect.upstream, holder.revoked).right())
+                holder.granted.complete(effect.toPermit(holder).right())
             is DispatchEffect.Revoked -> holder.revoked.complete(Unit)
             is DispatchEffect.Refused -> holder.granted.complete(effect.refusal.left())
         }
     }
 }
 
+private fun DispatchEffect.Granted.toPermit(holder: TicketHolder) =
+    Permit(ticket, upstream, holder.revoked, answerWithin)
+
 /** The request that waits for a slot under a ticket, or holds one. */
 private class TicketHolder(
     val granted: CompletableDeferred<Either<Refusal, Permit>>,
--- a/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
+++ b/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
@@ -38,7 +38,7 @@
         headers = upstreamHeaders(credential, generation.request.value),
         body = encodeEngineChat(generation.chat, generation.generated).encodeToByteArray(),
         freshConnection = true,
-        headTimeout = RESPONSE_HEAD_TIMEOUT,
+        headTimeout = minOf(generation.answerWithin ?: RESPONSE_HEAD_TIMEOUT, RESPONSE_HEAD_TIMEOUT),
         idleTimeout = IDLE_TIMEOUT,
     )
     val result = client.exchange(request) { reply ->
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -284,12 +284,12 @@
             waiting.take(2).forEach { harness.finish(it, SlotOutcome.FAILED, 0) }
             harness.now = start + 760.milliseconds
             val probe = harness.submit(request(bad))
-            harness.grants().last() shouldBe probe
+            harness.effects.last() shouldBe DispatchEffect.Granted(probe, bad.first(), answerWithin = 1.seconds)
             val second = harness.submit(request(bad))
             harness.effects.last().shouldBeInstanceOf<DispatchEffect.Refused>().ticket shouldBe second
             harness.finish(probe)
             val third = harness.submit(request(bad))
-            harness.grants().last() shouldBe third
+            harness.effects.last() shouldBe DispatchEffect.Granted(third, bad.first(), answerWithin = null)
         }
 
         it("is probed after a pause that doubles") {
@@ -297,6 +297,7 @@
             left.pausedUntil shouldBe start + 500.milliseconds
             val again = left.after(SlotOutcome.FAILED, 0.0, start + 500.milliseconds)
             again.pausedUntil shouldBe start + 1500.milliseconds
+            listOf(left, again, healthy).map { it.probeTimeout } shouldBe listOf(1.seconds, 2.seconds, null)
         }
 
         it("gets retries for at most a fifth of all requests") {
--- a/src/test/kotlin/figdeck/upstream/command/HttpEngineSpec.kt
+++ b/src/test/kotlin/figdeck/upstream/command/HttpEngineSpec.kt
@@ -1,7 +1,9 @@
 package figdeck.upstream.command
 
+import figdeck.http.RawUpstream
 import figdeck.http.client.HttpClient
 import figdeck.http.wholeResponse
+import figdeck.model.Address
 import figdeck.model.DataCentre
 import figdeck.model.ModelName
 import figdeck.model.RequestId
@@ -14,11 +16,18 @@
 import figdeck.wire.command.DONE_EVENT
 import figdeck.wire.command.encodeChunk
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
 
 private val model = ModelName("walks")
+private val chat = Work.Chat(model, emptyList(), maxTokens = 1, stream = true)
 
 /** The stream of a completion whose only text is [content]. */
 private fun completionOf(content: String): String {
@@ -36,20 +45,34 @@
         eventLoops.shutdownGracefully()
     }
 
+    fun generation(address: Address, id: String, answerWithin: Duration? = null): Generation {
+        val upstream = Upstream(UpstreamId("u"), address, DataCentre("a"), UpstreamKind.ENGINE, 1, false)
+        return Generation(upstream, RequestId(id), chat, generated = "", answerWithin)
+    }
+
     describe("a generation at an engine whose completions come twice, the second time late") {
         // Guards against a caller that gets the text of an earlier generation on the same connection.
         it("is not answered with the copy of an earlier completion") {
-            answeringTwice { completionOf("text of $it") }.use {
-                val upstream = Upstream(UpstreamId("u"), it.address, DataCentre("a"), UpstreamKind.ENGINE, 1, false)
-                val chat = Work.Chat(model, emptyList(), maxTokens = 1, stream = true)
+            answeringTwice { id -> completionOf("text of $id") }.use { engine ->
                 val texts = listOf("first", "second", "third").map { id ->
                     val deltas = StringBuilder()
-                    val generation = Generation(upstream, RequestId(id), chat, generated = "")
-                    generateOverHttp(client, "credential", generation) { deltas.append(it) }
+                    generateOverHttp(client, "credential", generation(engine.address, id)) { deltas.append(it) }
                     deltas.toString()
                 }
                 texts shouldBe listOf("text of first", "text of second", "text of third")
             }
         }
     }
+
+    describe("a generation that probes an engine which never answers") {
+        it("is lost when the time of the probe is over") {
+            RawUpstream { _, _ -> }.use { engine ->
+                val took = measureTime {
+                    val probe = generation(engine.address, "probe", answerWithin = 200.milliseconds)
+                    generateOverHttp(client, "credential", probe) { }.shouldBeInstanceOf<EngineResult.Lost>()
+                }
+                took shouldBeLessThan 2.seconds
+            }
+        }
+    }
 })
