Unfinished output: join rows of one run only

Cause, by reading: rows of unfinished output were keyed by item and number of the first event and named no run; reading joined them by numbers alone. An owner that is cut off or stopped for a while goes on after its job was taken over, and upstreams generate another text in each run. Its rows lay beside those of its heir or replaced them, and the next owner joined both. The comment that any beginning of an output is valid whichever host wrote it holds only while one host at a time runs the item.

Change: each owner of a job has a run id, part of its rows' keys, so no owner replaces another's row. The first row of a run names the run that it continues, and starts where it left it. longestOutput joins a row to its own run's events, or to the first events of the run that it names, as many as precede the row, and takes the longest output; runs of equal length are ordered by their ids. Overlaps are dropped within a run alone. The rows of all runs are removed with the item's result.

Rows are kept in a table of their own, jobruns: an earlier version would join them by numbers. Rows of jobprogress are not read, since they may already hold two runs; an item that changes between hosts of both versions restarts.

ItemProgressSpec called its segments those of several writers, though all are cut from one output; it says so now, its check is the same.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -16,6 +16,7 @@
 import figdeck.model.TeamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobOwner
+import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
 import kotlin.random.Random
@@ -60,6 +61,9 @@
 /** Returns a random id that identifies one write of a job record. */
 internal fun JobServices.newWriteId(): String = random.nextLong().toULong().toString(ID_RADIX)
 
+/** Returns a random id for the outputs that this host generates while it owns a job. */
+internal fun JobServices.newRunId(): OutputRunId = OutputRunId(newWriteId())
+
 /** Stores [job] in this host's job directory unless a later version is known. */
 internal suspend fun JobServices.updateJobDirectory(job: VersionedJob) {
     control.run { state, _ -> updateJobs(state) { putJob(it, job) } }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
@@ -4,7 +4,9 @@
 import figdeck.model.CallResult
 import figdeck.model.RowWrite
 import figdeck.model.serving.JobId
+import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.OutputSegment
+import figdeck.model.serving.SavedSegment
 import figdeck.model.serving.noProgress
 import figdeck.model.serving.segmentFrom
 import figdeck.wire.serving.MAX_ROW_CHARACTERS
@@ -23,14 +25,16 @@
 private val log = PartLog("jobs")
 
 /**
- * Saves the unfinished outputs of one job in the store, so that its next owner resumes from them. Any prefix of an
- * output is valid whichever host wrote it, so these rows need no fencing.
+ * Saves the unfinished outputs of one job in the store, so that its next owner resumes from them. An earlier owner may
+ * still write its own: the rows of each run have keys of their own and are read by themselves, so they need no fencing.
  *
+ * @param run the run of all items of this owner, which no other owner has.
  * @param saved the outputs saved by an earlier owner, by item position.
  */
 internal class ProgressCheckpointer(
     private val store: ProgressStore,
     private val id: JobId,
+    private val run: OutputRunId,
     private val saved: Map<Int, SavedOutput>,
 ) {
     private val trackedItems = ConcurrentHashMap<Int, TrackedItem>()
@@ -38,9 +42,9 @@
 
     /** Returns the output of the item at [position] and includes it in later checkpoints. */
     fun trackOutput(position: Int): ItemOutput {
-        val known = saved[position] ?: SavedOutput(noProgress, emptyList())
+        val known = saved[position] ?: SavedOutput(noProgress, null, emptyList())
         val output = ItemOutput(known.progress) { discard(position) }
-        trackedItems[position] = TrackedItem(output, known.progress.events.size, known.keys)
+        trackedItems[position] = TrackedItem(output, known.progress.events.size, known.run, known.keys)
         return output
     }
 
@@ -67,7 +71,7 @@
                 ?.let { UnsavedSegment(position, item, it) }
         }.take(MAX_SEGMENTS_PER_WRITE)
         val removals = generateSequence { obsoleteKeys.poll() }.take(MAX_REMOVALS_PER_WRITE).toList()
-        val writes = unsaved.associateWith { outputSegmentWrite(id, it.position, it.segment) }
+        val writes = unsaved.associateWith { outputSegmentWrite(id, it.position, savedSegment(it)) }
         if (writes.isEmpty() && removals.isEmpty()) {
             return
         }
@@ -79,11 +83,15 @@
         }
     }
 
+    private fun savedSegment(unsaved: UnsavedSegment): SavedSegment =
+        SavedSegment(run, unsaved.item.continues, unsaved.segment)
+
     private fun markSaved(unsaved: UnsavedSegment, key: String) {
         val known = unsaved.item
         val next = known.copy(
             savedEventCount = known.savedEventCount + unsaved.segment.events.size,
-            keys = known.keys + key
+            continues = null,
+            keys = known.keys + key,
         )
         if (trackedItems.computeIfPresent(unsaved.position) { _, _ -> next } == null) {
             obsoleteKeys.add(key)
@@ -95,9 +103,11 @@
         obsoleteKeys.addAll(removals)
     }
 
+    /** @property continues the run from which this one resumed; null once it has saved events of its own. */
     private data class TrackedItem(
         val output: ItemOutput,
         val savedEventCount: Int,
+        val continues: OutputRunId?,
         val keys: List<String>,
     )
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ProgressStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ProgressStore.kt
@@ -10,8 +10,9 @@
 import figdeck.model.map
 import figdeck.model.serving.ItemProgress
 import figdeck.model.serving.JobId
+import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.noProgress
-import figdeck.model.serving.withSegment
+import figdeck.query.serving.longestOutput
 import figdeck.store.Store
 import figdeck.wire.serving.decodeSegment
 import figdeck.wire.serving.itemPosition
@@ -21,9 +22,15 @@
 private const val MAX_PROGRESS_ROWS = 2_000
 private val log = PartLog("jobs")
 
-/** The saved prefix of an item's output and the keys of its rows. */
+/**
+ * The saved prefix of an item's output.
+ *
+ * @property run the run that saved the last events; null if there are none.
+ * @property keys the keys of the item's rows, those of other runs included.
+ */
 internal data class SavedOutput(
     val progress: ItemProgress,
+    val run: OutputRunId?,
     val keys: List<String>,
 )
 
@@ -44,8 +51,7 @@
     }
 
     private fun savedOutput(rows: List<Row>): SavedOutput {
-        val progress = rows.mapNotNull { decodeSegment(it.value).orWarn(log) }
-            .fold(noProgress) { all, segment -> all.withSegment(segment) }
-        return SavedOutput(progress, rows.map { it.key })
+        val longest = longestOutput(rows.mapNotNull { decodeSegment(it).orWarn(log) })
+        return SavedOutput(longest?.progress ?: noProgress, longest?.run, rows.map { it.key })
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -32,7 +32,7 @@
     val items = loadItems(job.record)
     val alreadyListed = loadResults(job.record).map { it.item }.toSet()
     val pending = items.withIndex().filter { it.value.id !in alreadyListed }
-    val checkpointer = ProgressCheckpointer(progress, job.record.id, loadProgress(job.record))
+    val checkpointer = ProgressCheckpointer(progress, job.record.id, newRunId(), loadProgress(job.record))
     coroutineScope {
         val checkpointing = launch { checkpointer.checkpointUntilCancelled() }
         val finished = Channel<JobResult>(Channel.UNLIMITED)
--- a/src/main/kotlin/figdeck/model/serving/ItemProgress.kt
+++ b/src/main/kotlin/figdeck/model/serving/ItemProgress.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 
 /**
  * The part of an item's output received so far. Event ids are consecutive.
@@ -33,7 +34,10 @@
 public fun ItemProgress.withEvent(id: Long?, data: String): ItemProgress? =
     if (id == null || (lastEventId != null && id != lastEventId + 1)) null else ItemProgress(events.add(data), id)
 
-/** Returns the output extended by the new events of [segment], or the same output if [segment] starts after a gap. */
+/**
+ * Returns the output extended by the new events of [segment], or the same output if [segment] starts after a gap. Both
+ * must come from the same run, because events with the same numbers differ between runs.
+ */
 public fun ItemProgress.withSegment(segment: OutputSegment): ItemProgress {
     val overlap = events.size - segment.start
     val isContiguous = overlap >= 0 && (lastEventId == null || lastEventId + 1 == segment.firstId + overlap)
@@ -44,6 +48,12 @@
     }
 }
 
+/** Returns the first [count] events of the output, which must have as many. */
+public fun ItemProgress.firstEvents(count: Int): ItemProgress = when (count) {
+    0 -> noProgress
+    else -> ItemProgress(events.subList(0, count).toPersistentList(), lastEventId?.let { it - (events.size - count) })
+}
+
 /** Returns the events from [offset] on that fit into [maxCharacters], or null if there are none. */
 public fun ItemProgress.segmentFrom(offset: Int, maxCharacters: Int): OutputSegment? {
     var remaining = maxCharacters
--- a/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
@@ -4,12 +4,15 @@
 import figdeck.model.Row
 import figdeck.model.RowWrite
 import figdeck.model.serving.JobId
+import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.OutputSegment
+import figdeck.model.serving.SavedSegment
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
 
-private const val PROGRESS_TABLE = "jobprogress"
+/** Rows of the table `jobprogress`, which earlier versions write, name no run, so they are not read. */
+private const val PROGRESS_TABLE = "jobruns"
 
 /** A stored segment of the output of an item. */
 @Serializable
@@ -17,16 +20,19 @@
     val start: Int,
     val firstId: Long,
     val events: List<String>,
+    val continues: String? = null,
 )
 
-/** The write that stores [segment] of the output of the item at [position]. */
-internal fun outputSegmentWrite(id: JobId, position: Int, segment: OutputSegment): RowWrite = RowWrite(
-    "${progressKeyPrefix(id)}${padded(position)}/${padded(segment.start)}",
-    lenientJson.encodeToString(
-        OutputSegmentDto.serializer(),
-        OutputSegmentDto(segment.start, segment.firstId, segment.events)
-    ),
-)
+/** The write that stores [saved], of the output of the item at [position], under a key of its run alone. */
+internal fun outputSegmentWrite(id: JobId, position: Int, saved: SavedSegment): RowWrite = with(saved.segment) {
+    RowWrite(
+        "${progressKeyPrefix(id)}${padded(position)}/${padded(start)}/${saved.run}",
+        lenientJson.encodeToString(
+            OutputSegmentDto.serializer(),
+            OutputSegmentDto(start, firstId, events, saved.continues?.value)
+        ),
+    )
+}
 
 /** The prefix of the keys of the rows that hold unfinished outputs of [id]. */
 internal fun progressKeyPrefix(id: JobId): String = "$PROGRESS_TABLE/$id/"
@@ -35,5 +41,11 @@
 internal fun itemPosition(id: JobId, row: Row): Int? =
     row.key.removePrefix(progressKeyPrefix(id)).substringBefore('/').toIntOrNull()
 
-internal fun decodeSegment(text: String): Either<String, OutputSegment> =
-    decodeAs(text, OutputSegmentDto.serializer()) { OutputSegment(it.start, it.firstId, it.events) }
+internal fun decodeSegment(row: Row): Either<String, SavedSegment> =
+    decodeAs(row.value, OutputSegmentDto.serializer()) { dto ->
+        SavedSegment(
+            OutputRunId(row.key.substringAfterLast('/')),
+            dto.continues?.let { OutputRunId(it) },
+            OutputSegment(dto.start, dto.firstId, dto.events),
+        )
+    }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/ItemProgressSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/ItemProgressSpec.kt
@@ -2,6 +2,7 @@
 
 import figdeck.model.serving.ItemProgress
 import figdeck.model.serving.OutputSegment
+import figdeck.model.serving.firstEvents
 import figdeck.model.serving.noProgress
 import figdeck.model.serving.segmentFrom
 import figdeck.model.serving.withEvent
@@ -17,7 +18,7 @@
 private const val EVENTS = 40
 private val whole = (0 until EVENTS).fold(noProgress) { all, i -> all.withEvent(FIRST_ID + i, "word $i")!! }
 
-/** Segments of the same output saved by several writers, sorted by key. Some are missing. */
+/** Segments of one run, saved more than once, sorted by key. Some are missing. */
 private fun segments(random: Random): List<OutputSegment> = List(random.nextInt(1, 12)) {
     val from = random.nextInt(EVENTS)
     OutputSegment(from, FIRST_ID + from, whole.events.subList(from, random.nextInt(from, EVENTS) + 1).toList())
@@ -28,7 +29,7 @@
 
 class ItemProgressSpec : DescribeSpec({
     describe("an output read from its saved segments") {
-        it("is a prefix of the output whichever hosts saved them, $SEEDS seeds") {
+        it("is a prefix of the output whichever of its run's writes arrived, $SEEDS seeds") {
             val failedSeeds = (0 until SEEDS).filterNot { seed ->
                 segments(Random(seed)).fold(noProgress) { read, segment -> read.withSegment(segment) }.isPrefixOfWhole()
             }
@@ -56,6 +57,14 @@
         }
     }
 
+    describe("the first events of an output") {
+        it("end with the id of the last of them") {
+            whole.firstEvents(2) shouldBe noProgress.withEvent(FIRST_ID, "word 0")!!.withEvent(FIRST_ID + 1, "word 1")
+            whole.firstEvents(EVENTS) shouldBe whole
+            whole.firstEvents(0) shouldBe noProgress
+        }
+    }
+
     describe("an event") {
         it("is rejected if its id does not follow the last one") {
             listOf(null, FIRST_ID + EVENTS + 1, FIRST_ID).forEach { id -> whole.withEvent(id, "x").shouldBeNull() }
