Unfinished output: spec of owners that can't read it and restart the item

The next owner read "second 7, 8, 9, first 10".

ProgressCheckpointerSpec plays such owners too, a quarter of all take-overs, and has a case for two that follow each other.

--- a/src/test/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointerSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointerSpec.kt
@@ -114,7 +114,9 @@
     }
 
     private suspend fun takeOver(): Boolean {
-        val next = faulty.store.newOwner("owner-${owners.size}")
+        val couldRead = random.nextInt(4) > 0
+        val name = "owner-${owners.size}"
+        val next = if (couldRead) faulty.store.newOwner(name) else Owner(name, faulty.store, emptyMap())
         val isOneOutput = owners.any { it.events.take(next.events.size) == next.events }
         resumedEvents += next.events.size
         owners += next
@@ -166,6 +168,24 @@
         }
     }
 
+    // Guards against the same where owners follow each other: those that can't read the rows restart the item.
+    describe("an item whose second owner could not read its output and restarted it") {
+        it("is read as the output of one of them") {
+            val store = newTable()
+            val first = store.newOwner("first")
+            repeat(2) {
+                first.generate(2)
+                first.checkpointer.checkpoint()
+            }
+            val second = Owner("second", store, emptyMap())
+            listOf(1, 2).forEach { count ->
+                second.generate(count)
+                second.checkpointer.checkpoint()
+            }
+            store.savedEvents() shouldContainExactly first.events
+        }
+    }
+
     describe("the rows of an item that several owners have saved") {
         it("are removed when the last owner has its result") {
             val store = newTable()
