Batch items can't write requests of their own, nor end the loop that runs jobs

What callers saw: an item whose path held line breaks added a second request, under another team's name, at an upstream. An item with a header that may not be sent ended the loop `jobs` again and again, so no job of that host made progress.

Cause: a request's target was any text and went to the request line as it came. Headers were checked by an exception where they are set, in the middle of running the item, where nothing handles it. Submissions were not checked at all. A Connection header of an item could also name X-Attempt-Id and Host, which were then left out of the request.

Change: OutgoingRequest takes a RequestLine, which holds only texts that stay within one request line; text from callers, rows and hosts goes through requestLine and checkedHeaders, which return the fault instead of throwing. HttpClient sends no header that may not be sent and reports "not sent". A submission with such an item is refused with 400 and the item's position. An online request whose target may not be sent is refused with 400. Keys of rows and objects are encoded by the same function as all other text.

Tests that build an OutgoingRequest take the method and target as a RequestLine; nothing else in them changed.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -63,6 +63,7 @@
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
 import figdeck.platform.readinessHandler
+import figdeck.platform.sendFaultOf
 import figdeck.platform.sharedPartsOf
 import figdeck.query.serving.jobPollInterval
 import figdeck.query.serving.label
@@ -171,6 +172,7 @@
         random = random,
         log = DecisionLog("jobs"),
         sharedParts = ::sharedPartsOf,
+        sendFault = ::sendFaultOf,
     )
     private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
     private val readinessServer = server(readinessHandler(control))
--- a/src/main/kotlin/figdeck/cli/OperatorCommand.kt
+++ b/src/main/kotlin/figdeck/cli/OperatorCommand.kt
@@ -6,8 +6,10 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
+import figdeck.http.setChecked
 import figdeck.wire.command.ChangeErrorDto
 import figdeck.wire.command.decodeChangeRefusal
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -57,9 +59,9 @@
     private fun send(method: String, target: String, body: String): OperatorReply {
         val request = OutgoingRequest(
             address = operatorOptions.address,
-            method = method,
-            target = target,
-            headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer ${operatorOptions.secret}"),
+            line = RequestLine(method, target),
+            headers = newHeaders().setChecked(HttpHeaderNames.AUTHORIZATION, "Bearer ${operatorOptions.secret}")
+                .fold({ exit("$it: check --operator-secret", EXIT_REFUSED) }, { it }),
             body = body.encodeToByteArray(),
         )
         val result = HttpClient(newEventLoops()).use { client ->
--- a/src/main/kotlin/figdeck/cli/command/Demo.kt
+++ b/src/main/kotlin/figdeck/cli/command/Demo.kt
@@ -8,6 +8,7 @@
 import figdeck.cli.newEventLoops
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpServer
@@ -90,7 +91,7 @@
     private suspend fun send(address: Address, key: String, method: String, target: String, body: String): String {
         val text = StringBuilder()
         val headers = newHeaders().set("Authorization", "Bearer $key")
-        val request = OutgoingRequest(address, method, target, headers, body.encodeToByteArray())
+        val request = OutgoingRequest(address, RequestLine(method, target), headers, body.encodeToByteArray())
         client.exchange(request) { reply ->
             echo("$method $target: ${reply.status}")
             reply.body.chunks.collect { text.append(it.decodeToString()) }
--- a/src/main/kotlin/figdeck/cli/command/Rehearse.kt
+++ b/src/main/kotlin/figdeck/cli/command/Rehearse.kt
@@ -9,6 +9,7 @@
 import figdeck.daemon.query.serving.PLAN_KEY
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpServer
@@ -143,7 +144,9 @@
             .set(HttpHeaderNames.HOST, HOST)
             .set(HttpHeaderNames.AUTHORIZATION, "Bearer $CALLER_KEY")
             .set(ATTEMPT_ID_HEADER, JOB_ID)
-        return exchange(OutgoingRequest(address, method, target, headers, body.encodeToByteArray())) { reply ->
+        return exchange(
+            OutgoingRequest(address, RequestLine(method, target), headers, body.encodeToByteArray())
+        ) { reply ->
             reply.body.readAll(MAX_REPLY_BYTES)
             reply.status
         }.getOrNull()
--- a/src/main/kotlin/figdeck/cli/query/MeasureHop.kt
+++ b/src/main/kotlin/figdeck/cli/query/MeasureHop.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.OptionCallTransformContext
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
@@ -14,6 +15,8 @@
 import figdeck.cli.newEventLoops
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
+import figdeck.http.client.requestLine
 import figdeck.http.newHeaders
 import figdeck.model.Address
 import figdeck.model.parseAddress
@@ -31,8 +34,8 @@
 internal class MeasureHop : CliktCommand("measure-hop") {
     private val daemon by option(help = "Caller address of the daemon.").convert { parseAddress(it) }.required()
     private val upstream by option(help = "Address of the upstream.").convert { parseAddress(it) }.required()
-    private val daemonTarget by option(help = "Request path at the daemon.").required()
-    private val upstreamTarget by option(help = "Request path at the upstream.").required()
+    private val daemonTarget by option(help = "Request path at the daemon.").convert { toPost(it) }.required()
+    private val upstreamTarget by option(help = "Request path at the upstream.").convert { toPost(it) }.required()
     private val body by option(help = "Body of each request.").default("{}")
     private val key by option(help = "Key of a team.").required()
     private val rate by option(help = "Requests per second.").int().default(DEFAULT_RATE)
@@ -59,12 +62,12 @@
     private suspend fun measure(
         client: HttpClient,
         address: Address,
-        target: String,
+        line: RequestLine,
         durationSeconds: Int,
     ): LoadResult =
         client.runLoad(OpenLoopLoad(rate, durationSeconds.seconds), systemClock) {
             val headers = newHeaders().set("Authorization", "Bearer $key").set("Content-Type", "application/json")
-            OutgoingRequest(address, "POST", target, headers, body.encodeToByteArray())
+            OutgoingRequest(address, line, headers, body.encodeToByteArray())
         }
 
     private fun report(name: String, result: LoadResult) {
@@ -75,3 +78,6 @@
         )
     }
 }
+
+private fun OptionCallTransformContext.toPost(target: String): RequestLine =
+    requestLine("POST", target).fold({ fail(it) }, { it })
--- a/src/main/kotlin/figdeck/daemon/command/HttpPeerConfigurationClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/HttpPeerConfigurationClient.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.client.fetchWhole
 import figdeck.http.newHeaders
 import figdeck.model.Address
@@ -55,8 +56,7 @@
 ): PeerView? {
     val request = OutgoingRequest(
         address = address,
-        method = method,
-        target = target,
+        line = RequestLine(method, target),
         headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer $secret"),
         body = body.encodeToByteArray(),
         headTimeout = RESPONSE_TIMEOUT,
--- a/src/main/kotlin/figdeck/daemon/command/PeerClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/PeerClient.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.client.fetchWhole
 import figdeck.http.newHeaders
 import figdeck.model.Address
@@ -44,8 +45,7 @@
     suspend fun call(address: Address, target: String, body: String, deadline: Duration): String? {
         val request = OutgoingRequest(
             address = address,
-            method = "POST",
-            target = target,
+            line = RequestLine("POST", target),
             headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer $secret"),
             body = body.encodeToByteArray(),
             headTimeout = deadline,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -70,17 +70,28 @@
     private val output: ItemOutput,
 ) {
     private val sharedParts = services.sharedParts(item)
+
+    /** Rows that earlier versions stored may hold such items. */
+    private val sendFault = services.sendFault(item)?.also { fault ->
+        services.log.note("item_not_sendable", item.id) {
+            put("job", record.id.value)
+            put("reason", fault)
+        }
+    }
     private var failures = 0
     private var losses = 0
     private var spent = Duration.ZERO
 
-    /** Runs the item until its output is complete or it is given up. Returns null while its prompt is quarantined. */
+    /**
+     * Runs the item until its output is complete or it is given up. Returns null while its prompt is quarantined,
+     * and for an item that can't be sent until its route allows it to be given up.
+     */
     suspend fun run(): JobResult? {
         var result: JobResult? = null
         var isHeld = false
         while (result == null && !isHeld) {
             val route = services.control.snapshot.index?.routesByName?.get(record.route)
-            isHeld = services.crashGuard.holdOf(sharedParts) != null
+            isHeld = sendFault != null || services.crashGuard.holdOf(sharedParts) != null
             result = when {
                 route == null || route.isExpired(record.age(services.clock())) -> giveUp("expired or route removed")
                 isHeld -> null
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -37,6 +37,7 @@
  * The dependencies for running batch jobs.
  *
  * @property sharedParts returns the parts of an item's prompt that other requests may share.
+ * @property sendFault returns the reason why an item can't be sent to any upstream; null if it can.
  */
 internal data class JobServices(
     val control: Control<ServingState>,
@@ -51,6 +52,7 @@
     val random: Random,
     val log: DecisionLog,
     val sharedParts: (JobItem) -> List<PromptPart>,
+    val sendFault: (JobItem) -> String?,
 )
 
 /** This host in its current incarnation. */
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -179,8 +179,8 @@
 private fun encode(request: OutgoingRequest): DefaultFullHttpRequest {
     val message = DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1,
-        HttpMethod.valueOf(request.method),
-        request.target,
+        HttpMethod.valueOf(request.line.method),
+        request.line.target,
         Unpooled.wrappedBuffer(request.body),
     )
     message.headers()
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -6,6 +6,7 @@
 import figdeck.http.IncompleteMessageException
 import figdeck.http.READ_GRACE
 import figdeck.http.awaitChannel
+import figdeck.http.headerFault
 import figdeck.model.Address
 import figdeck.telemetry.injectTrace
 import io.netty.bootstrap.Bootstrap
@@ -54,6 +55,18 @@
         handle: suspend (HttpReply) -> R,
     ): Either<ExchangeFailure, R> {
         injectTrace(request.headers)
+        val fault = request.headers.firstNotNullOfOrNull { (name, value) -> headerFault(name, value) }
+        return if (fault == null) connectAndExchange(request, handle) else ExchangeFailure.NotSent(fault).left()
+    }
+
+    override fun close() {
+        idle.close()
+    }
+
+    private suspend fun <R> connectAndExchange(
+        request: OutgoingRequest,
+        handle: suspend (HttpReply) -> R,
+    ): Either<ExchangeFailure, R> {
         val channel = try {
             acquire(request)
         } catch (e: IOException) {
@@ -67,10 +80,6 @@
         }
     }
 
-    override fun close() {
-        idle.close()
-    }
-
     private suspend fun <R> sendAndHandle(
         connection: ClientConnection,
         request: OutgoingRequest,
--- a/src/main/kotlin/figdeck/http/client/OutgoingRequest.kt
+++ b/src/main/kotlin/figdeck/http/client/OutgoingRequest.kt
@@ -11,7 +11,7 @@
 /**
  * A request to send.
  *
- * @property target the path and query as sent on the request line.
+ * @property headers may come from a received message; [HttpClient] sends none that may not be sent.
  * @property freshConnection whether to open a new connection for this request. The peer may be closing a reused
  * connection, and then it is unknown whether the request arrived. Set this for requests that must not be repeated.
  * @property headTimeout the maximum time to wait for the response head.
@@ -19,8 +19,7 @@
  */
 public data class OutgoingRequest(
     public val address: Address,
-    public val method: String,
-    public val target: String,
+    public val line: RequestLine,
     public val headers: HttpHeaders = newHeaders(),
     public val body: ByteArray = ByteArray(0),
     public val freshConnection: Boolean = false,
--- a/src/main/kotlin/figdeck/platform/ForwardedRequest.kt
+++ b/src/main/kotlin/figdeck/platform/ForwardedRequest.kt
@@ -2,6 +2,7 @@
 
 import figdeck.daemon.command.serving.SendOptions
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.model.TeamId
 import io.netty.handler.codec.http.HttpHeaders
 
@@ -11,8 +12,7 @@
  * @property headers the original headers; those that the gateway sets are replaced when the request is sent.
  */
 internal data class ForwardedRequest(
-    val method: String,
-    val target: String,
+    val line: RequestLine,
     val headers: HttpHeaders,
     val team: TeamId?,
 )
@@ -23,8 +23,7 @@
     body: ByteArray
 ): OutgoingRequest = OutgoingRequest(
     address = upstream.address,
-    method = request.method,
-    target = request.target,
+    line = request.line,
     headers = upstreamRequestHeaders(request.headers, upstream.id, request.team?.value, timeLeft, resumeAfter),
     body = body,
     freshConnection = freshConnection,
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -13,6 +13,8 @@
 import figdeck.daemon.command.serving.serveOnline
 import figdeck.daemon.command.serving.timeLeft
 import figdeck.http.client.HttpClient
+import figdeck.http.client.RequestLine
+import figdeck.http.client.requestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -119,13 +121,17 @@
             jobs.submit(access, received.headers, received.body, responder)
         }
     } else {
-        serveOnline(received, access, responder)
+        requestLine(received.call.method, received.call.target).fold(
+            { refuse(Refusal.BadRequest("request line", it), received.call, received.headers, responder) },
+            { serveOnline(received, access, it, responder) },
+        )
     }
 }
 
 private suspend fun GatewayServices.serveOnline(
     received: ReceivedRequest,
     access: RouteAccess,
+    line: RequestLine,
     responder: HttpResponder,
 ) {
     val headers = received.headers
@@ -142,7 +148,7 @@
     )
     val caller = CallerChannel(responder.start, responder.write, responder.respond)
     val refusalOfStop = refusalOfStop(onlineCall.timeLeft(this.online.clock()))?.left()
-    val result = refusalOfStop ?: this.online.serveOnline(onlineCall, forward(received, access), caller)
+    val result = refusalOfStop ?: this.online.serveOnline(onlineCall, forward(received, line, access), caller)
     result.onLeft { refusal ->
         this.online.log.note("refused", headers.id) {
             put("refusal", refusal.type)
@@ -185,9 +191,13 @@
     responder.refuse(refusal)
 }
 
-private fun GatewayServices.forward(received: ReceivedRequest, access: RouteAccess): Forward = { options, handleReply ->
+private fun GatewayServices.forward(
+    received: ReceivedRequest,
+    line: RequestLine,
+    access: RouteAccess,
+): Forward = { options, handleReply ->
     val call = received.call
-    val request = ForwardedRequest(call.method, call.target, call.headers, access.team?.id)
+    val request = ForwardedRequest(line, call.headers, access.team?.id)
     client.exchange(options.toOutgoingRequest(request, received.body)) { reply ->
         handleReply(upstreamReply(reply, call.headers.get(ATTEMPT_ID_HEADER)))
     }
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
+import arrow.core.raise.either
 import arrow.core.right
 import figdeck.daemon.command.jobs.ForwardItem
 import figdeck.daemon.command.jobs.JobServices
@@ -11,14 +12,19 @@
 import figdeck.daemon.command.jobs.submit
 import figdeck.daemon.query.jobs.readItemBody
 import figdeck.daemon.query.jobs.readResults
+import figdeck.http.checkedHeaders
+import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
+import figdeck.http.client.requestLine
 import figdeck.http.newHeaders
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpResponder
 import figdeck.http.server.parameter
+import figdeck.http.setChecked
 import figdeck.model.Refusal
 import figdeck.model.TeamId
 import figdeck.model.serving.JobId
+import figdeck.model.serving.JobItem
 import figdeck.query.serving.RouteAccess
 import figdeck.query.serving.teamOf
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -105,13 +111,24 @@
 
 /** Returns a function that sends items of batch jobs to upstreams as POST requests. */
 internal fun httpItemForwarder(client: HttpClient): ForwardItem = { call, options, handleReply ->
-    val headers = newHeaders()
-    call.item.headers.forEach { (name, value) -> headers.set(name, value) }
-    headers.set(ATTEMPT_ID_HEADER, call.item.id).set(HttpHeaderNames.HOST, call.route.host)
-    val request = ForwardedRequest("POST", call.item.path, headers, call.team)
-    client.exchange(options.toOutgoingRequest(request, call.item.body)) { reply ->
-        handleReply(upstreamReply(reply, call.item.id))
-    }
+    forwardedRequest(call.item)
+        .flatMap { request -> request.headers.setChecked(HttpHeaderNames.HOST, call.route.host).map { request } }
+        .mapLeft { ExchangeFailure.NotSent(it) }
+        .flatMap { request ->
+            val outgoing = options.toOutgoingRequest(request.copy(team = call.team), call.item.body)
+            client.exchange(outgoing) { reply -> handleReply(upstreamReply(reply, call.item.id)) }
+        }
+}
+
+/** The reason why [item] can't be sent to any upstream; null if it can. */
+internal fun sendFaultOf(item: JobItem): String? = forwardedRequest(item).leftOrNull()
+
+/** The request of [item], whose texts come from a caller or a row, or the reason why it may not be sent. */
+private fun forwardedRequest(item: JobItem): Either<String, ForwardedRequest> = either {
+    val line = requestLine("POST", item.path).bind()
+    // A Connection header of the item could otherwise name the headers that the gateway sets.
+    val headers = forwardableHeaders(checkedHeaders(item.headers).bind())
+    ForwardedRequest(line, headers.setChecked(ATTEMPT_ID_HEADER, item.id).bind(), team = null)
 }
 
 private fun jobId(text: String): Either<Refusal, JobId> = try {
--- a/src/main/kotlin/figdeck/platform/JobMessages.kt
+++ b/src/main/kotlin/figdeck/platform/JobMessages.kt
@@ -1,6 +1,7 @@
 package figdeck.platform
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import figdeck.daemon.query.jobs.ResultPage
@@ -57,7 +58,7 @@
 internal fun decodeSubmission(body: ByteArray): Either<Refusal, List<JobItem>> =
     lenientJson.decode(SubmissionMessage.serializer(), body.decodeToString()).fold(
         { Refusal.BadRequest("body", it).left() },
-        { message -> malformedItem(message)?.left() ?: decodeItems(message) },
+        { message -> malformedItem(message)?.left() ?: decodeItems(message).flatMap { checkItems(it) } },
     )
 
 /** Refuses a message with an item whose texts can't be stored as they are. */
@@ -74,6 +75,14 @@
     }
 }
 
+/** Refuses items of which one can't be sent. */
+private fun checkItems(items: List<JobItem>): Either<Refusal, List<JobItem>> {
+    val refusal = items.withIndex().firstNotNullOfOrNull { (position, item) ->
+        sendFaultOf(item)?.let { Refusal.BadRequest("Requests[$position]", it) }
+    }
+    return refusal?.left() ?: items.right()
+}
+
 private fun decodeItems(message: SubmissionMessage): Either<Refusal, List<JobItem>> = try {
     message.items.map { it.toItem() }.right()
 } catch (e: IllegalArgumentException) {
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -2,6 +2,8 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
+import figdeck.http.client.encodeSegment
 import figdeck.http.client.fetchWhole
 import figdeck.http.newHeaders
 import figdeck.model.Address
@@ -48,8 +50,8 @@
     val store: Store = Store(
         StoreCommands(
             commit = ::commit,
-            putObject = { key, bytes -> send("PUT", PUT_OBJECT_PATH + urlEncode(key), bytes).map { } },
-            deleteObject = { key -> send("DELETE", DELETE_OBJECT_PATH + urlEncode(key)).map { } },
+            putObject = { key, bytes -> send("PUT", PUT_OBJECT_PATH + encodeSegment(key), bytes).map { } },
+            deleteObject = { key -> send("DELETE", DELETE_OBJECT_PATH + encodeSegment(key)).map { } },
         ),
         StoreQueries(
             readRow = ::readRow,
@@ -99,7 +101,7 @@
     }
 
     private suspend fun readObject(key: String): CallResult<Lookup<ByteArray>> =
-        send("GET", GET_OBJECT_PATH + urlEncode(key), maxBytes = MAX_OBJECT_BYTES).map {
+        send("GET", GET_OBJECT_PATH + encodeSegment(key), maxBytes = MAX_OBJECT_BYTES).map {
             Lookup(it.body.takeIf { _ -> it.isFound })
         }
 
@@ -160,7 +162,7 @@
         if (body.isNotEmpty()) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, JSON_TYPE)
         }
-        val request = OutgoingRequest(address, method, target, headers, body, false, timeout, timeout)
+        val request = OutgoingRequest(address, RequestLine(method, target), headers, body, false, timeout, timeout)
         return client.fetchWhole(request, maxBytes, timeout + BODY_TIMEOUT)
             .fold({ it.toResult() }, { toStoreResult(it.status, it.body) })
     }
--- a/src/main/kotlin/figdeck/platform/StoreKeys.kt
+++ b/src/main/kotlin/figdeck/platform/StoreKeys.kt
@@ -1,6 +1,6 @@
 package figdeck.platform
 
-import java.net.URLEncoder
+import figdeck.http.client.encodeSegment
 import java.util.Base64
 
 private const val SEPARATOR = '/'
@@ -22,9 +22,7 @@
 
 /** The request target for [path] with those [parameters] whose value is not null. */
 internal fun storeTarget(path: String, vararg parameters: Pair<String, String?>): String =
-    parameters.mapNotNull { (name, value) -> value?.let { "$name=${urlEncode(it)}" } }.joinToString("&", "$path?")
-
-internal fun urlEncode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
+    parameters.mapNotNull { (name, value) -> value?.let { "$name=${encodeSegment(it)}" } }.joinToString("&", "$path?")
 
 internal fun encodeValue(value: String): String = Base64.getEncoder().encodeToString(value.encodeToByteArray())
 
--- a/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
+++ b/src/main/kotlin/figdeck/upstream/command/HttpEngine.kt
@@ -5,6 +5,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.client.HttpReply
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.wire.command.DONE_EVENT
@@ -30,8 +31,7 @@
 ): EngineResult {
     val request = OutgoingRequest(
         address = generation.upstream.address,
-        method = "POST",
-        target = "/v1/chat/completions",
+        line = RequestLine("POST", "/v1/chat/completions"),
         headers = upstreamHeaders(credential, generation.request.value),
         body = encodeEngineChat(generation.chat, generation.generated).encodeToByteArray(),
         headTimeout = RESPONSE_HEAD_TIMEOUT,
--- a/src/main/kotlin/figdeck/upstream/command/HttpService.kt
+++ b/src/main/kotlin/figdeck/upstream/command/HttpService.kt
@@ -1,15 +1,20 @@
 package figdeck.upstream.command
 
 import arrow.core.Either
+import arrow.core.flatMap
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
+import figdeck.http.client.requestLine
 import figdeck.http.readAll
+import figdeck.http.setChecked
 import figdeck.model.CallResult
 import figdeck.model.RequestId
 import figdeck.model.Upstream
 import figdeck.model.Work
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_RESPONSE_BYTES = 1024 * 1024
@@ -22,17 +27,29 @@
     upstream: Upstream,
     request: RequestId,
     call: Work.ServiceCall,
-): CallResult<ServiceResponse> {
-    val outgoing = OutgoingRequest(
-        address = upstream.address,
-        method = call.method,
-        target = call.path,
-        headers = upstreamHeaders(credential, request.value).set(HttpHeaderNames.CONTENT_TYPE, call.contentType),
-        body = call.body.encodeToByteArray(),
-        freshConnection = !call.idempotent,
-        headTimeout = RESPONSE_HEAD_TIMEOUT,
-    )
-    val result = client.exchange(outgoing) { reply ->
+): CallResult<ServiceResponse> = requestLine(call.method, call.path)
+    .flatMap { line ->
+        upstreamHeaders(credential, request.value).setChecked(HttpHeaderNames.CONTENT_TYPE, call.contentType)
+            .map { headers -> outgoingRequest(upstream, line, headers, call) }
+    }
+    .fold({ CallResult.NotDone(it) }, { client.callService(it) })
+
+private fun outgoingRequest(
+    upstream: Upstream,
+    line: RequestLine,
+    headers: HttpHeaders,
+    call: Work.ServiceCall,
+): OutgoingRequest = OutgoingRequest(
+    address = upstream.address,
+    line = line,
+    headers = headers,
+    body = call.body.encodeToByteArray(),
+    freshConnection = !call.idempotent,
+    headTimeout = RESPONSE_HEAD_TIMEOUT,
+)
+
+private suspend fun HttpClient.callService(request: OutgoingRequest): CallResult<ServiceResponse> {
+    val result = exchange(request) { reply ->
         reply.body.readAll(MAX_RESPONSE_BYTES).map { body ->
             val contentType = reply.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
             ServiceResponse(reply.status, contentType, body.decodeToString())
--- a/src/test/kotlin/figdeck/bench/FanOut.kt
+++ b/src/test/kotlin/figdeck/bench/FanOut.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpHandler
@@ -82,8 +83,7 @@
     private suspend fun send(to: Int) {
         val request = OutgoingRequest(
             address,
-            "POST",
-            "/$to",
+            RequestLine("POST", "/$to"),
             newHeaders(),
             change,
             freshConnection = propagation.freshConnections
--- a/src/test/kotlin/figdeck/bench/OnlineBench.kt
+++ b/src/test/kotlin/figdeck/bench/OnlineBench.kt
@@ -6,6 +6,7 @@
 import figdeck.cli.newEventLoops
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpHandler
@@ -88,7 +89,7 @@
 
 private fun request(address: Address, method: String, target: String, key: String, body: String): OutgoingRequest {
     val headers = newHeaders().set("Authorization", "Bearer $key")
-    return OutgoingRequest(address, method, target, headers, body.encodeToByteArray())
+    return OutgoingRequest(address, RequestLine(method, target), headers, body.encodeToByteArray())
 }
 
 private suspend fun HttpClient.send(request: OutgoingRequest): String = exchange(request) { reply ->
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -35,6 +35,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.servingPlan
 import figdeck.model.systemClock
+import figdeck.platform.sendFaultOf
 import figdeck.platform.sharedPartsOf
 import figdeck.process.eventually
 import figdeck.store.Store
@@ -43,6 +44,7 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
@@ -96,7 +98,11 @@
 ) {
     val resumedAfter = CopyOnWriteArrayList<Long?>()
 
-    val forward: ForwardItem = { _, options, use ->
+    val sentItems = CopyOnWriteArrayList<String>()
+
+    val forward: ForwardItem = { call, options, use ->
+        call.item.headers.forEach { (name, value) -> newHeaders().set(name, value) }
+        sentItems += call.item.id
         resumedAfter += options.resumeAfter
         val chunks = flow {
             ((options.resumeAfter ?: 0) + 1..minOf(last, EVENTS)).forEach { emit(event(it)) }
@@ -126,6 +132,7 @@
     random = Random(3),
     log = DecisionLog("jobs"),
     sharedParts = ::sharedPartsOf,
+    sendFault = ::sendFaultOf,
 )
 
 private suspend fun <R> onHost(name: String, store: Store, engine: FakeEngine, use: suspend (JobServices) -> R): R =
@@ -235,6 +242,54 @@
         }
     }
 
+    // Guards against an item, stored by an earlier version, that can't be sent and ends the loop that runs all jobs.
+    describe("a stored job whose first item has a header that may not be sent") {
+        val malformed = listOf(items[0].copy(headers = mapOf("X Title" to "x")), items[1])
+        val soundItems = items.map { it.copy(id = "sound-${it.id}") }
+        val soundId = JobId("job-2")
+
+        suspend fun runBoth(
+            submittedAtMillis: Long,
+            engine: FakeEngine,
+            isDone: suspend (JobStore) -> Boolean,
+        ): JobStore {
+            val store = MemoryBackends().platform(FaultInjector(null))
+            val jobs = JobStore(store)
+            val first = jobs.create(record.copy(submittedAtMillis = submittedAtMillis), malformed)
+            val second = jobs.create(record.copy(id = soundId), soundItems)
+            onHost("host-1", store, engine) { services ->
+                listOf(first, second).forEach { services.updateJobDirectory((it as RecordWrite.Written).job) }
+                val run = CoroutineScope(Dispatchers.Default + CoroutineExceptionHandler { _, _ -> })
+                    .launch { services.runJobs() }
+                eventually(10.seconds) { isDone(jobs) }
+                run.cancelAndJoin()
+            }
+            return jobs
+        }
+
+        suspend fun JobStore.resultsOf(job: JobId) = (readResults(job, 0) as CallResult.Done).value
+
+        it("runs its other item and all other jobs, and keeps that item waiting without sending it") {
+            val engine = FakeEngine(last = EVENTS)
+            val jobs = runBoth(System.currentTimeMillis(), engine) {
+                it.resultsOf(soundId).size == soundItems.size && it.resultsOf(id).isNotEmpty()
+            }
+            jobs.resultsOf(id) shouldContainExactly listOf(JobResult("item-2", isComplete = true, output = wholeOutput))
+            engine.sentItems shouldContainExactlyInAnyOrder listOf("item-2", "sound-item-1", "sound-item-2")
+        }
+
+        it("gives that item up once its route allows it to be abandoned, and completes all other jobs") {
+            val submitted = System.currentTimeMillis() - 58.seconds.inWholeMilliseconds
+            val engine = FakeEngine(last = EVENTS)
+            val jobs = runBoth(submitted, engine) {
+                it.resultsOf(soundId).size == soundItems.size && it.resultsOf(id).size == malformed.size
+            }
+            jobs.resultsOf(id).associate { it.item to it.isComplete } shouldBe
+                mapOf("item-2" to true, "item-1" to false)
+            engine.sentItems shouldContainExactlyInAnyOrder listOf("item-2", "sound-item-1", "sound-item-2")
+        }
+    }
+
     describe("a host that has read the first result of a job") {
         it("returns all results that are stored since, from the first one on") {
             val store = MemoryBackends().platform(FaultInjector(null))
--- a/src/test/kotlin/figdeck/daemon/command/serving/ChunkedCopySpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/ChunkedCopySpec.kt
@@ -5,6 +5,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.client.HttpReply
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.readAll
 import figdeck.http.send
 import figdeck.model.Moment
@@ -46,7 +47,10 @@
     length: Int,
     handle: suspend (HttpReply) -> R,
 ): R? = RawUpstream { _, socket -> answer.stutter(length, socket) }.use {
-    exchange(OutgoingRequest(it.address, "GET", "/", headTimeout = 2.seconds, idleTimeout = 500.milliseconds), handle)
+    exchange(
+        OutgoingRequest(it.address, RequestLine("GET", "/"), headTimeout = 2.seconds, idleTimeout = 500.milliseconds),
+        handle
+    )
         .getOrNull()
 }
 
--- a/src/test/kotlin/figdeck/http/CutHeadSpec.kt
+++ b/src/test/kotlin/figdeck/http/CutHeadSpec.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -53,7 +54,8 @@
                             socket.send(head.take(length))
                             ending.end(socket)
                         }
-                        val request = OutgoingRequest(upstream.address, "GET", "/", headTimeout = 2.seconds)
+                        val request =
+                            OutgoingRequest(upstream.address, RequestLine("GET", "/"), headTimeout = 2.seconds)
                         upstream.use { client.exchange(request) { reply -> reply.status } }.isRight()
                     }
                     accepted.shouldBeEmpty()
--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -4,6 +4,7 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
@@ -58,7 +59,7 @@
         it("sends and receives a body, and does so again on the reused connection") {
             withServer(echo) { address ->
                 repeat(3) {
-                    val request = OutgoingRequest(address, "POST", "/x", body = ByteArray(300_000) { 7 })
+                    val request = OutgoingRequest(address, RequestLine("POST", "/x"), body = ByteArray(300_000) { 7 })
                     val size = client.exchange(request) { it.body.readAll(MAX_BYTES).getOrElse { ByteArray(0) }.size }
                     size.getOrNull() shouldBe 300_000
                 }
@@ -71,7 +72,11 @@
                     List(8) {
                         async {
                             (1..500).count {
-                                val request = OutgoingRequest(address, "POST", "/x", body = "x".encodeToByteArray())
+                                val request = OutgoingRequest(
+                                    address,
+                                    RequestLine("POST", "/x"),
+                                    body = "x".encodeToByteArray()
+                                )
                                 client.exchange(request.copy(headTimeout = 2.seconds)) { it.body.readAll(MAX_BYTES) }
                                     .isRight()
                             }
@@ -88,7 +93,7 @@
                 repeat(1000) { responder.write("data: $it\n\n".encodeToByteArray()) }
             }
             withServer(streaming) { address ->
-                val text = client.exchange(OutgoingRequest(address, "GET", "/")) {
+                val text = client.exchange(OutgoingRequest(address, RequestLine("GET", "/"))) {
                     it.body.readAll(MAX_BYTES).getOrElse { ByteArray(0) }.decodeToString()
                 }
                 text.getOrNull() shouldBe (0 until 1000).joinToString("") { "data: $it\n\n" }
@@ -97,7 +102,7 @@
 
         it("fails with NotSent if no server listens on the address") {
             val unused = Address(IP, ServerSocket(0).use { it.localPort })
-            client.exchange(OutgoingRequest(unused, "GET", "/", freshConnection = true)) { }
+            client.exchange(OutgoingRequest(unused, RequestLine("GET", "/"), freshConnection = true)) { }
                 .leftOrNull().shouldBeInstanceOf<ExchangeFailure.NotSent>()
         }
 
@@ -108,7 +113,7 @@
                 error("broken")
             }
             withServer(failing) { address ->
-                client.exchange(OutgoingRequest(address, "GET", "/")) { it.body.readAll(10) }
+                client.exchange(OutgoingRequest(address, RequestLine("GET", "/"))) { it.body.readAll(10) }
                     .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
             }
         }
@@ -125,7 +130,9 @@
             }
             withServer(pausing) { address ->
                 var received = 0
-                client.exchange(OutgoingRequest(address, "GET", "/", idleTimeout = 300.milliseconds)) { reply ->
+                client.exchange(
+                    OutgoingRequest(address, RequestLine("GET", "/"), idleTimeout = 300.milliseconds)
+                ) { reply ->
                     reply.body.chunks.collect { received += it.size }
                 }.leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
                 received shouldBe 5
@@ -141,7 +148,9 @@
             }
             withServer(fast) { address ->
                 var received = 0
-                client.exchange(OutgoingRequest(address, "GET", "/", idleTimeout = 100.milliseconds)) { reply ->
+                client.exchange(
+                    OutgoingRequest(address, RequestLine("GET", "/"), idleTimeout = 100.milliseconds)
+                ) { reply ->
                     reply.body.chunks.collect {
                         if (received == 0) delay(400)
                         received += it.size
@@ -153,7 +162,7 @@
 
         it("fails with Lost if the response head does not arrive in time") {
             withServer({ _, _ -> delay(5_000) }) { address ->
-                client.exchange(OutgoingRequest(address, "GET", "/", headTimeout = 50.milliseconds)) { }
+                client.exchange(OutgoingRequest(address, RequestLine("GET", "/"), headTimeout = 50.milliseconds)) { }
                     .leftOrNull().shouldBeInstanceOf<ExchangeFailure.Lost>()
             }
         }
--- a/src/test/kotlin/figdeck/http/LateCopySpec.kt
+++ b/src/test/kotlin/figdeck/http/LateCopySpec.kt
@@ -2,6 +2,7 @@
 
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.model.Address
 import figdeck.process.eventually
 import io.kotest.core.spec.style.DescribeSpec
@@ -37,7 +38,7 @@
 )
 
 private suspend fun HttpClient.call(address: Address): Received? = exchange(
-    OutgoingRequest(address, "GET", "/", headTimeout = 2.seconds, idleTimeout = 500.milliseconds)
+    OutgoingRequest(address, RequestLine("GET", "/"), headTimeout = 2.seconds, idleTimeout = 500.milliseconds)
 ) { reply ->
     Received(reply.headers.get("X-Id"), reply.status, reply.body.readAll(MAX_BYTES).getOrNull()?.decodeToString())
 }.getOrNull()
--- a/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
+++ b/src/test/kotlin/figdeck/http/UntrustedResponseSpec.kt
@@ -4,6 +4,7 @@
 import figdeck.http.client.HttpClient
 import figdeck.http.client.LossCause
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.model.Address
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
@@ -28,8 +29,7 @@
 
 private fun get(address: Address) = OutgoingRequest(
     address,
-    "GET",
-    "/",
+    RequestLine("GET", "/"),
     headTimeout = 2.seconds,
     idleTimeout = 2.seconds,
 )
--- a/src/test/kotlin/figdeck/platform/JobMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/platform/JobMessagesSpec.kt
@@ -26,6 +26,43 @@
         }
     }
 
+    // Guards against items that write a request of their own, or that can't be sent and end the loop that runs jobs.
+    describe("a submission whose second item") {
+        for ((fault, item) in mapOf(
+            "has line breaks in its path" to
+                """{"Id":"b","Path":"/notes/1 HTTP/1.1\r\nX-Tenant: other\r\n\r\nPOST /notes/2"}""",
+            "has a space in its path" to """{"Id":"b","Path":"/notes/1 2"}""",
+            "has a character outside ASCII in its path" to """{"Id":"b","Path":"/notes/\u00e9"}""",
+            "has a path without a slash" to """{"Id":"b","Path":"notes/1"}""",
+            "has no path" to """{"Id":"b","Path":""}""",
+            "has a space in a header name" to """{"Id":"b","Path":"/notes/1","Headers":{"X Title":"x"}}""",
+            "has an empty header name" to """{"Id":"b","Path":"/notes/1","Headers":{"":"x"}}""",
+            "has a colon in a header name" to """{"Id":"b","Path":"/notes/1","Headers":{"X-Tenant: other":"x"}}""",
+            "has a line feed in a header value" to
+                """{"Id":"b","Path":"/notes/1","Headers":{"X-Title":"x\nX-Tenant: other"}}""",
+            "has a NUL in a header value" to """{"Id":"b","Path":"/notes/1","Headers":{"X-Title":"x\u0000"}}""",
+            "has a header value that starts with a space" to
+                """{"Id":"b","Path":"/notes/1","Headers":{"X-Title":" x"}}""",
+            "has a carriage return in its id" to """{"Id":"b\r","Path":"/notes/1"}""",
+        )) {
+            it("$fault is refused with the item's position") {
+                val refusal = decodeSubmission(
+                    """{"Requests":[{"Id":"a","Path":"/notes/1"},$item]}""".encodeToByteArray()
+                )
+                (refusal.leftOrNull() as? Refusal.BadRequest)?.path shouldBe "Requests[1]"
+            }
+        }
+    }
+
+    describe("a submission with a tab in a header value and a query in a path") {
+        it("is decoded as it was sent") {
+            val body = """{"Requests":[{"Id":"a","Path":"/notes/1?x=%0A&y=[1]","Headers":{"X-Title":"a\tb c"}}]}"""
+            val item = decodeSubmission(body.encodeToByteArray()).getOrNull()?.single()
+            item?.path shouldBe "/notes/1?x=%0A&y=[1]"
+            item?.headers shouldBe mapOf("X-Title" to "a\tb c")
+        }
+    }
+
     describe("a submission with whole surrogate pairs") {
         it("is decoded as it was sent") {
             val items = decodeSubmission(submission(id = "b$WHOLE_PAIR")).getOrNull()
--- a/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
+++ b/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
@@ -4,6 +4,7 @@
 import figdeck.http.RawUpstream
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.send
 import figdeck.http.untilClosed
@@ -201,7 +202,7 @@
     suspend fun call(method: String, path: String, deadline: Duration): Int {
         val headers = newHeaders().set("Host", HOST).set("X-Attempt-Id", path).set("Authorization", "Bearer $KEY")
             .set("X-Deadline-Ms", deadline.inWholeMilliseconds)
-        return client.exchange(OutgoingRequest(daemon.address, method, path, headers)) { reply ->
+        return client.exchange(OutgoingRequest(daemon.address, RequestLine(method, path), headers)) { reply ->
             reply.body.chunks.collect { }
             reply.status
         }.fold({ 0 }, { it })
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -3,6 +3,7 @@
 import arrow.core.getOrElse
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.model.Address
@@ -176,7 +177,7 @@
         val outgoingHeaders = newHeaders().set("Content-Type", "application/json")
         key?.let { outgoingHeaders.set("Authorization", "Bearer $it") }
         headers.forEach { (name, value) -> outgoingHeaders.set(name, value) }
-        return OutgoingRequest(address, method, target, outgoingHeaders, body.encodeToByteArray())
+        return OutgoingRequest(address, RequestLine(method, target), outgoingHeaders, body.encodeToByteArray())
     }
 
     /** Waits until [daemons] own all shards, and each of them more than half of an equal share. */
--- a/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
+++ b/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
@@ -5,6 +5,7 @@
 import figdeck.cli.Settings
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpHandler
@@ -96,7 +97,7 @@
         val headers = newHeaders()
             .set("Authorization", "Bearer $key")
             .set("traceparent", "00-$CALLER_TRACE-$CALLER_SPAN-01")
-        val request = OutgoingRequest(address, method, target, headers, body.encodeToByteArray())
+        val request = OutgoingRequest(address, RequestLine(method, target), headers, body.encodeToByteArray())
         return client.exchange(request) { reply -> reply.body.readAll(1_000_000).fold({ "" }, { it.decodeToString() }) }
             .fold({ it.reason }, { it })
     }
