Operators' commands encode what they put into a path

What operators saw: `figdeck explain` put the id into the path as typed. An id with a space or a question mark asked for something else, and one with line breaks added a request that the daemon could take for the operator's. A space in other names in a path was sent as `+`, which a path does not decode.

Cause: each command encoded for itself or not at all, with the encoding of forms.

Change: all commands use encodeSegment.

Evidence: ExplainSpec 1 of 2 failed before ("GET /v1/explain/a b/../c?x=1#..."); both pass now.

--- a/src/main/kotlin/figdeck/cli/OperatorCommand.kt
+++ b/src/main/kotlin/figdeck/cli/OperatorCommand.kt
@@ -14,7 +14,6 @@
 import figdeck.wire.command.decodeChangeRefusal
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.runBlocking
-import java.net.URLEncoder
 
 private const val MAX_REPLY_BYTES = 64 * 1024 * 1024
 private const val HTTP_OK = 200
@@ -89,9 +88,6 @@
     }
 }
 
-/** Encodes [value] for use in a path or query. */
-internal fun urlEncode(value: String): String = URLEncoder.encode(value, Charsets.UTF_8)
-
 private fun ChangeErrorDto.detailLines(): List<String> {
     val faultLines = faults.orEmpty().map { "  ${it.path.ifEmpty { "template" }}: ${it.message}" }
     val changeLines = changes.orEmpty().map { "  revision ${it.revision} by ${it.operator}: ${it.summary}" }
--- a/src/main/kotlin/figdeck/cli/command/ChangeCommand.kt
+++ b/src/main/kotlin/figdeck/cli/command/ChangeCommand.kt
@@ -5,7 +5,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import figdeck.cli.EXIT_NOT_CONFIRMED_EVERYWHERE
 import figdeck.cli.OperatorCommand
-import figdeck.cli.urlEncode
+import figdeck.http.client.encodeSegment
 import figdeck.wire.command.ChangeReplyDto
 import figdeck.wire.command.decodeChangeReply
 import java.security.SecureRandom
@@ -21,9 +21,9 @@
         val id = java.lang.Long.toUnsignedString(SecureRandom().nextLong(), CHANGE_ID_RADIX)
         val parameters = listOfNotNull(
             "change=$id",
-            "operator=${urlEncode(operatorOptions.operator)}",
+            "operator=${encodeSegment(operatorOptions.operator)}",
             expectedRevision?.let { "expected=$it" },
-            team?.let { "team=${urlEncode(it)}" },
+            team?.let { "team=${encodeSegment(it)}" },
         )
         val text = sendOrExit(method, "$path?${parameters.joinToString("&")}", body)
         val accepted = decodeChangeReply(text)
--- a/src/main/kotlin/figdeck/cli/command/KeyGroup.kt
+++ b/src/main/kotlin/figdeck/cli/command/KeyGroup.kt
@@ -6,7 +6,7 @@
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.options.option
 import figdeck.cli.query.KeyList
-import figdeck.cli.urlEncode
+import figdeck.http.client.encodeSegment
 import figdeck.model.KeyId
 import figdeck.model.TeamKey
 import figdeck.model.hashKey
@@ -53,7 +53,7 @@
     override fun help(context: Context): String = "Withdraw a key on every host."
 
     override fun run() {
-        submitChange("DELETE", "$KEYS_PATH/${urlEncode(keyId)}", team = team)
+        submitChange("DELETE", "$KEYS_PATH/${encodeSegment(keyId)}", team = team)
     }
 }
 
--- a/src/main/kotlin/figdeck/cli/command/TemplateGroup.kt
+++ b/src/main/kotlin/figdeck/cli/command/TemplateGroup.kt
@@ -8,7 +8,7 @@
 import figdeck.cli.OperatorCommand
 import figdeck.cli.query.TemplateHistory
 import figdeck.cli.query.TemplateShow
-import figdeck.cli.urlEncode
+import figdeck.http.client.encodeSegment
 import figdeck.wire.command.templateName
 
 private const val TEMPLATES_PATH = "/v1/templates"
@@ -41,7 +41,7 @@
 
     override fun run() {
         val text = file.readText()
-        submitChange("PUT", "$TEMPLATES_PATH/${urlEncode(templateName(text) ?: file.nameWithoutExtension)}", text)
+        submitChange("PUT", "$TEMPLATES_PATH/${encodeSegment(templateName(text) ?: file.nameWithoutExtension)}", text)
     }
 }
 
@@ -51,6 +51,6 @@
     override fun help(context: Context): String = "Remove a template."
 
     override fun run() {
-        submitChange("DELETE", "$TEMPLATES_PATH/${urlEncode(template)}")
+        submitChange("DELETE", "$TEMPLATES_PATH/${encodeSegment(template)}")
     }
 }
--- a/src/main/kotlin/figdeck/cli/query/Explain.kt
+++ b/src/main/kotlin/figdeck/cli/query/Explain.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.parameters.arguments.argument
 import figdeck.cli.OperatorCommand
+import figdeck.http.client.encodeSegment
 import figdeck.wire.query.ExplainedStepDto
 import figdeck.wire.query.decodeSteps
 import java.time.Instant
@@ -14,7 +15,8 @@
     override fun help(context: Context): String = "Show what happened to a request."
 
     override fun run() {
-        sendAndPrint("GET", "/v1/explain/$request") { text -> decodeSteps(text).map { it.summaryLine() } }
+        val target = "/v1/explain/${encodeSegment(request)}"
+        sendAndPrint("GET", target) { text -> decodeSteps(text).map { it.summaryLine() } }
     }
 }
 
--- a/src/main/kotlin/figdeck/cli/query/TemplateQueries.kt
+++ b/src/main/kotlin/figdeck/cli/query/TemplateQueries.kt
@@ -8,7 +8,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import figdeck.cli.OperatorCommand
 import figdeck.cli.formatTable
-import figdeck.cli.urlEncode
+import figdeck.http.client.encodeSegment
 import figdeck.wire.query.decodeHistory
 import figdeck.wire.query.decodeTemplateList
 import java.time.Instant
@@ -24,7 +24,7 @@
         if (name == null) {
             sendAndPrint("GET", "/v1/templates") { templateTable(it) }
         } else {
-            sendAndPrint("GET", "/v1/templates/${urlEncode(name)}") { listOf(it) }
+            sendAndPrint("GET", "/v1/templates/${encodeSegment(name)}") { listOf(it) }
         }
     }
 }
