Paths of plain services are forwarded encoded

What callers saw: a call to /v1/services/ROUTE/... whose path holds an encoded line break or space reached the service with the decoded characters in its request line, beside figdeck's own credential: lines of the caller's choice.

Cause: the handler stores and forwards the decoded path.

Change: the handler encodes it again.

--- a/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
+++ b/src/main/kotlin/figdeck/traffic/command/ServiceHandler.kt
@@ -10,6 +10,7 @@
 import figdeck.daemon.command.startCall
 import figdeck.daemon.query.KeyGuard
 import figdeck.daemon.query.authorizeRoute
+import figdeck.http.client.encodePath
 import figdeck.http.newHeaders
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -50,7 +51,7 @@
     val service = Work.ServiceCall(
         route = access.route.name,
         method = call.method,
-        path = "/" + routePath.substringAfter('/', ""),
+        path = "/" + encodePath(routePath.substringAfter('/', "")),
         contentType = call.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty(),
         body = text,
         idempotent = access.route.idempotent,
--- a/src/test/kotlin/figdeck/process/EndToEndSpec.kt
+++ b/src/test/kotlin/figdeck/process/EndToEndSpec.kt
@@ -116,6 +116,14 @@
             fleet.send(service.address, TestRequest("GET", "/runs")).body shouldBe "1 /check {\"herd\":1}"
         }
 
+        // Guards against a path that ends the request line at the service and adds lines of the caller's choice.
+        it("forward a path with an encoded line break to the service as a path") {
+            val target = "/v1/services/slots/a%20b%0D%0AX-Team:%20c"
+            val response = fleet.send(daemons[0].address, TestRequest("POST", target, "{}", STADO_KEY))
+            response.status shouldBe 200
+            response.body shouldBe "{\"path\":\"/a b\r\nX-Team: c\",\"free\":true,\"run\":1}"
+        }
+
         it("run a batch job and serve its results from either host") {
             val broken = """{"custom_id":"broken","body":{"model":"walks","max_tokens":"many"}}"""
             val lines = listOf(batchLine("a", "Any slot?"), broken, "{", batchLine("b", "Any slot?", 1_000_000))
--- a/src/test/kotlin/figdeck/upstream/command/HttpServiceSpec.kt
+++ b/src/test/kotlin/figdeck/upstream/command/HttpServiceSpec.kt
@@ -13,9 +13,14 @@
 import figdeck.model.UpstreamKind
 import figdeck.model.Work
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.delay
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.milliseconds
 
 class HttpServiceSpec : DescribeSpec({
     val eventLoops = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
@@ -41,4 +46,24 @@
             }
         }
     }
+
+    // Guards against a call, stored with its caller's decoded path, that sends another request with our credential.
+    describe("a call of a plain service whose row holds a path with line breaks") {
+        it("is not sent") {
+            val lines = CopyOnWriteArrayList<String>()
+            RawUpstream { request, socket ->
+                lines += request.head.first()
+                socket.send(wholeResponse(""))
+            }.use {
+                val upstream =
+                    Upstream(UpstreamId("u"), it.address, DataCentre("a"), UpstreamKind.SERVICE, 1, false)
+                val path = "/a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nX: "
+                val call = Work.ServiceCall(RouteName("desk"), "GET", path, "text/plain", "", idempotent = true)
+                val result = callOverHttp(client, "credential", upstream, RequestId("first"), call)
+                delay(200.milliseconds)
+                lines shouldBe emptyList()
+                result.shouldBeInstanceOf<CallResult.NotDone>()
+            }
+        }
+    }
 })
