--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -14,6 +14,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -106,6 +107,16 @@
                 .leftOrNull().shouldBeInstanceOf<ExchangeFailure.NotSent>()
         }
 
+        // Guards against headers that were made without checks.
+        it("sends no header that adds another one") {
+            withServer(echo) { address ->
+                val headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders()
+                headers.set("X-Title", "x\r\nX-Tenant: a")
+                val request = OutgoingRequest(address, RequestLine("GET", "/"), headers)
+                client.exchange(request) { }.leftOrNull().shouldBeInstanceOf<ExchangeFailure.NotSent>()
+            }
+        }
+
         it("fails with Lost if the peer closes the connection in the middle of a response") {
             val failing: HttpHandler = { _, responder ->
                 responder.start(200, newHeaders())
