Give items up only by a configuration that was read and is new enough

What callers saw: after all hosts had been killed and started again while the table of the configuration could not be read, all 10 items of a batch job were listed as dead_letter, though their route was in force.

Cause: "no configuration was read" and "the configuration has no such route" gave the same null, which gave the item up. A host whose configuration is older than the one under which another host accepted the job gave it up in the same way.

The route of a job is now looked up in one place that returns NotRead, Absent with the version, or Present. Only Absent gives up. The record of a job has a new optional field, the version of the configuration under which it was accepted; an older configuration counts as not read. Older releases ignore the field. The same cause elsewhere: a record that can't be decoded no longer counts as missing (404), and a job table that was not read no longer counts as no waiting tokens (503 until it is read).

--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -12,12 +12,15 @@
 import figdeck.command.serving.emptyPoolMembers
 import figdeck.command.serving.emptySharedLimits
 import figdeck.command.serving.singleMemberFleet
+import figdeck.model.Known
 import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
+import figdeck.model.serving.JobRecord
 import figdeck.model.serving.PlannedStop
 import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.noCrashRisks
 import figdeck.query.serving.PlanIndex
 import figdeck.query.serving.planIndexOf
@@ -45,6 +48,10 @@
 internal val ServingState.hasRequiredData: Boolean
     get() = index != null && pools.members.isNotEmpty() && fleet.scan != null
 
+/** The route of the job [record], by a plan that is at least as new as the one under which the job was accepted. */
+internal fun ServingState.routeOf(record: JobRecord): Known<ServingRoute> =
+    index?.route(record.route, record.planVersion) ?: Known.NotRead
+
 /** The initial state of the daemon [self]. */
 public fun initialServingState(self: FleetMember): ServingState = ServingState(
     index = null,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.jobs
 
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.control.serving.routeOf
 import figdeck.daemon.command.serving.ExecutionStatus
 import figdeck.daemon.command.serving.HeldPermit
 import figdeck.daemon.command.serving.RelayResult
@@ -9,6 +10,7 @@
 import figdeck.daemon.command.serving.ending
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.model.Clock
+import figdeck.model.Known
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
 import figdeck.model.serving.JobItem
@@ -74,17 +76,25 @@
     private var losses = 0
     private var spent = Duration.ZERO
 
-    /** Runs the item until its output is complete or it is given up. Returns null while its prompt is quarantined. */
+    /**
+     * Runs the item until its output is complete or it is given up. Returns null while its prompt is quarantined, or
+     * while no plan that may decide about the job is in force here.
+     */
     suspend fun run(): JobResult? {
         var result: JobResult? = null
         var isHeld = false
         while (result == null && !isHeld) {
-            val route = services.control.snapshot.index?.routesByName?.get(record.route)
-            isHeld = services.crashGuard.holdOf(sharedParts) != null
-            result = when {
-                route == null || route.isExpired(record.age(services.clock())) -> giveUp("expired or route removed")
-                isHeld -> null
-                else -> tryOnce(route)
+            when (val route = services.control.snapshot.routeOf(record)) {
+                Known.NotRead -> isHeld = true
+                is Known.Absent -> result = giveUp("route removed, plan ${route.version}")
+                is Known.Present -> {
+                    isHeld = services.crashGuard.holdOf(sharedParts) != null
+                    result = when {
+                        route.value.isExpired(record.age(services.clock())) -> giveUp("expired")
+                        isHeld -> null
+                        else -> tryOnce(route.value)
+                    }
+                }
             }
         }
         return result
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -8,6 +8,7 @@
 import figdeck.model.ABSENT
 import figdeck.model.CallResult
 import figdeck.model.CommitReply
+import figdeck.model.Row
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
@@ -90,10 +91,13 @@
         }
     }
 
-    /** Reads the record of [id]. */
-    suspend fun read(id: JobId): CallResult<VersionedJob?> = store.queries.readRow(jobRecordKey(id)).map { found ->
-        found.value?.let { row ->
-            decodeJobRecord(id.value, row.value).orWarn(log)?.let { VersionedJob(it, row.version) }
+    /** Reads the record of [id]; null if there is none. A record that can't be decoded counts as not read. */
+    suspend fun read(id: JobId): CallResult<VersionedJob?> {
+        val found = store.queries.readRow(jobRecordKey(id))
+        return when (found) {
+            is CallResult.NotDone -> found
+            is CallResult.Unknown -> found
+            is CallResult.Done -> found.value.value?.let { row -> versionedJob(id, row) } ?: CallResult.Done(null)
         }
     }
 
@@ -137,6 +141,10 @@
         }
     }
 
+    private fun versionedJob(id: JobId, row: Row): CallResult<VersionedJob> =
+        decodeJobRecord(id.value, row.value).orWarn(log)?.let { CallResult.Done(VersionedJob(it, row.version)) }
+            ?: CallResult.NotDone("the record of job $id can't be decoded")
+
     private suspend fun readObject(record: JobRecord): String? =
         store.queries.readObject(itemObjectKey(record.id)).valueOrNull()?.value?.decodeToString()
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -26,12 +26,17 @@
 private val STORE_RETRY_AFTER = 500.milliseconds
 private val TOKENS_RETRY_AFTER = 2.seconds
 
-/** A batch job as submitted by a caller. */
+/**
+ * A batch job as submitted by a caller.
+ *
+ * @property planVersion the version of the plan that allows it; null if that is unknown.
+ */
 internal data class Submission(
     val id: JobId,
     val team: ServingTeam,
     val route: ServingRoute,
     val items: List<JobItem>,
+    val planVersion: Long? = null,
 )
 
 /** Stores [submission] durably or refuses it. A job that is already stored is accepted again. */
@@ -39,9 +44,12 @@
     val known = control.snapshot.jobs.jobs[submission.id]
     val now = clock()
     val newRecord = recordOf(submission, now)
+    val limit = submission.route.batch?.maxWaitingTokens
     return when {
         known != null -> acceptIfSameTeam(known, submission)
-        !reserve(newRecord, submission.route.batch?.maxWaitingTokens) ->
+        limit != null && control.snapshot.jobs.lastUpdateAt == null ->
+            Refusal.StoreUnavailable(STORE_RETRY_AFTER).left()
+        !reserve(newRecord, limit) ->
             Refusal.RateLimited(submission.team.id, TOKENS_RETRY_AFTER).left()
         else -> persist(newRecord, submission, now).also { releaseReservation(newRecord.id) }
     }
@@ -59,6 +67,7 @@
     owner = self,
     chunks = 0,
     writeId = newWriteId(),
+    planVersion = submission.planVersion,
 )
 
 /** Reserves the job's tokens as waiting and returns true if they fit within [limit]. */
--- a/src/main/kotlin/figdeck/model/serving/JobRecord.kt
+++ b/src/main/kotlin/figdeck/model/serving/JobRecord.kt
@@ -18,6 +18,7 @@
  * @property results the number of results; they are stored at the positions below this number.
  * @property isEnded whether the caller ended the job.
  * @property chunks the number of rows in which its items are stored.
+ * @property planVersion the version of the plan under which it was accepted; null if an older release wrote the record.
  * @property writeId unique for each write, so that a write whose reply was lost can be recognized.
  */
 public data class JobRecord(
@@ -32,6 +33,7 @@
     public val owner: JobOwner,
     public val chunks: Int,
     public val writeId: String,
+    public val planVersion: Long? = null,
 )
 
 /** Whether the job has items that still need to be run. */
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -66,7 +66,7 @@
     ): Either<Refusal, Submission> {
         val team = access.team ?: return Refusal.MissingKey.left()
         return jobId(headers.id).flatMap { id ->
-            decodeSubmission(body).map { items -> Submission(id, team, access.route, items) }
+            decodeSubmission(body).map { items -> Submission(id, team, access.route, items, access.planVersion) }
         }
     }
 
--- a/src/main/kotlin/figdeck/query/serving/PlanIndex.kt
+++ b/src/main/kotlin/figdeck/query/serving/PlanIndex.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import figdeck.model.KeyHash
+import figdeck.model.Known
 import figdeck.model.Refusal
 import figdeck.model.TeamId
 import figdeck.model.hashKey
@@ -19,10 +20,16 @@
 public data class PlanIndex(
     public val plan: ServingPlan,
     public val routesByHost: Map<String, List<ServingRoute>>,
-    public val routesByName: Map<String, ServingRoute>,
+    private val routesByName: Map<String, ServingRoute>,
     public val teams: Map<TeamId, ServingTeam>,
     public val teamsByKey: Map<KeyHash, ServingTeam>,
-)
+) {
+    /** The route [name] for work that was accepted under the plan version [acceptedUnder]; null if that is unknown. */
+    public fun route(name: String, acceptedUnder: Long?): Known<ServingRoute> = when {
+        acceptedUnder != null && plan.version < acceptedUnder -> Known.NotRead
+        else -> routesByName[name]?.let { Known.Present(it) } ?: Known.Absent(plan.version)
+    }
+}
 
 /** Builds the index of [plan]. */
 public fun planIndexOf(plan: ServingPlan): PlanIndex = PlanIndex(
@@ -35,10 +42,15 @@
     teamsByKey = plan.teams.flatMap { team -> team.keys.map { it to team } }.toMap(),
 )
 
-/** A route and the team that uses it, or no team if the route is open. */
+/**
+ * A route and the team that uses it, or no team if the route is open.
+ *
+ * @property planVersion the version of the plan that allows it; null if that is unknown.
+ */
 public data class RouteAccess(
     public val route: ServingRoute,
     public val team: ServingTeam?,
+    public val planVersion: Long? = null,
 )
 
 /** The route for a request to [path] on [host], with the team that [key] belongs to. */
@@ -46,8 +58,8 @@
     val route = routesByHost[host.lowercase()]?.find { path.startsWith(it.prefix) }
     return when {
         route == null -> Refusal.NotFound("a route for $host$path").left()
-        route.open -> RouteAccess(route, null).right()
-        else -> teamOf(key).map { RouteAccess(route, it) }
+        route.open -> RouteAccess(route, null, plan.version).right()
+        else -> teamOf(key).map { RouteAccess(route, it, plan.version) }
     }
 }
 
--- a/src/main/kotlin/figdeck/wire/serving/JobRecordCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobRecordCodec.kt
@@ -27,6 +27,7 @@
     val incarnation: String,
     val chunks: Int,
     val writeId: String,
+    val planVersion: Long? = null,
 )
 
 /** The key of the row that holds the record of [id]. */
@@ -45,6 +46,7 @@
         incarnation = record.owner.incarnation,
         chunks = record.chunks,
         writeId = record.writeId,
+        planVersion = record.planVersion,
     )
     return lenientJson.encodeToString(JobRecordDto.serializer(), dto)
 }
@@ -63,5 +65,6 @@
             owner = JobOwner(HostId(dto.owner), dto.incarnation),
             chunks = dto.chunks,
             writeId = dto.writeId,
+            planVersion = dto.planVersion,
         )
     }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -7,6 +7,7 @@
 import figdeck.command.serving.VersionedJob
 import figdeck.command.serving.planStop
 import figdeck.control.serving.adoptPlan
+import figdeck.control.serving.updateJobs
 import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.MemoryBackends
 import figdeck.daemon.command.serving.CrashGuard
@@ -24,6 +25,9 @@
 import figdeck.http.newHeaders
 import figdeck.log.DecisionLog
 import figdeck.model.CallResult
+import figdeck.model.Refusal
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
 import figdeck.model.TeamId
 import figdeck.model.serving.BatchPolicy
 import figdeck.model.serving.CallKind
@@ -33,16 +37,20 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.ServingTeam
 import figdeck.model.serving.servingPlan
 import figdeck.model.systemClock
 import figdeck.platform.sharedPartsOf
 import figdeck.process.eventually
 import figdeck.store.Store
+import figdeck.wire.serving.jobRecordKey
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
@@ -52,9 +60,11 @@
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val EVENTS = 5L
@@ -128,10 +138,16 @@
     sharedParts = ::sharedPartsOf,
 )
 
-private suspend fun <R> onHost(name: String, store: Store, engine: FakeEngine, use: suspend (JobServices) -> R): R =
+private suspend fun <R> onHost(
+    name: String,
+    store: Store,
+    engine: FakeEngine,
+    known: ServingPlan? = plan,
+    use: suspend (JobServices) -> R,
+): R =
     TestHost(fleetMember(name)).use { host ->
         host.setView(emptyList(), listOf(poolMember(PoolName("engines"), "engine-1")))
-        host.control.run { state, _ -> adoptPlan(state, plan) }
+        known?.let { host.control.run { state, _ -> adoptPlan(state, it) } }
         use(host.jobServices(store, engine))
     }
 
@@ -206,6 +222,45 @@
         }
     }
 
+    // Guards against items that are given up because the host does not know their route yet.
+    describe("a job that was accepted under version 7 of the configuration") {
+        suspend fun outputs(known: ServingPlan?, later: ServingPlan?, acceptedUnder: Long? = 7): List<String> {
+            val store = MemoryBackends().platform(FaultInjector(null))
+            val jobs = JobStore(store)
+            val created = jobs.create(record.copy(planVersion = acceptedUnder), items) as RecordWrite.Written
+            onHost("host-1", store, FakeEngine(last = EVENTS), known) { services ->
+                val run = CoroutineScope(Dispatchers.Default).launch { services.runJob(created.job, Semaphore(4)) }
+                delay(500.milliseconds)
+                later?.let { services.control.run { state, _ -> adoptPlan(state, it) } }
+                withTimeoutOrNull(5.seconds) { run.join() }
+                run.cancelAndJoin()
+            }
+            return (jobs.readResults(id, 0) as CallResult.Done).value.map { it.output }
+        }
+
+        val withRoute = plan.copy(version = 7)
+        fun withoutRoute(version: Long) = plan.copy(version = version, routes = emptyList())
+
+        it("is run by a host that reads the configuration only after the job") {
+            outputs(known = null, later = withRoute) shouldContainExactly listOf(wholeOutput, wholeOutput)
+        }
+
+        it("is run by a host whose configuration was older and had no such route") {
+            outputs(known = withoutRoute(6), later = withRoute) shouldContainExactly listOf(wholeOutput, wholeOutput)
+        }
+
+        it("waits at a host that reads no configuration") {
+            outputs(known = null, later = null).shouldBeEmpty()
+        }
+
+        it("is given up by a host whose configuration no longer has the route") {
+            outputs(known = withRoute, later = null, acceptedUnder = null) shouldContainExactly
+                listOf(wholeOutput, wholeOutput)
+            outputs(known = withoutRoute(8), later = null) shouldContainExactly listOf("", "")
+            outputs(known = null, later = withoutRoute(7)) shouldContainExactly listOf("", "")
+        }
+    }
+
     // Guards against jobs that a host takes over shortly before it ends, and that wait for yet another owner then.
     describe("a job whose owner is lost") {
         suspend fun ownerAfterTakeOver(isStopping: Boolean): String {
@@ -235,6 +290,34 @@
         }
     }
 
+    // Guards against jobs beyond a team's limit while the jobs that wait are not known yet.
+    describe("a job of a team that may have 10 tokens waiting, at a host that has not read the job table") {
+        it("is not refused for good, nor accepted, until the waiting jobs are known") {
+            val store = MemoryBackends().platform(FaultInjector(null))
+            val route = plan.routes.single().copy(batch = BatchPolicy(18.seconds, 60.seconds, 10))
+            val submission = Submission(id, ServingTeam(record.team, emptySet(), null, null), route, items.take(1))
+            onHost("host-1", store, FakeEngine(last = EVENTS)) { services ->
+                services.submit(submission).leftOrNull().shouldBeInstanceOf<Refusal.StoreUnavailable>()
+                (JobStore(store).read(id) as CallResult.Done).value shouldBe null
+                services.control.run { state, now -> updateJobs(state) { it.copy(lastUpdateAt = now) } }
+                services.submit(submission) shouldBe Unit.right()
+            }
+        }
+    }
+
+    // Guards against 404 for a job whose record this release can't read.
+    describe("a job whose record can't be decoded") {
+        it("is not reported as unknown") {
+            val store = MemoryBackends().platform(FaultInjector(null))
+            store.commands.commit(TableTransaction(emptyList(), listOf(RowWrite(jobRecordKey(id), "{}"))))
+            onHost("host-1", store, FakeEngine(last = EVENTS)) { services ->
+                services.readResults(id, record.team, 0, Duration.ZERO).leftOrNull()
+                    .shouldBeInstanceOf<Refusal.StoreUnavailable>()
+                services.endJob(id, record.team).leftOrNull().shouldBeInstanceOf<Refusal.StoreUnavailable>()
+            }
+        }
+    }
+
     describe("a host that has read the first result of a job") {
         it("returns all results that are stored since, from the first one on") {
             val store = MemoryBackends().platform(FaultInjector(null))
--- a/src/test/kotlin/figdeck/wire/serving/JobResultCodecSpec.kt
+++ b/src/test/kotlin/figdeck/wire/serving/JobResultCodecSpec.kt
@@ -23,6 +23,14 @@
                 id, TeamId("t"), "r", 17, 12, 900, 3, false, JobOwner(HostId("h"), "i"), 2, "w",
             )
             decodeJobRecord(id.value, encodeJobRecord(record)) shouldBe record.right()
+            val versioned = record.copy(planVersion = 7)
+            decodeJobRecord(id.value, encodeJobRecord(versioned)) shouldBe versioned.right()
+        }
+
+        it("is decoded without the version of the configuration, and with fields of a later release") {
+            val stored = """{"team":"t","route":"r","submittedAt":17,"total":12,"tokens":900,"results":3,""" +
+                """"ended":false,"owner":"h","incarnation":"i","chunks":2,"writeId":"w","added":1}"""
+            decodeJobRecord(id.value, stored).map { it.planVersion } shouldBe null.right()
         }
     }
 
