Size writes to the store as sent, and split those that it refuses for good

What callers saw: the items of a batch job finished while the store was down; when it was back, 2 of 24 results were listed, and no others.

Cause: a call holds 100 entries and 1 MB. A write of results took up to 300,000 UTF-16 characters; what is sent is Base64 of UTF-8, 1.2 MB for characters of three bytes. The 413 counted as a lost reply, so the same write was repeated without end, before all later ones.

Sizes are now counted as sent, in one place, for results, items of a submission and unfinished outputs; pages of results count bytes too. The limit of an item's output counts bytes of JSON, so that the longest result fits one write. A refusal that repeating can't change (400, 413) is a case of its own: writes of results and of unfinished outputs are halved down to one, and one that is refused by itself is logged as an error and holds up no other. Its item is listed as dead_letter once it may be given up.

--- a/src/main/kotlin/figdeck/command/journal/SettleGroup.kt
+++ b/src/main/kotlin/figdeck/command/journal/SettleGroup.kt
@@ -24,7 +24,7 @@
             is CommitReply.Committed -> settledAsDurable(state, group, decided.version)
             is CommitReply.Conflict -> settleConflict(state, group, decided.keys.toSet())
         }
-        is CallResult.NotDone -> Step(
+        is CallResult.NotDone, is CallResult.Refused -> Step(
             if (group.inDoubt) state.backedOff(now) else requeuedAfterFailure(state, group, now),
             emptyList()
         )
@@ -40,7 +40,7 @@
             val row = reply.value
             if (row?.value == group.tag) settledAsDurable(state, group, row.version) else settledAsFenced(state, group)
         }
-        is CallResult.NotDone, is CallResult.Unknown -> Step(state.backedOff(now), emptyList())
+        is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown -> Step(state.backedOff(now), emptyList())
     }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/ClaimJournal.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ClaimJournal.kt
@@ -52,6 +52,7 @@
             is CommitReply.Conflict -> readBackClaim(platform, key, owner).bind()
         }
         is CallResult.NotDone -> raise(ClaimFailure(reply.reason))
+        is CallResult.Refused -> raise(ClaimFailure(reply.reason))
         is CallResult.Unknown -> readBackClaim(platform, key, owner).bind()
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/CommitUntilDecided.kt
+++ b/src/main/kotlin/figdeck/daemon/command/CommitUntilDecided.kt
@@ -66,5 +66,5 @@
 private suspend fun readOutcome(store: ConfigurationStore, change: ConfigurationChange): ChangeOutcome? =
     when (val read = store.platform.queries.readChange(change.revision)) {
         is CallResult.Done -> if (read.value?.id == change.id) ChangeOutcome.ACCEPTED else ChangeOutcome.OVERTAKEN
-        is CallResult.NotDone, is CallResult.Unknown -> null
+        is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown -> null
     }
--- a/src/main/kotlin/figdeck/daemon/command/RenewLease.kt
+++ b/src/main/kotlin/figdeck/daemon/command/RenewLease.kt
@@ -49,7 +49,7 @@
     val plan = decide { state, now -> planRenewal(state, incarnation, now) } ?: return
     when (val reply = platform.commitRenewal(plan)) {
         is CallResult.Done -> applyReply(plan, reply.value)
-        is CallResult.NotDone -> change { state, _ -> withdrawRenewal(state, plan) }
+        is CallResult.NotDone, is CallResult.Refused -> change { state, _ -> withdrawRenewal(state, plan) }
         is CallResult.Unknown -> resolveRenewals()
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/ServeCall.kt
@@ -134,7 +134,7 @@
         val upstream = permit.upstream.id
         when (val result = attemptCall(record, permit, call, attempts).bind()) {
             is CallResult.Done -> answer = result.value
-            is CallResult.NotDone -> failures = failures.withNotRun(upstream)
+            is CallResult.NotDone, is CallResult.Refused -> failures = failures.withNotRun(upstream)
             is CallResult.Unknown -> failures = failures.withLost(upstream)
         }
     }
@@ -181,11 +181,12 @@
 
 private fun CallResult<ServiceResponse>.slotOutcome(): SlotOutcome = when (this) {
     is CallResult.Done -> SlotOutcome.ANSWERED
-    is CallResult.NotDone, is CallResult.Unknown -> SlotOutcome.FAILED
+    is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown -> SlotOutcome.FAILED
 }
 
 private fun CallResult<ServiceResponse>.describe(): String = when (this) {
     is CallResult.Done -> "answered: ${value.status}"
     is CallResult.NotDone -> "not sent: $reason"
+    is CallResult.Refused -> "not run: $reason"
     is CallResult.Unknown -> "lost: $reason"
 }
--- a/src/main/kotlin/figdeck/daemon/command/batch/Retry.kt
+++ b/src/main/kotlin/figdeck/daemon/command/batch/Retry.kt
@@ -17,7 +17,7 @@
 ): CallResult<T> {
     var backoff = tuning.initialBackoff
     var result = call()
-    while (result !is CallResult.Done && shouldRetry()) {
+    while (result !is CallResult.Done && result !is CallResult.Refused && shouldRetry()) {
         delay(backoff)
         backoff = nextBackoff(backoff)
         result = call()
@@ -63,7 +63,8 @@
         platform.commands.commit(transaction).also { anyUnknown = anyUnknown || it is CallResult.Unknown }
     }
     return when (reply) {
-        is CallResult.NotDone, is CallResult.Unknown -> if (anyUnknown) CommitOutcome.Unknown else CommitOutcome.NotDone
+        is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown ->
+            if (anyUnknown) CommitOutcome.Unknown else CommitOutcome.NotDone
         is CallResult.Done -> when (val commitReply = reply.value) {
             is CommitReply.Committed -> CommitOutcome.Committed(commitReply.version)
             is CommitReply.Conflict -> if (anyUnknown) readBack(shouldRetry, readVersion) else CommitOutcome.Conflicted
@@ -76,5 +77,5 @@
     readVersion: suspend () -> CallResult<Lookup<Long>>,
 ): CommitOutcome = when (val read = retryWhile(shouldRetry, readVersion)) {
     is CallResult.Done -> read.value.value?.let { CommitOutcome.Committed(it) } ?: CommitOutcome.Conflicted
-    is CallResult.NotDone, is CallResult.Unknown -> CommitOutcome.Unknown
+    is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown -> CommitOutcome.Unknown
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/EndJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/EndJob.kt
@@ -24,7 +24,7 @@
     while (result == null) {
         result = when (val read = store.read(id)) {
             is CallResult.Done -> tryEndOnce(read.value, id, team, writeId)
-            is CallResult.NotDone, is CallResult.Unknown -> null
+            is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown -> null
         }
         if (result == null && clock() - startedAt > STORE_TIMEOUT) {
             result = Refusal.StoreUnavailable(RETRY_AFTER).left()
@@ -57,6 +57,7 @@
             updateJobDirectory(written.job)
             Unit.right()
         }
+        is RecordWrite.Refused -> Refusal.StoreUnavailable(RETRY_AFTER).left()
         is RecordWrite.Superseded, is RecordWrite.NotDone, is RecordWrite.Unknown -> null
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -7,13 +7,14 @@
 import figdeck.model.serving.ItemProgress
 import figdeck.model.serving.withEvent
 import figdeck.wire.serving.SseEvent
+import figdeck.wire.serving.jsonBytes
 import kotlinx.coroutines.flow.collect
 import kotlinx.coroutines.flow.transformWhile
 import kotlin.time.Duration
 
 /**
- * The largest size of an output: many times that of a sound one, and so small that the outputs of all items that a host
- * runs at once fit into a small heap.
+ * The largest size of an output, in bytes of JSON, so that its result fits into one write to the store: several times
+ * that of a sound one, and so small that the outputs of all items that a host runs at once fit into a small heap.
  */
 private const val MAX_OUTPUT_SIZE = 512 * 1024
 
@@ -91,4 +92,4 @@
     }
 }
 
-private fun sizeOf(data: String): Int = data.length + EVENT_SIZE
+private fun sizeOf(data: String): Int = jsonBytes(data) + EVENT_SIZE
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -233,7 +233,7 @@
 }
 
 /** Whether items of a job submitted [age] ago may be given up. */
-private fun ServingRoute.isExpired(age: Duration): Boolean {
+internal fun ServingRoute.isExpired(age: Duration): Boolean {
     val limit = batch?.abandonAfter ?: return true
     return limit > Duration.ZERO && age > limit
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -19,6 +19,7 @@
 import figdeck.model.serving.JobResult
 import figdeck.model.valueOrNull
 import figdeck.store.Store
+import figdeck.store.command.fitsOneTransaction
 import figdeck.wire.serving.decodeJobItems
 import figdeck.wire.serving.decodeJobRecord
 import figdeck.wire.serving.decodeResult
@@ -34,8 +35,6 @@
 import figdeck.wire.serving.resultPosition
 import figdeck.wire.serving.resultWrites
 
-/** Longer item lists are stored as an object, because a transaction holds one megabyte in Base64. */
-private const val MAX_ITEM_ROW_CHARACTERS = 400_000
 private const val MAX_ITEM_CHUNKS = 90
 private const val RESULT_PAGE_ROWS = 100
 private val log = PartLog("jobs")
@@ -51,6 +50,9 @@
     /** Nothing was written: the store did not execute the transaction. */
     data class NotDone(val reason: String) : RecordWrite
 
+    /** Nothing was written, and repeating the write can't change that. */
+    data class Refused(val reason: String) : RecordWrite
+
     /** The record may have been written, or may still be. */
     data class Unknown(val reason: String) : RecordWrite
 }
@@ -60,7 +62,7 @@
     /** Stores a new job with its items. */
     suspend fun create(record: JobRecord, items: List<JobItem>): RecordWrite {
         val text = encodeJobItems(items)
-        val inRows = text.length <= MAX_ITEM_ROW_CHARACTERS
+        val inRows = fits(record, itemWrites(record.id, text))
         val stored = when {
             inRows -> CallResult.Done(Unit)
             else -> store.commands.putObject(itemObjectKey(record.id), text.encodeToByteArray())
@@ -69,6 +71,7 @@
         return when (stored) {
             is CallResult.Done -> write(record.copy(chunks = rows.size), ABSENT, rows)
             is CallResult.NotDone -> RecordWrite.NotDone(stored.reason)
+            is CallResult.Refused -> RecordWrite.Refused(stored.reason)
             // An object without a record is not part of any job, so the job was not created.
             is CallResult.Unknown -> RecordWrite.NotDone(stored.reason)
         }
@@ -76,13 +79,9 @@
 
     /** Replaces the record at [version] with [record] and executes [otherWrites] in the same transaction. */
     suspend fun write(record: JobRecord, version: Long, otherWrites: List<RowWrite> = emptyList()): RecordWrite {
-        val key = jobRecordKey(record.id)
-        val transaction = TableTransaction(
-            checks = listOf(RowCheck(key, version)),
-            writes = listOf(RowWrite(key, encodeJobRecord(record))) + otherWrites,
-        )
-        return when (val reply = store.commands.commit(transaction)) {
+        return when (val reply = store.commands.commit(recordTransaction(record, version, otherWrites))) {
             is CallResult.NotDone -> RecordWrite.NotDone(reply.reason)
+            is CallResult.Refused -> RecordWrite.Refused(reply.reason)
             is CallResult.Unknown -> RecordWrite.Unknown(reply.reason)
             is CallResult.Done -> when (val commitReply = reply.value) {
                 is CommitReply.Committed -> RecordWrite.Written(VersionedJob(record, commitReply.version))
@@ -96,6 +95,7 @@
         val found = store.queries.readRow(jobRecordKey(id))
         return when (found) {
             is CallResult.NotDone -> found
+            is CallResult.Refused -> found
             is CallResult.Unknown -> found
             is CallResult.Done -> found.value.value?.let { row -> versionedJob(id, row) } ?: CallResult.Done(null)
         }
@@ -127,8 +127,13 @@
     fun resultRowWrites(id: JobId, from: Int, results: List<JobResult>): List<RowWrite> =
         results.flatMapIndexed { i, result -> resultWrites(id, from + i, result) }
 
+    /** Whether the store accepts a write of [record] with [otherWrites] by its size. */
+    fun fits(record: JobRecord, otherWrites: List<RowWrite>): Boolean =
+        fitsOneTransaction(recordTransaction(record, ABSENT, otherWrites))
+
     private suspend fun resolveConflict(wanted: JobRecord): RecordWrite = when (val read = read(wanted.id)) {
         is CallResult.NotDone -> RecordWrite.Unknown(read.reason)
+        is CallResult.Refused -> RecordWrite.Unknown(read.reason)
         is CallResult.Unknown -> RecordWrite.Unknown(read.reason)
         is CallResult.Done -> {
             val current = read.value
@@ -141,10 +146,6 @@
         }
     }
 
-    private fun versionedJob(id: JobId, row: Row): CallResult<VersionedJob> =
-        decodeJobRecord(id.value, row.value).orWarn(log)?.let { CallResult.Done(VersionedJob(it, row.version)) }
-            ?: CallResult.NotDone("the record of job $id can't be decoded")
-
     private suspend fun readObject(record: JobRecord): String? =
         store.queries.readObject(itemObjectKey(record.id)).valueOrNull()?.value?.decodeToString()
 
@@ -154,3 +155,15 @@
         return rows?.takeIf { it.size == record.chunks }?.joinToString("") { it.value }
     }
 }
+
+private fun versionedJob(id: JobId, row: Row): CallResult<VersionedJob> =
+    decodeJobRecord(id.value, row.value).orWarn(log)?.let { CallResult.Done(VersionedJob(it, row.version)) }
+        ?: CallResult.NotDone("the record of job $id can't be decoded")
+
+private fun recordTransaction(record: JobRecord, version: Long, otherWrites: List<RowWrite>): TableTransaction {
+    val key = jobRecordKey(record.id)
+    return TableTransaction(
+        checks = listOf(RowCheck(key, version)),
+        writes = listOf(RowWrite(key, encodeJobRecord(record))) + otherWrites,
+    )
+}
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
@@ -3,11 +3,14 @@
 import figdeck.log.PartLog
 import figdeck.model.CallResult
 import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
 import figdeck.model.serving.JobId
 import figdeck.model.serving.OutputSegment
 import figdeck.model.serving.noProgress
 import figdeck.model.serving.segmentFrom
-import figdeck.wire.serving.MAX_ROW_CHARACTERS
+import figdeck.store.command.fitsOneTransaction
+import figdeck.wire.serving.MAX_ROW_BYTES
+import figdeck.wire.serving.jsonBytes
 import figdeck.wire.serving.outputSegmentWrite
 import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
@@ -17,9 +20,15 @@
 /** A lost host loses the output since its last write. The interval is a sixth of the run time of a long item. */
 private val CHECKPOINT_INTERVAL = 1_500.milliseconds
 
-/** Limits the rows of one write, because a transaction holds a hundred rows and one megabyte in Base64. */
+/** Limits the rows of one write, because a transaction holds a hundred rows. */
 private const val MAX_SEGMENTS_PER_WRITE = 24
 private const val MAX_REMOVALS_PER_WRITE = 60
+
+/** What JSON adds to an event besides its data. */
+private const val EVENT_FRAME_BYTES = 3
+
+/** The most bytes of the events of a segment; JSON adds less than a hundred. */
+private const val MAX_SEGMENT_BYTES = MAX_ROW_BYTES - 100
 private val log = PartLog("jobs")
 
 /**
@@ -35,6 +44,7 @@
 ) {
     private val trackedItems = ConcurrentHashMap<Int, TrackedItem>()
     private val obsoleteKeys = ConcurrentLinkedQueue<String>()
+    private var maxSegments = MAX_SEGMENTS_PER_WRITE
 
     /** Returns the output of the item at [position] and includes it in later checkpoints. */
     fun trackOutput(position: Int): ItemOutput {
@@ -63,16 +73,25 @@
     /** Saves the output generated since the last checkpoint and removes obsolete rows. */
     suspend fun checkpoint() {
         val unsaved = trackedItems.mapNotNull { (position, item) ->
-            item.output.progress.segmentFrom(item.savedEventCount, MAX_ROW_CHARACTERS)
+            item.output.progress
+                .segmentFrom(item.savedEventCount, MAX_SEGMENT_BYTES) { jsonBytes(it) + EVENT_FRAME_BYTES }
                 ?.let { UnsavedSegment(position, item, it) }
-        }.take(MAX_SEGMENTS_PER_WRITE)
+        }.take(maxSegments)
         val removals = generateSequence { obsoleteKeys.poll() }.take(MAX_REMOVALS_PER_WRITE).toList()
-        val writes = unsaved.associateWith { outputSegmentWrite(id, it.position, it.segment) }
+        var sent = removals.map { RowWrite(it, null) }
+        val writes = unsaved.map { it to outputSegmentWrite(id, it.position, it.segment) }.takeWhile { (_, write) ->
+            sent = sent + write
+            fitsOneTransaction(TableTransaction(emptyList(), sent))
+        }.toMap()
         if (writes.isEmpty() && removals.isEmpty()) {
             return
         }
         when (val reply = store.write(writes.values + removals.map { RowWrite(it, null) })) {
-            is CallResult.Done -> writes.forEach { (item, write) -> markSaved(item, write.key) }
+            is CallResult.Done -> {
+                maxSegments = MAX_SEGMENTS_PER_WRITE
+                writes.forEach { (item, write) -> markSaved(item, write.key) }
+            }
+            is CallResult.Refused -> onRefused(writes.keys.toList(), removals, reply.reason)
             // The next checkpoint writes the same segments again under the same keys.
             is CallResult.NotDone -> onWriteFailed(reply.reason, removals)
             is CallResult.Unknown -> onWriteFailed(reply.reason, removals)
@@ -90,6 +109,17 @@
         }
     }
 
+    /** Makes the next write smaller, or stops saving an output whose segment is refused by itself. */
+    private fun onRefused(segments: List<UnsavedSegment>, removals: List<String>, reason: String) {
+        maxSegments = (segments.size / 2).coerceAtLeast(1)
+        if (segments.size <= 1) {
+            log.error { "unfinished output of job $id can't be saved: $reason" }
+            segments.forEach { discard(it.position) }
+        }
+        // Rows that can't be removed stay: nothing reads them once the job is done.
+        if (segments.isNotEmpty()) obsoleteKeys.addAll(removals)
+    }
+
     private fun onWriteFailed(reason: String, removals: List<String>) {
         log.debug { "unfinished outputs of job $id were not saved: $reason" }
         obsoleteKeys.addAll(removals)
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -1,8 +1,11 @@
 package figdeck.daemon.command.jobs
 
 import figdeck.command.serving.VersionedJob
+import figdeck.control.serving.routeOf
 import figdeck.log.PartLog
 import figdeck.model.CallResult
+import figdeck.model.Known
+import figdeck.model.RowWrite
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
@@ -21,8 +24,6 @@
 /** How long results are collected for one write. */
 private val RESULT_BATCH_DELAY = 40.milliseconds
 
-/** Once the collected results reach this length, the write takes no more of them. */
-private const val MAX_WRITE_CHARACTERS = 300_000
 private const val MAX_WRITE_RESULTS = 20
 private val QUARANTINE_CHECK_INTERVAL = 1.seconds
 private val partLog = PartLog("jobs")
@@ -42,7 +43,9 @@
                 finished.send(runUntilFinished(itemPermits) { runner.run() })
             }
         }
-        val allWritten = ResultWriter(this@runJob, job, pending, checkpointer).writeAll(finished)
+        val allWritten = ResultWriter(this@runJob, job, pending, checkpointer) { refused ->
+            launch { finished.send(giveUpWhenDue(job.record, refused.item)) }
+        }.writeAll(finished)
         checkpointing.cancel()
         if (allWritten) checkpointer.checkpoint() else runs.forEach { it.cancel() }
     }
@@ -58,6 +61,18 @@
     return result
 }
 
+/** Waits until the item whose result can't be stored may be given up. */
+private suspend fun JobServices.giveUpWhenDue(record: JobRecord, item: String): JobResult {
+    do delay(QUARANTINE_CHECK_INTERVAL) while (!mayGiveUp(record))
+    return JobResult(item, isComplete = false, output = "")
+}
+
+private fun JobServices.mayGiveUp(record: JobRecord): Boolean = when (val route = control.snapshot.routeOf(record)) {
+    Known.NotRead -> false
+    is Known.Absent -> true
+    is Known.Present -> route.value.isExpired(record.age(clock()))
+}
+
 /** Reads the outputs that an earlier owner saved. If they can't be read, the items restart. */
 private suspend fun JobServices.loadProgress(record: JobRecord): Map<Int, SavedOutput> {
     val read = progress.read(record.id)
@@ -97,37 +112,54 @@
     return cache.results(record.id)
 }
 
-/** Stores the results of one job. Each write checks the version of the job's record, so only one owner succeeds. */
+/**
+ * Stores the results of one job. Each write checks the version of the job's record, so only one owner succeeds.
+ *
+ * @param onRefused receives a result that the store refuses even by itself.
+ */
 private class ResultWriter(
     private val services: JobServices,
     job: VersionedJob,
     pending: List<IndexedValue<JobItem>>,
     private val checkpointer: ProgressCheckpointer,
+    private val onRefused: (JobResult) -> Unit,
 ) {
     private var current = job
     private val tokens = pending.associate { it.value.id to it.value.tokens }
     private val positions = pending.associate { it.value.id to it.index }
     private var remaining = pending.size
+    private val waiting = ArrayDeque<JobResult>()
+    private var maxResults = MAX_WRITE_RESULTS
 
     /** Stores the results from [finished]. Returns false if the job was ended or another host owns it now. */
     suspend fun writeAll(finished: Channel<JobResult>): Boolean {
         while (remaining > 0) {
-            val batch = nextBatch(finished)
-            if (!writeBatch(batch)) {
+            collect(finished)
+            if (!writeBatch(nextBatch())) {
                 return false
             }
-            remaining -= batch.size
         }
         return true
     }
 
-    private suspend fun nextBatch(finished: Channel<JobResult>): List<JobResult> {
-        val batch = mutableListOf(finished.receive())
-        delay(RESULT_BATCH_DELAY)
-        while (batch.size < MAX_WRITE_RESULTS && batch.sumOf { it.output.length } < MAX_WRITE_CHARACTERS) {
-            batch += finished.tryReceive().getOrNull() ?: break
+    private suspend fun collect(finished: Channel<JobResult>) {
+        if (waiting.isEmpty()) {
+            waiting += finished.receive()
+            delay(RESULT_BATCH_DELAY)
         }
-        return batch
+        while (waiting.size < MAX_WRITE_RESULTS) {
+            waiting += finished.tryReceive().getOrNull() ?: break
+        }
+    }
+
+    /** The first of the waiting results, as many as one write may hold, and at least one. */
+    private fun nextBatch(): List<JobResult> {
+        val rows = mutableListOf<RowWrite>()
+        val record = current.record
+        return waiting.take(maxResults).withIndex().takeWhile { (i, result) ->
+            rows += services.store.resultRowWrites(record.id, record.results + i, listOf(result))
+            i == 0 || services.store.fits(record, rows)
+        }.map { it.value }
     }
 
     private suspend fun writeBatch(batch: List<JobResult>): Boolean {
@@ -146,6 +178,10 @@
                     true
                 }
                 is RecordWrite.Superseded -> onJobLost(written.current)
+                is RecordWrite.Refused -> {
+                    splitRefused(batch, written.reason)
+                    true
+                }
                 is RecordWrite.NotDone, is RecordWrite.Unknown -> {
                     delay(RETRY_DELAY)
                     null
@@ -155,6 +191,22 @@
         return isWritten
     }
 
+    /** Makes the next write smaller, or takes out a result that is refused by itself. */
+    private fun splitRefused(batch: List<JobResult>, reason: String) {
+        val refused = batch.first()
+        services.log.note("results_refused", refused.item) {
+            put("job", current.record.id.value)
+            put("results", batch.size.toLong())
+            put("reason", reason)
+        }
+        maxResults = (batch.size / 2).coerceAtLeast(1)
+        if (batch.size == 1) {
+            partLog.error { "the result of item ${refused.item} of job ${current.record.id} can't be stored: $reason" }
+            waiting.removeFirst()
+            onRefused(refused)
+        }
+    }
+
     private suspend fun onWritten(job: VersionedJob, batch: List<JobResult>) {
         services.cache.addResults(job.record.id, current.record.results, batch)
         services.log.note("listed", job.record.id.value) {
@@ -162,6 +214,9 @@
             put("total", job.record.total.toLong())
             put("given_up", batch.count { !it.isComplete }.toLong())
         }
+        repeat(batch.size) { waiting.removeFirst() }
+        remaining -= batch.size
+        maxResults = MAX_WRITE_RESULTS
         batch.mapNotNull { positions[it.item] }.forEach { checkpointer.discard(it) }
         current = job
         services.updateJobDirectory(job)
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -85,6 +85,6 @@
     when (written) {
         is RecordWrite.Written -> updateJobDirectory(written.job)
         is RecordWrite.Superseded -> written.current?.let { updateJobDirectory(it) }
-        is RecordWrite.NotDone, is RecordWrite.Unknown -> Unit
+        is RecordWrite.NotDone, is RecordWrite.Refused, is RecordWrite.Unknown -> Unit
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -95,6 +95,8 @@
         result = when (written) {
             is RecordWrite.Written -> acceptWritten(written.job, submission)
             is RecordWrite.Superseded -> written.current?.let { acceptIfSameTeam(it, submission) }
+            is RecordWrite.Refused ->
+                Refusal.BadRequest("job ${record.id}", "the store refuses it, ${written.reason}: split it").left()
             is RecordWrite.NotDone, is RecordWrite.Unknown -> null
         }
         isUncertain = isUncertain || written is RecordWrite.Unknown
--- a/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
+++ b/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
@@ -15,6 +15,7 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.isOpen
+import figdeck.wire.serving.jsonBytes
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,7 +27,10 @@
 private val MAX_DIRECTORY_AGE = 3_500.milliseconds
 
 /** Limits the results in one response, because the platform limits responses to one megabyte. */
-private const val MAX_PAGE_CHARACTERS = 700_000
+private const val MAX_PAGE_BYTES = 900_000
+
+/** What a result adds to a response besides its output, at most. */
+private const val RESULT_FRAME_BYTES = 400
 
 /**
  * A page of a job's results.
@@ -71,7 +75,8 @@
             job?.let { updateJobDirectory(it) }
             if (job == null || job.record.team != team) Refusal.NotFound("job $id").left() else job.record.right()
         }
-        is CallResult.NotDone, is CallResult.Unknown -> Refusal.StoreUnavailable(RETRY_AFTER).left()
+        is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown ->
+            Refusal.StoreUnavailable(RETRY_AFTER).left()
     }
 }
 
@@ -85,8 +90,10 @@
     return record
 }
 
+private val JobResult.pageBytes: Int get() = RESULT_FRAME_BYTES + jsonBytes(output)
+
 private fun JobServices.hasFullPage(id: JobId, after: Int): Boolean =
-    cache.results(id).drop(after).sumOf { it.output.length } > MAX_PAGE_CHARACTERS
+    cache.results(id).drop(after).sumOf { it.pageBytes } > MAX_PAGE_BYTES
 
 private suspend fun JobServices.resultsFrom(record: JobRecord, after: Int): Either<Refusal, List<JobResult>> {
     while (cache.results(record.id).size < record.results && !hasFullPage(record.id, after)) {
@@ -101,10 +108,10 @@
         }
         cache.addResults(record.id, from, found)
     }
-    var characters = 0
+    var bytes = 0
     return cache.results(record.id).drop(after).takeWhile {
-        val isFirst = characters == 0
-        characters += it.output.length
-        isFirst || characters <= MAX_PAGE_CHARACTERS
+        val isFirst = bytes == 0
+        bytes += it.pageBytes
+        isFirst || bytes <= MAX_PAGE_BYTES
     }.right()
 }
--- a/src/main/kotlin/figdeck/log/PartLog.kt
+++ b/src/main/kotlin/figdeck/log/PartLog.kt
@@ -18,6 +18,10 @@
         }
     }
 
+    fun error(message: () -> String) {
+        Logger.error("{}: {}", prefix, message())
+    }
+
     fun error(cause: Throwable, message: () -> String) {
         Logger.error(cause, "{}: {}", prefix, message())
     }
--- a/src/main/kotlin/figdeck/model/serving/ItemProgress.kt
+++ b/src/main/kotlin/figdeck/model/serving/ItemProgress.kt
@@ -44,11 +44,15 @@
     }
 }
 
-/** Returns the events from [offset] on that fit into [maxCharacters], or null if there are none. */
-public fun ItemProgress.segmentFrom(offset: Int, maxCharacters: Int): OutputSegment? {
-    var remaining = maxCharacters
+/** Returns the events from [offset] on that fit into [maxSize], or null if there are none. [sizeOf] measures each. */
+public fun ItemProgress.segmentFrom(
+    offset: Int,
+    maxSize: Int,
+    sizeOf: (String) -> Int = { it.length },
+): OutputSegment? {
+    var remaining = maxSize
     val added = events.drop(offset).takeWhile { event ->
-        remaining -= event.length
+        remaining -= sizeOf(event)
         remaining >= 0
     }
     val firstId = lastEventId?.let { it + 1 - (events.size - offset) }
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -67,6 +67,7 @@
         return when (val reply = send("POST", TRANSACTION_PATH, body)) {
             is CallResult.Done -> decodeCommit(reply.value, transaction)
             is CallResult.NotDone -> reply
+            is CallResult.Refused -> reply
             is CallResult.Unknown -> reply
         }
     }
@@ -129,6 +130,7 @@
         return when (val reply = send("GET", target, timeout = wait + callTimeout)) {
             is CallResult.Done -> decodeChanges(reply.value)
             is CallResult.NotDone -> reply
+            is CallResult.Refused -> reply
             is CallResult.Unknown -> reply
         }
     }
@@ -145,6 +147,7 @@
         return when (val reply = send("GET", target)) {
             is CallResult.Done -> decodePage(table, reply.value)
             is CallResult.NotDone -> reply
+            is CallResult.Refused -> reply
             is CallResult.Unknown -> reply
         }
     }
--- a/src/main/kotlin/figdeck/platform/StoreReplies.kt
+++ b/src/main/kotlin/figdeck/platform/StoreReplies.kt
@@ -13,9 +13,11 @@
 import figdeck.wire.lenientJson
 
 private const val HTTP_OK = 200
+private const val BAD_REQUEST = 400
 private const val NOT_FOUND = 404
 private const val GONE = 410
 private const val PRECONDITION_FAILED = 412
+private const val TOO_LARGE = 413
 private const val TOO_MANY_REQUESTS = 429
 private const val SERVICE_UNAVAILABLE = 503
 
@@ -43,8 +45,9 @@
 
 /** Converts the [status] and [body] of a reply to the result of the call. A null [body] was too long. */
 internal fun toStoreResult(status: Int, body: ByteArray?): CallResult<StoreReply> = when {
-    body == null -> CallResult.Unknown("the store's reply exceeds the size limit")
+    status == BAD_REQUEST || status == TOO_LARGE -> CallResult.Refused("the store answered $status")
     status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE -> CallResult.NotDone("the store answered $status")
+    body == null -> CallResult.Unknown("the store's reply exceeds the size limit")
     status in setOf(HTTP_OK, NOT_FOUND, GONE, PRECONDITION_FAILED) -> CallResult.Done(StoreReply(status, body))
     else -> CallResult.Unknown("the store answered $status")
 }
--- a/src/main/kotlin/figdeck/telemetry/ObservedStore.kt
+++ b/src/main/kotlin/figdeck/telemetry/ObservedStore.kt
@@ -44,5 +44,6 @@
     get() = when (this) {
         is CallResult.Done -> "done"
         is CallResult.NotDone -> "not_done"
+        is CallResult.Refused -> "refused"
         is CallResult.Unknown -> "unknown"
     }
--- a/src/main/kotlin/figdeck/traffic/query/OperatorViews.kt
+++ b/src/main/kotlin/figdeck/traffic/query/OperatorViews.kt
@@ -47,7 +47,8 @@
     val after = Revision(call.parameter("after")?.toLongOrNull()?.coerceAtLeast(0) ?: 0)
     when (val changes = queries.readChanges(after)) {
         is CallResult.Done -> responder.json(encodeHistory(changes.value))
-        is CallResult.NotDone, is CallResult.Unknown -> responder.refuse(Refusal.StoreUnavailable(1.seconds))
+        is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown ->
+            responder.refuse(Refusal.StoreUnavailable(1.seconds))
     }
 }
 
--- a/src/main/kotlin/figdeck/wire/serving/RowParts.kt
+++ b/src/main/kotlin/figdeck/wire/serving/RowParts.kt
@@ -1,10 +1,18 @@
 package figdeck.wire.serving
 
+import figdeck.store.command.utf8Bytes
+
 /**
  * The maximum number of characters of a row's value: a quarter of what a row holds, because a character may take three
  * bytes.
  */
 internal const val MAX_ROW_CHARACTERS = 16_000
+
+/** The maximum number of bytes of a row's value. */
+internal const val MAX_ROW_BYTES = 3 * MAX_ROW_CHARACTERS
+
+/** What the escape of a control character adds to its one byte. */
+private const val ESCAPE_BYTES = 5
 private const val PADDED_NUMBER_DIGITS = 5
 
 /**
@@ -28,3 +36,12 @@
 
 /** Pads [value] with zeros so that keys containing it sort in numeric order. */
 internal fun padded(value: Int): String = value.toString().padStart(PADDED_NUMBER_DIGITS, '0')
+
+/** The bytes in which [text] is encoded within a JSON string, at most. */
+internal fun jsonBytes(text: String): Int = utf8Bytes(text) + text.sumOf { character ->
+    when {
+        character == '"' || character == '\\' -> 1
+        character < ' ' -> ESCAPE_BYTES
+        else -> 0
+    }
+}
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -84,6 +84,7 @@
                     EngineResult.Finished("stop")
                 }
                 is CallResult.NotDone -> EngineResult.NotSent(result.reason)
+                is CallResult.Refused -> EngineResult.NotSent(result.reason)
                 is CallResult.Unknown -> EngineResult.Lost(result.reason)
             }
         },
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -97,19 +97,20 @@
     writeId = "w1",
 )
 
-private fun event(number: Long) = "id: $number\ndata: word $number\n\n".encodeToByteArray()
+private fun event(number: Long, data: String) = "id: $number\ndata: $data\n\n".encodeToByteArray()
 
 /** An engine that sends the events after [SendOptions.resumeAfter], and hangs or breaks off after the event [last]. */
 private class FakeEngine(
     private val last: Long,
     private val isLeaving: Boolean = false,
+    private val data: (Long) -> String = { "word $it" },
 ) {
     val resumedAfter = CopyOnWriteArrayList<Long?>()
 
     val forward: ForwardItem = { _, options, use ->
         resumedAfter += options.resumeAfter
         val chunks = flow {
-            ((options.resumeAfter ?: 0) + 1..minOf(last, EVENTS)).forEach { emit(event(it)) }
+            ((options.resumeAfter ?: 0) + 1..minOf(last, EVENTS)).forEach { emit(event(it, data(it))) }
             if (last < EVENTS) awaitCancellation()
         }
         use(UpstreamReply(ExecutionStatus.RAN, 200, newHeaders(), HttpBody(chunks), isLeaving = isLeaving))
@@ -151,6 +152,9 @@
         use(host.jobServices(store, engine))
     }
 
+private fun TableTransaction.resultRows(): List<String> =
+    writes.filter { it.key.startsWith("jobresult/") }.mapNotNull { it.value }
+
 /** Stores [results] after those that [job] has. */
 private suspend fun JobStore.list(job: VersionedJob, results: List<JobResult>): VersionedJob {
     val known = job.record.results
@@ -290,6 +294,67 @@
         }
     }
 
+    // Guards against writes that are refused for their size and repeated without end.
+    describe("a job of 24 items whose results the store refuses to take in one write") {
+        val many = (1..24).map { JobItem("item-$it", "/notes/1", emptyMap(), ByteArray(0), 1) }
+
+        suspend fun results(
+            limited: LimitedStore,
+            known: ServingPlan = plan,
+            data: (Long) -> String = { "word $it" },
+        ): List<JobResult> {
+            val jobs = JobStore(limited.store)
+            val created = jobs.create(
+                record.copy(total = many.size, submittedAtMillis = System.currentTimeMillis()),
+                many
+            )
+            val engine = FakeEngine(EVENTS, data = data)
+            limited.isDown = true
+            onHost("host-1", limited.store, engine, known) { services ->
+                val run = CoroutineScope(Dispatchers.Default).launch {
+                    services.runJob((created as RecordWrite.Written).job, Semaphore(48))
+                }
+                // The store is back when all items are finished, so that their results are written together.
+                eventually(20.seconds) { engine.resumedAfter.size == many.size }
+                delay(200.milliseconds)
+                limited.isDown = false
+                withTimeoutOrNull(12.seconds) { run.join() }
+                run.cancelAndJoin()
+            }
+            return (jobs.readResults(id, 0) as CallResult.Done).value
+        }
+
+        it("has all of them, though together they are larger than a write may be") {
+            val limited = LimitedStore()
+            val data = "字".repeat(6_000)
+            val found = results(limited) { data }
+            found.map { it.item }.toSet() shouldBe many.map { it.id }.toSet()
+            found.map { it.output }.distinct() shouldContainExactly listOf(List(5) { data }.joinToString("\n"))
+            limited.refused.shouldBeEmpty()
+        }
+
+        it("has all of them, though the store takes less than it says") {
+            val limited = LimitedStore { transaction -> transaction.resultRows().size > 3 }
+            results(limited).map { it.item }.toSet() shouldBe many.map { it.id }.toSet()
+            limited.refused.isEmpty() shouldBe false
+        }
+
+        it("has all but the one that is refused by itself, which is given up only when it may be") {
+            fun isRefused(transaction: TableTransaction) =
+                transaction.resultRows().any { "item-7\"" in it && "word" in it }
+            val limited = LimitedStore { isRefused(it) }
+            val found = results(limited)
+            found.map { it.item }.toSet() shouldBe many.map { it.id }.toSet() - "item-7"
+            found.all { it.isComplete } shouldBe true
+            val short = plan.copy(
+                routes = plan.routes.map { it.copy(batch = BatchPolicy(1.seconds, 9.seconds, null)) },
+            )
+            val all = results(LimitedStore { isRefused(it) }, short)
+            all.size shouldBe many.size
+            all.filterNot { it.isComplete }.map { it.item } shouldContainExactly listOf("item-7")
+        }
+    }
+
     // Guards against jobs beyond a team's limit while the jobs that wait are not known yet.
     describe("a job of a team that may have 10 tokens waiting, at a host that has not read the job table") {
         it("is not refused for good, nor accepted, until the waiting jobs are known") {
--- a/src/test/kotlin/figdeck/platform/UntrustedControlReplySpec.kt
+++ b/src/test/kotlin/figdeck/platform/UntrustedControlReplySpec.kt
@@ -11,6 +11,8 @@
 import figdeck.http.wholeResponse
 import figdeck.model.CallResult
 import figdeck.model.HostId
+import figdeck.model.RowWrite
+import figdeck.model.TableTransaction
 import figdeck.model.TeamId
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
@@ -80,4 +82,25 @@
             }
         }
     }
+
+    // Guards against writes that are repeated without end because a refusal counts as a lost reply.
+    describe("a store that answers a write with a status") {
+        suspend fun resultOf(status: String): CallResult<*> = RawUpstream { _, socket ->
+            socket.send("HTTP/1.1 $status\r\nContent-Length: 0\r\n\r\n")
+        }.use { store ->
+            val write = TableTransaction(emptyList(), listOf(RowWrite("t/a", "1")))
+            StoreClient(client, store.address, 500.milliseconds).store.commands.commit(write)
+        }
+
+        listOf("400 Bad Request", "413 Request Entity Too Large").forEach { status ->
+            it("has refused it for good: $status") {
+                resultOf(status).shouldBeInstanceOf<CallResult.Refused>()
+            }
+        }
+
+        it("has not done it, or may have") {
+            resultOf("503 Service Unavailable").shouldBeInstanceOf<CallResult.NotDone>()
+            resultOf("500 Internal Server Error").shouldBeInstanceOf<CallResult.Unknown>()
+        }
+    }
 })
