--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -69,6 +69,7 @@
         return when (val reply = send("POST", TRANSACTION_PATH, body)) {
             is CallResult.Done -> decodeCommit(reply.value, transaction)
             is CallResult.NotDone -> reply
+            is CallResult.Refused -> reply
             is CallResult.Unknown -> reply
         }
     }
@@ -131,6 +132,7 @@
         return when (val reply = send("GET", target, timeout = wait + callTimeout)) {
             is CallResult.Done -> decodeChanges(reply.value)
             is CallResult.NotDone -> reply
+            is CallResult.Refused -> reply
             is CallResult.Unknown -> reply
         }
     }
@@ -147,6 +149,7 @@
         return when (val reply = send("GET", target)) {
             is CallResult.Done -> decodePage(table, reply.value)
             is CallResult.NotDone -> reply
+            is CallResult.Refused -> reply
             is CallResult.Unknown -> reply
         }
     }
