An error in background work ends the process in place of the loop alone

Cause: launchLoop starts a loop again after an exception or an overflow of the stack. Any other Error, here OutOfMemoryError, ended the loop for good, and nobody saw it; the loop that renews the lease went on.

Change: the scope of each daemon has a handler that passes an Error of background work, with its name, to a function that ends the process with code 70 and writes the reason to standard error. The process is ended, not the loop started again, since after an Error nothing is known of what else was cut short; the platform starts it again and other hosts take over. The JVM's flag was ruled out: it ends the process for an allocation in any request.

--- a/src/main/kotlin/figdeck/cli/Daemon.kt
+++ b/src/main/kotlin/figdeck/cli/Daemon.kt
@@ -10,6 +10,7 @@
 import figdeck.daemon.command.ConfigurationStore
 import figdeck.daemon.command.GroupCommit
 import figdeck.daemon.command.JournalFleetView
+import figdeck.daemon.command.LoopSupervision
 import figdeck.daemon.command.PEER_CONFIGURATION_PATH
 import figdeck.daemon.command.Peer
 import figdeck.daemon.command.Services
@@ -18,12 +19,13 @@
 import figdeck.daemon.command.batch.BatchServices
 import figdeck.daemon.command.batch.runBatches
 import figdeck.daemon.command.deleteLease
+import figdeck.daemon.command.fatalErrorHandler
 import figdeck.daemon.command.groupJournal
 import figdeck.daemon.command.httpPeerConfigurationClient
-import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.leaveFleet
 import figdeck.daemon.command.maintainJournals
 import figdeck.daemon.command.propagate
+import figdeck.daemon.command.startIn
 import figdeck.daemon.command.withoutLeavingUpstreams
 import figdeck.daemon.query.ConfigurationFollower
 import figdeck.daemon.query.lostHosts
@@ -84,6 +86,7 @@
     private val clock: Clock = systemClock,
     random: Random = Random.Default,
     tracer: Tracer = createTracer(settings.host.value, settings.traceEndpoint),
+    supervision: LoopSupervision = LoopSupervision(::endProcess),
 ) : AutoCloseable {
     /** Completes when a planned stop is requested. */
     val stopRequested = CompletableDeferred<Unit>()
@@ -95,7 +98,10 @@
     private val platform = observed(StoreClient(client, settings.platformAddress, STORE_TIMEOUT).store, telemetry)
     private val slots = SlotDispatcher(control, DispatchPolicy(), random)
     private val groupCommit = GroupCommit(control, platform)
-    private val scope = CoroutineScope(eventLoops.next().asCoroutineDispatcher() + SupervisorJob())
+    private val scope = CoroutineScope(
+        eventLoops.next().asCoroutineDispatcher() + SupervisorJob() + fatalErrorHandler(supervision.onFatal),
+    )
+    private val startLoop = supervision.startIn(scope)
     private val fleet = FleetComponents(control, clock, scope, newPeerClient(client, settings), platform, random)
     private val newIncarnation = { random.nextLong().toULong().toString(ID_RADIX) }
     private val services = services(random)
@@ -131,13 +137,13 @@
     /** Starts the listeners and the background loops. */
     fun start() {
         registerGauges(control, telemetry)
-        fleet.start()
-        scope.launchLoop("configuration") { follower.pollTable() }
-        scope.launchLoop("peers' configuration") { follower.pollPeers() }
-        scope.launchLoop("leaving hosts") { pollLeavingHosts(platform.queries, control) }
-        scope.launchLoop("journals") { runJournalMaintenance() }
-        scope.launchLoop("batches") { runBatches(batches) }
-        scope.launchLoop("slots") { slots.tickPeriodically() }
+        fleet.start(startLoop)
+        startLoop("configuration") { follower.pollTable() }
+        startLoop("peers' configuration") { follower.pollPeers() }
+        startLoop("leaving hosts") { pollLeavingHosts(platform.queries, control) }
+        startLoop("journals") { runJournalMaintenance() }
+        startLoop("batches") { runBatches(batches) }
+        startLoop("slots") { slots.tickPeriodically() }
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         operatorServer.listen(settings.operatorAddress.ip, settings.operatorAddress.port)
--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -10,15 +10,16 @@
 import figdeck.control.serving.initialServingState
 import figdeck.control.serving.updateSlots
 import figdeck.daemon.command.LocalSlots
+import figdeck.daemon.command.LoopSupervision
 import figdeck.daemon.command.PeerClient
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.fatalErrorHandler
 import figdeck.daemon.command.jobs.ItemTimeEstimator
 import figdeck.daemon.command.jobs.JobCache
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
-import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.serving.CallsInProgress
 import figdeck.daemon.command.serving.CrashGuard
 import figdeck.daemon.command.serving.CrashRiskWriter
@@ -33,6 +34,7 @@
 import figdeck.daemon.command.serving.httpFleetPeers
 import figdeck.daemon.command.serving.keepMembership
 import figdeck.daemon.command.serving.leaveMembership
+import figdeck.daemon.command.startIn
 import figdeck.daemon.query.serving.FollowedRowCache
 import figdeck.daemon.query.serving.TableFollower
 import figdeck.daemon.query.serving.crashRiskFollower
@@ -125,6 +127,7 @@
     private val eventLoops: EventLoopGroup,
     private val clock: Clock = systemClock,
     private val random: Random = Random.Default,
+    supervision: LoopSupervision = LoopSupervision(::endProcess),
 ) : AutoCloseable {
     /** Completes when a planned stop is requested. */
     val stopRequested = CompletableDeferred<Unit>()
@@ -133,7 +136,10 @@
         telemetry.meters.recordTime("figdeck.control.delay", delay)
     }
     private var membership: Job? = null
-    private val scope = CoroutineScope(eventLoops.next().asCoroutineDispatcher() + SupervisorJob())
+    private val scope = CoroutineScope(
+        eventLoops.next().asCoroutineDispatcher() + SupervisorJob() + fatalErrorHandler(supervision.onFatal),
+    )
+    private val startLoop = supervision.startIn(scope)
     private val rowCache = FollowedRowCache()
     private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT)
     private val peerClient = HttpClient(eventLoops, PEER_CONNECT_TIMEOUT)
@@ -199,15 +205,15 @@
         val jobInterval = { jobPollInterval(control.snapshot.fleet.liveMembers().size) }
         launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
         launchFollower(CRASH_RISK_TABLE, jobInterval, crashRiskFollower(control, crashGuard::onReports))
-        scope.launchLoop("bootstrap") {
+        startLoop("bootstrap") {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
-        membership = scope.launchLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
-        scope.launchLoop("slots") { slots.tickPeriodically() }
-        scope.launchLoop("granted slots") { slotOwner.releaseUnconfirmed() }
-        scope.launchLoop("held slots") { slotClient.confirmHeldSlots() }
-        scope.launchLoop("jobs") { jobs.runJobs() }
-        scope.launchLoop("prompt reports") { crashRiskWriter.writeRows() }
+        membership = startLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
+        startLoop("slots") { slots.tickPeriodically() }
+        startLoop("granted slots") { slotOwner.releaseUnconfirmed() }
+        startLoop("held slots") { slotClient.confirmHeldSlots() }
+        startLoop("jobs") { jobs.runJobs() }
+        startLoop("prompt reports") { crashRiskWriter.writeRows() }
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         readinessServer.listen(settings.readinessAddress.ip, settings.readinessAddress.port)
@@ -272,7 +278,7 @@
     )
 
     private fun launchFollower(table: String, minInterval: () -> Duration, follower: TableFollower) {
-        scope.launchLoop("table $table") { platform.feed.follow(table, random, minInterval, follower) }
+        startLoop("table $table") { platform.feed.follow(table, random, minInterval, follower) }
     }
 
     private fun revoke(host: HostId, ticket: Long) {
--- a/src/main/kotlin/figdeck/cli/ExitCodes.kt
+++ b/src/main/kotlin/figdeck/cli/ExitCodes.kt
@@ -14,3 +14,6 @@
 
 /** The exit code of an accepted change that not every known host has confirmed to be in force. */
 internal const val EXIT_NOT_CONFIRMED_EVERYWHERE: Int = 6
+
+/** The exit code of a daemon that ends itself because background work failed with an error. */
+internal const val EXIT_FATAL_ERROR: Int = 70
--- a/src/main/kotlin/figdeck/cli/FleetComponents.kt
+++ b/src/main/kotlin/figdeck/cli/FleetComponents.kt
@@ -12,10 +12,10 @@
 import figdeck.daemon.command.Peer
 import figdeck.daemon.command.PeerClient
 import figdeck.daemon.command.RateLimiter
+import figdeck.daemon.command.StartLoop
 import figdeck.daemon.command.TokenDrawBatcher
 import figdeck.daemon.command.WAKE_PATH
 import figdeck.daemon.command.fleetRateLimiter
-import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.maintainShards
 import figdeck.daemon.command.renewLeasePeriodically
 import figdeck.daemon.command.requestPromisesPeriodically
@@ -72,10 +72,10 @@
     )
 
     /** Starts the loops that renew the lease, request promises and maintain the shards. */
-    fun start() {
-        scope.launchLoop("lease") { membership.renewLeasePeriodically() }
-        scope.launchLoop("promises") { membership.requestPromisesPeriodically(clock) }
-        scope.launchLoop("shards") { membership.maintainShards(clock) }
+    fun start(startLoop: StartLoop) {
+        startLoop("lease") { membership.renewLeasePeriodically() }
+        startLoop("promises") { membership.requestPromisesPeriodically(clock) }
+        startLoop("shards") { membership.maintainShards(clock) }
     }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/LaunchLoop.kt
+++ b/src/main/kotlin/figdeck/daemon/command/LaunchLoop.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command
 
 import figdeck.log.PartLog
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
@@ -15,13 +16,15 @@
 
 /**
  * Runs the background [loop] called [name] until it returns or this scope is cancelled. If it fails, it is logged and
- * started again after [restartDelay]: a host without one of its loops would go on serving with outdated data.
+ * started again after [restartDelay]: a host without one of its loops would go on serving with outdated data. An [Error]
+ * other than an overflow of the stack may have left anything half done; it goes to the handler of this scope (see
+ * [fatalErrorHandler]).
  */
 internal fun CoroutineScope.launchLoop(
     name: String,
     restartDelay: Duration = RESTART_DELAY,
     loop: suspend () -> Unit,
-): Job = launch {
+): Job = launch(CoroutineName(name)) {
     while (!runOnce(name, loop)) {
         delay(restartDelay)
     }
