Batch jobs run in turn within a part of the heap

Cause: the items of all open jobs of a host were read at once and kept until the jobs ended, beside a cache of the items of up to 64 jobs; reading and decoding a list takes several times its length. The log of the host has the OutOfMemoryError in readAll, for the items of a job.

Change: 20 % of the heap are for items of running jobs, 20 % for reading and decoding, 10 % for cached items. A job reserves what its record says it may need, at most 4 MiB, then what it does need; the others wait in the order of their submission and are read from the store when there is room. One job may always run. fitsInMemory decides it.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -3,6 +3,7 @@
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.command.dispatch.HeadroomPolicy
 import figdeck.command.dispatch.mostFreeSlotsChoice
+import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
@@ -16,6 +17,7 @@
 import figdeck.daemon.command.fatalErrorHandler
 import figdeck.daemon.command.jobs.ItemTimeEstimator
 import figdeck.daemon.command.jobs.JobCache
+import figdeck.daemon.command.jobs.JobMemory
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
@@ -164,12 +166,14 @@
         calls = calls,
         countFailedSend = { telemetry.meters.countFailedSend(it.label) },
     )
+    private val memoryLimits = jobMemoryLimits(Runtime.getRuntime().maxMemory())
     private val jobs = JobServices(
         control = control,
         clock = clock,
         store = JobStore(store),
         progress = ProgressStore(store),
-        cache = JobCache(),
+        cache = JobCache(memoryLimits.cached),
+        memory = JobMemory(memoryLimits),
         timeEstimator = ItemTimeEstimator(),
         slots = slotClient,
         crashGuard = crashGuard,
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
@@ -0,0 +1,42 @@
+package figdeck.daemon.command.jobs
+
+import figdeck.command.serving.fitsInMemory
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+
+/** Admits work in the order of its arrival, as long as all of it takes at most [limit] bytes. */
+internal class ByteBudget(private val limit: Long) {
+    private val used = MutableStateFlow(0L)
+    private val turn = Mutex()
+
+    /** The bytes that are reserved now. */
+    val usedBytes: Long get() = used.value
+
+    /** Runs [block] once [bytes] are reserved for it, and frees them when it ends. */
+    suspend fun <R> withBytes(bytes: Long, block: suspend (Reservation) -> R): R {
+        turn.withLock {
+            // Others only free bytes meanwhile.
+            used.first { fitsInMemory(it, bytes, limit) }
+            used.update { it + bytes }
+        }
+        val reservation = Reservation(bytes)
+        try {
+            return block(reservation)
+        } finally {
+            reservation.resize(0)
+        }
+    }
+
+    /** Bytes that are reserved for one piece of work. */
+    inner class Reservation(private var bytes: Long) {
+        /** Changes the reservation to [actual] bytes, once they are known. */
+        fun resize(actual: Long) {
+            val change = actual - bytes
+            bytes = actual
+            used.update { it + change }
+        }
+    }
+}
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -44,6 +44,7 @@
     val store: JobStore,
     val progress: ProgressStore,
     val cache: JobCache,
+    val memory: JobMemory,
     val timeEstimator: ItemTimeEstimator,
     val slots: SlotClient,
     val crashGuard: CrashGuard,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.jobs
 
+import arrow.core.Either
 import figdeck.command.serving.VersionedJob
 import figdeck.log.PartLog
 import figdeck.model.CallResult
@@ -27,9 +28,18 @@
 private val QUARANTINE_CHECK_INTERVAL = 1.seconds
 private val partLog = PartLog("jobs")
 
-/** Runs the items of [job] that have no result and stores their results, until all are stored or the job is lost. */
-internal suspend fun JobServices.runJob(job: VersionedJob, itemPermits: Semaphore) {
-    val items = loadItems(job.record)
+/**
+ * Runs the items of [job] that have no result and stores their results, until all are stored or the job is lost. Waits
+ * until there is memory for its items.
+ */
+internal suspend fun JobServices.runJob(job: VersionedJob, itemPermits: Semaphore): Unit =
+    memory.held.withBytes(job.record.maxItemBytes) { room ->
+        val items = loadItems(job.record)
+        room.resize(items.heapBytes)
+        runItems(job, items, itemPermits)
+    }
+
+private suspend fun JobServices.runItems(job: VersionedJob, items: List<JobItem>, itemPermits: Semaphore) {
     val alreadyListed = loadResults(job.record).map { it.item }.toSet()
     val pending = items.withIndex().filter { it.value.id !in alreadyListed }
     val checkpointer = ProgressCheckpointer(progress, job.record.id, loadProgress(job.record))
@@ -38,11 +48,11 @@
         val finished = Channel<JobResult>(Channel.UNLIMITED)
         val runs = pending.map { (position, item) ->
             launch {
-                val runner by lazy { ItemRunner(this@runJob, job.record, item, checkpointer.trackOutput(position)) }
+                val runner by lazy { ItemRunner(this@runItems, job.record, item, checkpointer.trackOutput(position)) }
                 finished.send(runUntilFinished(itemPermits) { runner.run() })
             }
         }
-        val allWritten = ResultWriter(this@runJob, job, pending, checkpointer).writeAll(finished)
+        val allWritten = ResultWriter(this@runItems, job, pending, checkpointer).writeAll(finished)
         checkpointing.cancel()
         if (allWritten) checkpointer.checkpoint() else runs.forEach { it.cancel() }
     }
@@ -75,7 +85,7 @@
 private suspend fun JobServices.loadItems(record: JobRecord): List<JobItem> {
     var items = cache.items(record.id)
     while (items == null) {
-        items = store.readItems(record).fold(
+        items = readItems(record).fold(
             { fault ->
                 partLog.warn { fault }
                 delay(RETRY_DELAY)
@@ -84,10 +94,13 @@
             { it },
         )
     }
-    cache.putItems(record.id, items)
     return items
 }
 
+/** Reads the items of [record], once there is memory for it, and caches them. */
+internal suspend fun JobServices.readItems(record: JobRecord): Either<String, List<JobItem>> =
+    memory.whileLoading(record) { store.readItems(record) }.onRight { cache.putItems(record.id, it) }
+
 private suspend fun JobServices.loadResults(record: JobRecord): List<JobResult> {
     while (cache.results(record.id).size < record.results) {
         val from = cache.results(record.id).size
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -37,7 +37,9 @@
         val state = control.snapshot
         val open = state.jobs.jobs.values.filter { it.record.isOpen }
         cancelLostJobs(running, open)
-        for (job in open.filter { it.record.owner == self && it.record.id !in running }) {
+        // Jobs wait for memory in the order of their start.
+        val started = open.filter { it.record.owner == self && it.record.id !in running }
+        for (job in started.sortedBy { it.record.submittedAtMillis }) {
             running[job.record.id] = launch { runJob(job, semaphore) }
         }
         // A host that is stopping would leave the jobs to yet another owner.
--- a/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
+++ b/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
@@ -7,6 +7,7 @@
 import figdeck.command.serving.VersionedJob
 import figdeck.command.serving.isFresh
 import figdeck.daemon.command.jobs.JobServices
+import figdeck.daemon.command.jobs.readItems
 import figdeck.daemon.command.jobs.updateJobDirectory
 import figdeck.model.CallResult
 import figdeck.model.Refusal
@@ -54,7 +55,7 @@
 /** Reads the body of the item [item] of the job [id] of [team]. */
 internal suspend fun JobServices.readItemBody(id: JobId, team: TeamId, item: String): Either<Refusal, ByteArray> =
     currentRecord(id, team).flatMap { record ->
-        val items = cache.items(id)?.right() ?: store.readItems(record).onRight { cache.putItems(id, it) }
+        val items = cache.items(id)?.right() ?: readItems(record)
         items.fold(
             { Refusal.StoreUnavailable(RETRY_AFTER).left() },
             { list -> list.find { it.id == item }?.body?.right() ?: Refusal.NotFound("item $item of job $id").left() },
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import figdeck.command.Step
 import figdeck.command.serving.VersionedJob
+import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
 import figdeck.control.serving.adoptPlan
 import figdeck.daemon.command.FaultInjector
@@ -87,6 +88,8 @@
     writeId = "w1",
 )
 
+private val testMemory = jobMemoryLimits(heapBytes = 100_000_000)
+
 private fun event(number: Long) = "id: $number\ndata: word $number\n\n".encodeToByteArray()
 
 /** An engine that sends the events after [SendOptions.resumeAfter], and hangs or breaks off after the event [last]. */
@@ -112,7 +115,8 @@
     clock = systemClock,
     store = JobStore(store),
     progress = ProgressStore(store),
-    cache = JobCache(),
+    cache = JobCache(testMemory.cached),
+    memory = JobMemory(testMemory),
     timeEstimator = ItemTimeEstimator(),
     slots = slots,
     crashGuard = CrashGuard(
