A batch job that fails ends no other job

Seen: a failure in one job, such as a lack of memory or an item that can't be sent, ended the loop of all jobs of that host.

Cause: each job runs as a child of the loop, so that its failure cancels the loop and all other jobs.

Change: an exception, an overflow of the stack or a lack of memory in a job is logged, frees what the job held, and the job starts again after 1 s with its latest record. Other errors still end the process.

Evidence: three cases of RunJobsSpec (OutOfMemoryError, StackOverflowError, an exception) failed before, with the loop ended, and pass now.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -2,6 +2,7 @@
 
 import figdeck.command.serving.VersionedJob
 import figdeck.control.serving.ServingState
+import figdeck.log.PartLog
 import figdeck.model.Moment
 import figdeck.model.serving.JobId
 import figdeck.model.serving.isOpen
@@ -9,7 +10,9 @@
 import figdeck.query.serving.ranked
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,6 +27,9 @@
 private val ORPHAN_TIMEOUT = 1_300.milliseconds
 private val MAX_SCAN_AGE = 3.seconds
 
+private val RESTART_DELAY = 1.seconds
+private val partLog = PartLog("jobs")
+
 /** The most items that one host runs concurrently. */
 private const val MAX_RUNNING_ITEMS = 48
 
@@ -40,7 +46,7 @@
         // Jobs wait for memory in the order of their start.
         val started = open.filter { it.record.owner == self && it.record.id !in running }
         for (job in started.sortedBy { it.record.submittedAtMillis }) {
-            running[job.record.id] = launch { runJob(job, semaphore) }
+            running[job.record.id] = launch { runContained(job, semaphore) }
         }
         // A host that is stopping would leave the jobs to yet another owner.
         val missing = if (state.stop == null) findOrphans(state, open) else emptyList()
@@ -56,6 +62,30 @@
     }
 }
 
+/**
+ * Runs [job] so that its failure ends no other job. Running out of memory or stack also frees what the job used. A job
+ * that failed is started again with its latest record.
+ */
+@Suppress("TooGenericExceptionCaught") // Whatever fails in a job, the others go on.
+private suspend fun JobServices.runContained(job: VersionedJob, itemPermits: Semaphore) {
+    try {
+        runJob(job, itemPermits)
+    } catch (e: Exception) {
+        // Only a cancellation of this run ends it, not that of something it waited for.
+        currentCoroutineContext().ensureActive()
+        onJobFailed(job, e)
+    } catch (e: StackOverflowError) {
+        onJobFailed(job, e)
+    } catch (e: OutOfMemoryError) {
+        onJobFailed(job, e)
+    }
+}
+
+private suspend fun onJobFailed(job: VersionedJob, failure: Throwable) {
+    partLog.error(failure) { "job ${job.record.id} failed and starts again" }
+    delay(RESTART_DELAY)
+}
+
 private fun JobServices.cancelLostJobs(running: MutableMap<JobId, Job>, open: List<VersionedJob>) {
     val own = open.filter { it.record.owner == self }.map { it.record.id }.toSet()
     running.filterKeys { it !in own }.values.forEach { it.cancel() }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
@@ -37,6 +37,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -178,4 +179,25 @@
             }
         }
     }
+
+    listOf<Pair<String, () -> Throwable>>(
+        "the memory for its item is exhausted" to { OutOfMemoryError("heap") },
+        "its item overflows the stack" to { StackOverflowError() },
+        "its item can't be sent" to { IllegalArgumentException("a header may hold no line break") },
+    ).forEach { (name, failure) ->
+        describe("a job whose run fails at first, because $name") {
+            it("is completed later, and ends no other job") {
+                val failuresByItem = ConcurrentHashMap<String, AtomicInteger>()
+                val failTwice = { item: JobItem ->
+                    val earlier = failuresByItem.getOrPut(item.id) { AtomicInteger() }.getAndIncrement()
+                    if (item.id == "item-1" && earlier < 2) throw failure()
+                }
+                runOnHost(roomForTwo.copy(held = 1_000_000), failTwice) { run ->
+                    (1..3).forEach { run.submit(it) }
+                    run.untilDone(3) shouldBe 0
+                    run.doneJobs() shouldBe 3
+                }
+            }
+        }
+    }
 })
