--- a/src/test/kotlin/figdeck/cli/BackgroundLoopsSpec.kt
+++ b/src/test/kotlin/figdeck/cli/BackgroundLoopsSpec.kt
@@ -1,16 +1,15 @@
 package figdeck.cli
 
 import figdeck.daemon.command.LoopSupervision
-import figdeck.model.Address
 import figdeck.model.DataCentre
 import figdeck.model.HostId
 import figdeck.model.Region
 import figdeck.process.eventually
+import figdeck.process.freeAddress
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
-import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -24,8 +23,6 @@
     "configuration", "peers' configuration", "leaving hosts", "journals", "batches", "slots",
 )
 
-private fun freeAddress() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-
 private fun startEdge(supervision: LoopSupervision): AutoCloseable {
     val settings = EdgeSettings(
         host = HostId("edge-1"),
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -244,7 +244,7 @@
     }
 }
 
-private fun freeAddress(): Address {
+internal fun freeAddress(): Address {
     while (true) {
         val port = FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), LAST_PORT - FIRST_PORT)
         val isFree = runCatching { ServerSocket(port).close() }.isSuccess
