--- a/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
@@ -82,11 +82,7 @@
                 ?.let { UnsavedSegment(position, item, it) }
         }.take(maxSegments)
         val removals = generateSequence { obsoleteKeys.poll() }.take(MAX_REMOVALS_PER_WRITE).toList()
-        var sent = removals.map { RowWrite(it, null) }
-        val writes = unsaved.map { it to outputSegmentWrite(id, it.position, savedSegment(it)) }.takeWhile { (_, write) ->
-            sent = sent + write
-            fitsOneTransaction(TableTransaction(emptyList(), sent))
-        }.toMap()
+        val writes = fittingWrites(unsaved, removals)
         if (writes.isEmpty() && removals.isEmpty()) {
             return
         }
@@ -102,6 +98,17 @@
         }
     }
 
+    /** The writes of the first of [unsaved], as many as fit into one transaction with [removals]. */
+    private fun fittingWrites(unsaved: List<UnsavedSegment>, removals: List<String>): Map<UnsavedSegment, RowWrite> {
+        var sent = removals.map { RowWrite(it, null) }
+        return unsaved.associateWith { outputSegmentWrite(id, it.position, savedSegment(it)) }.entries
+            .takeWhile { (_, write) ->
+                sent = sent + write
+                fitsOneTransaction(TableTransaction(emptyList(), sent))
+            }
+            .associate { it.toPair() }
+    }
+
     private fun savedSegment(unsaved: UnsavedSegment): SavedSegment =
         SavedSegment(run, unsaved.item.continues, unsaved.segment)
 
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RefusedWritesSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RefusedWritesSpec.kt
@@ -19,6 +19,7 @@
 import figdeck.model.serving.JobOwner
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
+import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.noProgress
 import figdeck.model.valueOrNull
 import figdeck.platform.encodeTransaction
@@ -116,7 +117,7 @@
             it("refuses no write of unfinished outputs, and all are saved: $name") {
                 val limited = LimitedStore()
                 val progress = ProgressStore(limited.store)
-                val checkpointer = ProgressCheckpointer(progress, id, emptyMap())
+                val checkpointer = ProgressCheckpointer(progress, id, OutputRunId("run-1"), emptyMap())
                 val outputs = (0 until 48).map { checkpointer.trackOutput(it) }
                 val data = character.repeat(3_000)
                 val reply = { first: Int ->
