--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
@@ -116,6 +116,7 @@
             onItem(it)
             emptyList()
         },
+        sendFault = { null },
     )
 
     suspend fun submit(job: Int) {
