--- a/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
@@ -63,7 +63,7 @@
 private val SseEvent.holdsResponseHead: Boolean
     get() = when {
         bytes.containsStatusLine() -> lines.dropWhile { !it.containsStatusLine() }.any { !it.isField }
-        bytes.first() == COMMENT_START || hasContent -> false
+        bytes.firstOrNull() == COMMENT_START || hasContent -> false
         else -> lines.any() && lines.none { it.isField }
     }
 
--- a/src/test/kotlin/figdeck/http/client/FloodedEventLoopSpec.kt
+++ b/src/test/kotlin/figdeck/http/client/FloodedEventLoopSpec.kt
@@ -33,7 +33,7 @@
 private const val PARTS_PER_TURN = 1024L
 
 private fun request(address: Address) =
-    OutgoingRequest(address, "GET", "/", headTimeout = 10.seconds, idleTimeout = 10.seconds)
+    OutgoingRequest(address, RequestLine("GET", "/"), headTimeout = 10.seconds, idleTimeout = 10.seconds)
 
 class FloodedEventLoopSpec : DescribeSpec({
     val eventLoop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
