--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -3,6 +3,7 @@
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.command.dispatch.HeadroomPolicy
 import figdeck.command.dispatch.mostFreeSlotsChoice
+import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
@@ -10,15 +11,17 @@
 import figdeck.control.serving.initialServingState
 import figdeck.control.serving.updateSlots
 import figdeck.daemon.command.LocalSlots
+import figdeck.daemon.command.LoopSupervision
 import figdeck.daemon.command.PeerClient
 import figdeck.daemon.command.SlotDispatcher
+import figdeck.daemon.command.fatalErrorHandler
 import figdeck.daemon.command.jobs.ItemTimeEstimator
 import figdeck.daemon.command.jobs.JobCache
+import figdeck.daemon.command.jobs.JobMemory
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
-import figdeck.daemon.command.launchLoop
 import figdeck.daemon.command.serving.CallsInProgress
 import figdeck.daemon.command.serving.CrashGuard
 import figdeck.daemon.command.serving.CrashRiskWriter
@@ -33,6 +36,7 @@
 import figdeck.daemon.command.serving.httpFleetPeers
 import figdeck.daemon.command.serving.keepMembership
 import figdeck.daemon.command.serving.leaveMembership
+import figdeck.daemon.command.startIn
 import figdeck.daemon.query.serving.FollowedRowCache
 import figdeck.daemon.query.serving.TableFollower
 import figdeck.daemon.query.serving.crashRiskFollower
@@ -63,6 +67,7 @@
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
 import figdeck.platform.readinessHandler
+import figdeck.platform.sendFaultOf
 import figdeck.platform.sharedPartsOf
 import figdeck.query.serving.jobPollInterval
 import figdeck.query.serving.label
@@ -125,6 +130,7 @@
     private val eventLoops: EventLoopGroup,
     private val clock: Clock = systemClock,
     private val random: Random = Random.Default,
+    supervision: LoopSupervision = LoopSupervision(::endProcess),
 ) : AutoCloseable {
     /** Completes when a planned stop is requested. */
     val stopRequested = CompletableDeferred<Unit>()
@@ -133,7 +139,10 @@
         telemetry.meters.recordTime("figdeck.control.delay", delay)
     }
     private var membership: Job? = null
-    private val scope = CoroutineScope(eventLoops.next().asCoroutineDispatcher() + SupervisorJob())
+    private val scope = CoroutineScope(
+        eventLoops.next().asCoroutineDispatcher() + SupervisorJob() + fatalErrorHandler(supervision.onFatal),
+    )
+    private val startLoop = supervision.startIn(scope)
     private val rowCache = FollowedRowCache()
     private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT)
     private val peerClient = HttpClient(eventLoops, PEER_CONNECT_TIMEOUT)
@@ -158,12 +167,14 @@
         calls = calls,
         countFailedSend = { telemetry.meters.countFailedSend(it.label) },
     )
+    private val memoryLimits = jobMemoryLimits(Runtime.getRuntime().maxMemory())
     private val jobs = JobServices(
         control = control,
         clock = clock,
         store = JobStore(store),
         progress = ProgressStore(store),
-        cache = JobCache(),
+        cache = JobCache(memoryLimits.cached),
+        memory = JobMemory(memoryLimits),
         timeEstimator = ItemTimeEstimator(),
         slots = slotClient,
         crashGuard = crashGuard,
@@ -171,6 +182,7 @@
         random = random,
         log = DecisionLog("jobs"),
         sharedParts = ::sharedPartsOf,
+        sendFault = ::sendFaultOf,
     )
     private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
     private val readinessServer = server(readinessHandler(control))
@@ -199,15 +211,15 @@
         val jobInterval = { jobPollInterval(control.snapshot.fleet.liveMembers().size) }
         launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
         launchFollower(CRASH_RISK_TABLE, jobInterval, crashRiskFollower(control, crashGuard::onReports))
-        scope.launchLoop("bootstrap") {
+        startLoop("bootstrap") {
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
-        membership = scope.launchLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
-        scope.launchLoop("slots") { slots.tickPeriodically() }
-        scope.launchLoop("granted slots") { slotOwner.releaseUnconfirmed() }
-        scope.launchLoop("held slots") { slotClient.confirmHeldSlots() }
-        scope.launchLoop("jobs") { jobs.runJobs() }
-        scope.launchLoop("prompt reports") { crashRiskWriter.writeRows() }
+        membership = startLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
+        startLoop("slots") { slots.tickPeriodically() }
+        startLoop("granted slots") { slotOwner.releaseUnconfirmed() }
+        startLoop("held slots") { slotClient.confirmHeldSlots() }
+        startLoop("jobs") { jobs.runJobs() }
+        startLoop("prompt reports") { crashRiskWriter.writeRows() }
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
         readinessServer.listen(settings.readinessAddress.ip, settings.readinessAddress.port)
@@ -272,7 +284,7 @@
     )
 
     private fun launchFollower(table: String, minInterval: () -> Duration, follower: TableFollower) {
-        scope.launchLoop("table $table") { platform.feed.follow(table, random, minInterval, follower) }
+        startLoop("table $table") { platform.feed.follow(table, random, minInterval, follower) }
     }
 
     private fun revoke(host: HostId, ticket: Long) {
--- a/src/main/kotlin/figdeck/cli/OperatorCommand.kt
+++ b/src/main/kotlin/figdeck/cli/OperatorCommand.kt
@@ -6,13 +6,14 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
 import figdeck.http.client.OutgoingRequest
+import figdeck.http.client.RequestLine
 import figdeck.http.newHeaders
 import figdeck.http.readAll
+import figdeck.http.setChecked
 import figdeck.wire.command.ChangeErrorDto
 import figdeck.wire.command.decodeChangeRefusal
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.runBlocking
-import java.net.URLEncoder
 
 private const val MAX_REPLY_BYTES = 64 * 1024 * 1024
 private const val HTTP_OK = 200
@@ -57,9 +58,9 @@
     private fun send(method: String, target: String, body: String): OperatorReply {
         val request = OutgoingRequest(
             address = operatorOptions.address,
-            method = method,
-            target = target,
-            headers = newHeaders().set(HttpHeaderNames.AUTHORIZATION, "Bearer ${operatorOptions.secret}"),
+            line = RequestLine(method, target),
+            headers = newHeaders().setChecked(HttpHeaderNames.AUTHORIZATION, "Bearer ${operatorOptions.secret}")
+                .fold({ exit("$it: check --operator-secret", EXIT_REFUSED) }, { it }),
             body = body.encodeToByteArray(),
         )
         val result = HttpClient(newEventLoops()).use { client ->
@@ -87,9 +88,6 @@
     }
 }
 
-/** Encodes [value] for use in a path or query. */
-internal fun urlEncode(value: String): String = URLEncoder.encode(value, Charsets.UTF_8)
-
 private fun ChangeErrorDto.detailLines(): List<String> {
     val faultLines = faults.orEmpty().map { "  ${it.path.ifEmpty { "template" }}: ${it.message}" }
     val changeLines = changes.orEmpty().map { "  revision ${it.revision} by ${it.operator}: ${it.summary}" }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -16,6 +16,7 @@
 import figdeck.model.TeamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobOwner
+import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
 import kotlin.random.Random
@@ -37,6 +38,7 @@
  * The dependencies for running batch jobs.
  *
  * @property sharedParts returns the parts of an item's prompt that other requests may share.
+ * @property sendFault returns the reason why an item can't be sent to any upstream; null if it can.
  */
 internal data class JobServices(
     val control: Control<ServingState>,
@@ -44,6 +46,7 @@
     val store: JobStore,
     val progress: ProgressStore,
     val cache: JobCache,
+    val memory: JobMemory,
     val timeEstimator: ItemTimeEstimator,
     val slots: SlotClient,
     val crashGuard: CrashGuard,
@@ -51,6 +54,7 @@
     val random: Random,
     val log: DecisionLog,
     val sharedParts: (JobItem) -> List<PromptPart>,
+    val sendFault: (JobItem) -> String?,
 )
 
 /** This host in its current incarnation. */
@@ -60,6 +64,9 @@
 /** Returns a random id that identifies one write of a job record. */
 internal fun JobServices.newWriteId(): String = random.nextLong().toULong().toString(ID_RADIX)
 
+/** Returns a random id for the outputs that this host generates while it owns a job. */
+internal fun JobServices.newRunId(): OutputRunId = OutputRunId(newWriteId())
+
 /** Stores [job] in this host's job directory unless a later version is known. */
 internal suspend fun JobServices.updateJobDirectory(job: VersionedJob) {
     control.run { state, _ -> updateJobs(state) { putJob(it, job) } }
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -122,6 +122,7 @@
         if (decoder.hasUnexpectedBytes) {
             keepsAlive = false
         }
+        responseBody?.endRead()
         received?.end(decoder.unexpectedBytes)
         if (decoder.hasUnexpectedBytes) {
             // Another thread may already wait for the response to a request that has not been written yet.
@@ -179,8 +180,8 @@
 private fun encode(request: OutgoingRequest): DefaultFullHttpRequest {
     val message = DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1,
-        HttpMethod.valueOf(request.method),
-        request.target,
+        HttpMethod.valueOf(request.line.method),
+        request.line.target,
         Unpooled.wrappedBuffer(request.body),
     )
     message.headers()
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -6,6 +6,7 @@
 import figdeck.http.IncompleteMessageException
 import figdeck.http.READ_GRACE
 import figdeck.http.awaitChannel
+import figdeck.http.headerFault
 import figdeck.model.Address
 import figdeck.telemetry.injectTrace
 import io.netty.bootstrap.Bootstrap
@@ -56,6 +57,18 @@
         handle: suspend (HttpReply) -> R,
     ): Either<ExchangeFailure, R> {
         injectTrace(request.headers)
+        val fault = request.headers.firstNotNullOfOrNull { (name, value) -> headerFault(name, value) }
+        return if (fault == null) connectAndExchange(request, handle) else ExchangeFailure.NotSent(fault).left()
+    }
+
+    override fun close() {
+        idle.close()
+    }
+
+    private suspend fun <R> connectAndExchange(
+        request: OutgoingRequest,
+        handle: suspend (HttpReply) -> R,
+    ): Either<ExchangeFailure, R> {
         val channel = try {
             acquire(request)
         } catch (e: IOException) {
@@ -69,10 +82,6 @@
         }
     }
 
-    override fun close() {
-        idle.close()
-    }
-
     private suspend fun <R> sendAndHandle(
         connection: ClientConnection,
         request: OutgoingRequest,
@@ -119,7 +128,9 @@
 
 private object ClientInitializer : ChannelInitializer<SocketChannel>() {
     override fun initChannel(channel: SocketChannel) {
-        val decoder = ResponseDecoder()
+        val reads = FairReads()
+        channel.config().setRecvByteBufAllocator(reads)
+        val decoder = ResponseDecoder(reads::countDecoded)
         channel.pipeline()
             .addLast(decoder)
             .addLast(HttpRequestEncoder())
