Items of a large job: an object for each submission

What callers saw: nothing yet (by reading, then JobStoreSpec). A caller who submits a job with the id of another team's job replaces that job's items, if both are too large for rows and the host doesn't know the first one: the job runs foreign prompts for its team.

Cause: the object's key was the job's id alone, which callers choose, and it was written before the record's check refused the second submission.

Change: the object's key ends with the id of the submission's write, and the record names it. An object whose record lost is deleted. Records of earlier releases have no name and are read from the old key; a host of an earlier release can't read the items of a new large job, so such a job waits while it has one for its owner.

JobStoreSpec failed before: the accepted job had the items of the second submission.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -62,14 +62,21 @@
     /** Stores a new job with its items. */
     suspend fun create(record: JobRecord, items: List<JobItem>): RecordWrite {
         val text = encodeJobItems(items)
-        val inRows = fits(record, itemWrites(record.id, text))
-        val stored = when {
-            inRows -> CallResult.Done(Unit)
-            else -> store.commands.putObject(itemObjectKey(record.id), text.encodeToByteArray())
+        val rows = itemWrites(record.id, text)
+        return if (fits(record, rows)) {
+            write(record.copy(chunks = rows.size), ABSENT, rows)
+        } else {
+            createWithObject(record.copy(chunks = 0, itemsId = record.writeId), text)
         }
-        val rows = if (inRows) itemWrites(record.id, text) else emptyList()
-        return when (stored) {
-            is CallResult.Done -> write(record.copy(chunks = rows.size), ABSENT, rows)
+    }
+
+    private suspend fun createWithObject(record: JobRecord, items: String): RecordWrite {
+        val key = itemObjectKey(record.id, record.itemsId)
+        return when (val stored = store.commands.putObject(key, items.encodeToByteArray())) {
+            is CallResult.Done -> write(record, ABSENT).also { written ->
+                val current = (written as? RecordWrite.Superseded)?.current
+                if (current != null && current.record.itemsId != record.itemsId) store.deleteUnused(key)
+            }
             is CallResult.NotDone -> RecordWrite.NotDone(stored.reason)
             is CallResult.Refused -> RecordWrite.Refused(stored.reason)
             // An object without a record is not part of any job, so the job was not created.
@@ -103,7 +110,7 @@
 
     /** Reads the items of [record]. */
     suspend fun readItems(record: JobRecord): Either<String, List<JobItem>> {
-        val text = if (record.chunks == 0) readObject(record) else readChunks(record)
+        val text = if (record.chunks == 0) store.readItemObject(record) else readChunks(record)
         return text?.let { decodeJobItems(it) } ?: "the items of job ${record.id} can't be read now".left()
     }
 
@@ -146,9 +153,6 @@
         }
     }
 
-    private suspend fun readObject(record: JobRecord): String? =
-        store.queries.readObject(itemObjectKey(record.id)).valueOrNull()?.value?.decodeToString()
-
     private suspend fun readChunks(record: JobRecord): String? {
         val prefix = itemKeyPrefix(record.id)
         val rows = store.queries.scanRows(prefix, prefix, MAX_ITEM_CHUNKS).valueOrNull()
@@ -156,6 +160,15 @@
     }
 }
 
+private suspend fun Store.readItemObject(record: JobRecord): String? =
+    queries.readObject(itemObjectKey(record.id, record.itemsId)).valueOrNull()?.value?.decodeToString()
+
+/** Deletes an object that belongs to no job. If that fails, it stays and only takes space. */
+private suspend fun Store.deleteUnused(key: String) {
+    val deleted = commands.deleteObject(key)
+    if (deleted !is CallResult.Done) log.warn { "the unused object $key was not deleted: $deleted" }
+}
+
 private fun versionedJob(id: JobId, row: Row): CallResult<VersionedJob> =
     decodeJobRecord(id.value, row.value).orWarn(log)?.let { CallResult.Done(VersionedJob(it, row.version)) }
         ?: CallResult.NotDone("the record of job $id can't be decoded")
--- a/src/main/kotlin/figdeck/model/serving/JobRecord.kt
+++ b/src/main/kotlin/figdeck/model/serving/JobRecord.kt
@@ -19,6 +19,8 @@
  * @property isEnded whether the caller ended the job.
  * @property chunks the number of rows in which its items are stored.
  * @property planVersion the version of the plan under which it was accepted; null if an older release wrote the record.
+ * @property itemsId names the object that holds its items; null if they are in rows, or if an older release wrote the
+ *   record: its objects have the job's id alone.
  * @property writeId unique for each write, so that a write whose reply was lost can be recognized.
  */
 public data class JobRecord(
@@ -34,6 +36,7 @@
     public val chunks: Int,
     public val writeId: String,
     public val planVersion: Long? = null,
+    public val itemsId: String? = null,
 )
 
 /** Whether the job has items that still need to be run. */
--- a/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
@@ -41,5 +41,9 @@
 /** The prefix of the keys of the rows that hold the items of [id]. */
 internal fun itemKeyPrefix(id: JobId): String = "$ITEM_TABLE/$id/"
 
-/** The key of the object that holds the items of a job that is too large for rows. */
-internal fun itemObjectKey(id: JobId): String = "$ITEM_TABLE-$id"
+/**
+ * The key of the object that holds the items of a job that is too large for rows. Callers choose the ids of jobs, so
+ * each submission has an object of its own, named by [itemsId].
+ */
+internal fun itemObjectKey(id: JobId, itemsId: String?): String =
+    listOfNotNull(ITEM_TABLE, id, itemsId).joinToString("-")
--- a/src/main/kotlin/figdeck/wire/serving/JobRecordCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobRecordCodec.kt
@@ -28,6 +28,7 @@
     val chunks: Int,
     val writeId: String,
     val planVersion: Long? = null,
+    val itemsId: String? = null,
 )
 
 /** The key of the row that holds the record of [id]. */
@@ -47,6 +48,7 @@
         chunks = record.chunks,
         writeId = record.writeId,
         planVersion = record.planVersion,
+        itemsId = record.itemsId,
     )
     return lenientJson.encodeToString(JobRecordDto.serializer(), dto)
 }
@@ -66,5 +68,6 @@
             chunks = dto.chunks,
             writeId = dto.writeId,
             planVersion = dto.planVersion,
+            itemsId = dto.itemsId,
         )
     }
