Submissions: header names outside ASCII, and ids that change on the wire

Found by the review: Netty's check of header names looks at the lowest byte of a character, so a name with U+0141 passed and was sent with a question mark; an empty id, or one that ends with a space, was accepted, and the upstream's echo never matched it, so that the item was sent again and again.

Such submissions get 400 with the item's position now. JobMessagesSpec: the three new cases failed before.

--- a/src/main/kotlin/figdeck/http/HeaderText.kt
+++ b/src/main/kotlin/figdeck/http/HeaderText.kt
@@ -6,11 +6,16 @@
 import io.netty.handler.codec.http.HttpHeaderValidationUtil
 import io.netty.handler.codec.http.HttpHeaders
 
+/** What the validators return in place of the index of an invalid character. */
 private const val VALID = -1
 
+/** The validators look at the lowest byte of a character alone. */
+private const val LAST_ASCII = '\u007F'
+
 /** The reason why the header [name] with [value] may not be sent; null if it may. */
 public fun headerFault(name: CharSequence, value: CharSequence): String? = when {
-    name.isEmpty() || HttpHeaderValidationUtil.validateToken(name) != VALID -> "a header name is empty or no token"
+    name.isEmpty() || name.any { it > LAST_ASCII } || HttpHeaderValidationUtil.validateToken(name) != VALID ->
+        "a header name is empty or no token"
     HttpHeaderValidationUtil.validateValidHeaderValue(value) != VALID ->
         "the value of header '$name' has a control character or begins with a space"
     else -> null
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -4,6 +4,7 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.raise.ensure
 import arrow.core.right
 import figdeck.daemon.command.jobs.ForwardItem
 import figdeck.daemon.command.jobs.JobServices
@@ -126,6 +127,7 @@
 /** The request of [item], whose texts come from a caller or a row, or the reason why it may not be sent. */
 private fun forwardedRequest(item: JobItem): Either<String, ForwardedRequest> = either {
     val line = requestLine("POST", item.path).bind()
+    ensure(item.id.isNotEmpty() && item.id.trim() == item.id) { "its id is empty, or begins or ends with a space" }
     // A Connection header of the item could otherwise name the headers that the gateway sets.
     val headers = forwardableHeaders(checkedHeaders(item.headers).bind())
     ForwardedRequest(line, headers.setChecked(ATTEMPT_ID_HEADER, item.id).bind(), team = null)
--- a/src/test/kotlin/figdeck/platform/JobMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/platform/JobMessagesSpec.kt
@@ -43,6 +43,10 @@
             "has a NUL in a header value" to """{"Id":"b","Path":"/notes/1","Headers":{"X-Title":"x\u0000"}}""",
             "has a header value that starts with a space" to
                 """{"Id":"b","Path":"/notes/1","Headers":{"X-Title":" x"}}""",
+            "has a header name with a letter outside ASCII" to
+                """{"Id":"b","Path":"/notes/1","Headers":{"\u0141x":"x"}}""",
+            "has no id" to """{"Id":"","Path":"/notes/1"}""",
+            "has an id that ends with a space" to """{"Id":"b ","Path":"/notes/1"}""",
             "has a carriage return in its id" to """{"Id":"b\r","Path":"/notes/1"}""",
         )) {
             it("$fault is refused with the item's position") {
