Paths of plain services keep the characters that a path may hold

Found by the review: since paths are encoded, "x:predict@2" reached a plain service as "x%3Apredict%402", which is not the same to every server. Spaces, "?", "#", "%", brackets, controls and all outside ASCII are still encoded, so nothing leaves the request line.

--- a/src/main/kotlin/figdeck/http/client/RequestLine.kt
+++ b/src/main/kotlin/figdeck/http/client/RequestLine.kt
@@ -9,6 +9,9 @@
 private const val HEX_RADIX = 16
 private const val BYTE_MASK = 0xFF
 private const val UNRESERVED_MARKS = "-._~"
+
+/** What a path may hold besides letters, digits and [UNRESERVED_MARKS]. Servers may tell it from its encoded form. */
+private const val PATH_MARKS = "/!\$&'()*+,;=:@"
 private const val VALID = -1
 
 /**
@@ -35,8 +38,8 @@
 /** Percent-encodes [text] for one segment of a path, or for the name or value of a query parameter. */
 public fun encodeSegment(text: String): String = encode(text, UNRESERVED_MARKS)
 
-/** Percent-encodes the decoded path [text]; its slashes stay. */
-public fun encodePath(text: String): String = encode(text, "$UNRESERVED_MARKS/")
+/** Percent-encodes what may not stand in a path, in the decoded path [text]. */
+public fun encodePath(text: String): String = encode(text, UNRESERVED_MARKS + PATH_MARKS)
 
 private fun isLetterOrDigit(char: Char): Boolean = char in 'a'..'z' || char in 'A'..'Z' || char in '0'..'9'
 
--- a/src/test/kotlin/figdeck/http/client/RequestLineSpec.kt
+++ b/src/test/kotlin/figdeck/http/client/RequestLineSpec.kt
@@ -41,8 +41,11 @@
             encodeSegment("aZ9-._~ /?#%\r\né") shouldBe "aZ9-._~%20%2F%3F%23%25%0D%0A%C3%A9"
         }
 
-        it("keeps slashes in a path") {
+        it("keeps in a path what may stand there") {
             encodePath("a/b c?") shouldBe "a/b%20c%3F"
+            val allowed = "v1/models/x:predict@2,a+b=c!(d)*e;f&g'h$"
+            encodePath(allowed) shouldBe allowed
+            encodePath("%#[]\"<>|\r\n") shouldBe "%25%23%5B%5D%22%3C%3E%7C%0D%0A"
         }
     }
 })
