Batch jobs: reads that wait for memory end in time, and listed results stay known

By reading, after the review: - A caller who asks for an item's body waited behind all other reads of items, without a limit, also in a planned stop: 503 after 3 s now. The cache is looked at again once it is its turn. - A job that is lost cancels all that its run has started, also what waits to give an item up, so that its memory is free. - A run took the listed results from the cache twice; if they were dropped in between (from 65 jobs on), listed items ran and were listed again.

Not shown by a test that failed first; RunJobSpec and RunJobsSpec cover the paths.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.jobs
 
 import arrow.core.Either
+import arrow.core.right
 import figdeck.command.serving.VersionedJob
 import figdeck.control.serving.routeOf
 import figdeck.log.PartLog
@@ -11,6 +12,7 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
 import figdeck.model.valueOrNull
+import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -47,7 +49,7 @@
     coroutineScope {
         val checkpointing = launch { checkpointer.checkpointUntilCancelled() }
         val finished = Channel<JobResult>(Channel.UNLIMITED)
-        val runs = pending.map { (position, item) ->
+        pending.forEach { (position, item) ->
             launch {
                 val runner by lazy { ItemRunner(this@runItems, job.record, item, checkpointer.trackOutput(position)) }
                 finished.send(runUntilFinished(itemPermits) { runner.run() })
@@ -57,7 +59,7 @@
             launch { finished.send(giveUpWhenDue(job.record, refused.item)) }
         }.writeAll(finished)
         checkpointing.cancel()
-        if (allWritten) checkpointer.checkpoint() else runs.forEach { it.cancel() }
+        if (allWritten) checkpointer.checkpoint() else coroutineContext.cancelChildren()
     }
 }
 
@@ -112,17 +114,21 @@
     return items
 }
 
-/** Reads the items of [record], once there is memory for it, and caches them. */
+/** Reads the items of [record], once there is memory for it, and caches them, unless another caller has done so. */
 internal suspend fun JobServices.readItems(record: JobRecord): Either<String, List<JobItem>> =
-    memory.whileLoading(record) { store.readItems(record) }.onRight { cache.putItems(record.id, it) }
+    memory.whileLoading(record) {
+        cache.items(record.id)?.right() ?: store.readItems(record).onRight { cache.putItems(record.id, it) }
+    }
 
 private suspend fun JobServices.loadResults(record: JobRecord): List<JobResult> {
-    while (cache.results(record.id).size < record.results) {
-        val from = cache.results(record.id).size
-        val found = store.readResults(record.id, from).valueOrNull().orEmpty()
-        if (found.isEmpty()) delay(RETRY_DELAY) else cache.addResults(record.id, from, found)
+    // Kept here as well: the cache may drop them at any time.
+    var known = cache.results(record.id)
+    while (known.size < record.results) {
+        val found = store.readResults(record.id, known.size).valueOrNull().orEmpty()
+        if (found.isEmpty()) delay(RETRY_DELAY) else cache.addResults(record.id, known.size, found)
+        known = known + found
     }
-    return cache.results(record.id)
+    return known
 }
 
 /**
--- a/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
+++ b/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
@@ -18,12 +18,17 @@
 import figdeck.model.serving.isOpen
 import figdeck.wire.serving.jsonBytes
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val CHECK_INTERVAL = 60.milliseconds
 private val RETRY_AFTER = 500.milliseconds
 
+/** How long a caller waits for items to be read. Reads wait for memory, and a planned stop waits for callers. */
+private val ITEMS_TIMEOUT = 3.seconds
+
 /** The longest time since the store's last response for which the job directory counts as current. */
 private val MAX_DIRECTORY_AGE = 3_500.milliseconds
 
@@ -59,11 +64,11 @@
 /** Reads the body of the item [item] of the job [id] of [team]. */
 internal suspend fun JobServices.readItemBody(id: JobId, team: TeamId, item: String): Either<Refusal, ByteArray> =
     currentRecord(id, team).flatMap { record ->
-        val items = cache.items(id)?.right() ?: readItems(record)
-        items.fold(
-            { Refusal.StoreUnavailable(RETRY_AFTER).left() },
-            { list -> list.find { it.id == item }?.body?.right() ?: Refusal.NotFound("item $item of job $id").left() },
-        )
+        val items = cache.items(id) ?: withTimeoutOrNull(ITEMS_TIMEOUT) { readItems(record).getOrNull() }
+        when {
+            items == null -> Refusal.StoreUnavailable(RETRY_AFTER).left()
+            else -> items.find { it.id == item }?.body?.right() ?: Refusal.NotFound("item $item of job $id").left()
+        }
     }
 
 private suspend fun JobServices.currentRecord(id: JobId, team: TeamId): Either<Refusal, JobRecord> {
@@ -93,24 +98,25 @@
 
 private val JobResult.pageBytes: Int get() = RESULT_FRAME_BYTES + jsonBytes(output)
 
-private fun JobServices.hasFullPage(id: JobId, after: Int): Boolean =
-    cache.results(id).drop(after).sumOf { it.pageBytes } > MAX_PAGE_BYTES
+private fun List<JobResult>.fillPage(after: Int): Boolean = drop(after).sumOf { it.pageBytes } > MAX_PAGE_BYTES
 
 private suspend fun JobServices.resultsFrom(record: JobRecord, after: Int): Either<Refusal, List<JobResult>> {
-    while (cache.results(record.id).size < record.results && !hasFullPage(record.id, after)) {
-        val from = cache.results(record.id).size
-        val read = store.readResults(record.id, from)
+    // Kept here as well: the cache may drop them at any time.
+    var known = cache.results(record.id)
+    while (known.size < record.results && !known.fillPage(after)) {
+        val read = store.readResults(record.id, known.size)
         val found = (read as? CallResult.Done)?.value.orEmpty()
-        if (found.isEmpty() && from <= after) {
+        if (found.isEmpty() && known.size <= after) {
             return Refusal.StoreUnavailable(RETRY_AFTER).left()
         }
         if (found.isEmpty()) {
             break
         }
-        cache.addResults(record.id, from, found)
+        cache.addResults(record.id, known.size, found)
+        known = known + found
     }
     var bytes = 0
-    return cache.results(record.id).drop(after).takeWhile {
+    return known.drop(after).takeWhile {
         val isFirst = bytes == 0
         bytes += it.pageBytes
         isFirst || bytes <= MAX_PAGE_BYTES
