--- a/src/main/kotlin/figdeck/daemon/command/Dispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/Dispatcher.kt
@@ -12,7 +12,8 @@
  * A slot at an upstream that is held until it is released.
  *
  * @property revoked completes when the holder must release the slot at once. Only slots of batch work are revoked.
- * @property answerWithin how long to wait for the answer to begin if the holder probes the upstream, else null.
+ * @property answerWithin how long to wait for the answer to begin if the holder probes the upstream, else null. Only
+ *   chat turns keep to it.
  */
 public data class Permit(
     public val id: Long,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
@@ -18,7 +18,7 @@
     /** Runs [block] once [bytes] are reserved for it, and frees them when it ends. */
     suspend fun <R> withBytes(bytes: Long, block: suspend (Reservation) -> R): R {
         turn.withLock {
-            // Others only free bytes meanwhile.
+            // Others reserve nothing meanwhile, but for a little that a resize adds.
             used.first { fitsInMemory(it, bytes, limit) }
             used.update { it + bytes }
         }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -91,16 +91,16 @@
      */
     suspend fun run(): JobResult? {
         var result: JobResult? = null
-        var isHeld = false
-        while (result == null && !isHeld) {
+        var mustWait = false
+        while (result == null && !mustWait) {
             when (val route = services.control.snapshot.routeOf(record)) {
-                Known.NotRead -> isHeld = true
+                Known.NotRead -> mustWait = true
                 is Known.Absent -> result = giveUp("route removed, plan ${route.version}")
                 is Known.Present -> {
-                    isHeld = sendFault != null || services.crashGuard.holdOf(sharedParts) != null
+                    mustWait = sendFault != null || services.crashGuard.holdOf(sharedParts) != null
                     result = when {
                         route.value.isExpired(record.age(services.clock())) -> giveUp("expired")
-                        isHeld -> null
+                        mustWait -> null
                         else -> tryOnce(route.value)
                     }
                 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobMemory.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobMemory.kt
@@ -6,7 +6,7 @@
 import figdeck.wire.serving.MAX_ROW_CHARACTERS
 
 /** The platform accepts no larger body of a request, in bytes. */
-private const val MAX_OBJECT_BYTES = 4L * 1024 * 1024
+private const val MAX_SUBMISSION_BYTES = 4L * 1024 * 1024
 
 /** How much memory a list of items takes while it is read and decoded, as a multiple of its stored length. */
 private const val LOADING_FACTOR = 4
@@ -19,12 +19,12 @@
 
     /** Runs [load], which reads the items of [record], once there is room for it. */
     suspend fun <R> whileLoading(record: JobRecord, load: suspend () -> R): R =
-        loading.withBytes(record.maxItemBytes * LOADING_FACTOR) { load() }
+        loading.withBytes(record.maxItemsBytes * LOADING_FACTOR) { load() }
 }
 
 /** The most bytes that the items of the job may take, as far as its record tells. */
-internal val JobRecord.maxItemBytes: Long
-    get() = if (chunks == 0) MAX_OBJECT_BYTES else chunks.toLong() * MAX_ROW_CHARACTERS
+internal val JobRecord.maxItemsBytes: Long
+    get() = if (chunks == 0) MAX_SUBMISSION_BYTES else chunks.toLong() * MAX_ROW_CHARACTERS
 
 /** The bytes that these items take in memory. */
 internal val List<JobItem>.heapBytes: Long
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ProgressCheckpointer.kt
@@ -92,7 +92,7 @@
                 writes.forEach { (item, write) -> markSaved(item, write.key) }
             }
             is CallResult.Refused -> onRefused(writes.keys.toList(), removals, reply.reason)
-            // The next checkpoint writes the same segments again under the same keys.
+            // The next checkpoint writes from the same starts again, under the same keys.
             is CallResult.NotDone -> onWriteFailed(reply.reason, removals)
             is CallResult.Unknown -> onWriteFailed(reply.reason, removals)
         }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -28,7 +28,7 @@
 private val RESULT_BATCH_DELAY = 40.milliseconds
 
 private const val MAX_WRITE_RESULTS = 20
-private val QUARANTINE_CHECK_INTERVAL = 1.seconds
+private val HELD_ITEM_CHECK_INTERVAL = 1.seconds
 private val partLog = PartLog("jobs")
 
 /**
@@ -36,7 +36,7 @@
  * until there is memory for its items.
  */
 internal suspend fun JobServices.runJob(job: VersionedJob, itemPermits: Semaphore): Unit =
-    memory.held.withBytes(job.record.maxItemBytes) { room ->
+    memory.held.withBytes(job.record.maxItemsBytes) { room ->
         val items = loadItems(job.record)
         room.resize(items.heapBytes)
         runItems(job, items, itemPermits)
@@ -67,7 +67,7 @@
 private suspend fun runUntilFinished(itemPermits: Semaphore, run: suspend () -> JobResult?): JobResult {
     var result = itemPermits.withPermit { run() }
     while (result == null) {
-        delay(QUARANTINE_CHECK_INTERVAL)
+        delay(HELD_ITEM_CHECK_INTERVAL)
         result = itemPermits.withPermit { run() }
     }
     return result
@@ -75,15 +75,16 @@
 
 /** Waits until the item whose result can't be stored may be given up. */
 private suspend fun JobServices.giveUpWhenDue(record: JobRecord, item: String): JobResult {
-    do delay(QUARANTINE_CHECK_INTERVAL) while (!mayGiveUp(record))
+    do delay(HELD_ITEM_CHECK_INTERVAL) while (!mayGiveUpItemsOf(record))
     return JobResult(item, isComplete = false, output = "")
 }
 
-private fun JobServices.mayGiveUp(record: JobRecord): Boolean = when (val route = control.snapshot.routeOf(record)) {
-    Known.NotRead -> false
-    is Known.Absent -> true
-    is Known.Present -> route.value.isExpired(record.age(clock()))
-}
+private fun JobServices.mayGiveUpItemsOf(record: JobRecord): Boolean =
+    when (val route = control.snapshot.routeOf(record)) {
+        Known.NotRead -> false
+        is Known.Absent -> true
+        is Known.Present -> route.value.isExpired(record.age(clock()))
+    }
 
 /** Reads the outputs that an earlier owner saved. If they can't be read, the items restart. */
 private suspend fun JobServices.loadProgress(record: JobRecord): Map<Int, SavedOutput> {
@@ -198,7 +199,7 @@
                 }
                 is RecordWrite.Superseded -> onJobLost(written.current)
                 is RecordWrite.Refused -> {
-                    splitRefused(batch, written.reason)
+                    onBatchRefused(batch, written.reason)
                     true
                 }
                 is RecordWrite.NotDone, is RecordWrite.Unknown -> {
@@ -211,7 +212,7 @@
     }
 
     /** Makes the next write smaller, or takes out a result that is refused by itself. */
-    private fun splitRefused(batch: List<JobResult>, reason: String) {
+    private fun onBatchRefused(batch: List<JobResult>, reason: String) {
         val refused = batch.first()
         services.log.note("results_refused", refused.item) {
             put("job", current.record.id.value)
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -43,7 +43,7 @@
         val state = control.snapshot
         val open = state.jobs.jobs.values.filter { it.record.isOpen }
         cancelLostJobs(running, open)
-        // Jobs wait for memory in the order of their start.
+        // Jobs wait for memory in the order of their submission.
         val started = open.filter { it.record.owner == self && it.record.id !in running }
         for (job in started.sortedBy { it.record.submittedAtMillis }) {
             running[job.record.id] = launch { runContained(job, semaphore) }
--- a/src/main/kotlin/figdeck/http/ChunkQueue.kt
+++ b/src/main/kotlin/figdeck/http/ChunkQueue.kt
@@ -40,7 +40,7 @@
     /** How the body ended, or null if it goes on. Guarded by [lock]. */
     private var ending: Ending? = null
 
-    /** Holds an element if something was received since the latest wait. */
+    /** Holds an element if a read that received something, or the body, has ended since the latest wait. */
     private val changed = Channel<Unit>(Channel.CONFLATED)
 
     val body: HttpBody = HttpBody(chunks())
--- a/src/main/kotlin/figdeck/http/HeaderText.kt
+++ b/src/main/kotlin/figdeck/http/HeaderText.kt
@@ -17,7 +17,7 @@
     name.isEmpty() || name.any { it > LAST_ASCII } || HttpHeaderValidationUtil.validateToken(name) != VALID ->
         "a header name is empty or no token"
     HttpHeaderValidationUtil.validateValidHeaderValue(value) != VALID ->
-        "the value of header '$name' has a control character or begins with a space"
+        "the value of header '$name' has a control character or begins with a space or tab"
     else -> null
 }
 
--- a/src/main/kotlin/figdeck/http/client/FairReads.kt
+++ b/src/main/kotlin/figdeck/http/client/FairReads.kt
@@ -8,7 +8,7 @@
 private const val MIN_READ_BYTES = 512
 private const val MAX_READ_BYTES = 64 * 1024
 
-/** The parts of messages that one read may decode, as far as its size can be chosen so: many long ones, few short. */
+/** The most heads, chunks and ends that one read should decode. The next read is sized by the cost of the latest. */
 private const val PARTS_PER_READ = 1024
 
 /**
--- a/src/main/kotlin/figdeck/http/client/RequestLine.kt
+++ b/src/main/kotlin/figdeck/http/client/RequestLine.kt
@@ -18,7 +18,7 @@
  * The method and target of a request. Only texts that stay within one request line make one, so this is the only way
  * by which text reaches a request line. Text from callers, the store or other hosts goes through [requestLine].
  *
- * @property target the path and query in origin form, with all other characters percent-encoded.
+ * @property target the path and query in origin form: a slash, then visible ASCII characters alone.
  * @throws IllegalArgumentException if one of the texts may not be sent.
  */
 public data class RequestLine(
@@ -58,8 +58,8 @@
     val invalid = target.find { it !in '!'..'~' }
     return when {
         method.isEmpty() || HttpHeaderValidationUtil.validateToken(method) != VALID -> "the method is no token"
-        !target.startsWith('/') -> "the path does not begin with a slash"
-        invalid != null -> "the path has the character ${invalid.codePoint()}: percent-encode it"
+        !target.startsWith('/') -> "the target does not begin with a slash"
+        invalid != null -> "the target has the character ${invalid.codePoint()}: percent-encode it"
         else -> null
     }
 }
--- a/src/main/kotlin/figdeck/model/serving/SavedSegment.kt
+++ b/src/main/kotlin/figdeck/model/serving/SavedSegment.kt
@@ -1,8 +1,8 @@
 package figdeck.model.serving
 
 /**
- * Identifies a run: the output of an item as one owner of its job generates it. Runs of the same item may differ in
- * events with the same numbers.
+ * Identifies a run: the outputs of a job's items as one owner of the job generates them. Runs of the same item may
+ * differ in events with the same numbers.
  */
 @JvmInline
 public value class OutputRunId(public val value: String) {
--- a/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
@@ -12,7 +12,7 @@
 import kotlinx.serialization.Serializable
 
 /** Rows of the table `jobprogress`, which earlier versions write, name no run, so they are not read. */
-private const val PROGRESS_TABLE = "jobruns"
+private const val RUN_TABLE = "jobruns"
 
 /** A stored segment of the output of an item. */
 @Serializable
@@ -35,7 +35,7 @@
 }
 
 /** The prefix of the keys of the rows that hold unfinished outputs of [id]. */
-internal fun progressKeyPrefix(id: JobId): String = "$PROGRESS_TABLE/$id/"
+internal fun progressKeyPrefix(id: JobId): String = "$RUN_TABLE/$id/"
 
 /** The position of the item to whose output [row] belongs; null if the key contains no position. */
 internal fun itemPosition(id: JobId, row: Row): Int? =
--- a/src/test/kotlin/figdeck/http/client/RequestLineSpec.kt
+++ b/src/test/kotlin/figdeck/http/client/RequestLineSpec.kt
@@ -28,7 +28,7 @@
         }
 
         it("names the character that has to be encoded") {
-            requestLine("GET", "/a\nb").leftOrNull() shouldBe "the path has the character U+000A: percent-encode it"
+            requestLine("GET", "/a\nb").leftOrNull() shouldBe "the target has the character U+000A: percent-encode it"
         }
 
         it("can't be changed into an unchecked one") {
