Tests: ports that no other program gets before their daemon listens

Seen: TracingSpec failed once with "Address already in use" at a load of 20, beside other work.

Cause: TracingSpec and OnlineBench asked the kernel for a port and let it go before the daemon listened there; until then the kernel may give it to any connection. The processes of Fleet took ports outside of that range, but each test process counted on from a place derived from its process id: a process whose id is one higher starts 97 ports later, so two processes beside each other choose the same ports.

Change: all of them, and HttpSpec's port without a server, take ports from FreePorts. It hands out each port once, from blocks of 100 below the kernel's range, and a block belongs to the process that listens on its first port.

Evidence: FreePortsSpec fails on both old ways (250 of 250 ports in the kernel's range; ports of two processes with neighbouring ids not unique) and passes now; TracingSpec, HttpSpec and BackgroundLoopsSpec passed with it. A program that takes a fixed port of the range without asking can still collide.

--- a/src/test/kotlin/figdeck/bench/OnlineBench.kt
+++ b/src/test/kotlin/figdeck/bench/OnlineBench.kt
@@ -22,6 +22,7 @@
 import figdeck.model.template
 import figdeck.process.STADO_KEY
 import figdeck.process.chatBody
+import figdeck.process.freeAddress
 import figdeck.standin.EngineStandIn
 import figdeck.standin.EngineTiming
 import figdeck.standin.PlatformStandIn
@@ -29,7 +30,6 @@
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,8 +58,6 @@
     }
 }
 
-private fun freeAddress() = Address(LOOPBACK, ServerSocket(0).use { it.localPort })
-
 private fun settings(platform: Address) = Settings(
     host = HostId("host-1"),
     dataCentre = DataCentre("centre-a"),
--- a/src/test/kotlin/figdeck/http/HttpSpec.kt
+++ b/src/test/kotlin/figdeck/http/HttpSpec.kt
@@ -9,6 +9,7 @@
 import figdeck.http.server.HttpServer
 import figdeck.http.server.HttpServerLimits
 import figdeck.model.Address
+import figdeck.process.freeAddress
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -22,7 +23,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
@@ -102,8 +102,7 @@
         }
 
         it("fails with NotSent if no server listens on the address") {
-            val unused = Address(IP, ServerSocket(0).use { it.localPort })
-            client.exchange(OutgoingRequest(unused, RequestLine("GET", "/"), freshConnection = true)) { }
+            client.exchange(OutgoingRequest(freeAddress(), RequestLine("GET", "/"), freshConnection = true)) { }
                 .leftOrNull().shouldBeInstanceOf<ExchangeFailure.NotSent>()
         }
 
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -15,10 +15,8 @@
 import kotlinx.coroutines.delay
 import java.io.File
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,10 +25,7 @@
 const val LOOPBACK = "127.0.0.1"
 const val OPERATOR_SECRET = "operator-secret"
 private const val MAX_BODY_BYTES = 64 * 1024 * 1024
-private const val FIRST_PORT = 20_000
-private const val LAST_PORT = 32_000
 private val JVM_FLAGS = listOf("-Xmx256m", "-XX:+UseSerialGC")
-private val nextPort = AtomicInteger(FIRST_PORT + (ProcessHandle.current().pid() * 97 % 10_000).toInt())
 
 /** One process of a fleet under test. */
 data class FleetProcess(
@@ -245,16 +240,6 @@
     }
 }
 
-internal fun freeAddress(): Address {
-    while (true) {
-        val port = FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), LAST_PORT - FIRST_PORT)
-        val isFree = runCatching { ServerSocket(port).close() }.isSuccess
-        if (isFree) {
-            return Address(LOOPBACK, port)
-        }
-    }
-}
-
 private fun awaitListener(address: Address, process: Process) {
     repeat(1_000) {
         check(process.isAlive) { "the process for $address exited with status ${process.exitValue()}" }
--- a/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
+++ b/src/test/kotlin/figdeck/telemetry/TracingSpec.kt
@@ -18,6 +18,7 @@
 import figdeck.model.hashKey
 import figdeck.model.systemClock
 import figdeck.model.template
+import figdeck.process.freeAddress
 import figdeck.standin.EngineStandIn
 import figdeck.standin.EngineTiming
 import figdeck.standin.PlatformStandIn
@@ -34,7 +35,6 @@
 import io.opentelemetry.sdk.trace.data.SpanData
 import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor
 import io.opentelemetry.sdk.trace.export.SpanExporter
-import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 
 private const val CALLER_TRACE = "0af7651916cd43dd8448eb211c80319c"
@@ -54,8 +54,6 @@
     override fun shutdown(): CompletableResultCode = CompletableResultCode.ofSuccess()
 }
 
-private fun freeAddress() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-
 private fun settings(platform: Address) = Settings(
     host = HostId("host-1"),
     dataCentre = DataCentre("centre-a"),
