Rate limit: time without an answer of the bucket's owner is no wait for a token

Callers saw: over_rate ("wait 44 ms") for a team's only call (TracingSpec, once), and 2 of 180 calls with 429 at 36/s of a limit of 40/s (FleetLimitSpec, once).

Cause: a call waits up to 500 ms for a token and up to 1,500 ms for an owner, but both were counted from its start. A bucket whose owner has just claimed it is empty, so a call that found no owner for 480 ms was refused because of the first token's 44 ms.

Change: the time of attempts without an owner's answer in time doesn't count as waiting for a token. The limit for an owner stays 1,500 ms from the start, so a call that gets neither ends within about 2 s. Tokens are granted as before, so the limit holds as before.

That the failures listed had this cause follows from their figures, but no run shows it.

--- a/src/main/kotlin/figdeck/daemon/command/FleetRateLimiter.kt
+++ b/src/main/kotlin/figdeck/daemon/command/FleetRateLimiter.kt
@@ -22,7 +22,7 @@
 /**
  * How long a request waits before it is refused because of its rate limit.
  *
- * @property token the time limit for a token of the team's bucket.
+ * @property token the time limit for a token of the team's bucket, without the time in which no owner answered.
  * @property owner the time limit for reaching an owner of the bucket, while its ownership moves to another host.
  */
 internal data class LimitTimeouts(
@@ -49,14 +49,24 @@
 ) {
     private val startedAt = clock()
 
+    /** How long no owner answered in time, which says nothing about the team's rate. */
+    private var unansweredTime = Duration.ZERO
+
     suspend fun take(team: Team): Either<Refusal, Unit> {
         var outcome: Either<Refusal, Unit>? = null
         while (outcome == null) {
+            val triedAt = clock()
             outcome = when (val result = tryOnce(team)) {
                 is DrawResult.Granted -> Unit.right().takeIf { clock() < result.expiresAt }
                 is DrawResult.Wait ->
-                    delayOrRefuse(result.wait, timeouts.token, Refusal.RateLimited(team.id, result.wait))
-                DrawResult.NoOwner -> delayOrRefuse(OWNER_DELAY, timeouts.owner, Refusal.LimitUnavailable(team.id))
+                    delayOrRefuse(
+                        result.wait,
+                        timeouts.token + unansweredTime,
+                        Refusal.RateLimited(team.id, result.wait),
+                    )
+                DrawResult.NoOwner ->
+                    delayOrRefuse(OWNER_DELAY, timeouts.owner, Refusal.LimitUnavailable(team.id))
+                        .also { unansweredTime += clock() - triedAt }
             }
         }
         return outcome
