Request bodies share a stated part of the heap of a host

Callers saw connections that ended without an answer when large bodies came at once. Each body was read whole, whatever the others took, and a submission takes several times its size while it is decoded and stored, so 40 bodies of 4 MB exhausted a heap of 112 MB.

Before a body is read, memory is reserved for it: its declared size times what is done with it (3 while it is read, 1 while it is forwarded, 8 by estimate for a submission). A body in chunks reserves that of a small one, and that of the largest one allowed when it outgrows 64 KiB. Bodies of up to 64 KiB have 5 % of the heap to themselves, larger ones 25 %. What finds no room is refused unread with 503, "overloaded", and a Retry-After by which the callers of a burst return one after the other, within half of their deadlines. A body declared as larger than the plan allows is refused unread too. One that alone exceeds the limit is admitted alone; otherwise it never would be.

Not played: all parts of the memory full at the same time.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -3,6 +3,7 @@
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.command.dispatch.HeadroomPolicy
 import figdeck.command.dispatch.mostFreeSlotsChoice
+import figdeck.command.serving.bodyMemoryLimits
 import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
 import figdeck.control.Control
@@ -22,6 +23,7 @@
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
+import figdeck.daemon.command.serving.BodyMemory
 import figdeck.daemon.command.serving.CallsInProgress
 import figdeck.daemon.command.serving.CrashGuard
 import figdeck.daemon.command.serving.CrashRiskWriter
@@ -167,7 +169,8 @@
         calls = calls,
         countFailedSend = { telemetry.meters.countFailedSend(it.label) },
     )
-    private val memoryLimits = jobMemoryLimits(Runtime.getRuntime().maxMemory())
+    private val heapBytes = Runtime.getRuntime().maxMemory()
+    private val memoryLimits = jobMemoryLimits(heapBytes)
     private val jobs = JobServices(
         control = control,
         clock = clock,
@@ -276,7 +279,13 @@
 
     private fun server(handler: HttpHandler): HttpServer = HttpServer(eventLoops, SERVER_LIMITS, handler)
 
-    private fun gatewayServices() = GatewayServices(control, online, JobApi(jobs), upstreamClient)
+    private fun gatewayServices() = GatewayServices(
+        control = control,
+        online = online,
+        jobs = JobApi(jobs),
+        client = upstreamClient,
+        bodies = BodyMemory(bodyMemoryLimits(heapBytes), clock),
+    )
 
     private fun localSlots() = LocalSlots(
         now = { control.snapshot.slots },
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -1,11 +1,11 @@
 package figdeck.platform
 
 import arrow.core.flatMap
-import arrow.core.getOrElse
 import arrow.core.left
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.hasRequiredData
+import figdeck.daemon.command.serving.BodyMemory
 import figdeck.daemon.command.serving.CallerChannel
 import figdeck.daemon.command.serving.Forward
 import figdeck.daemon.command.serving.OnlineCall
@@ -16,7 +16,6 @@
 import figdeck.http.client.RequestLine
 import figdeck.http.client.requestLine
 import figdeck.http.newHeaders
-import figdeck.http.readAll
 import figdeck.http.server.HttpCall
 import figdeck.http.server.HttpHandler
 import figdeck.http.server.HttpResponder
@@ -52,6 +51,7 @@
     val online: OnlineServices,
     val jobs: JobApi,
     val client: HttpClient,
+    val bodies: BodyMemory,
 )
 
 /** Handles the requests of callers: calls of batch jobs, submissions and online requests. */
@@ -100,19 +100,25 @@
     receivedAt: Moment,
     responder: HttpResponder,
 ) {
-    val body = call.body.readAll(control.snapshot.index?.plan?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES)
-    awaitRequiredData()
-    // The plan may have changed while the body was read.
     val index = control.snapshot.index
-    val access = when {
-        index == null -> Refusal.StaleConfiguration.left()
-        else -> index.access(headers.host, call.path, headers.key)
-            .flatMap { access -> body.mapLeft { Refusal.BodyTooLarge(it.limitBytes) }.map { access } }
+    val access = index?.access(headers.host, call.path, headers.key)
+    // Before a plan is known, any request may be a submission.
+    val isSubmission = access == null || access.isRight { it.route.kind == CallKind.BATCH }
+    val terms = BodyTerms(index?.plan?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES, isSubmission, headers.timeLeft)
+    bodies.withBody(call, responder, terms) { body, bodyResponder ->
+        awaitRequiredData()
+        // The plan may have changed while the body was read.
+        val current = control.snapshot.index
+        val currentAccess = when {
+            current == null -> Refusal.StaleConfiguration.left()
+            current === index && access != null -> access
+            else -> current.access(headers.host, call.path, headers.key)
+        }
+        currentAccess.flatMap { allowed -> body.map { allowed to it } }.fold(
+            { refuse(it, call, headers, bodyResponder) },
+            { (allowed, bytes) -> serve(ReceivedRequest(call, headers, bytes, receivedAt), allowed, bodyResponder) },
+        )
     }
-    access.fold(
-        { refuse(it, call, headers, responder) },
-        { serve(ReceivedRequest(call, headers, body.getOrElse { ByteArray(0) }, receivedAt), it, responder) },
-    )
 }
 
 private suspend fun GatewayServices.serve(received: ReceivedRequest, access: RouteAccess, responder: HttpResponder) {
--- a/src/test/kotlin/figdeck/process/EdgeFleet.kt
+++ b/src/test/kotlin/figdeck/process/EdgeFleet.kt
@@ -2,6 +2,7 @@
 
 import figdeck.standin.RunnerStandIn
 import io.kotest.matchers.shouldBe
+import java.io.File
 import java.util.Base64
 import kotlin.time.Duration.Companion.seconds
 
@@ -30,3 +31,14 @@
         eventually(20.seconds) { send(daemon.addresses[1], TestRequest("GET", "/")).status == 200 }
     }
 }
+
+/** The flags of a production daemon on a machine with 1.5 cores, without those that need its package. */
+internal fun productionFlags(): List<String> {
+    val run = File("deploy/system.toml").readLines().single { it.startsWith("run = ") }
+    return run.substringAfter("java ").substringBefore(" -jar").split(' ').filterNot { "SharedArchiveFile" in it } +
+        "-XX:ActiveProcessorCount=2"
+}
+
+/** The lines of the log of [process] about memory that ran out. */
+internal fun memoryErrors(process: FleetProcess): List<String> =
+    process.log.readLines().filter { Regex("OutOf\\w*MemoryError") in it }
--- a/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
+++ b/src/test/kotlin/figdeck/process/EndlessUpstreamSpec.kt
@@ -65,13 +65,6 @@
 private const val HEAD = "Content-Type: text/plain\r\nX-Response-Stamp: stamp\r\n"
 private const val CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
 
-/** The flags of a production daemon on a machine with 1.5 cores, without those that need its package. */
-private fun productionFlags(): List<String> {
-    val run = File("deploy/system.toml").readLines().single { it.startsWith("run = ") }
-    return run.substringAfter("java ").substringBefore(" -jar").split(' ').filterNot { "SharedArchiveFile" in it } +
-        "-XX:ActiveProcessorCount=2"
-}
-
 /** An answer to the attempt `id`, begun in order and continued by the blocks `0, 1, 2, ...` until its caller closes. */
 private class EndlessAnswer(
     val name: String,
@@ -159,9 +152,6 @@
     File("/proc/${process.process.pid()}/status").takeIf { it.exists() }?.readLines()
         ?.find { it.startsWith("VmHWM:") }?.filter { it.isDigit() }?.toLong() ?: 0
 
-private fun memoryErrors(process: FleetProcess): List<String> =
-    process.log.readLines().filter { Regex("OutOf\\w*MemoryError") in it }
-
 /** What was seen while upstreams sent bytes without end; [others] has the other callers' answers and times. */
 private data class Outcome(
     val isAlive: Boolean,
