Batch items that only wait take no memory of other jobs

What callers saw: sound jobs that did not start until MaxWaitS, behind jobs of which some items were held back.

Cause: a job kept its memory until all its items were done, also for items that were not run: quarantined ones, those that can't be sent, whose route was not read yet, whose result the store refused, or whose job could not be read from the store. Memory is given out in the order of arrival, so such jobs kept all later ones from starting.

Now a job runs in rounds. A round gets memory, reads its items and runs each until it is finished or held back. A finished item gives its bytes back when its result is stored or refused by itself, an item that is held back at once: of it only id, position, attempts and unfinished output stay. Each second the hold is checked without the body, for a quarantine by its suspect and companions; what has expired is given up without memory. Once items may run, one round of the job reads them again. A hold that does not change costs no read. A read that fails gives the memory back and is repeated after 250 ms to 5 s. A round that has memory waits for no more of it, and what loads items waits for none, so rounds can't block each other.

RunJobSpec: of 24 items, half of them held back for a while, each is sent once and listed once.

Not changed: the unfinished outputs of items are not counted, as before. An item that may run again waits for memory behind the jobs that already wait.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import java.util.concurrent.atomic.AtomicLong
 
 /** Admits work in the order of its arrival, as long as all of it takes at most [limit] bytes. */
 internal class ByteBudget(private val limit: Long) {
@@ -31,12 +32,19 @@
     }
 
     /** Bytes that are reserved for one piece of work. */
-    inner class Reservation(private var bytes: Long) {
+    inner class Reservation(bytes: Long) {
+        private val reserved = AtomicLong(bytes)
+
         /** Changes the reservation to [actual] bytes, once they are known. */
         fun resize(actual: Long) {
-            val change = actual - bytes
-            bytes = actual
+            val change = actual - reserved.getAndSet(actual)
             used.update { it + change }
         }
+
+        /** Frees [bytes] of the reservation. */
+        fun shrink(bytes: Long) {
+            reserved.addAndGet(-bytes)
+            used.update { it - bytes }
+        }
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -1,7 +1,6 @@
 package figdeck.daemon.command.jobs
 
 import figdeck.command.dispatch.SlotOutcome
-import figdeck.control.serving.routeOf
 import figdeck.daemon.command.serving.ExecutionStatus
 import figdeck.daemon.command.serving.HeldPermit
 import figdeck.daemon.command.serving.RelayResult
@@ -10,7 +9,6 @@
 import figdeck.daemon.command.serving.ending
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.model.Clock
-import figdeck.model.Known
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
 import figdeck.model.serving.JobItem
@@ -69,8 +67,9 @@
     private val services: JobServices,
     private val record: JobRecord,
     private val item: JobItem,
-    private val output: ItemOutput,
+    private val state: ItemState,
 ) {
+    private val output = state.output
     private val sharedParts = services.sharedParts(item)
 
     /** Rows that earlier versions stored may hold such items. */
@@ -80,35 +79,27 @@
             put("reason", fault)
         }
     }
-    private var failures = 0
-    private var losses = 0
-    private var spent = Duration.ZERO
 
-    /**
-     * Runs the item until its output is complete or it is given up. Returns null while its prompt is quarantined, or
-     * while no plan that may decide about the job is in force here, and for an item that can't be sent until its route
-     * allows it to be given up.
-     */
-    suspend fun run(): JobResult? {
-        var result: JobResult? = null
-        var mustWait = false
-        while (result == null && !mustWait) {
-            when (val route = services.control.snapshot.routeOf(record)) {
-                Known.NotRead -> mustWait = true
-                is Known.Absent -> result = giveUp("route removed, plan ${route.version}")
-                is Known.Present -> {
-                    mustWait = sendFault != null || services.crashGuard.holdOf(sharedParts) != null
-                    result = when {
-                        route.value.isExpired(record.age(services.clock())) -> giveUp("expired")
-                        mustWait -> null
-                        else -> tryOnce(route.value)
-                    }
-                }
+    /** Runs the item until its output is complete, it is given up, or it is held back. */
+    suspend fun run(): ItemRun {
+        var end: ItemRun? = null
+        while (end == null) {
+            end = when (val decision = services.decideItem(record) { holdOfItem() }) {
+                is ItemDecision.Hold -> ItemRun.Held(decision.hold)
+                is ItemDecision.GiveUp -> ItemRun.Finished(services.giveUp(record, state, decision.reason))
+                is ItemDecision.Run -> tryOnce(decision.route)?.let { ItemRun.Finished(it) }
             }
         }
-        return result
+        return end
     }
 
+    private fun holdOfItem(): ItemHold? =
+        if (sendFault != null) {
+            ItemHold.NotProcessable
+        } else {
+            services.crashGuard.holdOf(sharedParts)?.let { ItemHold.Quarantined(it.companions + it.suspect) }
+        }
+
     private suspend fun tryOnce(route: ServingRoute): JobResult? = services.slots.acquire(newSlotRequest(route)).fold(
         {
             delay(SLOT_RETRY_DELAY)
@@ -139,15 +130,15 @@
                 services.timeEstimator.recordCompletedItem(output.progress.events.size)
                 JobResult(item.id, isComplete = true, output = output.text)
             }
-            AttemptResult.Impossible -> giveUp("the upstream can't process the item")
+            AttemptResult.Impossible -> services.giveUp(record, state, "the upstream can't process the item")
             is AttemptResult.Interrupted -> {
                 if (attemptResult.ending == SendEnding.LOST_BEFORE_ANSWER) onLoss(permit.upstream.id)
                 null
             }
             is AttemptResult.Failed -> {
-                failures++
+                state.failures++
                 delay(FAILURE_RETRY_DELAY)
-                if (failures >= route.maxAttempts) giveUp(attemptResult.reason) else null
+                if (state.failures >= route.maxAttempts) services.giveUp(record, state, attemptResult.reason) else null
             }
         }
     }
@@ -155,17 +146,8 @@
     /** Reports the loss of [upstream], and waits longer after each loss: the item may be the cause. */
     private suspend fun onLoss(upstream: UpstreamId) {
         services.crashGuard.recordLoss(item.id, upstream, sharedParts)
-        delay((FAILURE_RETRY_DELAY * (1 shl losses)).coerceAtMost(MAX_LOSS_DELAY))
-        losses = (losses + 1).coerceAtMost(MAX_LOSS_DOUBLINGS)
-    }
-
-    private fun giveUp(reason: String): JobResult {
-        services.log.note("item_given_up", item.id) {
-            put("job", record.id.value)
-            put("failures", failures.toLong())
-            put("reason", reason)
-        }
-        return JobResult(item.id, isComplete = false, output = "")
+        delay((FAILURE_RETRY_DELAY * (1 shl state.losses)).coerceAtMost(MAX_LOSS_DELAY))
+        state.losses = (state.losses + 1).coerceAtMost(MAX_LOSS_DOUBLINGS)
     }
 
     private fun newSlotRequest(route: ServingRoute): SlotRequest = SlotRequest(
@@ -180,7 +162,7 @@
         maxWait = SLOT_WAIT_LIMIT,
         age = record.age(services.clock()),
         willMissDeadline = willMissDeadline(route),
-        slotTimeUsed = spent,
+        slotTimeUsed = state.spent,
     )
 
     private fun willMissDeadline(route: ServingRoute): Boolean {
@@ -196,7 +178,7 @@
             val attemptResult = sendUntilRevoked(permit, route)
             val took = services.clock() - startedAt
             services.timeEstimator.recordRun(output.progress.events.size - before, took)
-            spent += if (output.progress.events.size > before) took else Duration.ZERO
+            state.spent += if (output.progress.events.size > before) took else Duration.ZERO
             use = if (attemptResult is AttemptResult.Interrupted) attemptResult.use else SlotOutcome.ANSWERED
             return attemptResult
         } finally {
@@ -241,12 +223,6 @@
     }
 }
 
-/** Whether items of a job submitted [age] ago may be given up. */
-internal fun ServingRoute.isExpired(age: Duration): Boolean {
-    val limit = batch?.abandonAfter ?: return true
-    return limit > Duration.ZERO && age > limit
-}
-
 private suspend fun ItemOutput.receive(
     reply: UpstreamReply,
     clock: Clock,
--- /dev/null
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
@@ -0,0 +1,94 @@
+package figdeck.daemon.command.jobs
+
+import figdeck.control.serving.routeOf
+import figdeck.model.Known
+import figdeck.model.serving.CrashSuspect
+import figdeck.model.serving.JobRecord
+import figdeck.model.serving.JobResult
+import figdeck.model.serving.ServingRoute
+import kotlin.time.Duration
+
+/** What is kept of an item without result while its body is not in memory. */
+internal class ItemState(
+    val position: Int,
+    val id: String,
+    val tokens: Long,
+    newOutput: () -> ItemOutput,
+) {
+    val output by lazy(newOutput)
+    var failures = 0
+    var losses = 0
+    var spent = Duration.ZERO
+}
+
+/** Why an item is not run now. */
+internal sealed interface ItemHold {
+    /** No plan that may decide about its job is in force here. */
+    data object RouteNotRead : ItemHold
+
+    /** It can't be sent, or its result can't be stored. */
+    data object NotProcessable : ItemHold
+
+    /** @property suspects those of its suspects for which it is quarantined. */
+    data class Quarantined(val suspects: Set<CrashSuspect>) : ItemHold
+}
+
+/** An item that is not run now. */
+internal data class HeldItem(
+    val state: ItemState,
+    val hold: ItemHold,
+)
+
+/** What is done with an item now. */
+internal sealed interface ItemDecision {
+    data class Run(val route: ServingRoute) : ItemDecision
+
+    data class Hold(val hold: ItemHold) : ItemDecision
+
+    data class GiveUp(val reason: String) : ItemDecision
+}
+
+/** How a run of an item ended. */
+internal sealed interface ItemRun {
+    data class Finished(val result: JobResult) : ItemRun
+
+    data class Held(val hold: ItemHold) : ItemRun
+}
+
+/** Decides about an item of [record] that [holdOf] may hold back. An item that is held back may be given up. */
+internal fun JobServices.decideItem(record: JobRecord, holdOf: () -> ItemHold?): ItemDecision =
+    when (val route = control.snapshot.routeOf(record)) {
+        Known.NotRead -> ItemDecision.Hold(ItemHold.RouteNotRead)
+        is Known.Absent -> ItemDecision.GiveUp("route removed, plan ${route.version}")
+        is Known.Present -> {
+            val hold = holdOf()
+            when {
+                route.value.isExpired(record.age(clock())) -> ItemDecision.GiveUp("expired")
+                hold != null -> ItemDecision.Hold(hold)
+                else -> ItemDecision.Run(route.value)
+            }
+        }
+    }
+
+/** The part of [known] that still holds an item back, as far as it can be told without the item. */
+internal fun JobServices.currentHold(known: ItemHold): ItemHold? = when (known) {
+    ItemHold.RouteNotRead -> null
+    ItemHold.NotProcessable -> known
+    is ItemHold.Quarantined -> known.takeIf { crashGuard.holdOf(known.suspects.toList()) != null }
+}
+
+/** The result of the item with [state], which is given up. */
+internal fun JobServices.giveUp(record: JobRecord, state: ItemState, reason: String): JobResult {
+    log.note("item_given_up", state.id) {
+        put("job", record.id.value)
+        put("failures", state.failures.toLong())
+        put("reason", reason)
+    }
+    return JobResult(state.id, isComplete = false, output = "")
+}
+
+/** Whether items of a job submitted [age] ago may be given up. */
+internal fun ServingRoute.isExpired(age: Duration): Boolean {
+    val limit = batch?.abandonAfter ?: return true
+    return limit > Duration.ZERO && age > limit
+}
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobMemory.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobMemory.kt
@@ -27,8 +27,11 @@
     get() = if (chunks == 0) MAX_SUBMISSION_BYTES else chunks.toLong() * MAX_ROW_CHARACTERS
 
 /** The bytes that these items take in memory. */
-internal val List<JobItem>.heapBytes: Long
-    get() = sumOf { item ->
-        val headerCharacters = item.headers.entries.sumOf { it.key.length + it.value.length }
-        ITEM_OVERHEAD_BYTES + item.body.size + item.path.length + headerCharacters
+internal val List<JobItem>.heapBytes: Long get() = sumOf { it.heapBytes }
+
+/** The bytes that this item takes in memory. */
+internal val JobItem.heapBytes: Long
+    get() {
+        val headerCharacters = headers.entries.sumOf { it.key.length + it.value.length }
+        return ITEM_OVERHEAD_BYTES + body.size + path.length + headerCharacters
     }
--- a/src/main/kotlin/figdeck/query/serving/CrashHold.kt
+++ b/src/main/kotlin/figdeck/query/serving/CrashHold.kt
@@ -10,10 +10,12 @@
  *
  * @property suspect what crashed several upstreams: a part of its prompt, or the request itself.
  * @property timeLeft how long it is held back.
+ * @property companions the others of its suspects without which it would be sent.
  */
 public data class CrashHold(
     public val suspect: CrashSuspect,
     public val timeLeft: Duration,
+    public val companions: Set<CrashSuspect> = emptySet(),
 )
 
 /** Why a request with [suspects] is not sent to upstreams at [now]; null if it may be sent. */
@@ -22,6 +24,6 @@
     return suspects.firstNotNullOfOrNull { suspect ->
         quarantined[suspect]
             ?.takeIf { it.until > now && suspects.containsAll(it.companions) }
-            ?.let { CrashHold(suspect, it.until - now) }
+            ?.let { CrashHold(suspect, it.until - now, it.companions) }
     }
 }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -30,6 +30,7 @@
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
 import figdeck.model.TeamId
+import figdeck.model.UpstreamId
 import figdeck.model.serving.BatchPolicy
 import figdeck.model.serving.CallKind
 import figdeck.model.serving.JobId
@@ -38,6 +39,7 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingPlan
 import figdeck.model.serving.ServingTeam
 import figdeck.model.serving.servingPlan
@@ -414,6 +416,38 @@
         }
     }
 
+    // Guards against items that are lost or listed twice when they are held back and read again.
+    describe("a job of 24 items of which half are quarantined for a while") {
+        it("has one complete result for each item, and sends each once") {
+            val many = (1..24).map { JobItem("item-$it", "/notes/1", emptyMap(), ByteArray(100), 1) }
+            val deadly = PromptPart("deadly")
+            val store = MemoryBackends().platform(FaultInjector(null))
+            val jobs = JobStore(store)
+            val created = jobs.create(record.copy(total = many.size), many) as RecordWrite.Written
+            val engine = FakeEngine(EVENTS)
+            onHost("host-1", store, engine) { host ->
+                val services = host.copy(
+                    sharedParts = { item ->
+                        if (item.id.substringAfter('-').toInt() % 2 == 0) listOf(deadly) else emptyList()
+                    },
+                )
+                (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamId("e-$it"), listOf(deadly)) }
+                services.crashGuard.recordAnswer(listOf(PromptPart("other")))
+                val run = CoroutineScope(Dispatchers.Default).launch { services.runJob(created.job, Semaphore(4)) }
+                eventually(10.seconds) { (jobs.readResults(id, 0) as CallResult.Done).value.size == many.size / 2 }
+                delay(1_500.milliseconds)
+                engine.sentItems.size shouldBe many.size / 2
+                services.crashGuard.recordAnswer(listOf(deadly))
+                withTimeoutOrNull(10.seconds) { run.join() }
+                run.isCompleted shouldBe true
+            }
+            val results = (jobs.readResults(id, 0) as CallResult.Done).value
+            results.map { it.item } shouldContainExactlyInAnyOrder many.map { it.id }
+            results.map { it.output }.distinct() shouldContainExactly listOf(wholeOutput)
+            engine.sentItems shouldContainExactlyInAnyOrder many.map { it.id }
+        }
+    }
+
     // Guards against jobs beyond a team's limit while the jobs that wait are not known yet.
     describe("a job of a team that may have 10 tokens waiting, at a host that has not read the job table") {
         it("is not refused for good, nor accepted, until the waiting jobs are known") {
