A host's own pause is no outage of the store: upstreams that left are dropped in time

What upstreams saw: the host that owned a pool's slots was frozen for 4 s.

Cause: an outage was 2.5 s without an answer, by the clock alone, so a host that had not run took its own pause for one and gave entries that went 2.2 s to return. What was to be dropped went only with the next answer of the store, up to 2 s later.

Change: the silence of the store is counted while this host runs. A step of more than 0.5 s between two records is a pause; it doesn't count, and discards the wait that it interrupts unless a call had failed before it. A loop records each 0.1 s that the host runs and drops what is due while the store answers. Rows of the fleet, jobs and plans have no such grace and stay as they were.

PoolMembersSpec: its outage was two answers 10 s apart, which is a freeze as well and demanded the fault. It now is one in which the host runs; its demands are the same.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -36,6 +36,7 @@
 import figdeck.daemon.command.serving.httpFleetPeers
 import figdeck.daemon.command.serving.keepMembership
 import figdeck.daemon.command.serving.leaveMembership
+import figdeck.daemon.command.serving.maintainPools
 import figdeck.daemon.command.startIn
 import figdeck.daemon.query.serving.FollowedRowCache
 import figdeck.daemon.query.serving.TableFollower
@@ -215,6 +216,7 @@
             control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
         }
         membership = startLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
+        startLoop("pools") { control.maintainPools() }
         startLoop("slots") { slots.tickPeriodically() }
         startLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         startLoop("held slots") { slotClient.confirmHeldSlots() }
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -22,9 +22,6 @@
  */
 private val LEAVING_RETENTION: Duration = 2.minutes
 
-/** The store counts as unavailable if it has not answered for longer than this. */
-private val OUTAGE_THRESHOLD: Duration = 2_500.milliseconds
-
 /**
  * The announcement of an upstream that it is leaving, which came with an answer.
  *
@@ -39,6 +36,7 @@
  * The upstreams that have registered in their pools.
  *
  * @property lastResponseAt when the store last answered, or null before its first answer.
+ * @property silence how long the store has not answered this host.
  * @property recoveredAt when the store first answered after its latest outage, or null without an outage.
  * @property missing the upstreams without an entry in the store, with the time at which they are dropped.
  * @property leaving the upstreams that have said in an answer that they are leaving, whatever their entries say.
@@ -49,6 +47,7 @@
     public val recoveredAt: Moment?,
     public val missing: PersistentMap<UpstreamId, Moment>,
     public val leaving: PersistentMap<UpstreamId, LeavingAnnouncement> = persistentMapOf(),
+    public val silence: StoreSilence = StoreSilence(),
 )
 
 /** The state before the first answer of the store. */
@@ -110,14 +109,29 @@
 
 /** Records an answer of the store and drops the missing upstreams whose grace period has ended. */
 public fun recordStoreResponse(state: PoolMembers, now: Moment): PoolMembers {
-    val wasUnavailable = state.lastResponseAt != null && now - state.lastResponseAt > OUTAGE_THRESHOLD
+    val wasUnavailable = state.lastResponseAt != null && state.silence.until(now).isOutage
     return dropMissing(state, now).copy(
         lastResponseAt = now,
         recoveredAt = if (wasUnavailable) now else state.recoveredAt,
         leaving = state.leaving.filterValues { now - it.announcedAt < LEAVING_RETENTION }.toPersistentMap(),
+        silence = StoreSilence(countedUntil = now),
     )
 }
 
+/** Records that a call to the store has failed. */
+public fun recordStoreFailure(state: PoolMembers, now: Moment): PoolMembers =
+    state.copy(silence = state.silence.until(now).copy(hasFailedCalls = true))
+
+/**
+ * Records that this host runs at [now], and drops the missing upstreams whose grace period has ended. Drops none while
+ * the store gives no answers, since their entries may be back.
+ */
+public fun recordRunning(state: PoolMembers, now: Moment): PoolMembers {
+    val silence = state.silence.until(now)
+    val isAnswering = state.lastResponseAt != null && !silence.hasFailedCalls && !silence.isOutage
+    return (if (isAnswering) dropMissing(state, now) else state).copy(silence = silence)
+}
+
 private fun dropMissing(state: PoolMembers, now: Moment): PoolMembers {
     val gone = state.missing.filterValues { it < now }.keys
     return state.copy(
--- a/src/main/kotlin/figdeck/daemon/query/serving/FollowTable.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/FollowTable.kt
@@ -25,10 +25,12 @@
  *
  * @property replace receives all rows of the table.
  * @property change receives changes in their order; the list is empty if the store reported none.
+ * @property fail is called when the store gave no answer.
  */
 internal data class TableFollower(
     val replace: suspend (List<Row>) -> Unit,
     val change: suspend (List<RowChange>) -> Unit,
+    val fail: suspend () -> Unit = {},
 )
 
 /**
@@ -46,6 +48,7 @@
     while (true) {
         val next = advance(table, step, minInterval, follower)
         if (next == null) {
+            follower.fail()
             if (retryDelay == Duration.ZERO) {
                 log.warn { "table '$table' can't be read: retrying with a delay" }
             }
--- a/src/main/kotlin/figdeck/daemon/query/serving/FollowedRowCache.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/FollowedRowCache.kt
@@ -14,7 +14,7 @@
     fun rows(table: String): List<Row> = tables[table].orEmpty().values.toList()
 
     /** Wraps [follower] so that the rows it receives are cached as those of [table]. */
-    fun recording(table: String, follower: TableFollower): TableFollower = TableFollower(
+    fun recording(table: String, follower: TableFollower): TableFollower = follower.copy(
         replace = { rows ->
             tables[table] = rows.associateBy { it.key }.toPersistentMap()
             follower.replace(rows)
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -6,6 +6,7 @@
 import figdeck.command.serving.VersionedJob
 import figdeck.command.serving.putJob
 import figdeck.command.serving.putMember
+import figdeck.command.serving.recordStoreFailure
 import figdeck.command.serving.recordStoreResponse
 import figdeck.command.serving.removeJob
 import figdeck.command.serving.removeMember
@@ -87,6 +88,7 @@
                 }
             }
         },
+        fail = { control.run { state, now -> updatePools(state) { recordStoreFailure(it, now) } } },
     )
 }
 
--- a/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -10,6 +10,7 @@
 import figdeck.model.serving.PoolName
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val start = Moment(0, 0)
@@ -23,6 +24,14 @@
 
 private fun PoolMembers.isLeaving(id: String): Boolean? = members[UpstreamId(id)]?.isLeaving
 
+private val checkInterval = 100.milliseconds
+
+/** This host runs until [end] and gets no answer of the store. */
+private fun PoolMembers.unanswered(end: Moment): PoolMembers =
+    generateSequence((silence.countedUntil ?: start) + checkInterval) { it + checkInterval }
+        .takeWhile { it <= end }
+        .fold(this) { state, now -> recordRunning(state, now) }
+
 private fun PoolMembers.ids() = members.keys.map { it.value }.sorted()
 
 class PoolMembersSpec : DescribeSpec({
@@ -35,6 +44,27 @@
         }
     }
 
+    // Guards against upstreams that are kept, although they have left, by a host that was frozen itself.
+    describe("an entry that is removed while this host does not run, or soon after") {
+        val wokeAt = start + 4.seconds
+
+        it("is dropped by the first answer that doesn't list it") {
+            replaceMembers(both, listOf(member("i-2")), wokeAt).ids() shouldBe listOf("i-2")
+        }
+
+        it("is dropped by a later answer") {
+            val later = wokeAt + 1.seconds
+            val awake = recordStoreResponse(recordStoreResponse(both, wokeAt), later)
+            removeMember(awake, UpstreamId("i-1"), later).ids() shouldBe listOf("i-2")
+        }
+
+        it("is dropped although the freeze interrupted a wait for changes, and the next wait was long") {
+            val awake = recordStoreFailure(both.unanswered(start + 2.seconds), start + 6.seconds)
+            val waited = awake.unanswered(start + 8.seconds)
+            replaceMembers(waited, listOf(member("i-2")), start + 8.seconds).ids() shouldBe listOf("i-2")
+        }
+    }
+
     // Guards against work for an upstream that has said in an answer that it is leaving while its entry says "ready".
     describe("an upstream that has said that it is leaving") {
         val first = UpstreamId("i-1")
@@ -74,6 +104,10 @@
             unconfirmed.ids() shouldBe listOf("i-1", "i-2")
         }
 
+        it("are kept while the store has not answered at all") {
+            unconfirmed.unanswered(start + 10.seconds).ids() shouldBe listOf("i-1", "i-2")
+        }
+
         it("are dropped if the store does not list them within the grace period") {
             val listed = replaceMembers(unconfirmed, listOf(member("i-2")), start + 1.seconds)
             listed.ids() shouldBe listOf("i-1", "i-2")
@@ -83,7 +117,7 @@
 
     describe("an entry that expired during a store outage") {
         val recoveredAt = start + 10.seconds
-        val missing = replaceMembers(both, listOf(member("i-2")), recoveredAt)
+        val missing = replaceMembers(both.unanswered(recoveredAt), listOf(member("i-2")), recoveredAt)
 
         it("stays in use during the grace period") {
             missing.ids() shouldBe listOf("i-1", "i-2")
@@ -94,6 +128,20 @@
             recordStoreResponse(missing, recoveredAt + 3.seconds).ids() shouldBe listOf("i-2")
         }
 
+        it("is dropped in time without another answer, but not while calls fail") {
+            val end = recoveredAt + 2_300.milliseconds
+            missing.unanswered(end).ids() shouldBe listOf("i-2")
+            recordStoreFailure(missing, recoveredAt + 1.seconds).unanswered(end).ids() shouldBe listOf("i-1", "i-2")
+        }
+
+        it("stays in use if this host was also frozen after its calls had failed") {
+            val failed = recordStoreFailure(both.unanswered(start + 1.seconds), start + 1.seconds)
+            val awake = recordRunning(failed.unanswered(start + 2.seconds), start + 6.seconds)
+            val answered = start + 8.seconds
+            replaceMembers(awake.unanswered(answered), listOf(member("i-2")), answered).ids() shouldBe
+                listOf("i-1", "i-2")
+        }
+
         it("is kept if it reappears") {
             recordStoreResponse(putMember(missing, member("i-1")), recoveredAt + 3.seconds).ids() shouldBe
                 listOf("i-1", "i-2")
