--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
@@ -18,7 +18,7 @@
 
 private val HELD_ITEM_CHECK_INTERVAL = 1.seconds
 private val FIRST_READ_DELAY = 250.milliseconds
-private val MAX_READ_DELAY = 5.seconds
+private val MAX_READ_DELAY = 1.seconds
 private val partLog = PartLog("jobs")
 
 /** The result of an item. Its memory is kept until [isSettled] is completed: it is stored, or can't be. */
