ConfigurationFreshnessSpec: a failure tells the answers until then and the daemons' statuses

Seen: a daemon without table and peers refused after 5.8 s (bound 3 s), and then a daemon did not serve again within 10 s, once, at a load of 17 to 21.

Change: each failure lists the answers of the daemon with their times and the slowest of them, so that one answer that took long is told from many that were wrong, and the revision, the age of the confirmation and the doubt that the daemons report. `eventually` takes what a failure should tell. Bounds and checks are unchanged.

--- a/src/test/kotlin/figdeck/process/ConfigurationFreshnessSpec.kt
+++ b/src/test/kotlin/figdeck/process/ConfigurationFreshnessSpec.kt
@@ -2,6 +2,7 @@
 
 import figdeck.model.hashKey
 import figdeck.wire.command.encodeTemplate
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainOnly
 import io.kotest.matchers.comparables.shouldBeLessThan
@@ -21,23 +22,38 @@
 private const val STATUS_STALE = 503
 
 /**
- * Sends an unknown key to [daemon] for [time] and returns the statuses: 401 while the daemon can confirm that its
+ * Sends an unknown key to [daemon] for [time] and returns the answers: 401 while the daemon can confirm that its
  * configuration is current, 503 while it cannot.
  */
-private suspend fun Fleet.probeStatuses(daemon: FleetProcess, time: Duration): Set<Int> {
+private suspend fun Fleet.probe(daemon: FleetProcess, time: Duration): List<TimedResponse> {
     val start = TimeSource.Monotonic.markNow()
-    val statuses = mutableSetOf<Int>()
+    val outcomes = mutableListOf<TimedResponse>()
     while (start.elapsedNow() < time) {
-        statuses += send(daemon.address, UNKNOWN_KEY_REQUEST).status
+        outcomes += sendTimed(daemon, UNKNOWN_KEY_REQUEST, start)
         delay(20.milliseconds)
     }
-    return statuses
+    return outcomes
 }
 
-private suspend fun Fleet.measureTimeUntil(daemon: FleetProcess, status: Int): Duration {
+/**
+ * How long a daemon took to give an awaited answer.
+ *
+ * @property probes the answers until then, for the message of a failure.
+ */
+private data class Change(
+    val after: Duration,
+    val probes: List<TimedResponse>,
+)
+
+private suspend fun Fleet.awaitStatus(daemon: FleetProcess, status: Int, described: List<FleetProcess>): Change {
     val start = TimeSource.Monotonic.markNow()
-    eventually(10.seconds) { send(daemon.address, UNKNOWN_KEY_REQUEST).status == status }
-    return start.elapsedNow()
+    val probes = mutableListOf<TimedResponse>()
+    val describe: suspend () -> String = { "${probes.summarize()}\n${describeStatuses(described)}" }
+    eventually(10.seconds, describe) {
+        probes += sendTimed(daemon, UNKNOWN_KEY_REQUEST, start)
+        probes.last().response.status == status
+    }
+    return Change(start.elapsedNow(), probes)
 }
 
 class ConfigurationFreshnessSpec : DescribeSpec({
@@ -68,7 +84,10 @@
             val grant = """{"team":"stado","id":"guest","sha256":"${hashKey("guest-key").hex}"}"""
             operator("POST", "/v1/keys", grant).body shouldContain "\"missing\":[]"
             link.sever()
-            fleet.probeStatuses(isolated, 5.seconds) shouldContainOnly setOf(STATUS_CURRENT)
+            val probes = fleet.probe(isolated, 5.seconds)
+            withClue("${probes.summarize()}\n${fleet.describeStatuses(peers + isolated)}") {
+                probes.map { it.response.status }.toSet() shouldContainOnly setOf(STATUS_CURRENT)
+            }
             operator("DELETE", "/v1/keys/guest").body shouldContain "\"missing\":[]"
             val start = TimeSource.Monotonic.markNow()
             eventually(10.seconds) {
@@ -82,27 +101,34 @@
     describe("a daemon that can reach neither the table nor its peers") {
         it("refuses within 3 s, reports that nothing ran, and serves again when its peers resume") {
             peers.forEach { it.pause() }
-            val refusedAfter = fleet.measureTimeUntil(isolated, STATUS_STALE)
+            val refusal = fleet.awaitStatus(isolated, STATUS_STALE, listOf(isolated))
             val response = fleet.send(isolated.address, chatRequest(chatBody("x")))
+            val isolatedStatus = fleet.describeStatuses(listOf(isolated))
             peers.forEach { it.resume() }
-            println("an isolated daemon refuses after $refusedAfter")
-            refusedAfter shouldBeLessThan 3.seconds
+            println("an isolated daemon refuses after ${refusal.after}")
+            withClue("${refusal.probes.summarize()}\nafter the refusal $isolatedStatus") {
+                refusal.after shouldBeLessThan 3.seconds
+            }
             response.body shouldContain "\"type\":\"stale_configuration\""
             response.body shouldContain "\"ran\":\"no\""
-            println("it serves again after ${fleet.measureTimeUntil(isolated, STATUS_CURRENT)}")
+            println("it serves again after ${fleet.awaitStatus(isolated, STATUS_CURRENT, peers + isolated).after}")
         }
     }
 
     describe("an outage of the table for all daemons") {
         it("does not make any daemon treat its configuration as stale") {
             link.restore()
-            (peers + isolated).forEach { fleet.measureTimeUntil(it, STATUS_CURRENT) }
+            (peers + isolated).forEach { fleet.awaitStatus(it, STATUS_CURRENT, peers + isolated) }
             delay(1.seconds)
             fleet.platformFaults("outage=true")
-            val statuses =
-                coroutineScope { (peers + isolated).map { async { fleet.probeStatuses(it, 8.seconds) } }.awaitAll() }
+            val probes =
+                coroutineScope { (peers + isolated).map { async { fleet.probe(it, 8.seconds) } }.awaitAll() }
+            val statuses = fleet.describeStatuses(peers + isolated)
             fleet.platformFaults("outage=false")
-            statuses shouldBe List(3) { setOf(STATUS_CURRENT) }
+            withClue("${probes.flatten().summarize()}\nat the end $statuses") {
+                val answers = probes.map { each -> each.map { it.response.status }.toSet() }
+                answers shouldBe List(3) { setOf(STATUS_CURRENT) }
+            }
         }
     }
 })
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -231,11 +231,11 @@
     }
 }
 
-/** Polls [condition] until it holds; fails after [timeout]. */
-suspend fun eventually(timeout: Duration, condition: suspend () -> Boolean) {
+/** Polls [condition] until it holds; fails after [timeout] with what [describe] returns then. */
+suspend fun eventually(timeout: Duration, describe: suspend () -> String = { "" }, condition: suspend () -> Boolean) {
     val start = TimeSource.Monotonic.markNow()
     while (!condition()) {
-        check(start.elapsedNow() < timeout) { "the condition did not hold within $timeout" }
+        check(start.elapsedNow() < timeout) { "the condition did not hold within $timeout\n${describe()}" }
         delay(20.milliseconds)
     }
 }
