TokenGrantSpec: late tokens that return to a refilled bucket exceed the limit (known red)

Callers would see more than rate x time + burst: of a burst of 20 at 40/s, 32 tokens are granted at one moment.

Cause: a draw's tokens that came after their lifetime return with the same host's next draw, however much later. The bucket has been full in between, without them, so they come on top. "Half of the responses late" doesn't show it, as its draws follow each other within 20 ms.

To mend it, an owner has to know when the returned tokens were granted, and how empty the bucket has been since: at most the least that was missing from it since then may return.

--- a/src/test/kotlin/figdeck/command/limit/TokenGrantSpec.kt
+++ b/src/test/kotlin/figdeck/command/limit/TokenGrantSpec.kt
@@ -8,6 +8,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.random.Random
@@ -91,6 +92,17 @@
                 faults.shouldBeEmpty()
             }
         }
+        // Guards against tokens that return to a bucket that has refilled without them.
+        it("never exceed 40.0/s and burst 20 if late tokens return after the bucket was full again") {
+            val limit = Limit(40.0, 20)
+            val owned = OwnedShard(Epoch(1), 1, at(0))
+            val empty = TeamBuckets(persistentMapOf())
+            val late = grant(empty, TokenDraw(team, 16, 0), limit, owned, at(1_000_000))
+            val spent = grant(late.state, TokenDraw(team, 16, 0), limit, owned, at(3_000_000))
+            val returned = TokenDraw(team, 16, 0, unspent = late.result.granted)
+            val more = grant(spent.state, returned, limit, owned, at(3_000_000))
+            spent.result.granted + more.result.granted shouldBeLessThanOrEqual limit.burst
+        }
         it("reach half of the rate with half of the responses late") {
             val random = Random(7)
             val limit = Limit(100.0, 20)
