--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -5,10 +5,8 @@
 import figdeck.model.serving.PoolMember
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.toPersistentMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.minutes
 
 /**
  * How long an entry that expired during a store outage may take to reappear. The platform promises that it does within
@@ -16,12 +14,6 @@
  */
 private val REAPPEARANCE_GRACE: Duration = 2_200.milliseconds
 
-/**
- * How long the announcement of an upstream that it is leaving counts. The upstream ends within a minute, and what has
- * its id later is another start of it.
- */
-private val LEAVING_RETENTION: Duration = 2.minutes
-
 /**
  * The announcement of an upstream that it is leaving, which came with an answer.
  *
@@ -106,36 +98,3 @@
 /** Drops an upstream without a grace period because another one answers at its address. */
 public fun removeImmediately(state: PoolMembers, id: UpstreamId): PoolMembers =
     state.copy(members = state.members.remove(id), missing = state.missing.remove(id))
-
-/** Records an answer of the store and drops the missing upstreams whose grace period has ended. */
-public fun recordStoreResponse(state: PoolMembers, now: Moment): PoolMembers {
-    val wasUnavailable = state.lastResponseAt != null && state.silence.until(now).isOutage
-    return dropMissing(state, now).copy(
-        lastResponseAt = now,
-        recoveredAt = if (wasUnavailable) now else state.recoveredAt,
-        leaving = state.leaving.filterValues { now - it.announcedAt < LEAVING_RETENTION }.toPersistentMap(),
-        silence = StoreSilence(countedUntil = now),
-    )
-}
-
-/** Records that a call to the store has failed. */
-public fun recordStoreFailure(state: PoolMembers, now: Moment): PoolMembers =
-    state.copy(silence = state.silence.until(now).copy(hasFailedCalls = true))
-
-/**
- * Records that this host runs at [now], and drops the missing upstreams whose grace period has ended. Drops none while
- * the store gives no answers, since their entries may be back.
- */
-public fun recordRunning(state: PoolMembers, now: Moment): PoolMembers {
-    val silence = state.silence.until(now)
-    val isAnswering = state.lastResponseAt != null && !silence.hasFailedCalls && !silence.isOutage
-    return (if (isAnswering) dropMissing(state, now) else state).copy(silence = silence)
-}
-
-private fun dropMissing(state: PoolMembers, now: Moment): PoolMembers {
-    val gone = state.missing.filterValues { it < now }.keys
-    return state.copy(
-        members = state.members.filterKeys { it !in gone }.toPersistentMap(),
-        missing = state.missing.filterKeys { it !in gone }.toPersistentMap(),
-    )
-}
--- a/src/main/kotlin/figdeck/platform/AdmittedBody.kt
+++ b/src/main/kotlin/figdeck/platform/AdmittedBody.kt
@@ -3,7 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import figdeck.command.serving.BodyDemand
-import figdeck.command.serving.BodyUse
 import figdeck.command.serving.SMALL_BODY_BYTES
 import figdeck.command.serving.firstBodyBytes
 import figdeck.daemon.command.serving.BodyMemory
@@ -12,22 +11,6 @@
 import figdeck.http.server.HttpResponder
 import figdeck.model.Refusal
 import io.netty.handler.codec.http.HttpHeaderNames
-import kotlin.time.Duration
-
-/**
- * What decides about the body of a call.
- *
- * @property isSubmission whether the body is decoded and stored as a batch job, rather than forwarded.
- * @property timeLeft the time until the caller's deadline.
- */
-internal data class BodyTerms(
-    val maxBytes: Int,
-    val isSubmission: Boolean,
-    val timeLeft: Duration,
-) {
-    val useWhileRead: BodyUse get() = if (isSubmission) BodyUse.SUBMIT else BodyUse.READ
-    val useAfterRead: BodyUse get() = if (isSubmission) BodyUse.SUBMIT else BodyUse.FORWARD
-}
 
 /** Handles a body that was read, or its refusal, and answers through the responder. */
 internal typealias BodyHandler = suspend (Either<Refusal, ByteArray>, HttpResponder) -> Unit
