A caller is told to send its body only when the body is read

Callers that sent "Expect: 100-continue" were told to go on although their request was then refused without its body being read, so that they sent up to 4 MB for nothing. The server wrote 100 Continue as soon as the head was there, before its handler decided anything.

AdmittedBodySpec failed first: the first answer was 100 where 503 was expected. Now 100 Continue is written with the handler's first wait for the body, unless the response has begun; a second case shows that callers whose body is read still get it.

--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -95,9 +95,18 @@
 
     private fun startCall(ctx: ChannelHandlerContext, request: HttpRequest) {
         deadline.start(limits.bodyTotalTimeout)
-        val queue = ChunkQueue(limits.bodyIdleTimeout) { ctx.channel().read() }
+        lateinit var exchange: ServerExchange
+        var awaitsContinue = HttpUtil.is100ContinueExpected(request)
+        val queue = ChunkQueue(limits.bodyIdleTimeout) {
+            // A caller is told to send its body only if the handler reads it.
+            if (awaitsContinue && !exchange.hasStarted) {
+                ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+            }
+            awaitsContinue = false
+            ctx.channel().read()
+        }
         requestBody = queue
-        val exchange = ServerExchange(ctx, request, queue, limits.writeTimeout) { listenerState.draining.get() }
+        exchange = ServerExchange(ctx, request, queue, limits.writeTimeout) { listenerState.draining.get() }
         val call = httpCall(request.method().name(), request.uri(), request.headers(), queue.body)
         val job = scope.launch {
             try {
@@ -109,9 +118,6 @@
         currentCall = job
         // A call that is cancelled before it starts ends without reaching its own code.
         job.invokeOnCompletion { listenerState.endCall() }
-        if (HttpUtil.is100ContinueExpected(request)) {
-            ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
     }
 
     private fun receiveContent(ctx: ChannelHandlerContext, content: HttpContent) {
--- a/src/main/kotlin/figdeck/http/server/ServerExchange.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerExchange.kt
@@ -40,6 +40,8 @@
 
     private var closesConnection = false
 
+    val hasStarted: Boolean get() = started
+
     val keepsAlive: Boolean get() = !closesConnection && ended
 
     @Suppress("TooGenericExceptionCaught") // A failing handler must not affect other calls.
--- a/src/test/kotlin/figdeck/platform/AdmittedBodySpec.kt
+++ b/src/test/kotlin/figdeck/platform/AdmittedBodySpec.kt
@@ -41,6 +41,10 @@
 private val terms = BodyTerms(MAX_BODY_BYTES, isSubmission = false, timeLeft = 10.seconds)
 
 private fun head(bytes: Int) = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: $bytes\r\n\r\n"
+
+private fun waitingHead(bytes: Int) =
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: $bytes\r\nExpect: 100-continue\r\n\r\n"
+
 private const val CHUNKED_HEAD = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 private fun chunk(bytes: Int) = "${bytes.toString(16)}\r\n${"a".repeat(bytes)}\r\n"
@@ -113,6 +117,12 @@
             first.status() shouldBe "200"
         }
 
+        it("refuses one whose caller waits to be told to send it, without telling so") {
+            server.whileFull {
+                server.answerTo(waitingHead(MAX_BODY_BYTES)).status() shouldBe "503"
+            }
+        }
+
         it("answers small ones, with a declared size and in chunks") {
             server.whileFull {
                 server.answerTo(head(SMALL_BODY) + "a".repeat(SMALL_BODY)).status() shouldBe "200"
@@ -156,6 +166,10 @@
             server.answerTo(CHUNKED_HEAD, chunk(MAX_BODY_BYTES), "0\r\n\r\n").status() shouldBe "200"
         }
 
+        it("tells a caller that waits to send its body") {
+            server.answerTo(waitingHead(SMALL_BODY)).status() shouldBe "100"
+        }
+
         it("refuses one that is declared as too large before any of it has come") {
             server.answerTo(head(MAX_BODY_BYTES + 1)).first() shouldContain "413"
         }
