LargeBodiesSpec: small requests have slots enough

With 4 slots the spec measured the pool. It has 88, as many as small requests can be at once within their deadline; all bounds are the same.

--- a/src/test/kotlin/figdeck/process/LargeBodiesSpec.kt
+++ b/src/test/kotlin/figdeck/process/LargeBodiesSpec.kt
@@ -32,6 +32,9 @@
 private const val SUBMISSIONS = 40
 private const val ITEMS = 40
 private const val ITEM_BYTES = 75_000
+
+/** Enough for all small requests that are sent within their deadline: none is refused for want of a slot. */
+private const val SLOTS = 88
 private const val WARM_UP_REQUESTS = 100
 private val OTHERS_DEADLINE = 1_500.milliseconds
 private val OTHERS_INTERVAL = 25.milliseconds
@@ -106,7 +109,8 @@
         val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         val fleet = Fleet()
         val runner = RunnerStandIn(eventLoops, "r-1")
-        fleet.storePlanAndRunners(PLAN, mapOf("r-1" to runner))
+        val entry = storeRow("servers", "r-1", runner.encodeEntry("pool", SLOTS))
+        fleet.writeRows(listOf(storeRow("op", "config", PLAN), entry))
         val daemon = fleet.edgeDaemon("host-a", jvmFlags = productionFlags())
         fleet.awaitReady(listOf(daemon))
         val bodies = LargeBodies(daemon)
