Bodies in chunks reserve memory for what has come, not for what may come

Callers that send bodies in chunks were refused with 503 while hardly any memory was taken. Each body in chunks reserved 64 KiB times its factor from the start, and the largest size allowed as soon as it outgrew that. By the limits a heap of 112 MB had room for some 178 of them at once however small they were, and for two beyond 64 KiB; a submission in chunks beyond 64 KiB exceeded the limit (4 MB times 8) and needed all of the memory for itself.

Now 4 KiB are reserved first, then the next power of two above what has come, as the buffer grows. What finds no room is refused then, and its memory is free at once for the others.

--- a/src/main/kotlin/figdeck/command/serving/BodyMemoryLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/BodyMemoryLimits.kt
@@ -3,6 +3,9 @@
 /** A body of at most this size, in bytes, is small: most online requests are far smaller. */
 public const val SMALL_BODY_BYTES: Long = 64L * 1024
 
+/** Most bodies that come in chunks have at most this size, in bytes. */
+private const val FIRST_CHUNKS_BYTES = 4L * 1024
+
 private const val SMALL_PARTS = 5
 private const val LARGE_PARTS = 25
 private const val PARTS = 100
@@ -77,7 +80,12 @@
 /**
  * The size to reserve memory for before a body is read.
  *
- * @param declared the size that its head declares; null if it comes in chunks, which may end early. Room for a small
- * body is reserved then, and for one of [maxBytes] when it turns out to be larger.
+ * @param declared the size that its head declares; null if it comes in chunks, of which [grownBodyBytes] tells more.
+ */
+public fun firstBodyBytes(declared: Long?, maxBytes: Long): Long = minOf(declared ?: FIRST_CHUNKS_BYTES, maxBytes)
+
+/**
+ * The size to reserve memory for when [size] bytes of a body in chunks have come. It doubles, as the buffer does: a
+ * body holds no memory for what may never come.
  */
-public fun firstBodyBytes(declared: Long?, maxBytes: Long): Long = minOf(declared ?: SMALL_BODY_BYTES, maxBytes)
+public fun grownBodyBytes(size: Long, maxBytes: Long): Long = minOf((size - 1).takeHighestOneBit() * 2, maxBytes)
--- a/src/main/kotlin/figdeck/platform/AdmittedBody.kt
+++ b/src/main/kotlin/figdeck/platform/AdmittedBody.kt
@@ -3,8 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import figdeck.command.serving.BodyDemand
-import figdeck.command.serving.SMALL_BODY_BYTES
 import figdeck.command.serving.firstBodyBytes
+import figdeck.command.serving.grownBodyBytes
 import figdeck.daemon.command.serving.BodyMemory
 import figdeck.http.readAll
 import figdeck.http.server.HttpCall
@@ -37,29 +37,31 @@
         return
     }
     reservation.use {
-        val body = readReserved(call, terms, it)
+        val body = readReserved(call, terms, first, it)
         body.onRight { read -> it.change(BodyDemand(read.size.toLong(), terms.useAfterRead)) }
         handle(body, it.freedByAnswer(responder))
     }
 }
 
-/** Reads the body of [call]. One in chunks outgrows its reservation only if there is room for the largest body. */
+/** Reads the body of [call], for [first] of which memory is reserved. The reservation grows with one in chunks. */
 private suspend fun BodyMemory.readReserved(
     call: HttpCall,
     terms: BodyTerms,
+    first: BodyDemand,
     reservation: BodyMemory.Reservation,
 ): Either<Refusal, ByteArray> {
-    val largest = BodyDemand(terms.maxBytes.toLong(), terms.useWhileRead)
-    var isReservedWhole = declaredBytes(call) != null
-    var hasRoom = true
+    var reserved = first
+    var unmet: BodyDemand? = null
     val body = call.body.readAll(terms.maxBytes) { size ->
-        if (!isReservedWhole && size > SMALL_BODY_BYTES) {
-            hasRoom = reservation.change(largest)
-            isReservedWhole = hasRoom
+        if (size > reserved.bytes) {
+            val demand = first.copy(bytes = grownBodyBytes(size.toLong(), terms.maxBytes.toLong()))
+            if (reservation.change(demand)) reserved = demand else unmet = demand
         }
-        hasRoom
+        unmet == null
+    }
+    return body.mapLeft { over ->
+        unmet?.let { refusalOf(it, terms.timeLeft) } ?: Refusal.BodyTooLarge(over.limitBytes)
     }
-    return body.mapLeft { if (hasRoom) Refusal.BodyTooLarge(it.limitBytes) else refusalOf(largest, terms.timeLeft) }
 }
 
 /** A responder that frees the memory before a whole answer is sent: its caller may send the next body at once. */
