A caller without access takes no memory for a large body

Callers with a valid key could be refused with 503 because of callers without one: the head of a large body reserved memory for it before the key counted, and a caller that then sent a byte every few seconds kept it for up to 10 minutes. Such a caller also learned of its key only after its body.

LargeBodiesSpec on the code before: no answer to the head of a body of 3 MB with an unknown key within 3 s. Now it is 401.

If the plan in force denies access, a body of more than 64 KiB is not read and the denial is answered. A small one is read as before, which keeps the connection. A host that has just started still waits for its data first.

--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.flatMap
 import arrow.core.left
+import figdeck.command.serving.SMALL_BODY_BYTES
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.hasRequiredData
@@ -100,17 +101,25 @@
     receivedAt: Moment,
     responder: HttpResponder,
 ) {
-    val index = control.snapshot.index
+    val state = control.snapshot
+    val index = state.index
     val access = index?.access(headers.host, call.path, headers.key)
-    // Before a plan is known, any request may be a submission.
-    val isSubmission = access == null || access.isRight { it.route.kind == CallKind.BATCH }
-    val terms = BodyTerms(index?.plan?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES, isSubmission, headers.timeLeft)
+    val denial = access?.leftOrNull()?.takeIf { state.hasRequiredData }
+    val maxBytes = index?.plan?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
+    val terms = BodyTerms(
+        // The small body of a caller without access is read: its connection can be used again.
+        maxBytes = if (denial == null) maxBytes else minOf(maxBytes, SMALL_BODY_BYTES.toInt()),
+        // Before a plan is known, any request may be a submission.
+        isSubmission = access == null || access.isRight { it.route.kind == CallKind.BATCH },
+        timeLeft = headers.timeLeft,
+    )
     bodies.withBody(call, responder, terms) { body, bodyResponder ->
         awaitRequiredData()
         // The plan may have changed while the body was read.
         val current = control.snapshot.index
         val currentAccess = when {
             current == null -> Refusal.StaleConfiguration.left()
+            denial != null && body.isLeft() -> denial.left()
             current === index && access != null -> access
             else -> current.access(headers.host, call.path, headers.key)
         }
--- a/src/test/kotlin/figdeck/process/LargeBodiesSpec.kt
+++ b/src/test/kotlin/figdeck/process/LargeBodiesSpec.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.Dispatchers
@@ -20,6 +21,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -32,6 +34,7 @@
 private const val SUBMISSIONS = 40
 private const val ITEMS = 40
 private const val ITEM_BYTES = 75_000
+private const val HEAD_LIMIT_MILLIS = 3_000
 
 /** Enough for all small requests that are sent within their deadline: none is refused for want of a slot. */
 private const val SLOTS = 88
@@ -83,6 +86,15 @@
         answers
     }
 
+    /** The first line of the answer to the head of a large body with a key that is not in force. */
+    fun headOfAnswerWithoutKey(): String = Socket(daemon.address.ip, daemon.address.port).use { socket ->
+        socket.soTimeout = HEAD_LIMIT_MILLIS
+        val head = "POST /desk/x HTTP/1.1\r\nHost: $HOST\r\nAuthorization: Bearer none\r\nX-Attempt-Id: x\r\n" +
+            "X-Deadline-Ms: 5000\r\nContent-Length: ${ITEMS * ITEM_BYTES}\r\n\r\n"
+        socket.getOutputStream().write(head.encodeToByteArray())
+        socket.getInputStream().bufferedReader().readLine().orEmpty()
+    }
+
     private suspend fun call(path: String, body: ByteArray, deadline: Duration): BodyAnswer {
         val headers = newHeaders().set("Host", HOST).set("X-Attempt-Id", path.substringAfterLast('/'))
             .set("Authorization", "Bearer $KEY").set("X-Deadline-Ms", deadline.inWholeMilliseconds)
@@ -134,6 +146,11 @@
             answers.filterNot { it.status == 202 || it.status == 503 && it.retryAfter != null }.shouldBeEmpty()
         }
 
+        // Guards against callers without a key who take the memory for large bodies by their heads alone.
+        it("refuses a large body of a caller without a valid key before any of it has come") {
+            bodies.headOfAnswerWithoutKey() shouldContain "401"
+        }
+
         it("answers requests with small bodies in time meanwhile") {
             bodies.others.filter { it.status != 200 || it.took > OTHERS_DEADLINE }.shouldBeEmpty()
             bodies.others.size shouldBeGreaterThan SUBMISSIONS
