Submissions have a share of the memory for bodies to themselves

Callers would see: a batch job of 4 MB is refused with 503 as long as any larger body is forwarded, however long its answer streams. It exceeds the limit for large bodies by its estimate, so it was admitted only when no other one was there. Found by reading; BodyMemoryLimitsSpec has the case, which the limits before could not express. Forwarded bodies keep 10 % of the heap, submissions 15 %.

Retry-After: the time of the last return was overwritten by a caller with an early deadline, and the next callers were told times that others had (worked out: 1, 2, 3, 1, then 2 s in place of 4).

--- a/src/main/kotlin/figdeck/command/serving/BodyMemoryLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/BodyMemoryLimits.kt
@@ -7,7 +7,8 @@
 private const val FIRST_CHUNKS_BYTES = 4L * 1024
 
 private const val SMALL_PARTS = 5
-private const val LARGE_PARTS = 25
+private const val LARGE_PARTS = 10
+private const val SUBMISSION_PARTS = 15
 private const val PARTS = 100
 
 /** While a body is read, its buffer doubles and is then copied. */
@@ -20,17 +21,27 @@
  * The memory that request bodies may take on one host, in bytes.
  *
  * @property small for bodies of at most [SMALL_BODY_BYTES], whatever larger ones take.
- * @property large for all others, and for small ones that find no room in [small].
+ * @property large for larger ones that are forwarded, and for small ones that find no room in [small].
+ * @property submissions the same for those that are stored as batch jobs, whatever forwarded ones take.
  */
 public data class BodyMemoryLimits(
     public val small: Long,
     public val large: Long,
-)
+    public val submissions: Long,
+) {
+    /** Returns the limit of [share]. */
+    public fun of(share: BodyShare): Long = when (share) {
+        BodyShare.SMALL -> small
+        BodyShare.LARGE -> large
+        BodyShare.SUBMISSIONS -> submissions
+    }
+}
 
 /** Returns the limits for a heap of [heapBytes]: beside the items of batch jobs, which may take half of it. */
 public fun bodyMemoryLimits(heapBytes: Long): BodyMemoryLimits = BodyMemoryLimits(
     small = heapBytes * SMALL_PARTS / PARTS,
     large = heapBytes * LARGE_PARTS / PARTS,
+    submissions = heapBytes * SUBMISSION_PARTS / PARTS,
 )
 
 /** What is done with a body; its memory is [factor] times its size. */
@@ -52,29 +63,44 @@
 ) {
     /** The memory that it takes, in bytes. */
     public val memory: Long get() = bytes * use.factor
+
+    /** The share that it takes if it finds no room among small bodies. */
+    public val mainShare: BodyShare get() = if (use == BodyUse.SUBMIT) BodyShare.SUBMISSIONS else BodyShare.LARGE
 }
 
 /** The part of the memory for bodies that a body takes. */
-public enum class BodyShare { SMALL, LARGE }
+public enum class BodyShare { SMALL, LARGE, SUBMISSIONS }
 
 /** The memory that bodies take now, in bytes. */
 public data class BodyMemoryUse(
     public val small: Long = 0,
     public val large: Long = 0,
+    public val submissions: Long = 0,
 ) {
+    /** Returns the bytes that are taken from [share]. */
+    public fun of(share: BodyShare): Long = when (share) {
+        BodyShare.SMALL -> small
+        BodyShare.LARGE -> large
+        BodyShare.SUBMISSIONS -> submissions
+    }
+
     /** Returns the use after [bytes] more are taken from [share]. */
     public fun plus(share: BodyShare, bytes: Long): BodyMemoryUse = when (share) {
         BodyShare.SMALL -> copy(small = small + bytes)
         BodyShare.LARGE -> copy(large = large + bytes)
+        BodyShare.SUBMISSIONS -> copy(submissions = submissions + bytes)
     }
 }
 
 /** Returns the share that has room for [demand] beside [used], or null if none has. */
-public fun shareFor(demand: BodyDemand, used: BodyMemoryUse, limits: BodyMemoryLimits): BodyShare? = when {
-    demand.bytes <= SMALL_BODY_BYTES && used.small + demand.memory <= limits.small -> BodyShare.SMALL
-    // A body is admitted alone even if it is larger than the limit: it would never be admitted otherwise.
-    fitsInMemory(used.large, demand.memory, limits.large) -> BodyShare.LARGE
-    else -> null
+public fun shareFor(demand: BodyDemand, used: BodyMemoryUse, limits: BodyMemoryLimits): BodyShare? {
+    val main = demand.mainShare
+    return when {
+        demand.bytes <= SMALL_BODY_BYTES && used.small + demand.memory <= limits.small -> BodyShare.SMALL
+        // A body is admitted alone even if it is larger than the limit: it would never be admitted otherwise.
+        fitsInMemory(used.of(main), demand.memory, limits.of(main)) -> main
+        else -> null
+    }
 }
 
 /**
--- a/src/main/kotlin/figdeck/daemon/command/serving/BodyMemory.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/BodyMemory.kt
@@ -19,8 +19,8 @@
 ) {
     private val used = AtomicReference(BodyMemoryUse())
 
-    /** When the caller that was refused last returns; null if there was none. */
-    private val lastReturnAt = AtomicReference<Moment?>()
+    /** When the last of the refused callers of each share returns. */
+    private val lastReturns = AtomicReference<Map<BodyShare, Moment>>(emptyMap())
 
     /** The bytes that are reserved now. */
     val usedNow: BodyMemoryUse get() = used.get()
@@ -31,8 +31,13 @@
     /** The refusal of [demand], which found no room, to a caller whose deadline is [timeLeft] away. */
     fun refusalOf(demand: BodyDemand, timeLeft: Duration): Refusal {
         val now = clock()
-        val last = lastReturnAt.getAndUpdate { now + bodyRetryAfter(demand, limits, it, timeLeft, now) }
-        val retryAfter = bodyRetryAfter(demand, limits, last, timeLeft, now)
+        val share = demand.mainShare
+        val before = lastReturns.getAndUpdate { returns ->
+            val returnAt = now + bodyRetryAfter(demand, limits, returns[share], timeLeft, now)
+            // A caller with an early deadline returns before others.
+            returns + (share to (returns[share]?.takeIf { it > returnAt } ?: returnAt))
+        }
+        val retryAfter = bodyRetryAfter(demand, limits, before[share], timeLeft, now)
         return Refusal.Overloaded("the memory for request bodies", retryAfter)
     }
 
--- a/src/test/kotlin/figdeck/command/serving/BodyMemoryLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/BodyMemoryLimitsSpec.kt
@@ -3,12 +3,13 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 
-private val limits = BodyMemoryLimits(small = 600_000, large = 24_000_000)
+private val limits = BodyMemoryLimits(small = 600_000, large = 24_000_000, submissions = 24_000_000)
 
 class BodyMemoryLimitsSpec : DescribeSpec({
     describe("the memory for request bodies") {
         it("is 30 % of a heap of 112 MB, beside the half for batch jobs") {
-            bodyMemoryLimits(112_000_000) shouldBe BodyMemoryLimits(small = 5_600_000, large = 28_000_000)
+            bodyMemoryLimits(112_000_000) shouldBe
+                BodyMemoryLimits(small = 5_600_000, large = 11_200_000, submissions = 16_800_000)
         }
     }
 
@@ -28,8 +29,13 @@
         }
 
         it("that exceeds the limit is admitted alone, whatever small ones take") {
-            shareFor(submission, BodyMemoryUse(small = 600_000), limits) shouldBe BodyShare.LARGE
-            shareFor(submission, BodyMemoryUse(large = 1), limits) shouldBe null
+            shareFor(submission, BodyMemoryUse(small = 600_000), limits) shouldBe BodyShare.SUBMISSIONS
+            shareFor(submission, BodyMemoryUse(submissions = 1), limits) shouldBe null
+        }
+
+        // Guards against submissions that are refused as long as any large body is forwarded.
+        it("to be stored as a job is admitted beside forwarded ones") {
+            shareFor(submission, BodyMemoryUse(large = 24_000_000), limits) shouldBe BodyShare.SUBMISSIONS
         }
     }
 
@@ -46,7 +52,7 @@
         }
 
         it("that is empty is always admitted") {
-            val full = BodyMemoryUse(small = 600_000, large = 24_000_000)
+            val full = BodyMemoryUse(small = 600_000, large = 24_000_000, submissions = 24_000_000)
             shareFor(BodyDemand(0, BodyUse.SUBMIT), full, limits) shouldBe BodyShare.SMALL
         }
     }
--- a/src/test/kotlin/figdeck/command/serving/BodyReturnsSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/BodyReturnsSpec.kt
@@ -7,7 +7,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val limits = BodyMemoryLimits(small = 1_000_000, large = 32_000_000)
+private val limits = BodyMemoryLimits(small = 1_000_000, large = 12_000_000, submissions = 32_000_000)
 private val now = Moment(0, 0)
 
 class BodyReturnsSpec : DescribeSpec({
--- a/src/test/kotlin/figdeck/platform/AdmittedBodySpec.kt
+++ b/src/test/kotlin/figdeck/platform/AdmittedBodySpec.kt
@@ -40,7 +40,7 @@
 private val ARRIVAL_TIME = 500.milliseconds
 
 /** Room for one body of [MAX_BODY_BYTES] at a time. */
-private val limits = BodyMemoryLimits(small = 400_000, large = 3_500_000)
+private val limits = BodyMemoryLimits(small = 400_000, large = 3_500_000, submissions = 3_500_000)
 
 private val terms = BodyTerms(MAX_BODY_BYTES, isSubmission = false, timeLeft = 10.seconds)
 
