--- a/src/main/kotlin/figdeck/cli/EdgeSettings.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -7,7 +7,9 @@
 import figdeck.model.Fault
 import figdeck.model.FaultCollector
 import figdeck.model.HostId
+import figdeck.model.Region
 import figdeck.model.parseAddress
+import figdeck.wire.lenientJson
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,14 +26,28 @@
     val fleetName: String,
     val seeds: String,
     val cores: String,
+    val region: String = "",
+    val dataCentreRegions: String = "",
+    val placement: String = Placement.FREE_SLOTS.label,
 )
 
+/** How an upstream is chosen for a request. */
+public enum class Placement(internal val label: String) {
+    /** One with the most free slots. */
+    FREE_SLOTS("free-slots"),
+
+    /** The one that is expected to complete the request first, where the upstreams of a pool differ in pace. */
+    EXPECTED_COMPLETION("expected-completion"),
+}
+
 /**
  * The settings of a daemon on the users' platform, from its flags and environment variables.
  *
  * @property terminationGrace how long after the request to stop the platform kills the process.
  * @property seeds the peer addresses of possible other daemons. Each may be outdated.
  * @property cores the CPU limit of this daemon, in cores.
+ * @property region the region of this host; null if the settings name none.
+ * @property regions the region of each data centre, as far as the settings name it.
  * @property fleetName the bearer token between daemons of one fleet. A daemon rejects requests from other fleets.
  */
 public data class EdgeSettings(
@@ -46,6 +62,9 @@
     public val fleetName: String,
     public val seeds: List<Address>,
     public val cores: Double,
+    public val region: Region? = null,
+    public val regions: Map<DataCentre, Region> = emptyMap(),
+    public val placement: Placement = Placement.FREE_SLOTS,
 )
 
 /** Validates every setting. Returns either the settings or all faults, each with the flag that it belongs to. */
@@ -70,6 +89,14 @@
     val seedAddresses = faults.attempt("--seeds") {
         seeds.split(',').map { it.trim() }.filter { it.isNotEmpty() }.map { parseAddress(it) }
     }
+    val ownRegion = if (region.isEmpty()) null else faults.attempt("--region") { Region(region) }
+    val regions = faults.attempt("--data-centre-regions") { parseRegions(dataCentreRegions) }
+    val choice = Placement.entries.find { it.label == placement }
+    faults.expect(
+        choice != null,
+        "--placement",
+        "'$placement' is no placement: write one of ${Placement.entries.joinToString { it.label }}",
+    )
     return faults.result {
         nullable {
             EdgeSettings(
@@ -84,7 +111,19 @@
                 fleetName = fleetName,
                 seeds = seedAddresses.bind(),
                 cores = coreCount.bind(),
+                region = ownRegion,
+                regions = regions.bind(),
+                placement = choice.bind(),
             )
         }
     }
 }
+
+/** Parses a JSON object from data centre to region. An empty text names no region. */
+private fun parseRegions(text: String): Map<DataCentre, Region> = if (text.isBlank()) {
+    emptyMap()
+} else {
+    lenientJson.decodeFromString<Map<String, String>>(text)
+        .map { (centre, region) -> DataCentre(centre) to Region(region) }
+        .toMap()
+}
--- a/src/main/kotlin/figdeck/cli/command/Edge.kt
+++ b/src/main/kotlin/figdeck/cli/command/Edge.kt
@@ -32,6 +32,13 @@
 
     private val cores by option(help = "Processor time that this daemon may use, in cores.").default("1")
 
+    private val region by option(help = "Region of this host.").default("")
+
+    private val dataCentreRegions by option(help = "The region of each data centre, a JSON object.").default("")
+
+    private val placement by option(help = "How upstreams are chosen: free-slots or expected-completion.")
+        .default("free-slots")
+
     override fun help(context: Context): String = "Run a daemon on the users' platform."
 
     override fun run() {
@@ -56,6 +63,9 @@
         fleetName = fleetName,
         seeds = seeds,
         cores = cores,
+        region = region,
+        dataCentreRegions = dataCentreRegions,
+        placement = placement,
     )
 
     private fun runDaemon(settings: EdgeSettings) {
--- a/src/main/kotlin/figdeck/model/serving/PoolMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/PoolMember.kt
@@ -1,6 +1,7 @@
 package figdeck.model.serving
 
 import figdeck.model.Upstream
+import kotlin.time.Duration
 
 /**
  * The announcement of an upstream in its pool.
@@ -8,10 +9,12 @@
  * @property isLeaving whether it accepts no new work because it is shutting down.
  * @property startedAtMillis when it started, in Unix milliseconds, by its own clock; null if it doesn't say so. An
  * upstream may start again under its id.
+ * @property coldRemaining how long it stayed cold when it wrote the announcement; null if it doesn't say so.
  */
 public data class PoolMember(
     public val upstream: Upstream,
     public val pool: PoolName,
     public val isLeaving: Boolean,
     public val startedAtMillis: Long? = null,
+    public val coldRemaining: Duration? = null,
 )
--- a/src/main/kotlin/figdeck/model/serving/ServingRoute.kt
+++ b/src/main/kotlin/figdeck/model/serving/ServingRoute.kt
@@ -1,6 +1,7 @@
 package figdeck.model.serving
 
 import figdeck.model.FaultCollector
+import figdeck.model.Region
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -17,6 +18,7 @@
  * @property priority the priority of the route; 0 is the most urgent.
  * @property open whether callers without a key may use the route.
  * @property batch the policy for batch jobs; null on all other routes.
+ * @property homes the regions to which the requests are confined; empty for no confinement.
  */
 public data class ServingRoute(
     public val name: String,
@@ -30,6 +32,7 @@
     public val priority: Int,
     public val open: Boolean,
     public val batch: BatchPolicy?,
+    public val homes: Set<Region> = emptySet(),
 )
 
 /** Builds a [ServingRoute]. */
@@ -63,6 +66,9 @@
     /** The policy for batch jobs; null on all other routes. */
     public var batch: BatchPolicy? = null
 
+    /** The names of the regions to which the requests are confined; empty for no confinement. */
+    public var homes: List<String> = emptyList()
+
     /** Adds the pool [name], which receives requests in proportion to [weight]. */
     public fun pool(name: String, weight: Int = 1) {
         pools += name to weight
@@ -72,6 +78,7 @@
         val shares = pools.mapIndexedNotNull { i, (pool, weight) ->
             faults.attempt("pools[$i]") { PoolShare(PoolName(pool), weight) }
         }
+        val homeRegions = faults.attempt("homes") { homes.map { Region(it) }.toSet() }
         faults.expect(host.isNotBlank(), "host", "the host is empty: name the host that callers ask for")
         faults.expect(isPrefix(prefix), "prefix", "'$prefix' is not a prefix: begin and end it with a slash")
         faults.expect(shares.any { it.weight > 0 }, "pools", "no pool has a weight: give one at least")
@@ -89,6 +96,7 @@
             priority = priority,
             open = open,
             batch = batch,
+            homes = homeRegions.orEmpty(),
         )
     }
 }
--- a/src/main/kotlin/figdeck/model/serving/ServingTeam.kt
+++ b/src/main/kotlin/figdeck/model/serving/ServingTeam.kt
@@ -3,6 +3,7 @@
 import figdeck.model.FaultCollector
 import figdeck.model.KeyHash
 import figdeck.model.Limit
+import figdeck.model.Region
 import figdeck.model.TeamId
 import figdeck.model.hashKey
 
@@ -12,12 +13,14 @@
  * @property keys the hashes of its keys.
  * @property priority the priority of the team, which overrides that of the route; null to use the route's priority.
  * @property limit the rate limit of the team across all hosts; null for no limit.
+ * @property homes the regions to which its requests are confined; empty for no confinement.
  */
 public data class ServingTeam(
     public val id: TeamId,
     public val keys: Set<KeyHash>,
     public val priority: Int?,
     public val limit: Limit?,
+    public val homes: Set<Region> = emptySet(),
 )
 
 /** Builds a [ServingTeam]. */
@@ -33,6 +36,9 @@
     /** The burst limit in requests across all hosts. */
     public var burst: Int = 0
 
+    /** The names of the regions to which its requests are confined; empty for no confinement. */
+    public var homes: List<String> = emptyList()
+
     /** Adds [key] in the form in which callers send it. */
     public fun key(key: String) {
         keys += hashKey(key)
@@ -42,6 +48,7 @@
         val teamId = faults.attempt("id") { TeamId(id) }
         faults.expect(ratePerSecond >= 0, "ratePerSecond", "$ratePerSecond is negative: use 0 for no limit")
         val limit = if (ratePerSecond > 0) Limit(ratePerSecond, burst.coerceAtLeast(1)) else null
-        return teamId?.let { ServingTeam(it, keys, priority, limit) }
+        val homeRegions = faults.attempt("homes") { homes.map { Region(it) }.toSet() }
+        return teamId?.let { ServingTeam(it, keys, priority, limit, homeRegions.orEmpty()) }
     }
 }
--- a/src/main/kotlin/figdeck/model/serving/SlotRequest.kt
+++ b/src/main/kotlin/figdeck/model/serving/SlotRequest.kt
@@ -2,6 +2,7 @@
 
 import figdeck.model.HostId
 import figdeck.model.Lane
+import figdeck.model.Region
 import figdeck.model.TeamId
 import figdeck.model.UpstreamId
 import kotlin.time.Duration
@@ -17,6 +18,8 @@
  * @property age how long ago the work counts as submitted; older batch work of a team runs first.
  * @property willMissDeadline whether the work will miss its deadline even if it starts now.
  * @property slotTimeUsed how long earlier runs of the work held slots.
+ * @property homes the regions whose upstreams may run the work; null for all.
+ * @property features what the work tells about its size; null if it tells nothing.
  */
 public data class SlotRequest(
     public val ticket: Long,
@@ -31,6 +34,8 @@
     public val age: Duration = Duration.ZERO,
     public val willMissDeadline: Boolean = false,
     public val slotTimeUsed: Duration = Duration.ZERO,
+    public val homes: Set<Region>? = null,
+    public val features: WorkFeatures? = null,
 )
 
 /** The response to a [SlotRequest]. */
--- a/src/main/kotlin/figdeck/platform/PlanMessages.kt
+++ b/src/main/kotlin/figdeck/platform/PlanMessages.kt
@@ -27,6 +27,7 @@
 internal data class PlanMessage(
     @SerialName("Version") val version: Long,
     @SerialName("Routes") val routes: List<RouteMessage> = emptyList(),
+    @SerialName("Services") val services: List<PoolSettingsMessage> = emptyList(),
     @SerialName("Tenants") val teams: List<TeamMessage> = emptyList(),
     @SerialName("Limits") val limits: LimitsMessage = LimitsMessage(),
 )
@@ -54,6 +55,26 @@
     @SerialName("MaxWaitS") val abandonSeconds: Double = 0.0,
     /** The maximum number of tokens that a team may have waiting; 0 for no limit. */
     @SerialName("MaxCount") val maxWaitingTokens: Long = 0,
+    /** The regions to which requests are confined; empty for no confinement. */
+    @SerialName("AllowedRegions") val homes: List<String> = emptyList(),
+)
+
+/** The settings of a pool. */
+@Serializable
+internal data class PoolSettingsMessage(
+    @SerialName("Name") val name: String = "",
+    @SerialName("ColdS") val coldSeconds: Double = 0.0,
+    /** The requests a second that a cold upstream tolerates; 0 if it needs no protection. */
+    @SerialName("ColdPerS") val coldPerSecond: Double = 0.0,
+    @SerialName("Engine") val engine: EngineMessage? = null,
+)
+
+/** The settings of the engines of a pool. */
+@Serializable
+internal data class EngineMessage(
+    /** The number of tokens in one event of a stream. */
+    @SerialName("Stride") val tokensPerEvent: Int? = null,
+    @SerialName("KvCapacityTokens") val tokenCapacity: Long? = null,
 )
 
 /** A pool of a split route, and the weight of its share of the requests. */
@@ -71,6 +92,7 @@
     @SerialName("Priority") val priority: Int? = null,
     @SerialName("RatePerS") val ratePerSecond: Double = 0.0,
     @SerialName("Burst") val burst: Double = 0.0,
+    @SerialName("AllowedRegions") val homes: List<String> = emptyList(),
 )
 
 /** Limits on the requests of callers. */
@@ -99,11 +121,20 @@
             route(route.name) { applyMessage(route, kind) }
         }
     }
+    message.services.forEach { service ->
+        pool(service.name) {
+            coldSeconds = service.coldSeconds
+            coldRequestsPerSecond = service.coldPerSecond
+            tokensPerEvent = service.engine?.tokensPerEvent ?: 1
+            tokenCapacity = service.engine?.tokenCapacity
+        }
+    }
     message.teams.forEach { team ->
         team(team.name) {
             priority = team.priority
             ratePerSecond = team.ratePerSecond
             burst = team.burst.toInt()
+            homes = team.homes
             team.keys.forEach { key(it) }
         }
     }
@@ -118,6 +149,7 @@
     maxAttempts = message.maxAttempts
     priority = message.priority
     open = message.open
+    homes = message.homes
     message.pool?.let { pool(it) }
     message.pools.forEach { pool(it.name, it.weight) }
     if (callKind == CallKind.BATCH) {
--- a/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
@@ -15,6 +15,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
+import kotlin.time.Duration.Companion.milliseconds
 
 internal const val READY_STATE = "ready"
 internal const val LEAVING_STATE = "draining"
@@ -27,9 +28,9 @@
     @SerialName("Zone") val dataCentre: String,
     @SerialName("Slots") val slots: Int,
     @SerialName("State") val state: String,
-    /** The version of its software. Unused like the two numbers, but an entry with a wrong type is no upstream's. */
+    /** The version of its software. Unused like `Seq`, but an entry with a wrong type is no upstream's. */
     @SerialName("Version") val version: String? = null,
-    @SerialName("ColdRemainingMs") val slowStartMillis: Double? = null,
+    @SerialName("ColdRemainingMs") val coldRemainingMillis: Double? = null,
     /** The number of orders that it has accepted. */
     @SerialName("Seq") val sequence: Long? = null,
     /** When it started, in Unix milliseconds. */
@@ -60,5 +61,11 @@
         slots = slots,
         honoursFencing = false,
     )
-    return PoolMember(upstream, PoolName(pool), isLeaving = state == LEAVING_STATE, startedAtMillis?.toLong())
+    return PoolMember(
+        upstream = upstream,
+        pool = PoolName(pool),
+        isLeaving = state == LEAVING_STATE,
+        startedAtMillis = startedAtMillis?.toLong(),
+        coldRemaining = coldRemainingMillis?.milliseconds,
+    )
 }
--- a/src/main/kotlin/figdeck/wire/serving/SlotMessages.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotMessages.kt
@@ -1,7 +1,6 @@
 package figdeck.wire.serving
 
 import arrow.core.Either
-import figdeck.command.dispatch.SlotOutcome
 import figdeck.model.HostId
 import figdeck.model.UpstreamId
 import figdeck.model.serving.HeldSlot
@@ -33,33 +32,10 @@
     val slots: List<HeldSlotDto>,
 )
 
-/** The release of a slot by its holder. */
-@Serializable
-internal data class SlotReleaseDto(
-    val ticket: Long,
-    val use: String,
-    val cost: Int,
-    val leaving: Boolean = false,
-)
-
 /** The tickets whose slots are revoked. */
 @Serializable
 internal data class RevocationDto(val tickets: List<Long>)
 
-/**
- * The release of a slot by its holder.
- *
- * @property ticket the ticket of the request to which the slot was granted.
- * @property outcome how the use of the slot ended.
- * @property isLeaving whether the upstream has said to the holder that it is shutting down.
- */
-public data class SlotRelease(
-    public val ticket: Long,
-    public val outcome: SlotOutcome,
-    public val cost: Int,
-    public val isLeaving: Boolean = false,
-)
-
 /** All slots that the host [from] still uses. */
 public data class HeldSlots(
     public val from: HostId,
@@ -100,16 +76,6 @@
         HeldSlots(HostId(dto.from), dto.slots.map { HeldSlot(it.ask.toSlotRequest(), UpstreamId(it.upstream)) })
     }
 
-internal fun encodeSlotRelease(release: SlotRelease): String {
-    val dto = SlotReleaseDto(release.ticket, release.outcome.name, release.cost, release.isLeaving)
-    return lenientJson.encodeToString(SlotReleaseDto.serializer(), dto)
-}
-
-internal fun decodeSlotRelease(text: String): Either<String, SlotRelease> =
-    decodeAs(text, SlotReleaseDto.serializer()) {
-        SlotRelease(it.ticket, SlotOutcome.valueOf(it.use), it.cost, it.leaving)
-    }
-
 internal fun encodeRevocation(tickets: List<Long>): String =
     lenientJson.encodeToString(RevocationDto.serializer(), RevocationDto(tickets))
 
--- /dev/null
+++ b/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
@@ -0,0 +1,69 @@
+package figdeck.wire.serving
+
+import arrow.core.Either
+import figdeck.command.dispatch.SlotOutcome
+import figdeck.model.serving.SlotUsage
+import figdeck.wire.decodeAs
+import figdeck.wire.lenientJson
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The release of a slot by its holder.
+ *
+ * @property ticket the ticket of the request to which the slot was granted.
+ * @property outcome how the use of the slot ended.
+ * @property isLeaving whether the upstream has said to the holder that it is shutting down.
+ * @property usage what the holder has seen of a generation in the slot; null if it saw none.
+ */
+public data class SlotRelease(
+    public val ticket: Long,
+    public val outcome: SlotOutcome,
+    public val cost: Int,
+    public val isLeaving: Boolean = false,
+    public val usage: SlotUsage? = null,
+)
+
+/** The release of a slot by its holder. */
+@Serializable
+internal data class SlotReleaseDto(
+    val ticket: Long,
+    val use: String,
+    val cost: Int,
+    val leaving: Boolean = false,
+    val usage: SlotUsageDto? = null,
+)
+
+/** What the holder of a slot has seen of the work in it. */
+@Serializable
+internal data class SlotUsageDto(
+    val outputTokens: Int,
+    val firstEventMillis: Long? = null,
+    val streamingMillis: Long = 0,
+    val whole: Boolean = false,
+)
+
+internal fun encodeSlotRelease(release: SlotRelease): String {
+    val usage = release.usage?.let {
+        SlotUsageDto(
+            outputTokens = it.outputTokens,
+            firstEventMillis = it.timeToFirstEvent?.inWholeMilliseconds,
+            streamingMillis = it.streamingTime.inWholeMilliseconds,
+            whole = it.isWhole,
+        )
+    }
+    val dto = SlotReleaseDto(release.ticket, release.outcome.name, release.cost, release.isLeaving, usage)
+    return lenientJson.encodeToString(SlotReleaseDto.serializer(), dto)
+}
+
+internal fun decodeSlotRelease(text: String): Either<String, SlotRelease> =
+    decodeAs(text, SlotReleaseDto.serializer()) {
+        SlotRelease(it.ticket, SlotOutcome.valueOf(it.use), it.cost, it.leaving, it.usage?.toUsage())
+    }
+
+private fun SlotUsageDto.toUsage() = SlotUsage(
+    outputTokens = outputTokens,
+    timeToFirstEvent = firstEventMillis?.milliseconds,
+    streamingTime = streamingMillis.milliseconds,
+    isWhole = whole,
+)
--- a/src/main/kotlin/figdeck/wire/serving/SlotRequestDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotRequestDto.kt
@@ -2,10 +2,12 @@
 
 import figdeck.model.HostId
 import figdeck.model.Lane
+import figdeck.model.Region
 import figdeck.model.TeamId
 import figdeck.model.UpstreamId
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
+import figdeck.model.serving.WorkFeatures
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -24,6 +26,18 @@
     val ageMillis: Long = 0,
     val tardy: Boolean = false,
     val spentMillis: Long = 0,
+    val homes: List<String>? = null,
+    val features: WorkFeaturesDto? = null,
+)
+
+/** What a generation tells about its work. */
+@Serializable
+internal data class WorkFeaturesDto(
+    val route: String,
+    val promptTokens: Int,
+    val sharedTokens: Int = 0,
+    val maxOutputTokens: Int,
+    val hintedOutputTokens: Int? = null,
 )
 
 internal fun SlotRequest.toDto(): SlotRequestDto = SlotRequestDto(
@@ -39,6 +53,8 @@
     ageMillis = age.inWholeMilliseconds,
     tardy = willMissDeadline,
     spentMillis = slotTimeUsed.inWholeMilliseconds,
+    homes = homes?.map { it.value },
+    features = features?.toDto(),
 )
 
 internal fun SlotRequestDto.toSlotRequest(): SlotRequest = SlotRequest(
@@ -54,4 +70,12 @@
     age = ageMillis.milliseconds,
     willMissDeadline = tardy,
     slotTimeUsed = spentMillis.milliseconds,
+    homes = homes?.map { Region(it) }?.toSet(),
+    features = features?.toFeatures(),
 )
+
+private fun WorkFeatures.toDto() =
+    WorkFeaturesDto(route, promptTokens, sharedTokens, maxOutputTokens, hintedOutputTokens)
+
+private fun WorkFeaturesDto.toFeatures() =
+    WorkFeatures(route, promptTokens, sharedTokens, maxOutputTokens, hintedOutputTokens)
--- a/src/test/kotlin/figdeck/platform/PlanMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/platform/PlanMessagesSpec.kt
@@ -2,12 +2,15 @@
 
 import arrow.core.getOrElse
 import figdeck.model.Limit
+import figdeck.model.Region
 import figdeck.model.TeamId
 import figdeck.model.hashKey
 import figdeck.model.serving.BatchPolicy
 import figdeck.model.serving.CallKind
+import figdeck.model.serving.ColdStartPolicy
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.PoolShare
+import figdeck.model.serving.ServingPool
 import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.ServingTeam
 import io.kotest.core.spec.style.DescribeSpec
@@ -63,6 +66,36 @@
         }
     }
 
+    // Guards against protection of cold upstreams and confinement to regions that are configured but not applied.
+    describe("a configuration with cold starts, engines and home regions") {
+        val decoded = decodePlan(
+            """
+            {"Version":8,"Routes":[{"Name":"r","Host":"h.example","Prefix":"/a/","Kind":"streaming","TimeoutMs":5000,
+              "Service":"p","AllowedRegions":["north"]}],
+             "Services":[{"Name":"p","ColdS":3.0,"ColdPerS":23.0,"Engine":{"Stride":12,"KvCapacityTokens":101495}},
+              {"Name":"q","ColdS":0.0,"ColdPerS":0.0}],
+             "Tenants":[{"Name":"t","ApiKeys":["k"],"AllowedRegions":["north","south"]}]}
+            """.trimIndent()
+        ).getOrElse { error(it) }
+
+        it("is decoded to the settings of its pools") {
+            decoded.pools shouldBe listOf(
+                ServingPool(
+                    name = PoolName("p"),
+                    coldStart = ColdStartPolicy(3.seconds, 23.0),
+                    tokensPerEvent = 12,
+                    tokenCapacity = 101_495,
+                ),
+                ServingPool(PoolName("q")),
+            )
+        }
+
+        it("is decoded to the homes of routes and teams") {
+            decoded.routes.single().homes shouldBe setOf(Region("north"))
+            decoded.teams.single().homes shouldBe setOf(Region("north"), Region("south"))
+        }
+    }
+
     describe("an invalid configuration") {
         it("is rejected") {
             decodePlan("{").isLeft() shouldBe true
--- a/src/test/kotlin/figdeck/platform/UpstreamMessageSpec.kt
+++ b/src/test/kotlin/figdeck/platform/UpstreamMessageSpec.kt
@@ -12,6 +12,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import java.util.concurrent.FutureTask
+import kotlin.time.Duration
 
 private fun entry(state: String = "ready", address: String = "10.128.0.9:8080") =
     """{"Service":"huvo11a","Address":"$address","Zone":"jihlava","Version":"v1","Slots":8,"State":"$state",
@@ -40,7 +41,13 @@
                 honoursFencing = false,
             )
             decodeUpstream("i-7f3a91c2", entry()) shouldBe
-                PoolMember(upstream, PoolName("huvo11a"), isLeaving = false, startedAtMillis = 17).right()
+                PoolMember(
+                    upstream = upstream,
+                    pool = PoolName("huvo11a"),
+                    isLeaving = false,
+                    startedAtMillis = 17,
+                    coldRemaining = Duration.ZERO,
+                ).right()
         }
 
         it("is decoded as leaving while it drains") {
--- /dev/null
+++ b/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
@@ -0,0 +1,55 @@
+package figdeck.wire.serving
+
+import arrow.core.right
+import figdeck.command.dispatch.SlotOutcome
+import figdeck.model.HostId
+import figdeck.model.Lane
+import figdeck.model.Region
+import figdeck.model.serving.PoolName
+import figdeck.model.serving.SlotRequest
+import figdeck.model.serving.SlotUsage
+import figdeck.model.serving.WorkFeatures
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+
+private val request = SlotRequest(
+    ticket = 7,
+    from = HostId("host-1"),
+    pool = PoolName("p"),
+    team = null,
+    lane = Lane.ONLINE,
+    cost = 540,
+    affinity = null,
+    excluded = emptySet(),
+    maxWait = 100.milliseconds,
+)
+
+private val release = SlotRelease(7, SlotOutcome.ANSWERED, 540)
+
+class SlotMessagesSpec : DescribeSpec({
+    // Guards against a field that one host sends and the other one does not read.
+    describe("a slot request") {
+        it("is read as it was sent, with homes and features") {
+            val sent = request.copy(homes = setOf(Region("north")), features = WorkFeatures("r", 450, 200, 400, 90))
+            decodeSlotRequest(encodeSlotRequest(sent)) shouldBe sent.right()
+        }
+
+        it("is read from a host of an earlier version, without them") {
+            decodeSlotRequest("""{"ticket":7,"from":"host-1","pool":"p","cost":540,"patienceMillis":100}""") shouldBe
+                request.right()
+        }
+    }
+
+    describe("a release") {
+        it("is read as it was sent, with the usage of the slot") {
+            val usage = SlotUsage(240, 105.milliseconds, 720.milliseconds, isWhole = true)
+            val sent = release.copy(usage = usage)
+            decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
+        }
+
+        it("is read from a host of an earlier version, without it") {
+            decodeSlotRelease("""{"ticket":7,"use":"ANSWERED","cost":540}""") shouldBe release.right()
+        }
+    }
+})
