A bucket's owner with a lease grants cut-off hosts tokens of the whole limit

Cause: an owner that reaches the store scaled the limit by the hosts that had asked it lately whenever the asking host was cut off from the store. With few askers a token then cost many times its share of the team's bucket, for all hosts. Change: the limit is scaled only if the owner itself may have a successor: it is cut off, or its lease doesn't hold.

--- a/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
@@ -86,7 +86,9 @@
         // While neither host can reach the store, the asking host can't have seen another owner.
         val mayAnswer = isHere && (fleet.ownLeaseHolds(now) || request.isCutOff)
         return if (limit != null && mayAnswer) {
-            TakeResponse.Decided(takeFromOwnBucket(request.team, limit, request.isCutOff || fleet.isCutOff(now)))
+            // While the lease holds, this is the only bucket, also for hosts that can't reach the store.
+            val mayHaveSuccessor = fleet.isCutOff(now) || !fleet.ownLeaseHolds(now)
+            TakeResponse.Decided(takeFromOwnBucket(request.team, limit, mayHaveSuccessor))
         } else {
             TakeResponse.NotOwner
         }
