A host without the store has another host store a submitted batch job

Cause: the store can be silent for a part of the hosts. Callers submit to any host, and one without the store refused a job after 1.2 to 2.1 s, past the objective of 0.5 s. A submission whose caller left kept its reservation of waiting tokens for good. The reservation is released however the submission ends.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -22,6 +22,7 @@
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
+import figdeck.daemon.command.jobs.acceptRelayed
 import figdeck.daemon.command.jobs.runJobs
 import figdeck.daemon.command.serving.BodyMemory
 import figdeck.daemon.command.serving.CallsInProgress
@@ -187,11 +188,17 @@
         log = DecisionLog("jobs"),
         sharedParts = ::sharedPartsOf,
         sendFault = ::sendFaultOf,
+        relaySubmission = { member, submission ->
+            peers.relayJob(member.address, submission).also { telemetry.meters.countRelayedJob(it) }
+        },
     )
     private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
     private val readinessServer = server(readinessHandler(control))
     private val peerServer = server(
-        peerApi(settings.fleetName, fleetServingHandlers(slotOwner, slotClient, teamLimits, ::storeView)),
+        peerApi(
+            settings.fleetName,
+            fleetServingHandlers(slotOwner, slotClient, teamLimits, ::storeView) { jobs.acceptRelayed(it) },
+        ),
     )
     private val metricsServer = server { _, responder ->
         responder.respond(HTTP_OK, newHeaders(), telemetry.meters.scrape().encodeToByteArray())
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -19,9 +19,11 @@
 import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
+import kotlinx.coroutines.sync.Semaphore
 import kotlin.random.Random
 
 private const val ID_RADIX = 36
+private const val MAX_ACCEPTED_RELAYS = 4
 
 /** An item that is sent to an upstream. */
 internal data class ItemCall(
@@ -39,6 +41,8 @@
  *
  * @property sharedParts returns the parts of an item's prompt that other requests may share.
  * @property sendFault returns the reason why an item can't be sent to any upstream; null if it can.
+ * @property relaySubmission asks another host to store a job.
+ * @property acceptedRelays limits the jobs that this host stores for others at the same time.
  */
 internal data class JobServices(
     val control: Control<ServingState>,
@@ -55,6 +59,8 @@
     val log: DecisionLog,
     val sharedParts: (JobItem) -> List<PromptPart>,
     val sendFault: (JobItem) -> String?,
+    val relaySubmission: RelaySubmission = { _, _ -> null },
+    val acceptedRelays: Semaphore = Semaphore(MAX_ACCEPTED_RELAYS),
 )
 
 /** This host in its current incarnation. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -14,7 +14,9 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.ServingTeam
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -39,11 +41,17 @@
     val planVersion: Long? = null,
 )
 
-/** Stores [submission] durably or refuses it. A job that is already stored is accepted again. */
-internal suspend fun JobServices.submit(submission: Submission): Either<Refusal, Unit> {
+/** Stores a new job durably or refuses it. */
+internal typealias PersistJob = suspend (JobRecord) -> Either<Refusal, Unit>
+
+/** Stores [submission] durably at this host or refuses it. A job that is already stored is accepted again. */
+internal suspend fun JobServices.submit(submission: Submission): Either<Refusal, Unit> =
+    submit(submission) { persist(it, submission) }
+
+/** Checks [submission] and stores it with [persist]. */
+internal suspend fun JobServices.submit(submission: Submission, persist: PersistJob): Either<Refusal, Unit> {
     val known = control.snapshot.jobs.jobs[submission.id]
-    val now = clock()
-    val newRecord = recordOf(submission, now)
+    val newRecord = recordOf(submission, clock())
     val limit = submission.route.batch?.maxWaitingTokens
     return when {
         known != null -> acceptIfSameTeam(known, submission)
@@ -51,7 +59,12 @@
             Refusal.StoreUnavailable(STORE_RETRY_AFTER).left()
         !reserve(newRecord, limit) ->
             Refusal.RateLimited(submission.team.id, TOKENS_RETRY_AFTER).left()
-        else -> persist(newRecord, submission, now).also { releaseReservation(newRecord.id) }
+        else -> try {
+            persist(newRecord)
+        } finally {
+            // Also if the caller leaves: a reservation that stays would count against the team's limit for good.
+            withContext(NonCancellable) { releaseReservation(newRecord.id) }
+        }
     }
 }
 
@@ -83,11 +96,9 @@
     control.run { state, _ -> updateJobs(state) { it.copy(pendingWrites = it.pendingWrites.remove(id)) } }
 }
 
-private suspend fun JobServices.persist(
-    record: JobRecord,
-    submission: Submission,
-    startedAt: Moment,
-): Either<Refusal, Unit> {
+/** Writes [record] and the items of [submission] to the store, as often as it takes within [STORE_TIMEOUT]. */
+internal suspend fun JobServices.persist(record: JobRecord, submission: Submission): Either<Refusal, Unit> {
+    val startedAt = clock()
     var isUncertain = false
     var result: Either<Refusal, Unit>? = null
     while (result == null) {
@@ -101,7 +112,7 @@
         }
         isUncertain = isUncertain || written is RecordWrite.Unknown
         if (result == null && clock() - startedAt > STORE_TIMEOUT) {
-            result = refusalOf(isUncertain).left()
+            result = refusalOfWrite(isUncertain).left()
         }
         if (result == null) {
             delay(RETRY_DELAY)
@@ -123,7 +134,7 @@
 }
 
 /** A write whose reply was lost may still take effect, so it must not be reported as not done. */
-private fun refusalOf(isUncertain: Boolean): Refusal =
+internal fun refusalOfWrite(isUncertain: Boolean): Refusal =
     if (isUncertain) Refusal.Unconfirmed(STORE_RETRY_AFTER) else Refusal.StoreUnavailable(STORE_RETRY_AFTER)
 
 private suspend fun JobServices.acceptIfSameTeam(known: VersionedJob, submission: Submission): Either<Refusal, Unit> {
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -10,7 +10,7 @@
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.Submission
 import figdeck.daemon.command.jobs.endJob
-import figdeck.daemon.command.jobs.submit
+import figdeck.daemon.command.jobs.submitAnywhere
 import figdeck.daemon.query.jobs.readItemBody
 import figdeck.daemon.query.jobs.readResults
 import figdeck.http.checkedHeaders
@@ -60,7 +60,7 @@
 
     /** Submits the job that [body] describes. */
     suspend fun submit(access: RouteAccess, headers: CallerHeaders, body: ByteArray, responder: HttpResponder) {
-        parseSubmission(access, headers, body).flatMap { services.submit(it) }.fold(
+        parseSubmission(access, headers, body).flatMap { services.submitAnywhere(it) }.fold(
             { responder.refuse(it) },
             { responder.json(ACCEPTED, "{}") },
         )
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -1,5 +1,6 @@
 package figdeck.telemetry
 
+import figdeck.model.serving.RelayAnswer
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tag
 import io.micrometer.core.instrument.Timer
@@ -41,6 +42,11 @@
         registry.counter("figdeck.failed.sends", "ending", ending).increment()
     }
 
+    /** Counts a batch job that another host was asked to store; [answer] is null if it gave none. */
+    fun countRelayedJob(answer: RelayAnswer?) {
+        registry.counter("figdeck.relayed.jobs", "answer", answer?.name?.lowercase() ?: "none").increment()
+    }
+
     /** Records [duration] in the timer [name]. [tags] alternates label names and values, both from small sets. */
     fun recordTime(name: String, duration: Duration, tags: List<String> = emptyList()) {
         val timer = timers.computeIfAbsent(TimerKey(name, tags)) { register(it) }
--- a/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
@@ -2,6 +2,7 @@
 
 import figdeck.daemon.command.serving.ACQUIRE_PATH
 import figdeck.daemon.command.serving.CONFIRM_PATH
+import figdeck.daemon.command.serving.RELAY_PATH
 import figdeck.daemon.command.serving.RELEASE_PATH
 import figdeck.daemon.command.serving.REVOKE_PATH
 import figdeck.daemon.command.serving.SlotClient
@@ -10,14 +11,18 @@
 import figdeck.daemon.command.serving.TeamLimits
 import figdeck.daemon.command.serving.VIEW_PATH
 import figdeck.http.server.HttpHandler
+import figdeck.model.serving.RelayAnswer
+import figdeck.model.serving.RelayedSubmission
 import figdeck.traffic.json
 import figdeck.traffic.refuse
 import figdeck.wire.serving.StoreView
 import figdeck.wire.serving.decodeHeldSlots
+import figdeck.wire.serving.decodeRelayedSubmission
 import figdeck.wire.serving.decodeRevocation
 import figdeck.wire.serving.decodeSlotRelease
 import figdeck.wire.serving.decodeSlotRequest
 import figdeck.wire.serving.decodeTakeRequest
+import figdeck.wire.serving.encodeRelayAnswer
 import figdeck.wire.serving.encodeSlotResponse
 import figdeck.wire.serving.encodeTakeResponse
 import figdeck.wire.serving.encodeView
@@ -30,6 +35,7 @@
     slots: SlotClient,
     limits: TeamLimits,
     view: () -> StoreView,
+    acceptRelayed: suspend (RelayedSubmission) -> RelayAnswer,
 ): Map<String, HttpHandler> = mapOf(
     ACQUIRE_PATH to { call, responder ->
         call.readBody(::decodeSlotRequest)
@@ -58,4 +64,8 @@
             .fold({ responder.refuse(it) }, { responder.json(encodeTakeResponse(limits.takeTokenForPeer(it))) })
     },
     VIEW_PATH to { _, responder -> responder.json(encodeView(view())) },
+    RELAY_PATH to { call, responder ->
+        call.readBody(::decodeRelayedSubmission)
+            .fold({ responder.refuse(it) }, { responder.json(encodeRelayAnswer(acceptRelayed(it))) })
+    },
 )
--- a/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
@@ -22,16 +22,17 @@
     val tokens: Long,
 )
 
-internal fun encodeJobItems(items: List<JobItem>): String {
-    val dtos = items.map { item ->
-        JobItemDto(item.id, item.path, item.headers, Base64.getEncoder().encodeToString(item.body), item.tokens)
-    }
-    return lenientJson.encodeToString(ListSerializer(JobItemDto.serializer()), dtos)
-}
+internal fun encodeJobItems(items: List<JobItem>): String =
+    lenientJson.encodeToString(ListSerializer(JobItemDto.serializer()), items.map { it.toDto() })
+
+internal fun JobItem.toDto(): JobItemDto =
+    JobItemDto(id, path, headers, Base64.getEncoder().encodeToString(body), tokens)
+
+internal fun JobItemDto.toItem(): JobItem = JobItem(id, path, headers, Base64.getDecoder().decode(body), tokens)
 
 internal fun decodeJobItems(text: String): Either<String, List<JobItem>> =
     decodeAs(text, ListSerializer(JobItemDto.serializer())) { dtos ->
-        dtos.map { JobItem(it.id, it.path, it.headers, Base64.getDecoder().decode(it.body), it.tokens) }
+        dtos.map { it.toItem() }
     }
 
 /** The writes that store the encoded items [text], split over as many rows as needed. */
