Cold upstreams: what a host knows of them, and a token bucket for each

Cause: an upstream that has just started crashes if it gets its usual load. Change: PoolMembers keeps what the host has last learned about how long an upstream is cold: from its entry, from an answer, from another host, or assumed for a new upstream whose entry doesn't say. An entry with unchanged text restarts no period. While an upstream is cold, its state in the dispatcher has a token bucket. A grant takes a token; expected waits, free slots, revocations and Retry-After count the next token. Requests without cold limits are decided as before.

--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -25,6 +25,7 @@
     val free = state.usableSlots(now) - state.occupiedSlots
     val headroom = state.headroom.wholeSlots(now, policy.headroom)
     return expire(state, policy, now) ?: when {
+        !state.hasToken(now) -> null
         state.online.waiting.isNotEmpty() && free > 0 -> grant(state, Lane.ONLINE, policy, now)
         state.online.waiting.isNotEmpty() -> revokeOne(state, now)
         state.batch.waiting.isNotEmpty() && free > headroom -> grant(state, Lane.BATCH, policy, now)
@@ -52,7 +53,7 @@
     val left = queue.copy(waiting = queue.waiting.remove(next), shares = shares)
     val running = state.running.put(next.ticket, RunningRequest(next.ticket, request, now, revokedAt = null))
     return Step(
-        state.withQueue(lane, left).copy(running = running),
+        state.withQueue(lane, left).copy(running = running, cold = state.cold?.take(now)),
         listOf(DispatchEffect.Granted(next.ticket, state.upstream, state.health.probeTimeout)),
     )
 }
@@ -88,6 +89,7 @@
         .value
     val victim = longest.last()
     val left = queue.copy(waiting = queue.waiting.filter { it != victim }.toPersistentList())
-    val wait = queue.averageHold * (left.requestsAhead(victim.request.team) + 1) / state.upstream.slots
+    val ahead = left.requestsAhead(victim.request.team)
+    val wait = maxOf(queue.averageHold * (ahead + 1) / state.upstream.slots, state.tokenWait(lane, ahead, now))
     return state.withQueue(lane, left).refuse(victim.ticket, lane, wait, now)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -30,12 +30,8 @@
     return if (budget == null) {
         Step(state, refused(arrival, Refusal.Overloaded("retrying", 1.seconds)))
     } else {
-        placeArrival(
-            state.copy(retryBudget = budget).withCandidates(arrival.request.candidates, now),
-            arrival,
-            policy,
-            now,
-        )
+        val current = state.copy(retryBudget = budget).withCandidates(arrival.request, now)
+        countHeldBack(placeArrival(current, arrival, policy, now), arrival, now)
     }
 }
 
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -4,6 +4,7 @@
 import figdeck.model.Moment
 import figdeck.model.TeamId
 import figdeck.model.Upstream
+import figdeck.model.UpstreamId
 import kotlin.time.Duration
 
 /**
@@ -17,6 +18,7 @@
  * @property willMissDeadline whether the work can no longer meet its deadline. It is served after all work that still
  *   can.
  * @property slotTimeUsed how long the work has held slots before. It resumes from the output of that time.
+ * @property coldLimits the limits of the candidates that are cold.
  * @property attempt how often the same work was sent before. Every attempt after the first uses the retry budget.
  */
 public data class DispatchRequest(
@@ -30,6 +32,7 @@
     public val attempt: Int = 0,
     public val willMissDeadline: Boolean = false,
     public val slotTimeUsed: Duration = Duration.ZERO,
+    public val coldLimits: Map<UpstreamId, ColdLimit> = emptyMap(),
 )
 
 /** How the use of a slot ended, from which the health of the upstream is derived. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -16,12 +16,14 @@
  * The slots and queues of the upstreams whose slots this host assigns.
  *
  * @property tickets the upstream at which each queued or running ticket is registered.
+ * @property heldBack how many requests found a free slot that only a cold limit kept from them.
  */
 public data class DispatchState(
     public val dataCentre: DataCentre?,
     public val upstreams: PersistentMap<UpstreamId, UpstreamState>,
     public val tickets: PersistentMap<Long, UpstreamId>,
     public val retryBudget: RetryBudget,
+    public val heldBack: Long = 0,
 )
 
 /** The new state and the effects of a dispatch decision. */
@@ -35,9 +37,15 @@
 public fun DispatchState.stateOf(upstream: Upstream, now: Moment): UpstreamState =
     upstreams[upstream.id]?.copy(upstream = upstream) ?: idleUpstream(upstream, now)
 
-/** This state with all of [candidates] registered, so that idle ones can steal work queued at others. */
-internal fun DispatchState.withCandidates(candidates: List<Upstream>, now: Moment): DispatchState =
-    candidates.fold(this) { state, upstream -> state.with(state.stateOf(upstream, now)) }
+/**
+ * This state with all candidates of [request] registered, so that idle ones can steal work queued at others, and with
+ * their cold limits in force.
+ */
+internal fun DispatchState.withCandidates(request: DispatchRequest, now: Moment): DispatchState =
+    request.candidates.fold(this) { state, upstream ->
+        val known = state.stateOf(upstream, now)
+        state.with(known.copy(cold = known.cold.limitedBy(request.coldLimits[upstream.id], now)))
+    }
 
 /** This state with the state of one upstream replaced. */
 internal fun DispatchState.with(state: UpstreamState): DispatchState =
@@ -54,7 +62,7 @@
     .map { state ->
         val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
         val load = state.loadFor(request.lane)
-        val free = state.usableSlots(now) - state.occupiedSlots - state.online.waiting.size
+        val free = state.grantableSlots(now) - state.online.waiting.size
         UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
     }
 
@@ -75,7 +83,8 @@
     val blockingSlots = if (request.lane == Lane.ONLINE) heldSlots(Lane.ONLINE) else occupiedSlots
     val ahead = queue(request.lane).requestsAhead(request.team)
     val free = usableSlots(now) - blockingSlots
-    return if (ahead < free) Duration.ZERO else queue(request.lane).averageHold * (ahead + 1) / upstream.slots
+    val slotWait = if (ahead < free) Duration.ZERO else queue(request.lane).averageHold * (ahead + 1) / upstream.slots
+    return maxOf(slotWait, tokenWait(request.lane, ahead, now))
 }
 
 private fun UpstreamState.loadFor(lane: Lane): Double = when (lane) {
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -57,8 +57,8 @@
     Lane.entries.fold(state) { current, lane ->
         val here = current.upstreams.getValue(to.upstream.id)
         val reserved = if (lane == Lane.BATCH) here.headroom.wholeSlots(now, policy.headroom) else 0
-        val idle = here.queue(lane).waiting.isEmpty() && here.usableSlots(now) - here.occupiedSlots > reserved
-        if (idle) current.stealOne(lane, here, policy) else current
+        val hasFree = here.usableSlots(now) - here.occupiedSlots > reserved && here.hasToken(now)
+        if (here.queue(lane).waiting.isEmpty() && hasFree) current.stealOne(lane, here, policy) else current
     }
 
 private fun DispatchState.stealOne(lane: Lane, to: UpstreamState, policy: DispatchPolicy): DispatchState {
--- a/src/main/kotlin/figdeck/command/dispatch/RetryPacing.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/RetryPacing.kt
@@ -15,13 +15,12 @@
  *
  * It answers a burst that exceeds the capacity for longer than its callers can wait. If all of them returned at the
  * same time, most would be refused again, and callers return only once or twice. So each refusal promises a return one
- * slot's share of the holding time after the one before, which is the pace at which the upstream frees slots. Without a
- * burst the last promise is in the past and [earliest] alone counts. Batch work repeats its requests by itself and is
- * not paced.
+ * slot's share of the holding time after the one before, which is the pace at which the upstream frees slots, or one
+ * token later if the upstream is cold. Without a burst the last promise is in the past and [earliest] alone counts.
+ * Batch work repeats its requests by itself and is not paced.
  */
 internal fun UpstreamState.refuse(ticket: Long, lane: Lane, earliest: Duration, now: Moment): UpstreamStep {
-    val pace = queue(lane).averageHold / upstream.slots
-    val paced = lastReturnAt?.takeIf { lane == Lane.ONLINE }?.let { it + pace - now } ?: Duration.ZERO
+    val paced = lastReturnAt?.takeIf { lane == Lane.ONLINE }?.let { it + returnPace(lane, it) - now } ?: Duration.ZERO
     val retryAfter = maxOf(earliest, paced.coerceAtMost(MAX_RETRY_AFTER))
     val refusal = Refusal.Overloaded("upstream '${upstream.id}'", retryAfter)
     return Step(
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -32,6 +32,7 @@
  * @property recoveredAt when the store first answered after its latest outage, or null without an outage.
  * @property missing the upstreams without an entry in the store, with the time at which they are dropped.
  * @property leaving the upstreams that have said in an answer that they are leaving, whatever their entries say.
+ * @property cold what this host has last learned about each upstream that may be cold.
  */
 public data class PoolMembers(
     public val members: PersistentMap<UpstreamId, PoolMember>,
@@ -40,6 +41,7 @@
     public val missing: PersistentMap<UpstreamId, Moment>,
     public val leaving: PersistentMap<UpstreamId, LeavingAnnouncement> = persistentMapOf(),
     public val silence: StoreSilence = StoreSilence(),
+    public val cold: PersistentMap<UpstreamId, ColdStatement> = persistentMapOf(),
 )
 
 /** The state before the first answer of the store. */
@@ -51,10 +53,10 @@
     val ids = listed.map { it.upstream.id }.toSet()
     val absent = updated.members.keys.filter { it !in ids }
     val kept = absent.fold(updated) { current, id -> removeMember(current, id, now) }
-    return listed.fold(kept) { current, member -> putMember(current, member) }
+    return listed.fold(kept) { current, member -> putMember(current, member, now) }
 }
 
-/** Adds or updates the entry of one upstream. */
+/** Adds or updates the entry of one upstream. What is known about its cold start stays as it is. */
 public fun putMember(state: PoolMembers, member: PoolMember): PoolMembers {
     val id = member.upstream.id
     val hasAnnounced = state.leaving[id]?.appliesTo(member) ?: false
@@ -79,10 +81,8 @@
 public fun adoptUnconfirmed(state: PoolMembers, members: List<PoolMember>, now: Moment): PoolMembers = members
     .filter { it.upstream.id !in state.members }
     .fold(state) { all, member ->
-        all.copy(
-            members = all.members.put(member.upstream.id, member),
-            missing = all.missing.put(member.upstream.id, now + REAPPEARANCE_GRACE),
-        )
+        val known = putMember(all, member, now)
+        known.copy(missing = known.missing.put(member.upstream.id, now + REAPPEARANCE_GRACE))
     }
 
 /** Drops an upstream whose entry was removed, after a grace period if the store has recently recovered. */
@@ -91,10 +91,13 @@
     return when {
         id !in state.members || id in state.missing -> state
         goneAt != null && now < goneAt -> state.copy(missing = state.missing.put(id, goneAt))
-        else -> state.copy(members = state.members.remove(id), missing = state.missing.remove(id))
+        else -> removeImmediately(state, id)
     }
 }
 
 /** Drops an upstream without a grace period because another one answers at its address. */
-public fun removeImmediately(state: PoolMembers, id: UpstreamId): PoolMembers =
-    state.copy(members = state.members.remove(id), missing = state.missing.remove(id))
+public fun removeImmediately(state: PoolMembers, id: UpstreamId): PoolMembers = state.copy(
+    members = state.members.remove(id),
+    missing = state.missing.remove(id),
+    cold = state.cold.remove(id),
+)
--- a/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
+++ b/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
@@ -19,6 +19,7 @@
         recoveredAt = if (wasUnavailable) now else state.recoveredAt,
         leaving = state.leaving.filterValues { now - it.announcedAt < LEAVING_RETENTION }.toPersistentMap(),
         silence = StoreSilence(countedUntil = now),
+        cold = state.currentColdStatements(now),
     )
 }
 
@@ -43,6 +44,7 @@
         else -> state.copy(
             members = state.members.filterKeys { it !in gone }.toPersistentMap(),
             missing = state.missing.filterKeys { it !in gone }.toPersistentMap(),
+            cold = state.cold.filterKeys { it !in gone }.toPersistentMap(),
         )
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -13,6 +13,7 @@
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.command.dispatch.admit
 import figdeck.command.dispatch.adoptSlot
+import figdeck.command.dispatch.awaitsTokens
 import figdeck.command.dispatch.cancelTicket
 import figdeck.command.dispatch.refuseOverdue
 import figdeck.command.dispatch.release
@@ -37,6 +38,9 @@
 
 private val TICK_INTERVAL = 50.milliseconds
 
+/** The interval while requests wait for the tokens of cold upstreams, which come at intervals near [TICK_INTERVAL]. */
+private val TOKEN_TICK_INTERVAL = 20.milliseconds
+
 /**
  * The slots that this host grants.
  *
@@ -85,7 +89,7 @@
             if (isIdle) {
                 waiting.receive()
             }
-            delay(interval)
+            delay(if (slots.now().awaitsTokens) minOf(interval, TOKEN_TICK_INTERVAL) else interval)
             decide { state, now -> tick(state, policy, now) }
         }
     }
--- a/src/main/kotlin/figdeck/model/serving/PoolMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/PoolMember.kt
@@ -10,6 +10,8 @@
  * @property startedAtMillis when it started, in Unix milliseconds, by its own clock; null if it doesn't say so. An
  * upstream may start again under its id.
  * @property coldRemaining how long it stayed cold when it wrote the announcement; null if it doesn't say so.
+ * @property entryHash a hash of the announcement's text, which tells a new announcement with equal values from one that
+ * is read again; null if it isn't known.
  */
 public data class PoolMember(
     public val upstream: Upstream,
@@ -17,4 +19,5 @@
     public val isLeaving: Boolean,
     public val startedAtMillis: Long? = null,
     public val coldRemaining: Duration? = null,
+    public val entryHash: Long? = null,
 )
