Cold upstreams: the granting host limits them, and learns of them by releases

Cause: each host that grants slots must know its part of the rate that a cold upstream tolerates, also when only another host has seen that the upstream is cold. Change: SlotOwner passes the limits of the cold candidates. X-Cold-Ms in an answer is recorded and passed on with the release of the slot (coldMillis, absent in messages of earlier versions). Log lines upstream_cold and upstream_warm; metrics figdeck_cold_upstreams and figdeck_cold_held_back_total.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -9,6 +9,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.beginStop
+import figdeck.control.serving.coldUpstreams
 import figdeck.control.serving.initialServingState
 import figdeck.control.serving.updateSlots
 import figdeck.daemon.command.LocalSlots
@@ -45,6 +46,7 @@
 import figdeck.daemon.query.serving.crashRiskFollower
 import figdeck.daemon.query.serving.follow
 import figdeck.daemon.query.serving.jobFollower
+import figdeck.daemon.query.serving.logColdUpstreams
 import figdeck.daemon.query.serving.planFollower
 import figdeck.daemon.query.serving.poolFollower
 import figdeck.daemon.query.serving.upstreamReader
@@ -220,6 +222,8 @@
         }
         membership = startLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
         startLoop("pools") { control.maintainPools() }
+        startLoop("cold upstreams") { control.logColdUpstreams(clock, decisionLog) }
+        registerColdMetrics(telemetry.meters, control, clock)
         startLoop("slots") { slots.tickPeriodically() }
         startLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         startLoop("held slots") { slotClient.confirmHeldSlots() }
@@ -308,6 +312,11 @@
     }
 }
 
+private fun registerColdMetrics(meters: Meters, control: Control<ServingState>, clock: Clock) {
+    meters.gauge("figdeck.cold.upstreams") { coldUpstreams(control.snapshot, clock()).size }
+    meters.counter("figdeck.cold.held.back") { control.snapshot.slots.heldBack }
+}
+
 private suspend fun sendRevocation(peers: FleetPeers, holder: FleetMember, ticket: Long) {
     if (!peers.revoke(holder.address, listOf(ticket))) {
         log.warn { "host ${holder.host} did not acknowledge the revocation of slot ticket $ticket" }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -213,6 +213,7 @@
             options
         ) { reply ->
             if (reply.isLeaving) services.slots.recordLeaving(permit.upstream.id, item.id, services.log)
+            reply.coldRemaining?.let { services.slots.recordColdReply(permit.upstream.id, it) }
             attemptResult = output.receive(reply, services.clock) { services.crashGuard.recordAnswer(sharedParts) }
         }
         val hasBegun = output.progress.events.size > before
--- a/src/main/kotlin/figdeck/daemon/command/serving/BootstrapFromPeers.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/BootstrapFromPeers.kt
@@ -4,8 +4,8 @@
 import figdeck.command.serving.applyScan
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updateFleet
-import figdeck.control.serving.updatePools
 import figdeck.daemon.query.serving.TableFollower
 import figdeck.log.PartLog
 import figdeck.model.Address
@@ -62,7 +62,7 @@
 private suspend fun Control<ServingState>.applyView(view: StoreView, bootstrap: PeerBootstrap, clock: Clock) {
     bootstrap.plans.change(view.plans.map { RowChange(it.key, it) })
     val upstreams = view.upstreams.mapNotNull { bootstrap.decodeUpstream(it) }
-    run { state, now -> updatePools(state) { adoptUnconfirmed(it, upstreams, now) } }
+    run { state, now -> updateColdPools(state, now) { adoptUnconfirmed(it, upstreams, now) } }
     val storeMillis = view.storeMillis
     if (storeMillis != null && snapshot.fleet.scan == null) {
         run { state, _ -> updateFleet(state) { applyScan(it, FleetScan(view.members, storeMillis, clock())) } }
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -83,6 +83,7 @@
  * @property headers the headers that are forwarded to the caller.
  * @property isDelimited whether the response declares where its body ends. Otherwise it ends with its connection.
  * @property isLeaving whether the upstream says that it is shutting down.
+ * @property coldRemaining how long the upstream stays cold; null if it doesn't say so.
  * @property earlierExchanges the number of exchanges that the connection had carried before this one.
  */
 internal data class UpstreamReply(
@@ -93,6 +94,7 @@
     val isDelimited: Boolean = true,
     val isLeaving: Boolean = false,
     val earlierExchanges: Int = 0,
+    val coldRemaining: Duration? = null,
 )
 
 private const val FIRST_SUCCESS = 200
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -4,9 +4,14 @@
 import arrow.core.left
 import arrow.core.right
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.serving.ColdSource
+import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.announceLeaving
+import figdeck.command.serving.ownColdTimeLeft
+import figdeck.command.serving.recordCold
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
 import figdeck.log.DecisionLog
 import figdeck.log.PartLog
@@ -26,6 +31,7 @@
 import figdeck.query.serving.areDue
 import figdeck.query.serving.ranked
 import figdeck.query.serving.settledOwner
+import figdeck.query.serving.slotKey
 import figdeck.query.serving.usableUpstream
 import figdeck.wire.serving.HeldSlots
 import figdeck.wire.serving.SlotRelease
@@ -37,6 +43,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val OWNER_CHECK_INTERVAL = 100.milliseconds
@@ -125,10 +132,8 @@
     /** Returns the slot of [permit] to its owner without waiting for a reply. */
     fun release(permit: HeldPermit, use: SlotOutcome, cost: Int) {
         held.remove(permit.request.ticket)
-        sendRelease(
-            permit.owner,
-            SlotRelease(permit.request.ticket, use, cost, hasAnnouncedLeaving(permit.upstream.id))
-        )
+        val release = SlotRelease(permit.request.ticket, use, cost)
+        sendRelease(permit.owner, release.withNews(control.snapshot.pools, permit.upstream.id, clock()))
     }
 
     /**
@@ -136,12 +141,22 @@
      * says. It gets no new work from this host, and the owner of its slots is told when the next one is returned.
      */
     suspend fun recordLeaving(upstream: UpstreamId, request: String, decisions: DecisionLog) {
-        if (!hasAnnouncedLeaving(upstream)) {
+        if (upstream !in control.snapshot.pools.leaving) {
             control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
             decisions.note("upstream_leaving", request) { put("upstream", upstream.value) }
         }
     }
 
+    /**
+     * Records that [upstream] has said in an answer that it stays cold for [remaining]. The owner of its slots is told
+     * when the next one is returned.
+     */
+    suspend fun recordColdReply(upstream: UpstreamId, remaining: Duration) {
+        control.run { state, now ->
+            updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.REPLY, now) }
+        }
+    }
+
     /** Marks the slots with [tickets] as revoked, so that the requests that use them stop. */
     fun revoke(tickets: List<Long>) {
         tickets.forEach { held[it]?.revoked?.complete(Unit) }
@@ -181,13 +196,11 @@
     private fun returnUnusableSlot(granted: SlotResponse.Granted?, owner: FleetMember?, request: SlotRequest) {
         if (granted != null) {
             log.warn { "slot ${request.ticket} is returned: upstream ${granted.upstream} is leaving or unknown" }
-            val isLeaving = hasAnnouncedLeaving(granted.upstream)
-            sendRelease(owner, SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0, isLeaving))
+            val release = SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0)
+            sendRelease(owner, release.withNews(control.snapshot.pools, granted.upstream, clock()))
         }
     }
 
-    private fun hasAnnouncedLeaving(upstream: UpstreamId): Boolean = upstream in control.snapshot.pools.leaving
-
     private fun sendRelease(owner: FleetMember?, release: SlotRelease) {
         scope.launch { if (owner == null) localOwner.release(release) else remoteOwners.release(owner, release) }
     }
@@ -204,15 +217,16 @@
     )
 }
 
-/** The key that determines the owner of the slots of [pool]. */
-internal fun slotKey(pool: PoolName): String = "slots/$pool"
-
 /** The hosts that grant slots of [pool]: one to online work and one to batch work, which may be the same. */
 private fun Fleet.slotOwners(pool: PoolName, now: Moment): Set<FleetMember> =
     setOfNotNull(ranked(slotKey(pool), now).firstOrNull(), batchOwner(pool, now))
 
 internal fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
+/** Adds what this host knows of [upstream] by [pools] and the owner of its slots may not know. */
+private fun SlotRelease.withNews(pools: PoolMembers, upstream: UpstreamId, now: Moment): SlotRelease =
+    copy(isLeaving = upstream in pools.leaving, coldRemaining = pools.ownColdTimeLeft(upstream, now))
+
 private fun refusalOf(response: SlotResponse): Refusal = when (response) {
     is SlotResponse.Full -> Refusal.Overloaded("every upstream", response.retryAfter)
     is SlotResponse.Granted, SlotResponse.NoUpstream -> Refusal.NoUpstream("this route")
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -3,10 +3,14 @@
 import arrow.core.Either
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.serving.ColdSource
 import figdeck.command.serving.announceLeaving
+import figdeck.command.serving.recordCold
 import figdeck.command.serving.removeImmediately
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.coldLimits
+import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.SlotDispatcher
@@ -75,8 +79,14 @@
     /** Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. */
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
-        slots.dispatcher.release(slot.permit, release.outcome, release.cost)
         val upstream = slot.permit.upstream.id
+        // Before the slot is freed, since freeing it grants it to the next request.
+        release.coldRemaining?.let { remaining ->
+            control.run { state, now ->
+                updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.RELEASE, now) }
+            }
+        }
+        slots.dispatcher.release(slot.permit, release.outcome, release.cost)
         if (release.outcome == SlotOutcome.GONE) {
             control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
         }
@@ -123,7 +133,7 @@
 
     private suspend fun awaitSlot(request: SlotRequest, candidates: List<Upstream>): Either<Refusal, Permit>? =
         withTimeoutOrNull(request.maxWait) {
-            slots.acquire(request.ticket, request.toDispatchRequest(candidates, clock()))
+            slots.acquire(request.ticket, control.snapshot.limitedRequest(request, candidates, clock()))
         }
 
     private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
@@ -167,6 +177,9 @@
 /** How long a host waits for the owner's answer before it treats the owner as lost. */
 internal val SlotRequest.timeout: Duration get() = maxWait + ANSWER_MARGIN
 
+private fun ServingState.limitedRequest(request: SlotRequest, candidates: List<Upstream>, now: Moment) =
+    request.toDispatchRequest(candidates, now).copy(coldLimits = coldLimits(this, request.pool, now))
+
 private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>, now: Moment) = DispatchRequest(
     candidates = candidates,
     team = team,
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotRequestRouter.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotRequestRouter.kt
@@ -9,6 +9,7 @@
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
 import figdeck.query.serving.ranked
+import figdeck.query.serving.slotKey
 import kotlin.time.Duration.Companion.milliseconds
 
 private val NO_OWNER_RETRY_AFTER = 200.milliseconds
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -139,6 +139,7 @@
     private suspend fun receive(reply: UpstreamReply, options: SendOptions): FailedSend? {
         val id = options.upstream.id
         if (reply.isLeaving) services.slots.recordLeaving(id, call.id, services.log)
+        reply.coldRemaining?.let { services.slots.recordColdReply(id, it) }
         return when (reply.executionStatus) {
             ExecutionStatus.NOT_RUN ->
                 FailedSend.NotRun(id, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.query.serving
 
 import arrow.core.Either
+import com.dynatrace.hash4j.hashing.Hashing
 import figdeck.command.serving.JobDirectory
 import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.VersionedJob
@@ -14,6 +15,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.adoptPlan
+import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updateJobs
 import figdeck.control.serving.updatePools
 import figdeck.log.DecisionLog
@@ -60,7 +62,9 @@
 /** Returns a function that reads upstream rows with [decode] and returns null for invalid rows, with a warning. */
 internal fun upstreamReader(
     decode: (id: String, text: String) -> Either<String, PoolMember>,
-): (Row) -> PoolMember? = { row -> decode(row.key, row.value).orWarn(log) }
+): (Row) -> PoolMember? = { row ->
+    decode(row.key, row.value).orWarn(log)?.copy(entryHash = Hashing.komihash5_0().hashCharsToLong(row.value))
+}
 
 /** Returns a follower that updates the pools from the upstreams' announcements. */
 internal fun poolFollower(
@@ -71,7 +75,7 @@
     return TableFollower(
         replace = { rows ->
             val listed = rows.mapNotNull { read(it) }
-            control.run { state, now -> updatePools(state) { replaceMembers(it, listed, now) } }
+            control.run { state, now -> updateColdPools(state, now) { replaceMembers(it, listed, now) } }
             decisions.note("upstreams_read", listed.size.toString())
         },
         change = { changes ->
@@ -79,8 +83,8 @@
             changes.forEach { change ->
                 val member = change.row?.let { read(it) }
                 control.run { state, now ->
-                    updatePools(state) { pools ->
-                        if (member == null) pools.without(change.key, now) else putMember(pools, member)
+                    updateColdPools(state, now) { pools ->
+                        if (member == null) pools.without(change.key, now) else putMember(pools, member, now)
                     }
                 }
                 decisions.note("upstream_changed", change.key) {
--- a/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -6,6 +6,8 @@
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.http.client.HttpReply
 import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val MISDIRECTED_REQUEST = 421
 
@@ -36,5 +38,10 @@
         isDelimited = isDelimited,
         isLeaving = executionStatus.isFromExpectedUpstream && headers.get(LEAVING_HEADER)?.trim() == IS_LEAVING,
         earlierExchanges = reply.earlierExchanges,
+        coldRemaining = if (executionStatus.isFromExpectedUpstream) parseColdTime(headers.get(COLD_HEADER)) else null,
     )
 }
+
+/** Parses the milliseconds for which an upstream stays cold; null if there is no valid number. */
+private fun parseColdTime(text: String?): Duration? =
+    text?.trim()?.toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }?.milliseconds
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -5,10 +5,14 @@
 import figdeck.model.Moment
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
+import figdeck.model.serving.PoolName
 import figdeck.model.serving.storeMillisAt
 
 private const val MIN_RELATIVE_CORES = 0.8
 
+/** The key that determines the owner of the slots of [pool]. */
+public fun slotKey(pool: PoolName): String = "slots/$pool"
+
 /** The live members that are not suspected, ordered by their preference for [key] in rendezvous hashing. */
 public fun Fleet.ranked(key: String, now: Moment): List<FleetMember> =
     liveMembers()
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -1,5 +1,6 @@
 package figdeck.telemetry
 
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tag
 import io.micrometer.core.instrument.Timer
@@ -52,6 +53,12 @@
         Gauge.builder(name, Supplier { value() }).register(registry)
     }
 
+    /** Registers a counter whose [value] is read on each scrape and never decreases. */
+    fun counter(name: String, value: () -> Number) {
+        // The registry keeps only a weak reference to the object; this one lives as long as the registry.
+        FunctionCounter.builder(name, this) { value().toDouble() }.register(registry)
+    }
+
     private fun register(key: TimerKey): Timer {
         val labels = key.tags.chunked(2) { (label, value) -> Tag.of(label, value) }
         return Timer.builder(key.name).tags(labels).publishPercentiles(MEDIAN, P95, P99).register(registry)
--- a/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
@@ -6,6 +6,7 @@
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -15,6 +16,7 @@
  * @property outcome how the use of the slot ended.
  * @property isLeaving whether the upstream has said to the holder that it is shutting down.
  * @property usage what the holder has seen of a generation in the slot; null if it saw none.
+ * @property coldRemaining how long the upstream stays cold, as the holder knows; null if it isn't cold.
  */
 public data class SlotRelease(
     public val ticket: Long,
@@ -22,6 +24,7 @@
     public val cost: Int,
     public val isLeaving: Boolean = false,
     public val usage: SlotUsage? = null,
+    public val coldRemaining: Duration? = null,
 )
 
 /** The release of a slot by its holder. */
@@ -32,6 +35,7 @@
     val cost: Int,
     val leaving: Boolean = false,
     val usage: SlotUsageDto? = null,
+    val coldMillis: Long? = null,
 )
 
 /** What the holder of a slot has seen of the work in it. */
@@ -52,13 +56,27 @@
             whole = it.isWhole,
         )
     }
-    val dto = SlotReleaseDto(release.ticket, release.outcome.name, release.cost, release.isLeaving, usage)
+    val dto = SlotReleaseDto(
+        ticket = release.ticket,
+        use = release.outcome.name,
+        cost = release.cost,
+        leaving = release.isLeaving,
+        usage = usage,
+        coldMillis = release.coldRemaining?.inWholeMilliseconds,
+    )
     return lenientJson.encodeToString(SlotReleaseDto.serializer(), dto)
 }
 
 internal fun decodeSlotRelease(text: String): Either<String, SlotRelease> =
     decodeAs(text, SlotReleaseDto.serializer()) {
-        SlotRelease(it.ticket, SlotOutcome.valueOf(it.use), it.cost, it.leaving, it.usage?.toUsage())
+        SlotRelease(
+            ticket = it.ticket,
+            outcome = SlotOutcome.valueOf(it.use),
+            cost = it.cost,
+            isLeaving = it.leaving,
+            usage = it.usage?.toUsage(),
+            coldRemaining = it.coldMillis?.milliseconds,
+        )
     }
 
 private fun SlotUsageDto.toUsage() = SlotUsage(
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -1,5 +1,8 @@
 package figdeck.daemon.command.serving
 
+import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.serving.ColdSource
+import figdeck.control.serving.adoptPlan
 import figdeck.log.DecisionLog
 import figdeck.model.HostId
 import figdeck.model.Lane
@@ -7,12 +10,15 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
+import figdeck.model.serving.servingPlan
 import figdeck.process.eventually
 import figdeck.wire.serving.SlotRelease
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -77,6 +83,50 @@
         }
     }
 
+    // Guards against an owner that grants a cold upstream's slots at full rate because it doesn't see its answers.
+    describe("an upstream that has said how long it stays cold") {
+        it("is known as cold, and the owner of its slots is told") {
+            val owner = GrantingOwner(listOf("ready-1"))
+            TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
+                host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(poolMember(pool, "ready-1")))
+                val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
+                host.slots.recordColdReply(permit.upstream.id, 60.seconds)
+                host.control.snapshot.pools.cold.keys shouldBe setOf(permit.upstream.id)
+                host.slots.release(permit, SlotOutcome.ANSWERED, 1)
+                eventually(5.seconds) { owner.released.size == 1 }
+                (owner.released.single().coldRemaining.shouldNotBeNull() in 50.seconds..60.seconds) shouldBe true
+            }
+        }
+
+        it("is known as cold by an owner that is told") {
+            TestHost(fleetMember("host-1")).use { host ->
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("ready-1"))
+                host.owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1, coldRemaining = 60.seconds))
+                host.control.snapshot.pools.cold.values.map { it.source } shouldBe listOf(ColdSource.RELEASE)
+            }
+        }
+    }
+
+    // Guards against an owner that reads of a cold upstream and grants its slots as before.
+    describe("an owner of a pool whose upstream is cold") {
+        it("grants no slot before there is a token") {
+            TestHost(fleetMember("host-1")).use { host ->
+                val plan = servingPlan {
+                    pool(pool.value) {
+                        coldSeconds = 60.0
+                        coldRequestsPerSecond = 0.01
+                    }
+                }.getOrNull().shouldNotBeNull()
+                host.control.run { state, _ -> adoptPlan(state, plan) }
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                host.slots.recordColdReply(UpstreamId("ready-1"), 60.seconds)
+                host.owner.acquire(slotRequest(1)).shouldBeInstanceOf<SlotResponse.Full>()
+                host.control.snapshot.slots.heldBack shouldBe 1
+            }
+        }
+    }
+
     describe("an owner that does not know which upstreams are leaving") {
         it("gets slots at leaving upstreams back and is asked for others") {
             val owner = GrantingOwner(listOf("leaving-1", "leaving-2", "ready-1"))
--- a/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -73,7 +73,7 @@
             control.run { state: ServingState, now -> updateSlots(state) { decision(it, now) } }
         },
     )
-    private val owner = SlotOwner(
+    val owner = SlotOwner(
         SlotDispatcher(ownSlots, DispatchPolicy(), Random(1)),
         control,
         systemClock
--- a/src/test/kotlin/figdeck/daemon/query/serving/FollowersSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/FollowersSpec.kt
@@ -7,6 +7,7 @@
 import figdeck.model.DataCentre
 import figdeck.model.HostId
 import figdeck.model.Row
+import figdeck.model.UpstreamId
 import figdeck.model.serving.FleetMember
 import figdeck.model.systemClock
 import figdeck.platform.decodeUpstream
@@ -14,6 +15,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 
 private val self = FleetMember(HostId("host-1"), Address("127.0.0.1", 1), DataCentre("centre-a"), "1", 0, 0)
 
@@ -39,6 +41,23 @@
         }
     }
 
+    // Guards against an upstream that stays cold as long as its row is read again, or that starts again unseen.
+    describe("a follower that gets an entry with a remaining time") {
+        val text = """{"Service":"p","Address":"10.0.0.2:80","Zone":"z","Slots":8,"State":"ready",""" +
+            """"Seq":%d,"ColdRemainingMs":3000}"""
+        val follower = poolFollower(control, upstreamReader(::decodeUpstream), DecisionLog("test"))
+        fun learnedAt() = control.snapshot.pools.cold.getValue(UpstreamId("cold")).learnedAt
+
+        it("starts a period only if the text of the entry has changed") {
+            follower.replace(listOf(Row("cold", text.format(1), 1)))
+            val first = learnedAt()
+            follower.change(listOf(RowChange("cold", Row("cold", text.format(1), 2))))
+            learnedAt() shouldBe first
+            follower.change(listOf(RowChange("cold", Row("cold", text.format(2), 3))))
+            learnedAt() shouldNotBe first
+        }
+    }
+
     describe("a follower that gets rows with foreign keys") {
         val changes = foreignKeys.flatMap { listOf(RowChange(it, null), RowChange(it, Row(it, "no JSON", 1))) }
 
--- a/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
+++ b/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
@@ -9,9 +9,11 @@
 import figdeck.model.UpstreamId
 import figdeck.model.serving.PromptPart
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.flow.emptyFlow
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -136,6 +138,17 @@
             upstreamReply(reply(421, "X-Attempt-Id" to "1", leaving), "1").isLeaving shouldBe false
         }
 
+        // Guards against a cold upstream that gets full load because its answer is not read, or is another one's.
+        it("says how long its upstream stays cold, unless another one may have sent it") {
+            fun coldTime(status: Int, id: String, value: String) =
+                upstreamReply(reply(status, "X-Attempt-Id" to id, "X-Cold-Ms" to value), "1").coldRemaining
+            coldTime(500, "1", "1700") shouldBe 1_700.milliseconds
+            coldTime(503, "1", "0") shouldBe Duration.ZERO
+            coldTime(500, "2", "1700").shouldBeNull()
+            coldTime(421, "1", "1700").shouldBeNull()
+            listOf("", "soon", "NaN", "Infinity", "-1").forEach { coldTime(500, "1", it).shouldBeNull() }
+        }
+
         it("reports that the request did not run") {
             val own = "X-Attempt-Id" to "1"
             upstreamReply(reply(503, own, "X-Not-Executed" to "1"), "1").executionStatus shouldBe
--- a/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
@@ -48,6 +48,11 @@
             decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
         }
 
+        it("is read as it was sent, with the time for which the upstream stays cold") {
+            val sent = release.copy(coldRemaining = 1_700.milliseconds)
+            decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
+        }
+
         it("is read from a host of an earlier version, without it") {
             decodeSlotRelease("""{"ticket":7,"use":"ANSWERED","cost":540}""") shouldBe release.right()
         }
