Spec that a host cut off from the store has no main part of a cold upstream's rate

Cause: bucketLocation is Local at such a host too, so that it and the next holder of the lease would both use the main part. Change: ColdFleetSpec turns the holder away from the store and expects one other holder.

--- a/src/test/kotlin/figdeck/control/serving/ColdFleetSpec.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdFleetSpec.kt
@@ -1,13 +1,19 @@
 package figdeck.control.serving
 
 import arrow.core.getOrElse
+import figdeck.model.serving.PoolName
 import figdeck.model.serving.ServingPlan
 import figdeck.model.serving.servingPlan
+import figdeck.query.serving.BucketLocation
+import figdeck.query.serving.bucketLocation
+import figdeck.query.serving.slotKey
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import kotlin.random.Random
 
 private const val SEEDS = 20
@@ -136,6 +142,25 @@
         }
     }
 
+    // Guards against two hosts with the main part, when those that the store turns away keep buckets for themselves.
+    describe("the main part of the rate") {
+        val pool = PoolName("p")
+        val fleet = ColdFleet(HOSTS, plan(RATE), emptyList(), 0, Random(1))
+        fleet.runUntil(SETTLED)
+        val owners = fleet.hosts.filter { it.state.fleet.hasMainColdShare(pool, at(fleet.now)) }
+
+        it("belongs to one host, and to none that is cut off from the store") {
+            owners.size shouldBe 1
+            fleet.links = Links(store = { host -> fleet.hosts[host] !in owners })
+            fleet.runUntil(SETTLED + 10_000)
+            val now = at(fleet.now)
+            owners.single().state.fleet.bucketLocation(slotKey(pool), now) shouldBe BucketLocation.Local
+            val next = fleet.hosts.filter { it.state.fleet.hasMainColdShare(pool, now) }
+            next.size shouldBe 1
+            next shouldNotBe owners
+        }
+    }
+
     // Guards against a limit that leaves a cold upstream nearly without work.
     describe("without a failure") {
         it("a cold upstream gets at least 0.7 of the rate that it tolerates") {
