Expected work of a request: types and functions that placement builds on

Placement needs the expected work of a request at the granting host, and the usage of a slot when it is released. DispatchRequest.expected and Release.usage carry both through SlotDispatcher and SlotOwner.

--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -5,6 +5,7 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.UpstreamId
+import figdeck.model.serving.SlotUsage
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -16,12 +17,17 @@
     public val seed: Long,
 )
 
-/** The return of a slot. The [cost] is the actual number of tokens, and [seed] makes random choices reproducible. */
+/**
+ * The return of a slot. The [cost] is the actual number of tokens, and [seed] makes random choices reproducible.
+ *
+ * @property usage what its holder has seen of a generation in it; null if it saw none.
+ */
 public data class Release(
     public val ticket: Long,
     public val outcome: SlotOutcome,
     public val cost: Int,
     public val seed: Long,
+    public val usage: SlotUsage? = null,
 )
 
 /** Grants a slot to [arrival], queues it or refuses it. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -4,6 +4,7 @@
 import figdeck.model.Moment
 import figdeck.model.TeamId
 import figdeck.model.Upstream
+import figdeck.model.serving.ExpectedWork
 import kotlin.time.Duration
 
 /**
@@ -18,6 +19,7 @@
  *   can.
  * @property slotTimeUsed how long the work has held slots before. It resumes from the output of that time.
  * @property attempt how often the same work was sent before. Every attempt after the first uses the retry budget.
+ * @property expected the expected work, which is charged instead of [cost]; null if nothing is known about it.
  */
 public data class DispatchRequest(
     public val candidates: List<Upstream>,
@@ -30,6 +32,7 @@
     public val attempt: Int = 0,
     public val willMissDeadline: Boolean = false,
     public val slotTimeUsed: Duration = Duration.ZERO,
+    public val expected: ExpectedWork? = null,
 )
 
 /** How the use of a slot ended, from which the health of the upstream is derived. */
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -23,6 +23,7 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
+import figdeck.model.serving.SlotUsage
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
@@ -68,7 +69,7 @@
 
     val dispatcher: Dispatcher = Dispatcher(
         acquire = { request -> acquire(lastTicket.incrementAndGet(), request) },
-        release = ::release,
+        release = { permit, outcome, cost -> release(permit, outcome, cost) },
     )
 
     /** Wakes [tickPeriodically] when a request begins to wait. */
@@ -121,9 +122,12 @@
         return effects.filterIsInstance<DispatchEffect.Refused>().firstNotNullOfOrNull { it.refusal.retryAfter }
     }
 
-    private suspend fun release(permit: Permit, slotOutcome: SlotOutcome, cost: Int) {
+    /** Frees the slot of [permit]. The [usage] is what its holder has seen of a generation; null if it saw none. */
+    suspend fun release(permit: Permit, slotOutcome: SlotOutcome, cost: Int, usage: SlotUsage? = null) {
         holders.remove(permit.id)
-        decide { state, now -> release(state, Release(permit.id, slotOutcome, cost, random.nextLong()), policy, now) }
+        decide { state, now ->
+            release(state, Release(permit.id, slotOutcome, cost, random.nextLong(), usage), policy, now)
+        }
     }
 
     /**
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -75,7 +75,7 @@
     /** Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. */
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
-        slots.dispatcher.release(slot.permit, release.outcome, release.cost)
+        slots.release(slot.permit, release.outcome, release.cost, release.usage)
         val upstream = slot.permit.upstream.id
         if (release.outcome == SlotOutcome.GONE) {
             control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
