Features of requests, usage of slots, and the estimator at the granting host

Cause: the host that grants slots knows neither what a request tells about its work nor what its slot was used for. Change: prompt and maximum tokens, shared parts and the hint are decoded for streams and batch items and sent with the slot request. Each send measures events, the time to the first one and the streaming time, which the release carries in tokens of the plan in force.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -69,6 +69,7 @@
 import figdeck.platform.decodeUpstream
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
+import figdeck.platform.itemFeaturesOf
 import figdeck.platform.readinessHandler
 import figdeck.platform.sendFaultOf
 import figdeck.platform.sharedPartsOf
@@ -154,7 +155,8 @@
     private val store = observed(platform.store, telemetry)
     private val peers = httpFleetPeers(PeerClient(peerClient, settings.fleetName))
     private val slots = SlotDispatcher(localSlots(), dispatchPolicy, random)
-    private val slotOwner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
+    private val work = workEstimator(settings.placement, control, clock, telemetry.meters)
+    private val slotOwner = SlotOwner(slots, control, clock, work) { host, ticket -> revoke(host, ticket) }
     private val slotClient: SlotClient = SlotClient(control, clock, slotOwner, RemoteSlotOwners(control, peers), scope)
     private val teamLimits = TeamLimits(control, clock, peers, DecisionLog("limits"))
     private val crashRiskWriter = CrashRiskWriter(control, clock, store)
@@ -187,6 +189,7 @@
         log = DecisionLog("jobs"),
         sharedParts = ::sharedPartsOf,
         sendFault = ::sendFaultOf,
+        features = ::itemFeaturesOf,
     )
     private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
     private val readinessServer = server(readinessHandler(control))
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -12,6 +12,8 @@
 import figdeck.command.serving.emptyPoolMembers
 import figdeck.command.serving.emptySharedLimits
 import figdeck.command.serving.singleMemberFleet
+import figdeck.command.work.WorkEstimates
+import figdeck.command.work.noWorkEstimates
 import figdeck.model.Known
 import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.CrashSuspect
@@ -32,6 +34,7 @@
  * @property slots the state of the slots that this host assigns.
  * @property crashRisks the parts of prompts, and requests, that may crash upstreams.
  * @property stop the planned stop of this host; null while none has begun.
+ * @property work what this host has learned about the work of requests, as far as it grants their slots.
  */
 public data class ServingState(
     public val index: PlanIndex?,
@@ -42,6 +45,7 @@
     public val jobs: JobDirectory,
     public val crashRisks: CrashRisks,
     public val stop: PlannedStop?,
+    public val work: WorkEstimates = noWorkEstimates,
 )
 
 /** Whether this host has read the plan, the pools and the member list that it needs to serve requests. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemOutput.kt
@@ -2,6 +2,7 @@
 
 import figdeck.daemon.command.serving.EventReader
 import figdeck.daemon.command.serving.RelayResult
+import figdeck.daemon.command.serving.SlotUsageMeter
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.model.Clock
 import figdeck.model.serving.ItemProgress
@@ -44,12 +45,14 @@
     /**
      * Appends the events of [reply] until it ends, or until no event is completed within [maxPause]. The output is
      * complete if the result is. Calls [onBegun] after the first events of [reply]. An upstream whose events have no
-     * end adds none: the item continues elsewhere from where it was.
+     * end adds none: the item continues elsewhere from where it was. The [meter] is told
+     * about each event that is appended.
      */
     suspend fun collect(
         reply: UpstreamReply,
         maxPause: Duration,
         clock: Clock,
+        meter: SlotUsageMeter? = null,
         onBegun: suspend () -> Unit = {},
     ): RelayResult {
         val before = progress
@@ -57,8 +60,11 @@
         val reader = EventReader(maxPause, clock())
         var fault: String? = null
         reply.body.chunks.transformWhile<ByteArray, Unit> { chunk ->
-            val hadBegun = progress.events.size > eventsBefore
-            fault = reader.read(chunk, clock()).fold({ it }, { events -> events.firstNotNullOfOrNull { append(it) } })
+            val readAt = clock()
+            val known = progress.events.size
+            val hadBegun = known > eventsBefore
+            fault = reader.read(chunk, readAt).fold({ it }, { events -> events.firstNotNullOfOrNull { append(it) } })
+            meter?.onEvents(progress.events.size - known, readAt)
             if (!hadBegun && progress.events.size > eventsBefore) onBegun()
             fault == null
         }.collect()
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -5,9 +5,11 @@
 import figdeck.daemon.command.serving.HeldPermit
 import figdeck.daemon.command.serving.RelayResult
 import figdeck.daemon.command.serving.SendOptions
+import figdeck.daemon.command.serving.SlotUsageMeter
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.daemon.command.serving.ending
 import figdeck.daemon.command.serving.isSuccess
+import figdeck.http.client.ExchangeFailure
 import figdeck.model.Clock
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
@@ -163,6 +165,7 @@
         age = record.age(services.clock()),
         willMissDeadline = willMissDeadline(route),
         slotTimeUsed = state.spent,
+        features = services.features(route.name, item),
     )
 
     private fun willMissDeadline(route: ServingRoute): Boolean {
@@ -172,22 +175,27 @@
 
     private suspend fun runWithPermit(permit: HeldPermit, route: ServingRoute): AttemptResult {
         var use = SlotOutcome.ABANDONED
+        val startedAt = services.clock()
+        val meter = SlotUsageMeter(startedAt, isResumed = output.progress.lastEventId != null)
         try {
-            val startedAt = services.clock()
             val before = output.progress.events.size
-            val attemptResult = sendUntilRevoked(permit, route)
+            val attemptResult = sendUntilRevoked(permit, route, meter)
             val took = services.clock() - startedAt
             services.timeEstimator.recordRun(output.progress.events.size - before, took)
             state.spent += if (output.progress.events.size > before) took else Duration.ZERO
             use = if (attemptResult is AttemptResult.Interrupted) attemptResult.use else SlotOutcome.ANSWERED
             return attemptResult
         } finally {
-            services.slots.release(permit, use, item.tokens.toInt())
+            services.slots.release(permit, use, item.tokens.toInt(), meter)
         }
     }
 
-    private suspend fun sendUntilRevoked(permit: HeldPermit, route: ServingRoute): AttemptResult = coroutineScope {
-        val sending = async { send(permit, route) }
+    private suspend fun sendUntilRevoked(
+        permit: HeldPermit,
+        route: ServingRoute,
+        meter: SlotUsageMeter,
+    ): AttemptResult = coroutineScope {
+        val sending = async { send(permit, route, meter) }
         select {
             sending.onAwait { it }
             permit.revoked.onAwait {
@@ -197,7 +205,7 @@
         }
     }
 
-    private suspend fun send(permit: HeldPermit, route: ServingRoute): AttemptResult {
+    private suspend fun send(permit: HeldPermit, route: ServingRoute, meter: SlotUsageMeter): AttemptResult {
         val options = SendOptions(
             upstream = permit.upstream,
             timeLeft = SEND_TIMEOUT,
@@ -213,11 +221,16 @@
             options
         ) { reply ->
             if (reply.isLeaving) services.slots.recordLeaving(permit.upstream.id, item.id, services.log)
-            attemptResult = output.receive(reply, services.clock) { services.crashGuard.recordAnswer(sharedParts) }
+            attemptResult = output.receive(reply, services.clock, meter) {
+                services.crashGuard.recordAnswer(sharedParts)
+            }
         }
         val hasBegun = output.progress.events.size > before
         return result.fold(
-            { lost -> AttemptResult.Interrupted(lost.reason, SlotOutcome.FAILED, lost.ending(hasBegun)) },
+            { lost ->
+                if (lost is ExchangeFailure.NotSent) meter.onNotRun()
+                AttemptResult.Interrupted(lost.reason, SlotOutcome.FAILED, lost.ending(hasBegun))
+            },
             { attemptResult },
         )
     }
@@ -226,16 +239,21 @@
 private suspend fun ItemOutput.receive(
     reply: UpstreamReply,
     clock: Clock,
+    meter: SlotUsageMeter,
     onBegun: suspend () -> Unit,
 ): AttemptResult = when (reply.executionStatus) {
     ExecutionStatus.UNVERIFIED -> AttemptResult.Interrupted("the response matches no request", SlotOutcome.FAILED)
-    ExecutionStatus.WRONG_UPSTREAM -> AttemptResult.Interrupted("another upstream answered", SlotOutcome.GONE)
+    ExecutionStatus.WRONG_UPSTREAM -> {
+        meter.onNotRun()
+        AttemptResult.Interrupted("another upstream answered", SlotOutcome.GONE)
+    }
     ExecutionStatus.NOT_RUN -> {
+        meter.onNotRun()
         delay(FAILURE_RETRY_DELAY)
         AttemptResult.Interrupted("the upstream did not run it", SlotOutcome.ABANDONED)
     }
     ExecutionStatus.RAN -> when {
-        reply.isSuccess -> collectEvents(reply, clock, onBegun)
+        reply.isSuccess -> collectEvents(reply, clock, meter, onBegun)
         reply.status == UNPROCESSABLE -> AttemptResult.Impossible
         reply.status >= FIRST_SERVER_ERROR -> AttemptResult.Failed("the upstream answered ${reply.status}")
         else -> AttemptResult.Interrupted("the upstream answered ${reply.status}", SlotOutcome.FAILED)
@@ -245,11 +263,15 @@
 private suspend fun ItemOutput.collectEvents(
     reply: UpstreamReply,
     clock: Clock,
+    meter: SlotUsageMeter,
     onBegun: suspend () -> Unit,
 ): AttemptResult {
     val before = progress.events.size
-    return when (val result = collect(reply, STALL_TIMEOUT, clock, onBegun)) {
-        RelayResult.Complete -> AttemptResult.Whole
+    return when (val result = collect(reply, STALL_TIMEOUT, clock, meter, onBegun)) {
+        RelayResult.Complete -> {
+            meter.onComplete()
+            AttemptResult.Whole
+        }
         is RelayResult.Broken ->
             AttemptResult.Interrupted(result.reason, SlotOutcome.FAILED, result.ending(progress.events.size > before))
     }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -19,6 +19,7 @@
 import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.WorkFeatures
 import kotlin.random.Random
 
 private const val ID_RADIX = 36
@@ -39,6 +40,7 @@
  *
  * @property sharedParts returns the parts of an item's prompt that other requests may share.
  * @property sendFault returns the reason why an item can't be sent to any upstream; null if it can.
+ * @property features returns what an item on a route tells about its work; null if it tells nothing.
  */
 internal data class JobServices(
     val control: Control<ServingState>,
@@ -55,6 +57,7 @@
     val log: DecisionLog,
     val sharedParts: (JobItem) -> List<PromptPart>,
     val sendFault: (JobItem) -> String?,
+    val features: (route: String, JobItem) -> WorkFeatures? = { _, _ -> null },
 )
 
 /** This host in its current incarnation. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/EventReader.kt
@@ -53,7 +53,7 @@
     }
 }
 
-private val SseEvent.hasContent: Boolean get() = id != null || data.isNotEmpty()
+internal val SseEvent.hasContent: Boolean get() = id != null || data.isNotEmpty()
 
 /**
  * Whether the head of a response was joined to the event: a late answer may fill a chunk that broke off. Its status
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -8,6 +8,7 @@
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
+import figdeck.model.serving.WorkFeatures
 import figdeck.query.serving.RouteAccess
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
@@ -22,6 +23,7 @@
  * @property lastEventId the event after which the stream resumes; null for the whole stream.
  * @property sharedParts the parts of the prompt that other requests may share; empty without a prompt.
  * @property fingerprint the same for each repetition of the request by its caller; null if it was not computed.
+ * @property features what the request tells about its work; null for a plain service.
  */
 internal data class OnlineCall(
     val id: String,
@@ -33,6 +35,7 @@
     val lastEventId: Long?,
     val sharedParts: List<PromptPart> = emptyList(),
     val fingerprint: RequestFingerprint? = null,
+    val features: WorkFeatures? = null,
 ) {
     /** What may be the cause if this request loses its upstreams. */
     val suspects: List<CrashSuspect> = sharedParts + listOfNotNull(fingerprint)
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -167,7 +167,7 @@
             history = SendHistory(history.failures + listOfNotNull(failure), sender.stream.hasStarted)
             return failure == null
         } finally {
-            services.slots.release(permit, use, call.cost)
+            services.slots.release(permit, use, call.cost, sender.usageMeter)
         }
     }
 }
@@ -186,6 +186,7 @@
         affinity = call.affinity,
         excluded = history.failedUpstreams,
         maxWait = (maxQueueTime - elapsed).coerceAtLeast(maxQueueTime / 2),
+        features = call.features,
     )
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -122,12 +122,18 @@
         }
     }
 
-    /** Returns the slot of [permit] to its owner without waiting for a reply. */
-    fun release(permit: HeldPermit, use: SlotOutcome, cost: Int) {
+    /** Returns the slot of [permit] to its owner without waiting for a reply, with what [meter] has seen in it. */
+    fun release(permit: HeldPermit, use: SlotOutcome, cost: Int, meter: SlotUsageMeter? = null) {
         held.remove(permit.request.ticket)
         sendRelease(
             permit.owner,
-            SlotRelease(permit.request.ticket, use, cost, hasAnnouncedLeaving(permit.upstream.id))
+            SlotRelease(
+                permit.request.ticket,
+                use,
+                cost,
+                hasAnnouncedLeaving(permit.upstream.id),
+                meter?.usageOf(permit.request, control.snapshot.index?.plan),
+            )
         )
     }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -16,6 +16,7 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
+import figdeck.model.serving.ExpectedWork
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
@@ -43,11 +44,16 @@
 /** How long a new owner grants no slots to batch work. Holders confirm their slots in this time. */
 private val BATCH_GRACE_PERIOD = 800.milliseconds
 
-/** Grants the slots of the pools that this host owns, to itself and to other hosts. */
+/**
+ * Grants the slots of the pools that this host owns, to itself and to other hosts.
+ *
+ * @param work estimates the work of requests; null if their cost is used.
+ */
 internal class SlotOwner(
     private val slots: SlotDispatcher,
     private val control: Control<ServingState>,
     private val clock: Clock,
+    private val work: WorkEstimator? = null,
     private val onRevoked: (HostId, Long) -> Unit,
 ) {
     private val grantedSlots = ConcurrentHashMap<Long, GrantedSlot>()
@@ -57,7 +63,8 @@
     suspend fun acquire(request: SlotRequest): SlotResponse {
         val candidates = control.snapshot.pools.members.usableUpstreams(request.pool, request.excluded)
         val isTooEarly = isInGracePeriod(request.pool) && request.lane == Lane.BATCH
-        val answer = if (candidates.isEmpty() || isTooEarly) null else awaitSlot(request, candidates)
+        val expected = work?.estimate(request)
+        val answer = if (candidates.isEmpty() || isTooEarly) null else awaitSlot(request, candidates, expected)
         return when {
             candidates.isEmpty() -> SlotResponse.NoUpstream
             isTooEarly -> SlotResponse.Full(FULL_RETRY_AFTER)
@@ -65,7 +72,7 @@
             else -> answer.fold(
                 { SlotResponse.Full(it.retryAfter ?: FULL_RETRY_AFTER) },
                 { permit ->
-                    hold(request, permit)
+                    hold(request, permit, expected)
                     SlotResponse.Granted(permit.upstream.id)
                 },
             )
@@ -76,6 +83,7 @@
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
         slots.release(slot.permit, release.outcome, release.cost, release.usage)
+        work?.learn(slot.request, slot.expected, release.usage)
         val upstream = slot.permit.upstream.id
         if (release.outcome == SlotOutcome.GONE) {
             control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
@@ -100,7 +108,7 @@
             }
         }
         val listed = list.map { it.request.ticket }.toSet()
-        releaseWhere { it.host == from && it.permit.id !in listed && now - it.grantedAt > CHECK_INTERVAL }
+        releaseWhere { it.request.from == from && it.permit.id !in listed && now - it.grantedAt > CHECK_INTERVAL }
     }
 
     /** Frees the slots of hosts that no longer confirm them, until cancelled. */
@@ -121,23 +129,27 @@
         return current != null && now - current.since < BATCH_GRACE_PERIOD
     }
 
-    private suspend fun awaitSlot(request: SlotRequest, candidates: List<Upstream>): Either<Refusal, Permit>? =
-        withTimeoutOrNull(request.maxWait) {
-            slots.acquire(request.ticket, request.toDispatchRequest(candidates, clock()))
-        }
+    private suspend fun awaitSlot(
+        request: SlotRequest,
+        candidates: List<Upstream>,
+        expected: ExpectedWork?,
+    ): Either<Refusal, Permit>? = withTimeoutOrNull(request.maxWait) {
+        slots.acquire(request.ticket, request.toDispatchRequest(candidates, clock()).copy(expected = expected))
+    }
 
     private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
         slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, clock())) ?: FULL_RETRY_AFTER
 
     private suspend fun adopt(slot: HeldSlot) {
         val upstream = control.snapshot.pools.members[slot.upstream]?.upstream ?: return
-        val request = slot.request.toDispatchRequest(listOf(upstream), clock())
-        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream))
+        val expected = work?.estimate(slot.request)
+        val request = slot.request.toDispatchRequest(listOf(upstream), clock()).copy(expected = expected)
+        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream), expected)
     }
 
-    private fun hold(request: SlotRequest, permit: Permit) {
+    private fun hold(request: SlotRequest, permit: Permit, expected: ExpectedWork?) {
         val now = clock()
-        grantedSlots[request.ticket] = GrantedSlot(request.from, permit, now, now)
+        grantedSlots[request.ticket] = GrantedSlot(request, expected, permit, now, now)
         permit.revoked.invokeOnCompletion { onRevoked(request.from, request.ticket) }
     }
 
@@ -154,7 +166,8 @@
     )
 
     private data class GrantedSlot(
-        val host: HostId,
+        val request: SlotRequest,
+        val expected: ExpectedWork?,
         val permit: Permit,
         val grantedAt: Moment,
         val confirmedAt: Moment,
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -39,6 +39,9 @@
     var eventCount: Int = 0
         private set
 
+    /** Measures the stream of the present upstream. */
+    var meter: SlotUsageMeter? = null
+
     /**
      * Forwards the events of [reply] as they arrive, with the response head before the first event. Gives the stream up
      * if no event is completed within [maxPause]. Calls [onBegun] after the first events of [reply].
@@ -61,6 +64,7 @@
             }
             error = error ?: events.firstNotNullOfOrNull { orderError(it) }
             if (error == null && events.isNotEmpty()) {
+                meter?.onEvents(events.count { it.hasContent }, readAt)
                 val hasBegun = eventCount > eventsBefore
                 forwardEvents(events, reply, caller)
                 if (!hasBegun) onBegun()
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -60,6 +60,10 @@
     private val shares = mutableListOf<AnswerMemory.AnswerShare>()
     private var hasWholeAnswerBegun = false
 
+    /** Measures the stream of the latest upstream; null before the first send. */
+    var usageMeter: SlotUsageMeter? = null
+        private set
+
     /** Whether a part of an answer may have been sent to the caller, so that no other one can be. */
     val hasAnswerBegun: Boolean get() = stream.hasStarted || hasWholeAnswerBegun
 
@@ -80,12 +84,16 @@
         val upstream = permit.upstream.id
         val options = sendOptions(permit, history)
         val eventsBefore = stream.eventCount
+        val meter = SlotUsageMeter(sentAt, isResumed = options.resumeAfter != null)
+        usageMeter = meter
+        stream.meter = meter
         val result = forward(options) { reply ->
             answer = reply
-            failure = receive(reply, options)
+            failure = receive(reply, options, meter)
         }
         val hasBegun = stream.eventCount > eventsBefore
         val failed = result.fold({ failedSend(upstream, it, hasBegun) }, { failure })
+        if (failed is FailedSend.NotRun) meter.onNotRun()
         services.log.note("sent", call.id) {
             put("upstream", upstream.value)
             put("owner", permit.owner?.host?.value ?: "self")
@@ -136,7 +144,7 @@
         )
     }
 
-    private suspend fun receive(reply: UpstreamReply, options: SendOptions): FailedSend? {
+    private suspend fun receive(reply: UpstreamReply, options: SendOptions, meter: SlotUsageMeter): FailedSend? {
         val id = options.upstream.id
         if (reply.isLeaving) services.slots.recordLeaving(id, call.id, services.log)
         return when (reply.executionStatus) {
@@ -145,7 +153,7 @@
             ExecutionStatus.WRONG_UPSTREAM -> FailedSend.NotRun(id, "another upstream answered", NotRunCause.REPLACED)
             ExecutionStatus.UNVERIFIED -> FailedSend.MayHaveRun(id, "the response matches no request")
             ExecutionStatus.RAN -> when {
-                reply.isSuccess && route.kind.isStream -> relay(reply, options)
+                reply.isSuccess && route.kind.isStream -> relay(reply, options, meter)
                 // Whatever this upstream answers would reach the caller within the stream of an earlier one.
                 stream.hasStarted -> FailedSend.MayHaveRun(
                     id,
@@ -156,13 +164,16 @@
         }
     }
 
-    private suspend fun relay(reply: UpstreamReply, options: SendOptions): FailedSend? {
+    private suspend fun relay(reply: UpstreamReply, options: SendOptions, meter: SlotUsageMeter): FailedSend? {
         val eventsBefore = stream.eventCount
         val result = stream.relay(reply, options.idleTimeout, services.clock, caller) {
             services.crashGuard.recordAnswer(call.suspects)
         }
         return when (result) {
-            RelayResult.Complete -> null
+            RelayResult.Complete -> {
+                meter.onComplete()
+                null
+            }
             is RelayResult.Broken ->
                 FailedSend.MayHaveRun(
                     options.upstream.id,
--- a/src/main/kotlin/figdeck/platform/CallerHeaders.kt
+++ b/src/main/kotlin/figdeck/platform/CallerHeaders.kt
@@ -25,7 +25,7 @@
 internal const val TEAM_HEADER = "X-Tenant"
 internal const val WAIT_HEADER = "X-Wait-Ms"
 internal const val EXPECTED_UPSTREAM_HEADER = "X-Expect-Instance"
-private const val TOKEN_USAGE_HEADER = "X-Token-Usage"
+internal const val TOKEN_USAGE_HEADER = "X-Token-Usage"
 internal const val PROMPT_PREFIX_HEADER = "X-Prompt-Prefix"
 private const val BEARER_PREFIX = "Bearer "
 
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -23,6 +23,7 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.serving.CallKind
+import figdeck.model.serving.isStream
 import figdeck.query.serving.RouteAccess
 import figdeck.query.serving.access
 import figdeck.query.serving.hasTimeFor
@@ -160,6 +161,7 @@
         lastEventId = headers.lastEventId,
         sharedParts = headers.sharedParts,
         fingerprint = fingerprintOf(received.call, received.body),
+        features = if (access.route.kind.isStream) workFeaturesOf(access.route.name, received.call.headers) else null,
     )
     val caller = CallerChannel(responder.start, responder.write, responder.respond)
     val refusalOfStop = refusalOfStop(onlineCall.timeLeft(this.online.clock()))?.left()
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -1,5 +1,6 @@
 package figdeck.telemetry
 
+import io.micrometer.core.instrument.DistributionSummary
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tag
 import io.micrometer.core.instrument.Timer
@@ -13,6 +14,12 @@
 /** The maximum number of teams with a label of their own. Others share [OTHER_TEAMS], which bounds the time series. */
 internal const val MAX_TEAM_LABELS = 200
 internal const val OTHER_TEAMS = "other"
+
+/** The maximum number of routes with a label of their own. Others share [OTHER_ROUTES]. */
+internal const val MAX_ROUTE_LABELS = 64
+internal const val OTHER_ROUTES = "other"
+private const val P10 = 0.1
+private const val P90 = 0.9
 private const val MEDIAN = 0.5
 private const val P95 = 0.95
 private const val P99 = 0.99
@@ -26,6 +33,8 @@
 internal class Meters {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val timers = ConcurrentHashMap<TimerKey, Timer>()
+    private val estimateErrors = ConcurrentHashMap<String, DistributionSummary>()
+    private val routes = ConcurrentHashMap.newKeySet<String>()
     private val teams = ConcurrentHashMap.newKeySet<String>()
 
     /** Returns all metrics in the Prometheus text format. */
@@ -47,6 +56,15 @@
         timer.record(duration.toJavaDuration())
     }
 
+    /** Records the tokens of an output on [route] divided by the expected ones. */
+    fun recordEstimateError(route: String, ratio: Double) {
+        val label = if (route in routes || routes.size < MAX_ROUTE_LABELS) route.also { routes += it } else OTHER_ROUTES
+        estimateErrors.computeIfAbsent(label) {
+            DistributionSummary.builder("figdeck.work.estimate.error").tags("route", it)
+                .publishPercentiles(P10, MEDIAN, P90, P99).register(registry)
+        }.record(ratio)
+    }
+
     /** Registers a gauge whose [value] is read on each scrape. */
     fun gauge(name: String, value: () -> Number) {
         Gauge.builder(name, Supplier { value() }).register(registry)
