Fair shares charge the expected work; preemption takes the most work left

Cause: the charge of a request was its maximum, so a team with short outputs paid for tokens that it never used. Preemption took the youngest batch work even if it was nearly done. Change: with an expectation the charge is the expected tokens, corrected at the release by those that were seen. Online work takes the slot of the batch work with the most expected work left, if all of it has estimates. Without expectations both are as before.

--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -48,7 +48,7 @@
     val queue = state.queue(lane)
     val next = policy.order(queue)
     val request = next.request
-    val shares = queue.shares.charge(request.team, request.cost, request.weight)
+    val shares = queue.shares.charge(request.team, request.chargedTokens, request.weight)
     val left = queue.copy(waiting = queue.waiting.remove(next), shares = shares)
     val running = state.running.put(next.ticket, RunningRequest(next.ticket, request, now, revokedAt = null))
     return Step(
@@ -57,12 +57,8 @@
     )
 }
 
-/** Revokes the batch work that has held slots for the shortest time, since it loses the least. */
 private fun revokeOne(state: UpstreamState, now: Moment): UpstreamStep? {
-    val victim = state.running.values
-        .filter { it.request.lane == Lane.BATCH && it.revokedAt == null }
-        .maxByOrNull { it.since.monotonicNanos - it.request.slotTimeUsed.inWholeNanoseconds }
-        ?: return null
+    val victim = state.workToRevoke(now) ?: return null
     val running = state.running.put(victim.ticket, victim.copy(revokedAt = now))
     return Step(state.copy(running = running), listOf(DispatchEffect.Revoked(victim.ticket)))
 }
@@ -84,7 +80,7 @@
     }
     val longest = queue.waiting
         .groupBy { it.request.team }
-        .maxBy { (_, waiting) -> waiting.sumOf { it.request.cost.toDouble() / it.request.weight } }
+        .maxBy { (_, waiting) -> waiting.sumOf { it.request.chargedTokens.toDouble() / it.request.weight } }
         .value
     val victim = longest.last()
     val left = queue.copy(waiting = queue.waiting.filter { it != victim }.toPersistentList())
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -17,7 +17,11 @@
     val request = running.request
     val queue = queue(request.lane)
     val corrected = queue.copy(
-        shares = queue.shares.correct(request.team, release.cost - request.cost, request.weight)
+        shares = queue.shares.correct(
+            request.team,
+            release.actualTokens(request) - request.chargedTokens,
+            request.weight,
+        )
     )
     val answered = release.outcome == SlotOutcome.ANSWERED
     return withQueue(request.lane, if (answered) corrected.observeHold(now - running.since) else corrected)
