--- a/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
@@ -11,6 +11,7 @@
 import figdeck.model.serving.WorkFeatures
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val request = SlotRequest(
@@ -48,6 +49,11 @@
             decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
         }
 
+        it("is read as it was sent if no event came") {
+            val sent = release.copy(usage = SlotUsage(0, null, Duration.ZERO, isWhole = false))
+            decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
+        }
+
         it("is read from a host of an earlier version, without it") {
             decodeSlotRelease("""{"ticket":7,"use":"ANSWERED","cost":540}""") shouldBe release.right()
         }
