--- a/src/main/kotlin/figdeck/command/work/WorkHistory.kt
+++ b/src/main/kotlin/figdeck/command/work/WorkHistory.kt
@@ -6,10 +6,11 @@
 import kotlin.math.pow
 
 /**
- * The weight of observations from which on they are used, and below which they no longer are. The two values differ so
- * that a source at the limit doesn't change from one to the other with each observation.
+ * The weight of observations from which on they are used, that of eight outputs within some seconds, and the weight
+ * below which they no longer are. The two values differ so that a source at the limit doesn't change from one to the
+ * other with each observation.
  */
-private const val MIN_WEIGHT_TO_USE = 8.0
+private const val MIN_WEIGHT_TO_USE = 7.5
 private const val MIN_WEIGHT_TO_KEEP = 4.0
 
 /** The share of the variance that hints must explain to be used, and to stay in use. */
