--- a/src/main/kotlin/figdeck/daemon/command/serving/WorkEstimator.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/WorkEstimator.kt
@@ -1,13 +1,13 @@
 package figdeck.daemon.command.serving
 
 import figdeck.command.work.HALF_LIFE
-import figdeck.command.work.WorkHistory
 import figdeck.command.work.hintSlope
 import figdeck.command.work.logVariance
 import figdeck.command.work.mean
 import figdeck.command.work.quantile
 import figdeck.command.work.totalWeight
 import figdeck.control.Control
+import figdeck.control.serving.BasisChange
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.learnWork
 import figdeck.log.DecisionLog
@@ -49,8 +49,11 @@
         }
     }
 
-    private fun logBasis(route: String, history: WorkHistory, now: Moment) = log.note("work_basis", route) {
+    private fun logBasis(route: String, change: BasisChange, now: Moment) = log.note("work_basis", route) {
+        val history = change.history
         put("basis", history.basis.name.lowercase())
+        put("before", change.before.basis.name.lowercase())
+        change.before.lengths.updatedAt?.let { put("since_output_before_ms", (now - it).inWholeMilliseconds) }
         put("outputs", history.lengths.totalWeight(now).toLong())
         put("mean_tokens", history.lengths.mean(Double.MAX_VALUE).toLong())
         put("hinted_outputs", history.ratios.totalWeight(now).toLong())
