--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -5,6 +5,7 @@
 import figdeck.model.TeamId
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
+import figdeck.model.serving.ExpectedWork
 import kotlin.time.Duration
 
 /**
@@ -20,6 +21,7 @@
  * @property slotTimeUsed how long the work has held slots before. It resumes from the output of that time.
  * @property coldLimits the limits of the candidates that are cold.
  * @property attempt how often the same work was sent before. Every attempt after the first uses the retry budget.
+ * @property expected the expected work, which is charged instead of [cost]; null if nothing is known about it.
  */
 public data class DispatchRequest(
     public val candidates: List<Upstream>,
@@ -33,6 +35,7 @@
     public val willMissDeadline: Boolean = false,
     public val slotTimeUsed: Duration = Duration.ZERO,
     public val coldLimits: Map<UpstreamId, ColdLimit> = emptyMap(),
+    public val expected: ExpectedWork? = null,
 )
 
 /** How the use of a slot ended, from which the health of the upstream is derived. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -19,6 +19,7 @@
 import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.WorkFeatures
 import kotlinx.coroutines.sync.Semaphore
 import kotlin.random.Random
 
@@ -41,6 +42,7 @@
  *
  * @property sharedParts returns the parts of an item's prompt that other requests may share.
  * @property sendFault returns the reason why an item can't be sent to any upstream; null if it can.
+ * @property features returns what an item on a route tells about its work; null if it tells nothing.
  * @property relaySubmission asks another host to store a job.
  * @property acceptedRelays limits the jobs that this host stores for others at the same time.
  */
@@ -59,6 +61,7 @@
     val log: DecisionLog,
     val sharedParts: (JobItem) -> List<PromptPart>,
     val sendFault: (JobItem) -> String?,
+    val features: (route: String, JobItem) -> WorkFeatures? = { _, _ -> null },
     val relaySubmission: RelaySubmission = { _, _ -> null },
     val acceptedRelays: Semaphore = Semaphore(MAX_ACCEPTED_RELAYS),
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -129,10 +129,11 @@
         }
     }
 
-    /** Returns the slot of [permit] to its owner without waiting for a reply. */
-    fun release(permit: HeldPermit, use: SlotOutcome, cost: Int) {
+    /** Returns the slot of [permit] to its owner without waiting for a reply, with what [meter] has seen in it. */
+    fun release(permit: HeldPermit, use: SlotOutcome, cost: Int, meter: SlotUsageMeter? = null) {
         held.remove(permit.request.ticket)
-        val release = SlotRelease(permit.request.ticket, use, cost)
+        val usage = meter?.usageOf(permit.request, control.snapshot.index?.plan)
+        val release = SlotRelease(permit.request.ticket, use, cost, usage = usage)
         sendRelease(permit.owner, release.withNews(control.snapshot.pools, permit.upstream.id, clock()))
     }
 
