Evacuated data centres and home regions limit the upstreams of a request

Cause: the rows evacuate/ZONE of the table op and the homes of routes and teams were not read by any decision, so requests reached upstreams in evacuated data centres and outside of their homes. Change: a follower of the evacuations runs before that of the plan, and a starting host takes them from a peer's view until it has read the store. The granting and the requesting host leave such upstreams out. Slots that are granted there anyway are returned, and the next request names the forbidden upstreams. Queued requests move to their other candidates, or are refused. Requests without any upstream left are refused at once: 503 evacuated or no_home_upstream, not run, Retry-After 1 s. One log line for each begin and end and for each returned slot. Gauges of the evacuated data centres and of the upstreams that they take out of each pool, and a counter of refusals for want of a home upstream. The deployment passes the regions on; a placeholder that is not replaced counts as missing.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -40,10 +40,12 @@
 import figdeck.daemon.command.serving.leaveMembership
 import figdeck.daemon.command.serving.maintainPools
 import figdeck.daemon.command.startIn
+import figdeck.daemon.query.serving.EvacuationFollower
 import figdeck.daemon.query.serving.FollowedRowCache
 import figdeck.daemon.query.serving.TableFollower
 import figdeck.daemon.query.serving.crashRiskFollower
 import figdeck.daemon.query.serving.follow
+import figdeck.daemon.query.serving.followedBy
 import figdeck.daemon.query.serving.jobFollower
 import figdeck.daemon.query.serving.planFollower
 import figdeck.daemon.query.serving.poolFollower
@@ -65,6 +67,7 @@
 import figdeck.platform.PLAN_TABLE
 import figdeck.platform.StoreClient
 import figdeck.platform.UPSTREAM_TABLE
+import figdeck.platform.decodeEvacuationKey
 import figdeck.platform.decodePlan
 import figdeck.platform.decodeUpstream
 import figdeck.platform.gatewayHandler
@@ -79,6 +82,7 @@
 import figdeck.telemetry.Telemetry
 import figdeck.telemetry.createTracer
 import figdeck.telemetry.observed
+import figdeck.telemetry.updateEvacuations
 import figdeck.traffic.command.fleetServingHandlers
 import figdeck.traffic.peerApi
 import figdeck.wire.serving.CRASH_RISK_TABLE
@@ -138,7 +142,7 @@
     /** Completes when a planned stop is requested. */
     val stopRequested = CompletableDeferred<Unit>()
     private val telemetry = Telemetry(Meters(), createTracer(settings.host.value, null), clock)
-    private val control = Control(initialServingState(ownMember()), clock) { delay ->
+    private val control = Control(initialServingState(ownMember(), settings.knownRegions()), clock) { delay ->
         telemetry.meters.recordTime("figdeck.control.delay", delay)
     }
     private var membership: Job? = null
@@ -169,6 +173,7 @@
         log = DecisionLog("serve"),
         calls = calls,
         countFailedSend = { telemetry.meters.countFailedSend(it.label) },
+        countHomeRefusal = { telemetry.meters.countHomeRefusal() },
     )
     private val heapBytes = Runtime.getRuntime().maxMemory()
     private val memoryLimits = jobMemoryLimits(heapBytes)
@@ -194,18 +199,23 @@
         peerApi(settings.fleetName, fleetServingHandlers(slotOwner, slotClient, teamLimits, ::storeView)),
     )
     private val metricsServer = server { _, responder ->
+        telemetry.meters.updateEvacuations(control.snapshot)
         responder.respond(HTTP_OK, newHeaders(), telemetry.meters.scrape().encodeToByteArray())
     }
 
     /** Starts the listeners and the background loops. */
     fun start() {
         val decisionLog = DecisionLog("follow")
+        val evacuations = EvacuationFollower(control, ::decodeEvacuationKey, decisionLog) { evacuated ->
+            slots.withdraw { it.dataCentre in evacuated }
+        }
         val planTableFollower = planFollower(control, ::decodePlan, decisionLog)
         val readUpstream = upstreamReader(::decodeUpstream)
         launchFollower(
             PLAN_TABLE,
             { MIN_CONFIGURATION_POLL_INTERVAL },
-            rowCache.recording(PLAN_TABLE, planTableFollower)
+            // The evacuations of a snapshot are in force before its plan, which makes this host ready.
+            rowCache.recording(PLAN_TABLE, evacuations.follower.followedBy(planTableFollower)),
         )
         launchFollower(
             UPSTREAM_TABLE,
@@ -216,7 +226,9 @@
         launchFollower(JOB_TABLE, jobInterval, jobFollower(control))
         launchFollower(CRASH_RISK_TABLE, jobInterval, crashRiskFollower(control, crashGuard::onReports))
         startLoop("bootstrap") {
-            control.bootstrapFromPeers(peers, PeerBootstrap(settings.seeds, planTableFollower, readUpstream), clock)
+            val bootstrap =
+                PeerBootstrap(settings.seeds, evacuations::adoptFromPeer, planTableFollower, readUpstream)
+            control.bootstrapFromPeers(peers, bootstrap, clock)
         }
         membership = startLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
         startLoop("pools") { control.maintainPools() }
--- a/src/main/kotlin/figdeck/cli/EdgeSettings.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -67,6 +67,10 @@
     public val placement: Placement = Placement.FREE_SLOTS,
 )
 
+/** The regions of data centres. The region of this host is also that of its data centre if the table lacks it. */
+internal fun EdgeSettings.knownRegions(): Map<DataCentre, Region> =
+    region?.let { mapOf(dataCentre to it) }.orEmpty() + regions
+
 /** Validates every setting. Returns either the settings or all faults, each with the flag that it belongs to. */
 internal fun RawEdgeSettings.validate(): Either<List<Fault>, EdgeSettings> {
     val faults = FaultCollector("")
@@ -89,8 +93,8 @@
     val seedAddresses = faults.attempt("--seeds") {
         seeds.split(',').map { it.trim() }.filter { it.isNotEmpty() }.map { parseAddress(it) }
     }
-    val ownRegion = if (region.isEmpty()) null else faults.attempt("--region") { Region(region) }
-    val regions = faults.attempt("--data-centre-regions") { parseRegions(dataCentreRegions) }
+    val ownRegion = region.ifSubstituted()?.let { faults.attempt("--region") { Region(it) } }
+    val regions = faults.attempt("--data-centre-regions") { parseRegions(dataCentreRegions.ifSubstituted()) }
     val choice = Placement.entries.find { it.label == placement }
     faults.expect(
         choice != null,
@@ -119,8 +123,11 @@
     }
 }
 
-/** Parses a JSON object from data centre to region. An empty text names no region. */
-private fun parseRegions(text: String): Map<DataCentre, Region> = if (text.isBlank()) {
+/** This value, or null if it is empty or a placeholder. A platform without regions leaves `{{Region}}` in place. */
+private fun String.ifSubstituted(): String? = takeUnless { it.isBlank() || it.startsWith("{{") }
+
+/** Parses a JSON object from data centre to region. Without a text, no region is known. */
+private fun parseRegions(text: String?): Map<DataCentre, Region> = if (text == null) {
     emptyMap()
 } else {
     lenientJson.decodeFromString<Map<String, String>>(text)
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -106,8 +106,8 @@
     return Step(placed, assigned.result + trimmed.result)
 }
 
-/** Moves the queued requests of an upstream that has just been paused to their other candidates. */
-private fun redistributeQueue(
+/** Moves the queued requests of an upstream that has just been paused or withdrawn to their other candidates. */
+internal fun redistributeQueue(
     state: DispatchState,
     from: UpstreamState,
     seed: Long,
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -12,9 +12,12 @@
 import figdeck.command.serving.emptyPoolMembers
 import figdeck.command.serving.emptySharedLimits
 import figdeck.command.serving.singleMemberFleet
+import figdeck.model.DataCentre
 import figdeck.model.Known
+import figdeck.model.Region
 import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.CrashSuspect
+import figdeck.model.serving.Evacuations
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.JobRecord
@@ -22,6 +25,7 @@
 import figdeck.model.serving.ServingPlan
 import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.noCrashRisks
+import figdeck.model.serving.noEvacuations
 import figdeck.query.serving.PlanIndex
 import figdeck.query.serving.planIndexOf
 
@@ -32,6 +36,8 @@
  * @property slots the state of the slots that this host assigns.
  * @property crashRisks the parts of prompts, and requests, that may crash upstreams.
  * @property stop the planned stop of this host; null while none has begun.
+ * @property evacuations the data centres whose upstreams get no new work.
+ * @property regions the region of each data centre, as far as the settings name it.
  */
 public data class ServingState(
     public val index: PlanIndex?,
@@ -42,6 +48,8 @@
     public val jobs: JobDirectory,
     public val crashRisks: CrashRisks,
     public val stop: PlannedStop?,
+    public val evacuations: Evacuations = noEvacuations,
+    public val regions: Map<DataCentre, Region> = emptyMap(),
 )
 
 /** Whether this host has read the plan, the pools and the member list that it needs to serve requests. */
@@ -52,8 +60,11 @@
 internal fun ServingState.routeOf(record: JobRecord): Known<ServingRoute> =
     index?.route(record.route, record.planVersion) ?: Known.NotRead
 
-/** The initial state of the daemon [self]. */
-public fun initialServingState(self: FleetMember): ServingState = ServingState(
+/** The initial state of the daemon [self], with the [regions] that its settings name. */
+public fun initialServingState(
+    self: FleetMember,
+    regions: Map<DataCentre, Region> = emptyMap(),
+): ServingState = ServingState(
     index = null,
     pools = emptyPoolMembers,
     fleet = singleMemberFleet(self),
@@ -62,6 +73,7 @@
     jobs = emptyJobDirectory,
     crashRisks = noCrashRisks,
     stop = null,
+    regions = regions,
 )
 
 /** Activates [plan] if it is newer than the active one. The result tells whether it was. */
--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -9,6 +9,7 @@
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.DispatchState
 import figdeck.command.dispatch.DispatchStep
+import figdeck.command.dispatch.IsWithdrawn
 import figdeck.command.dispatch.Release
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.command.dispatch.admit
@@ -17,6 +18,7 @@
 import figdeck.command.dispatch.refuseOverdue
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.tick
+import figdeck.command.dispatch.withdrawUpstreams
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.changeDispatch
@@ -121,6 +123,10 @@
         return effects.filterIsInstance<DispatchEffect.Refused>().firstNotNullOfOrNull { it.refusal.retryAfter }
     }
 
+    /** Moves the requests that wait at withdrawn upstreams to others. */
+    suspend fun withdraw(isWithdrawn: IsWithdrawn) =
+        decide { state, now -> withdrawUpstreams(state, isWithdrawn, random.nextLong(), policy, now) }
+
     private suspend fun release(permit: Permit, slotOutcome: SlotOutcome, cost: Int) {
         holders.remove(permit.id)
         decide { state, now -> release(state, Release(permit.id, slotOutcome, cost, random.nextLong()), policy, now) }
--- a/src/main/kotlin/figdeck/daemon/command/serving/BootstrapFromPeers.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/BootstrapFromPeers.kt
@@ -29,11 +29,13 @@
  * How a host that has just started reads the view of a peer.
  *
  * @property seeds addresses of possible peers. Each may be outdated or down.
+ * @property evacuations receives the rows of the plan table first, so that no host is ready without its evacuations.
  * @property plans receives the rows of the plan table.
  * @property decodeUpstream decodes a row of the upstream table; null if the row is not a valid upstream.
  */
 internal data class PeerBootstrap(
     val seeds: List<Address>,
+    val evacuations: suspend (List<Row>) -> Unit,
     val plans: TableFollower,
     val decodeUpstream: (Row) -> PoolMember?,
 )
@@ -60,6 +62,7 @@
 }
 
 private suspend fun Control<ServingState>.applyView(view: StoreView, bootstrap: PeerBootstrap, clock: Clock) {
+    bootstrap.evacuations(view.plans)
     bootstrap.plans.change(view.plans.map { RowChange(it.key, it) })
     val upstreams = view.upstreams.mapNotNull { bootstrap.decodeUpstream(it) }
     run { state, now -> updatePools(state) { adoptUnconfirmed(it, upstreams, now) } }
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineServices.kt
@@ -10,6 +10,7 @@
  *
  * @property calls the calls in progress.
  * @property countFailedSend counts a send without a complete answer in the metrics.
+ * @property countHomeRefusal counts a refusal for want of an upstream in a home region in the metrics.
  * @property answerMemory the memory for the answers that are buffered until they are complete.
  */
 internal data class OnlineServices(
@@ -22,4 +23,5 @@
     val calls: CallsInProgress,
     val countFailedSend: (FailedSend) -> Unit,
     val answerMemory: AnswerMemory = AnswerMemory(),
+    val countHomeRefusal: () -> Unit = {},
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -14,6 +14,7 @@
 import figdeck.query.serving.NotRunCause
 import figdeck.query.serving.SendHistory
 import figdeck.query.serving.failedUpstreams
+import figdeck.query.serving.homesOf
 import figdeck.query.serving.nextStep
 import figdeck.query.serving.poolFor
 import figdeck.query.serving.possibleRuns
@@ -114,6 +115,9 @@
             delay(RESUME_RETRY_DELAY)
             return null
         }
+        if (refusal is Refusal.NoHomeUpstream) {
+            services.countHomeRefusal()
+        }
         services.log.note("no_slot", call.id) {
             put("pool", route.poolFor(call.id).value)
             put("reason", refusal.message)
@@ -186,6 +190,7 @@
         affinity = call.affinity,
         excluded = history.failedUpstreams,
         maxWait = (maxQueueTime - elapsed).coerceAtLeast(maxQueueTime / 2),
+        homes = homesOf(route, call.access.team),
     )
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -7,9 +7,11 @@
 import figdeck.command.serving.announceLeaving
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.forbiddenUpstreams
+import figdeck.control.serving.refusalByLimits
 import figdeck.control.serving.updatePools
+import figdeck.control.serving.usableUpstream
 import figdeck.log.DecisionLog
-import figdeck.log.PartLog
 import figdeck.model.Clock
 import figdeck.model.HostId
 import figdeck.model.Moment
@@ -26,7 +28,6 @@
 import figdeck.query.serving.areDue
 import figdeck.query.serving.ranked
 import figdeck.query.serving.settledOwner
-import figdeck.query.serving.usableUpstream
 import figdeck.wire.serving.HeldSlots
 import figdeck.wire.serving.SlotRelease
 import kotlinx.coroutines.CancellationException
@@ -44,8 +45,6 @@
 /** How many unusable slots are returned before the request is refused; several upstreams may leave at once. */
 private const val MAX_UNUSABLE_GRANTS = 3
 
-private val log = PartLog("slots")
-
 /**
  * A slot that this host holds.
  *
@@ -78,20 +77,25 @@
 
     /**
      * Waits for a slot in the pool of [request]. An owner that can't reach the store may grant slots at upstreams that
-     * this host knows to be leaving. Such slots are returned and another one is requested.
+     * this host knows to be leaving or evacuated. Such slots are returned and another one is requested. A request for
+     * which evacuations or its homes leave no upstream is refused without asking the owner.
      */
     suspend fun acquire(request: SlotRequest): Either<Refusal, HeldPermit> {
         var current = request
         var unusableGrants = 0
         var result: Either<Refusal, HeldPermit>? = null
         while (result == null) {
-            val grant = acquireOnce(current)
+            val refusal = control.snapshot.refusalByLimits(current)
+            val grant = refusal?.let { AcquireFailure(it, null).left() } ?: acquireOnce(current)
             val upstream = grant.leftOrNull()?.unusableUpstream
             if (upstream == null || unusableGrants == MAX_UNUSABLE_GRANTS) {
                 result = grant.mapLeft { it.refusal }
             } else {
                 unusableGrants++
-                current = current.copy(ticket = current.ticket + 1, excluded = current.excluded + upstream)
+                current = current.copy(
+                    ticket = current.ticket + 1,
+                    excluded = current.excluded + upstream + control.snapshot.forbiddenUpstreams(current),
+                )
             }
         }
         return result
@@ -109,12 +113,13 @@
         }
         val granted = response.first as? SlotResponse.Granted
         val upstream = granted?.let {
-            control.snapshot.pools.members.usableUpstream(request.pool, request.excluded, it.upstream)
+            control.snapshot.usableUpstream(request, it.upstream)
         }
         return if (upstream == null) {
             held.remove(request.ticket)
             returnUnusableSlot(granted, response.second, request)
-            AcquireFailure(refusalOf(response.first), granted?.upstream).left()
+            val refusal = control.snapshot.refusalByLimits(request) ?: refusalOf(response.first)
+            AcquireFailure(refusal, granted?.upstream).left()
         } else {
             val permit = HeldPermit(request, upstream, response.second, ticketState.revoked)
             held[request.ticket] = ticketState.copy(permit = permit)
@@ -180,7 +185,7 @@
 
     private fun returnUnusableSlot(granted: SlotResponse.Granted?, owner: FleetMember?, request: SlotRequest) {
         if (granted != null) {
-            log.warn { "slot ${request.ticket} is returned: upstream ${granted.upstream} is leaving or unknown" }
+            control.snapshot.noteReturnedSlot(request, granted.upstream)
             val isLeaving = hasAnnouncedLeaving(granted.upstream)
             sendRelease(owner, SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0, isLeaving))
         }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -7,7 +7,9 @@
 import figdeck.command.serving.removeImmediately
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.limitsOf
 import figdeck.control.serving.updatePools
+import figdeck.control.serving.usableUpstreams
 import figdeck.daemon.command.Permit
 import figdeck.daemon.command.SlotDispatcher
 import figdeck.model.Clock
@@ -20,7 +22,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
-import figdeck.query.serving.usableUpstreams
+import figdeck.query.serving.permit
 import figdeck.wire.serving.SlotRelease
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -55,7 +57,8 @@
 
     /** Answers [request] as soon as a slot is free or its wait time is over. */
     suspend fun acquire(request: SlotRequest): SlotResponse {
-        val candidates = control.snapshot.pools.members.usableUpstreams(request.pool, request.excluded)
+        val until = clock() + request.maxWait
+        val candidates = control.snapshot.usableUpstreams(request)
         val isTooEarly = isInGracePeriod(request.pool) && request.lane == Lane.BATCH
         val answer = if (candidates.isEmpty() || isTooEarly) null else awaitSlot(request, candidates)
         return when {
@@ -63,10 +66,16 @@
             isTooEarly -> SlotResponse.Full(FULL_RETRY_AFTER)
             answer == null -> SlotResponse.Full(refuseOverdue(request, candidates))
             else -> answer.fold(
-                { SlotResponse.Full(it.retryAfter ?: FULL_RETRY_AFTER) },
+                { it.toResponse() },
                 { permit ->
-                    hold(request, permit)
-                    SlotResponse.Granted(permit.upstream.id)
+                    // The data centre of the upstream may be evacuated since the candidates were chosen.
+                    if (control.snapshot.limitsOf(request.homes).permit(permit.upstream)) {
+                        hold(request, permit)
+                        SlotResponse.Granted(permit.upstream.id)
+                    } else {
+                        slots.dispatcher.release(permit, SlotOutcome.ABANDONED, 0)
+                        acquire(request.copy(maxWait = (until - clock()).coerceAtLeast(Duration.ZERO)))
+                    }
                 },
             )
         }
@@ -167,6 +176,9 @@
 /** How long a host waits for the owner's answer before it treats the owner as lost. */
 internal val SlotRequest.timeout: Duration get() = maxWait + ANSWER_MARGIN
 
+private fun Refusal.toResponse(): SlotResponse =
+    if (this is Refusal.Evacuated) SlotResponse.NoUpstream else SlotResponse.Full(retryAfter ?: FULL_RETRY_AFTER)
+
 private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>, now: Moment) = DispatchRequest(
     candidates = candidates,
     team = team,
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -101,6 +101,21 @@
         override val retryAfter: Duration get() = 1.seconds
     }
 
+    /** The data centres of all upstreams that may run the work are evacuated; nothing was sent. */
+    public data class Evacuated(public val resource: String) : Refusal {
+        override val message: String
+            get() = "the data centres of all upstreams of $resource are evacuated: send again after a second"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
+    /** No usable upstream is in a region to which the route or the team confines the work; nothing was sent. */
+    public data class NoHomeUpstream(public val resource: String) : Refusal {
+        override val message: String
+            get() = "no usable upstream of $resource is in a region that the route and the team allow: " +
+                "ask the operators, or send again after a second"
+        override val retryAfter: Duration get() = 1.seconds
+    }
+
     /** An upstream was lost after the work was sent to it. */
     public data class UpstreamLost(public val upstream: UpstreamId) : Refusal {
         override val message: String
--- a/src/main/kotlin/figdeck/query/serving/PoolChoice.kt
+++ b/src/main/kotlin/figdeck/query/serving/PoolChoice.kt
@@ -17,21 +17,23 @@
     }.pool
 }
 
-/** The upstreams of [pool] that accept new work, except those in [excluded]. */
+/** The upstreams of [pool] that accept new work and that [limits] permit, except those in [excluded]. */
 public fun Map<UpstreamId, PoolMember>.usableUpstreams(
     pool: PoolName,
     excluded: Set<UpstreamId>,
+    limits: UpstreamLimits = noUpstreamLimits,
 ): List<Upstream> = values
-    .filter { it.isUsable(pool, excluded) }
+    .filter { it.isUsable(pool, excluded) && limits.permit(it.upstream) }
     .map { it.upstream }
 
-/** The upstream [id] of [pool] if it accepts new work and isn't in [excluded]. */
+/** The upstream [id] of [pool] if it accepts new work, isn't in [excluded] and [limits] permit it. */
 public fun Map<UpstreamId, PoolMember>.usableUpstream(
     pool: PoolName,
     excluded: Set<UpstreamId>,
     id: UpstreamId,
+    limits: UpstreamLimits = noUpstreamLimits,
 ): Upstream? =
-    this[id]?.takeIf { it.isUsable(pool, excluded) }?.upstream
+    this[id]?.takeIf { it.isUsable(pool, excluded) && limits.permit(it.upstream) }?.upstream
 
 private fun PoolMember.isUsable(pool: PoolName, excluded: Set<UpstreamId>): Boolean =
     this.pool == pool && !isLeaving && upstream.id !in excluded
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -1,7 +1,9 @@
 package figdeck.telemetry
 
 import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MultiGauge
 import io.micrometer.core.instrument.Tag
+import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -26,6 +28,7 @@
 internal class Meters {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val timers = ConcurrentHashMap<TimerKey, Timer>()
+    private val multiGauges = ConcurrentHashMap<String, MultiGauge>()
     private val teams = ConcurrentHashMap.newKeySet<String>()
 
     /** Returns all metrics in the Prometheus text format. */
@@ -41,6 +44,17 @@
         registry.counter("figdeck.failed.sends", "ending", ending).increment()
     }
 
+    /** Counts a request that was refused because no usable upstream is in its home regions. */
+    fun countHomeRefusal() {
+        registry.counter("figdeck.home.refusals").increment()
+    }
+
+    /** Replaces the gauges [name], of which there is one for each value of the label [label]. */
+    fun replaceGauges(name: String, label: String, values: Map<String, Int>) {
+        val rows = values.map { (value, number) -> MultiGauge.Row.of(Tags.of(label, value), number) }
+        multiGauges.computeIfAbsent(name) { MultiGauge.builder(it).register(registry) }.register(rows, true)
+    }
+
     /** Records [duration] in the timer [name]. [tags] alternates label names and values, both from small sets. */
     fun recordTime(name: String, duration: Duration, tags: List<String> = emptyList()) {
         val timer = timers.computeIfAbsent(TimerKey(name, tags)) { register(it) }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -46,6 +46,8 @@
         is Refusal.PromptQuarantined -> "prompt_quarantined"
         is Refusal.RequestQuarantined -> "request_quarantined"
         is Refusal.NoUpstream -> "no_upstream"
+        is Refusal.Evacuated -> "evacuated"
+        is Refusal.NoHomeUpstream -> "no_home_upstream"
         is Refusal.UpstreamLost -> "upstream_lost"
         is Refusal.AnswerTimeout -> "answer_timeout"
         Refusal.StaleConfiguration -> "stale_configuration"
@@ -76,7 +78,7 @@
         is Refusal.Overloaded, is Refusal.NoUpstream, Refusal.StaleConfiguration -> SERVICE_UNAVAILABLE
         is Refusal.StoreUnavailable, is Refusal.Unconfirmed, Refusal.Draining -> SERVICE_UNAVAILABLE
         is Refusal.LimitUnavailable, is Refusal.PromptQuarantined -> SERVICE_UNAVAILABLE
-        is Refusal.RequestQuarantined -> SERVICE_UNAVAILABLE
+        is Refusal.RequestQuarantined, is Refusal.Evacuated, is Refusal.NoHomeUpstream -> SERVICE_UNAVAILABLE
         is Refusal.InDoubt, is Refusal.TakenOver, is Refusal.AnswerTimeout -> GATEWAY_TIMEOUT
         is Refusal.HostLost, is Refusal.NotStarted -> BAD_GATEWAY
     }
--- a/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -17,6 +17,7 @@
 import figdeck.model.Address
 import figdeck.model.DataCentre
 import figdeck.model.HostId
+import figdeck.model.Region
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.model.UpstreamKind
@@ -44,18 +45,23 @@
     view = { null },
 )
 
-internal fun fleetMember(name: String, cores: Double = 1.0) = FleetMember(
+internal fun fleetMember(name: String, cores: Double = 1.0, dataCentre: DataCentre = centre) = FleetMember(
     host = HostId(name),
     address = Address("127.0.0.1", 1),
-    dataCentre = centre,
+    dataCentre = dataCentre,
     incarnation = name,
     joinedAtMillis = 0,
     renewedAtMillis = STORE_MILLIS,
     cores = cores,
 )
 
-internal fun poolMember(pool: PoolName, id: String, isLeaving: Boolean = false) = PoolMember(
-    Upstream(UpstreamId(id), Address("127.0.0.1", 2), centre, UpstreamKind.SERVICE, SLOTS, honoursFencing = false),
+internal fun poolMember(
+    pool: PoolName,
+    id: String,
+    isLeaving: Boolean = false,
+    dataCentre: DataCentre = centre,
+) = PoolMember(
+    Upstream(UpstreamId(id), Address("127.0.0.1", 2), dataCentre, UpstreamKind.SERVICE, SLOTS, honoursFencing = false),
     pool,
     isLeaving,
 )
@@ -64,8 +70,9 @@
 internal class TestHost(
     self: FleetMember,
     peers: FleetPeers = unresponsivePeers,
+    regions: Map<DataCentre, Region> = emptyMap(),
 ) : AutoCloseable {
-    val control = Control(initialServingState(self), systemClock)
+    val control = Control(initialServingState(self, regions), systemClock)
     private val scope = CoroutineScope(Dispatchers.Default)
     private val ownSlots = LocalSlots(
         now = { control.snapshot.slots },
@@ -73,11 +80,8 @@
             control.run { state: ServingState, now -> updateSlots(state) { decision(it, now) } }
         },
     )
-    private val owner = SlotOwner(
-        SlotDispatcher(ownSlots, DispatchPolicy(), Random(1)),
-        control,
-        systemClock
-    ) { _, _ -> }
+    val dispatcher = SlotDispatcher(ownSlots, DispatchPolicy(), Random(1))
+    val owner = SlotOwner(dispatcher, control, systemClock) { _, _ -> }
     val slots = SlotClient(control, systemClock, owner, RemoteSlotOwners(control, peers), scope)
 
     /** Sets the members and upstreams that the host knows. */
--- a/src/test/kotlin/figdeck/wire/RefusalCodecSpec.kt
+++ b/src/test/kotlin/figdeck/wire/RefusalCodecSpec.kt
@@ -44,6 +44,8 @@
             Refusal.RateLimited(TeamId("t"), 20.milliseconds) to CallerView(429, "over_rate", MayHaveRun.NO, 1),
             Refusal.Overloaded("it", 2_500.milliseconds) to CallerView(503, "overloaded", MayHaveRun.NO, 3),
             Refusal.NoUpstream("model 'm'") to CallerView(503, "no_upstream", MayHaveRun.NO, 1),
+            Refusal.Evacuated("this route") to CallerView(503, "evacuated", MayHaveRun.NO, 1),
+            Refusal.NoHomeUpstream("this route") to CallerView(503, "no_home_upstream", MayHaveRun.NO, 1),
             Refusal.StaleConfiguration to CallerView(503, "stale_configuration", MayHaveRun.NO, 1),
             Refusal.StoreUnavailable(5.seconds) to CallerView(503, "store_unavailable", MayHaveRun.NO, 5),
             Refusal.Draining to CallerView(503, "draining", MayHaveRun.NO, 1),
