Jobs keep to the homes of their route and team, and wait during evacuations

Cause: a lost job was taken over by the first host by rank, in whatever region, and items asked for slots without homes. Items for which no upstream is left would also keep memory and places of other jobs while they wait. Change: slot requests of items carry the homes. A lost job is taken over by the first by rank of the hosts at home, of whatever size; without one it waits, with one log line, and so it does while its route is not read. Items for which evacuations or homes leave no upstream are held back like quarantined ones: without their body, and looked at again each second. EvacuationSpec also bounds the time of refusals.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
@@ -67,7 +67,7 @@
     }
 
     private fun decide(held: HeldItem): ItemDecision =
-        services.decideItem(record) { services.currentHold(held.hold) }
+        services.decideItem(record) { route -> services.currentHold(held.hold, record, route) }
 
     /** Finishes the held items that are given up, which takes no memory. */
     private suspend fun finishGivenUpItems() {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -84,7 +84,7 @@
     suspend fun run(): ItemRun {
         var end: ItemRun? = null
         while (end == null) {
-            end = when (val decision = services.decideItem(record) { holdOfItem() }) {
+            end = when (val decision = services.decideItem(record) { route -> holdOfItem(route) }) {
                 is ItemDecision.Hold -> ItemRun.Held(decision.hold)
                 is ItemDecision.GiveUp -> ItemRun.Finished(services.giveUp(record, state, decision.reason))
                 is ItemDecision.Run -> tryOnce(decision.route)?.let { ItemRun.Finished(it) }
@@ -93,11 +93,12 @@
         return end
     }
 
-    private fun holdOfItem(): ItemHold? =
+    private fun holdOfItem(route: ServingRoute): ItemHold? =
         if (sendFault != null) {
             ItemHold.NotProcessable
         } else {
             services.crashGuard.holdOf(sharedParts)?.let { ItemHold.Quarantined(it.companions + it.suspect) }
+                ?: services.control.snapshot.holdByLimits(record, route, route.poolFor(item.id))
         }
 
     private suspend fun tryOnce(route: ServingRoute): JobResult? = services.slots.acquire(newSlotRequest(route)).fold(
@@ -163,6 +164,7 @@
         age = record.age(services.clock()),
         willMissDeadline = willMissDeadline(route),
         slotTimeUsed = state.spent,
+        homes = services.control.snapshot.homesOf(record, route),
     )
 
     private fun willMissDeadline(route: ServingRoute): Boolean {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
@@ -5,6 +5,7 @@
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
+import figdeck.model.serving.PoolName
 import figdeck.model.serving.ServingRoute
 import kotlin.time.Duration
 
@@ -29,6 +30,9 @@
     /** It can't be sent, or its result can't be stored. */
     data object NotProcessable : ItemHold
 
+    /** Evacuations or the homes of its route and team leave no upstream of [pool] for it. */
+    data class NoUpstream(val pool: PoolName) : ItemHold
+
     /** @property suspects those of its suspects for which it is quarantined. */
     data class Quarantined(val suspects: Set<CrashSuspect>) : ItemHold
 }
@@ -56,12 +60,12 @@
 }
 
 /** Decides about an item of [record] that [holdOf] may hold back. An item that is held back may be given up. */
-internal fun JobServices.decideItem(record: JobRecord, holdOf: () -> ItemHold?): ItemDecision =
+internal fun JobServices.decideItem(record: JobRecord, holdOf: (ServingRoute) -> ItemHold?): ItemDecision =
     when (val route = control.snapshot.routeOf(record)) {
         Known.NotRead -> ItemDecision.Hold(ItemHold.RouteNotRead)
         is Known.Absent -> ItemDecision.GiveUp("route removed, plan ${route.version}")
         is Known.Present -> {
-            val hold = holdOf()
+            val hold = holdOf(route.value)
             when {
                 route.value.isExpired(record.age(clock())) -> ItemDecision.GiveUp("expired")
                 hold != null -> ItemDecision.Hold(hold)
@@ -70,10 +74,15 @@
         }
     }
 
-/** The part of [known] that still holds an item back, as far as it can be told without the item. */
-internal fun JobServices.currentHold(known: ItemHold): ItemHold? = when (known) {
+/** The part of [known] that still holds an item of [record] back, as far as it can be told without the item. */
+internal fun JobServices.currentHold(
+    known: ItemHold,
+    record: JobRecord,
+    route: ServingRoute
+): ItemHold? = when (known) {
     ItemHold.RouteNotRead -> null
     ItemHold.NotProcessable -> known
+    is ItemHold.NoUpstream -> control.snapshot.holdByLimits(record, route, known.pool)
     is ItemHold.Quarantined -> known.takeIf { crashGuard.holdOf(known.suspects.toList()) != null }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -7,7 +7,6 @@
 import figdeck.model.serving.JobId
 import figdeck.model.serving.isOpen
 import figdeck.query.serving.liveMembers
-import figdeck.query.serving.ranked
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
@@ -38,6 +37,7 @@
     val running = mutableMapOf<JobId, Job>()
     val orphans = mutableMapOf<JobId, Moment>()
     val semaphore = Semaphore(MAX_RUNNING_ITEMS)
+    var stranded = emptySet<JobId>()
     while (true) {
         delay(CHECK_INTERVAL)
         val state = control.snapshot
@@ -59,6 +59,7 @@
                 (it.record.owner.host in restarted && it.record.age(clock()) > ORPHAN_TIMEOUT)
         }
         adoptOrphans(state, lost)
+        stranded = noteStranded(state, lost, stranded)
     }
 }
 
@@ -100,7 +101,7 @@
 private suspend fun JobServices.adoptOrphans(state: ServingState, orphans: List<VersionedJob>) {
     val now = clock()
     orphans
-        .filter { state.fleet.ranked("job/${it.record.id}", now).firstOrNull()?.host == self.host }
+        .filter { state.adopterOf(it.record, now)?.host == self.host }
         .forEach { adopt(it) }
 }
 
--- a/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
+++ b/src/main/kotlin/figdeck/query/serving/FleetRanking.kt
@@ -9,10 +9,17 @@
 
 private const val MIN_RELATIVE_CORES = 0.8
 
-/** The live members that are not suspected, ordered by their preference for [key] in rendezvous hashing. */
-public fun Fleet.ranked(key: String, now: Moment): List<FleetMember> =
+/**
+ * The live members that are not suspected and that [isEligible] accepts, ordered by their preference for [key] in
+ * rendezvous hashing.
+ */
+public fun Fleet.ranked(
+    key: String,
+    now: Moment,
+    isEligible: (FleetMember) -> Boolean = { true },
+): List<FleetMember> =
     liveMembers()
-        .filterNot { isSuspect(it.host, now) }
+        .filter { !isSuspect(it.host, now) && isEligible(it) }
         .withMostCores()
         .map { it to rendezvousScore(key, it.host) }
         .sortedByDescending { (_, score) -> score }
--- a/src/test/kotlin/figdeck/daemon/query/serving/EvacuationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/EvacuationSpec.kt
@@ -39,6 +39,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -293,7 +294,7 @@
                 val waiting = scope.async { host.slots.acquire(request(maxWait = 20.seconds)) }
                 eventually(5.seconds) { host.control.snapshot.slots.tickets.size == ALL_SLOTS + 1 }
                 table.change(listOf(RowChange(oldRow.key, oldRow), RowChange(newRow.key, newRow)))
-                waiting.await().leftOrNull() shouldBe Refusal.Evacuated("this route")
+                withTimeout(5.seconds) { waiting.await() }.leftOrNull() shouldBe Refusal.Evacuated("this route")
             }
         }
     }
@@ -309,6 +310,7 @@
                 val waiting = List(4) { scope.async { host.slots.acquire(request(maxWait = 20.seconds)) } }
                 eventually(5.seconds) { host.control.snapshot.slots.tickets.size == ALL_SLOTS + waiting.size }
                 table.change(listOf(RowChange(oldRow.key, oldRow)))
+                host.control.snapshot.slots.upstreams.getValue(UpstreamId("old-1")).online.waiting.size shouldBe 0
                 held.sortedByDescending { it.upstream.dataCentre == old }
                     .forEach { host.slots.release(it, SlotOutcome.ANSWERED, 1) }
                 waiting.map { it.await().getOrNull()?.upstream?.id?.value }.toSet() shouldBe setOf("new-1")
