--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -81,10 +81,8 @@
     override fun close() = server.close()
 
     /** Encodes its store entry as an upstream of [pool]. */
-    fun encodeEntry(pool: String, slots: Int = DEFAULT_SLOTS): String =
-        encodeUpstream(
-            UpstreamMessage(pool, address.toString(), dataCentre = "centre-a", slots = slots, state = READY_STATE)
-        )
+    fun encodeEntry(pool: String, slots: Int = DEFAULT_SLOTS, dataCentre: String = "centre-a"): String =
+        encodeUpstream(UpstreamMessage(pool, address.toString(), dataCentre, slots = slots, state = READY_STATE))
 
     private suspend fun handle(call: HttpCall, responder: HttpResponder) {
         val body = call.body.readAll(MAX_BODY_BYTES).getOrElse { ByteArray(0) }.decodeToString()
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -110,14 +110,18 @@
         )
     }
 
-    /** Starts a daemon on the users' platform, which listens for callers, readiness checks and peers, in this order. */
+    /**
+     * Starts a daemon on the users' platform, which listens for callers, readiness checks, peers and reads of its
+     * metrics, in this order. The last one of a flag that is given twice counts, so [flags] may override the others.
+     */
     fun edgeDaemon(
         host: String,
         dataCentre: String = "centre-a",
         seeds: List<FleetProcess> = emptyList(),
         jvmFlags: List<String> = JVM_FLAGS,
+        flags: List<String> = emptyList(),
     ): FleetProcess {
-        val addresses = List(3) { freeAddress() }
+        val addresses = List(4) { freeAddress() }
         return launch(
             host,
             addresses,
@@ -129,8 +133,9 @@
             "--readiness-address=${addresses[1]}",
             "--peer-address=${addresses[2]}",
             "--store-address=${platform.address}",
-            "--metrics-port=${freeAddress().port}",
+            "--metrics-port=${addresses[3].port}",
             "--seeds=${seeds.joinToString(",") { it.peerAddress.toString() }}",
+            *flags.toTypedArray(),
         )
     }
 
