Evacuations: source in the log line, returned slots of the owner, no cost without limits

Cause: the line of an evacuation did not tell whether the store or a peer told it, a slot that its owner takes back left no line, and each request for a slot went over all upstreams even without evacuations and homes. EvacuationFleetSpec read lines of an earlier run: logs of daemons under test are appended to by port. Change: the source in the line, a line for the owner's own slots, an early end of the check, and the spec skips the lines of earlier runs.

--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -73,6 +73,7 @@
                         hold(request, permit)
                         SlotResponse.Granted(permit.upstream.id)
                     } else {
+                        control.snapshot.noteReturnedSlot(request, permit.upstream.id)
                         slots.dispatcher.release(permit, SlotOutcome.ABANDONED, 0)
                         acquire(request.copy(maxWait = (until - clock()).coerceAtLeast(Duration.ZERO)))
                     }
--- a/src/main/kotlin/figdeck/daemon/query/serving/EvacuationFollower.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/EvacuationFollower.kt
@@ -47,6 +47,7 @@
         changes.forEach {
             decisions.note(if (it.hasBegun) "evacuation_begun" else "evacuation_ended", it.centre.value) {
                 put("version", it.version)
+                put("source", if (control.snapshot.evacuations.isFromStore) "store" else "peer")
             }
         }
         if (changes.any { it.hasBegun }) {
--- a/src/main/kotlin/figdeck/query/serving/UpstreamLimits.kt
+++ b/src/main/kotlin/figdeck/query/serving/UpstreamLimits.kt
@@ -44,7 +44,8 @@
     excluded: Set<UpstreamId>,
     limits: UpstreamLimits,
 ): Refusal? {
-    val usable = usableUpstreams(pool, excluded)
+    val isUnlimited = limits.evacuated.isEmpty() && limits.homes == null
+    val usable = if (isUnlimited) emptyList() else usableUpstreams(pool, excluded)
     return when {
         usable.isEmpty() || usable.any { limits.permit(it) } -> null
         usable.any { limits.isHome(it.dataCentre) } -> Refusal.Evacuated("this route")
--- a/src/test/kotlin/figdeck/process/EvacuationFleetSpec.kt
+++ b/src/test/kotlin/figdeck/process/EvacuationFleetSpec.kt
@@ -68,6 +68,10 @@
 private suspend fun Fleet.call(daemon: FleetProcess, id: String, path: String = "/desk/1"): TestResponse =
     send(daemon.address, request("POST", path, id))
 
+/** The evacuations in the log of [daemon], which may begin with that of an earlier run at the same port. */
+private fun evacuationNotes(daemon: FleetProcess): List<String> =
+    daemon.log.readLines().mapNotNull { Regex("evacuation_(begun|ended)").find(it)?.value }
+
 private fun RunnerStandIn.idsFrom(prefix: String): List<String> =
     received.map { it.headers.getValue("x-attempt-id") }.filter { it.startsWith(prefix) }
 
@@ -139,6 +143,7 @@
         // Guards against requests that reach an evacuated data centre, or that fail because of the evacuation.
         it("send nothing there from the bound on, lose no request, and send there again after the end") {
             withTwoCentres {
+                val earlierNotes = daemons.map { evacuationNotes(it) }
                 val failures = underLoad {
                     daemons.forEach { daemon ->
                         eventually(5.seconds) { there.idsFrom("load-${daemon.name}").size > 5 }
@@ -157,10 +162,8 @@
                     eventually(5.seconds) { there.received.size > reached + 10 }
                 }
                 failures shouldBe emptyMap()
-                daemons.forEach { daemon ->
-                    val lines = daemon.log.readLines().filter { "\"event\":\"evacuation_" in it }
-                    lines.map { Regex("evacuation_(begun|ended)").find(it)?.value } shouldBe
-                        listOf("evacuation_begun", "evacuation_ended")
+                daemons.zip(earlierNotes).forEach { (daemon, earlier) ->
+                    evacuationNotes(daemon).drop(earlier.size) shouldBe listOf("evacuation_begun", "evacuation_ended")
                 }
             }
         }
