--- a/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
+++ b/src/main/kotlin/figdeck/daemon/command/SlotDispatcher.kt
@@ -9,6 +9,7 @@
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.DispatchState
 import figdeck.command.dispatch.DispatchStep
+import figdeck.command.dispatch.IsWithdrawn
 import figdeck.command.dispatch.Release
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.command.dispatch.admit
@@ -18,6 +19,7 @@
 import figdeck.command.dispatch.refuseOverdue
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.tick
+import figdeck.command.dispatch.withdrawUpstreams
 import figdeck.control.Control
 import figdeck.control.ControlState
 import figdeck.control.changeDispatch
@@ -126,6 +128,10 @@
         return effects.filterIsInstance<DispatchEffect.Refused>().firstNotNullOfOrNull { it.refusal.retryAfter }
     }
 
+    /** Moves the requests that wait at withdrawn upstreams to others. */
+    suspend fun withdraw(isWithdrawn: IsWithdrawn) =
+        decide { state, now -> withdrawUpstreams(state, isWithdrawn, random.nextLong(), policy, now) }
+
     /** Frees the slot of [permit]. The [usage] is what its holder has seen of a generation; null if it saw none. */
     suspend fun release(permit: Permit, slotOutcome: SlotOutcome, cost: Int, usage: SlotUsage? = null) {
         holders.remove(permit.id)
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -1,10 +1,11 @@
 package figdeck.telemetry
 
-import figdeck.model.serving.RelayAnswer
-import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MultiGauge
 import io.micrometer.core.instrument.Tag
+import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -37,6 +38,7 @@
     private val timers = ConcurrentHashMap<TimerKey, Timer>()
     private val estimateErrors = ConcurrentHashMap<String, DistributionSummary>()
     private val routes = ConcurrentHashMap.newKeySet<String>()
+    private val multiGauges = ConcurrentHashMap<String, MultiGauge>()
     private val teams = ConcurrentHashMap.newKeySet<String>()
 
     /** Returns all metrics in the Prometheus text format. */
@@ -52,14 +54,20 @@
         registry.counter("figdeck.failed.sends", "ending", ending).increment()
     }
 
-    /** Counts a batch job that another host was asked to store; [answer] is null if it gave none. */
-    fun countRelayedJob(answer: RelayAnswer?) {
-        registry.counter("figdeck.relayed.jobs", "answer", answer?.name?.lowercase() ?: "none").increment()
+    /** Adds one to the counter [name] with [value] in its label [label]. The values are from a small set. */
+    fun count(name: String, label: String, value: String) {
+        registry.counter(name, label, value).increment()
+    }
+
+    /** Replaces the gauges [name], of which there is one for each value of the label [label]. */
+    fun replaceGauges(name: String, label: String, values: Map<String, Int>) {
+        val rows = values.map { (value, number) -> MultiGauge.Row.of(Tags.of(label, value), number) }
+        multiGauges.computeIfAbsent(name) { MultiGauge.builder(it).register(registry) }.register(rows, true)
     }
 
     /** Records [duration] in the timer [name]. [tags] alternates label names and values, both from small sets. */
     fun recordTime(name: String, duration: Duration, tags: List<String> = emptyList()) {
-        val timer = timers.computeIfAbsent(TimerKey(name, tags)) { register(it) }
+        val timer = timers.computeIfAbsent(TimerKey(name, tags)) { registry.timer(it) }
         timer.record(duration.toJavaDuration())
     }
 
@@ -83,11 +91,6 @@
         FunctionCounter.builder(name, this) { value().toDouble() }.register(registry)
     }
 
-    private fun register(key: TimerKey): Timer {
-        val labels = key.tags.chunked(2) { (label, value) -> Tag.of(label, value) }
-        return Timer.builder(key.name).tags(labels).publishPercentiles(MEDIAN, P95, P99).register(registry)
-    }
-
     private fun teamLabel(team: String?): String = when {
         team == null -> "none"
         team in teams -> team
@@ -95,3 +98,8 @@
         else -> OTHER_TEAMS
     }
 }
+
+private fun PrometheusMeterRegistry.timer(key: TimerKey): Timer {
+    val labels = key.tags.chunked(2) { (label, value) -> Tag.of(label, value) }
+    return Timer.builder(key.name).tags(labels).publishPercentiles(MEDIAN, P95, P99).register(this)
+}
