Pace of upstreams, and placement by expected completion

Cause: requests are placed by free slots alone, so that engines at half pace get their full share. With one of four engines at half pace, the p99 of completions is twice that of equal engines. Change: UpstreamState keeps moving averages of the time per output token and to the first event. DispatchState.paces compares the upstreams of a pool and says which count as slow. Pools with slow upstreams are placed by expectedCompletionChoice where DispatchPolicy.completionChoice is set; all others as before. withCandidates no longer writes unchanged upstreams anew.

--- /dev/null
+++ b/src/main/kotlin/figdeck/command/dispatch/CompletionViews.kt
@@ -0,0 +1,58 @@
+package figdeck.command.dispatch
+
+import figdeck.model.Lane
+import figdeck.model.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** This view of [state] with what is expected of [request] there, in a pool that is placed by [pace]. */
+internal fun UpstreamView.withCompletion(
+    state: UpstreamState,
+    pace: PoolPace,
+    request: DispatchRequest,
+    policy: DispatchPolicy,
+    now: Moment,
+): UpstreamView {
+    val speed = pace.speedOf(state, now)
+    val usable = state.freeFor(request.lane, this, policy, now)
+    val load = state.loadAhead(usable, request, speed, now)
+    val isNear = request.placement?.dataCentre.let { it == null || it == upstream.dataCentre }
+    val delay = load.slotWait + if (isNear) Duration.ZERO else policy.crossCentreRoundTrip
+    val completion = CompletionView(
+        relativePace = pace.relativePace(state, now),
+        expectedTime = delay + speed.timeOf(request.expectedTokens),
+        isInTime = now + delay + speed.timeOf(request.likelyMaxTokens) <= request.deadline,
+        slotWait = load.slotWait,
+        remainingWork = load.remainingWork,
+    )
+    return copy(free = usable, completion = completion)
+}
+
+/** The wait for a slot of an upstream, and what its running requests still need. */
+private data class LoadAhead(
+    val slotWait: Duration,
+    val remainingWork: Duration,
+)
+
+private val noLoad = LoadAhead(Duration.ZERO, Duration.ZERO)
+
+/** The load ahead of [request]. Where a slot is free and this host grants alone, no choice depends on it. */
+private fun UpstreamState.loadAhead(
+    free: Int,
+    request: DispatchRequest,
+    speed: ExpectedSpeed,
+    now: Moment,
+): LoadAhead = if (free > 0 && request.placement?.isOnlyGranter == true) {
+    noLoad
+} else {
+    val work = remainingWork(request.lane, speed, now)
+    val wait = if (free > 0) Duration.ZERO else slotWait(request, work, speed, now)
+    LoadAhead(wait, work.remainingNanos.nanoseconds)
+}
+
+/** The free slots that work of [lane] may take. Batch work leaves the headroom, and waits behind other batch work. */
+private fun UpstreamState.freeFor(lane: Lane, view: UpstreamView, policy: DispatchPolicy, now: Moment): Int =
+    when (lane) {
+        Lane.ONLINE -> view.free
+        Lane.BATCH -> view.free - batch.waiting.size - headroom.wholeSlots(now, policy.headroom)
+    }
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -36,12 +36,10 @@
     return if (budget == null) {
         Step(state, refused(arrival, Refusal.Overloaded("retrying", 1.seconds)))
     } else {
-        placeArrival(
-            state.copy(retryBudget = budget).withCandidates(arrival.request.candidates, now),
-            arrival,
-            policy,
-            now,
-        )
+        val current = state.copy(retryBudget = budget)
+            .withCandidates(arrival.request.candidates, now)
+            .reviewPace(arrival.request, policy, now)
+        placeArrival(current, arrival, policy, now)
     }
 }
 
@@ -83,7 +81,8 @@
     if (views.isEmpty()) {
         return Step(state, refused(arrival, Refusal.Overloaded("every upstream", state.timeToNextProbe(request, now))))
     }
-    val chosen = state.stateOf(policy.choose(views, request, arrival.seed).upstream, now)
+    val choose = state.choiceFor(request, policy)
+    val chosen = state.stateOf(choose(views, request, arrival.seed).upstream, now)
     val wait = chosen.expectedWait(request, now)
     val late = now + wait + chosen.queue(request.lane).requiredTime(request.lane, policy) - request.deadline
     return if (wait > Duration.ZERO && late > Duration.ZERO) {
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -20,6 +20,7 @@
  * @property slotTimeUsed how long the work has held slots before. It resumes from the output of that time.
  * @property attempt how often the same work was sent before. Every attempt after the first uses the retry budget.
  * @property expected the expected work, which is charged instead of [cost]; null if nothing is known about it.
+ * @property placement what placement by expected completion depends on; null where it does not apply.
  */
 public data class DispatchRequest(
     public val candidates: List<Upstream>,
@@ -33,6 +34,7 @@
     public val willMissDeadline: Boolean = false,
     public val slotTimeUsed: Duration = Duration.ZERO,
     public val expected: ExpectedWork? = null,
+    public val placement: PlacementContext? = null,
 )
 
 /** How the use of a slot ended, from which the health of the upstream is derived. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -6,6 +6,7 @@
 import figdeck.model.Moment
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
+import figdeck.model.serving.PoolName
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Duration
@@ -16,12 +17,14 @@
  * The slots and queues of the upstreams whose slots this host assigns.
  *
  * @property tickets the upstream at which each queued or running ticket is registered.
+ * @property paces the latest comparison of the upstreams of each pool that may be placed by expected completion.
  */
 public data class DispatchState(
     public val dataCentre: DataCentre?,
     public val upstreams: PersistentMap<UpstreamId, UpstreamState>,
     public val tickets: PersistentMap<Long, UpstreamId>,
     public val retryBudget: RetryBudget,
+    public val paces: PersistentMap<PoolName, PoolPace> = persistentMapOf(),
 )
 
 /** The new state and the effects of a dispatch decision. */
@@ -37,7 +40,10 @@
 
 /** This state with all of [candidates] registered, so that idle ones can steal work queued at others. */
 internal fun DispatchState.withCandidates(candidates: List<Upstream>, now: Moment): DispatchState =
-    candidates.fold(this) { state, upstream -> state.with(state.stateOf(upstream, now)) }
+    candidates.fold(this) { state, upstream ->
+        val isRegistered = state.upstreams[upstream.id]?.upstream == upstream
+        if (isRegistered) state else state.with(state.stateOf(upstream, now))
+    }
 
 /** This state with the state of one upstream replaced. */
 internal fun DispatchState.with(state: UpstreamState): DispatchState =
@@ -48,15 +54,19 @@
     request: DispatchRequest,
     policy: DispatchPolicy,
     now: Moment,
-): List<UpstreamView> = request.candidates
-    .map { stateOf(it, now) }
-    .filter { it.usableSlots(now) > 0 && !(it.health.isProbing && it.occupiedSlots > 0) }
-    .map { state ->
-        val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
-        val load = state.loadFor(request.lane)
-        val free = state.usableSlots(now) - state.occupiedSlots - state.online.waiting.size
-        UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
-    }
+): List<UpstreamView> {
+    val pace = activePace(request, policy)
+    return request.candidates
+        .map { stateOf(it, now) }
+        .filter { it.usableSlots(now) > 0 && !(it.health.isProbing && it.occupiedSlots > 0) }
+        .map { state ->
+            val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
+            val load = state.loadFor(request.lane)
+            val free = state.usableSlots(now) - state.occupiedSlots - state.online.waiting.size
+            val view = UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
+            if (pace == null) view else view.withCompletion(state, pace, request, policy, now)
+        }
+}
 
 /** This state after [step] on one of its upstreams, without the tickets that the step refused. */
 internal fun DispatchState.after(step: UpstreamStep): DispatchState {
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -24,6 +24,7 @@
         .copy(
             running = this.running.remove(running.ticket),
             health = health.after(release.outcome, Random(release.seed).nextDouble(), now),
+            pace = paceAfter(running, release, now),
         )
         .observeRevokedRelease(running, policy.headroom, now)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -49,6 +49,7 @@
  * The slots, queues and health of an upstream as its owner tracks them.
  *
  * @property lastReturnAt the latest time at which a refused caller was told to return; null before the first refusal.
+ * @property pace how fast the upstream has been. It is observed only for requests with a [DispatchRequest.placement].
  */
 public data class UpstreamState(
     public val upstream: Upstream,
@@ -58,6 +59,7 @@
     public val headroom: Headroom,
     public val health: Health,
     public val lastReturnAt: Moment? = null,
+    public val pace: UpstreamPace = unknownPace,
 )
 
 /** The initial state of an [upstream]. */
