--placement=expected-completion places requests by expected completion

Cause: the setting was read and not used. Change: SlotOwner adds what placement depends on to its dispatch requests, from the pools, the fleet and the plan that it knows. With free-slots no context is built, and no pace is kept.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -2,16 +2,14 @@
 
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.command.dispatch.HeadroomPolicy
+import figdeck.command.dispatch.expectedCompletionChoice
 import figdeck.command.dispatch.mostFreeSlotsChoice
 import figdeck.command.serving.bodyMemoryLimits
 import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
 import figdeck.control.Control
-import figdeck.control.serving.ServingState
 import figdeck.control.serving.beginStop
 import figdeck.control.serving.initialServingState
-import figdeck.control.serving.updateSlots
-import figdeck.daemon.command.LocalSlots
 import figdeck.daemon.command.LoopSupervision
 import figdeck.daemon.command.PeerClient
 import figdeck.daemon.command.SlotDispatcher
@@ -33,12 +31,16 @@
 import figdeck.daemon.command.serving.RemoteSlotOwners
 import figdeck.daemon.command.serving.SlotClient
 import figdeck.daemon.command.serving.SlotOwner
+import figdeck.daemon.command.serving.SlotPlacement
 import figdeck.daemon.command.serving.TeamLimits
 import figdeck.daemon.command.serving.bootstrapFromPeers
+import figdeck.daemon.command.serving.completionPlacement
 import figdeck.daemon.command.serving.httpFleetPeers
 import figdeck.daemon.command.serving.keepMembership
 import figdeck.daemon.command.serving.leaveMembership
 import figdeck.daemon.command.serving.maintainPools
+import figdeck.daemon.command.serving.notePlacement
+import figdeck.daemon.command.serving.ownSlots
 import figdeck.daemon.command.startIn
 import figdeck.daemon.query.serving.FollowedRowCache
 import figdeck.daemon.query.serving.TableFollower
@@ -121,10 +123,11 @@
  * centres, and the engine queues the requests that arrive meanwhile. Batch work that releases its slot within
  * `revokeGrace` therefore does not count as delaying online work.
  */
-private val dispatchPolicy = DispatchPolicy(
+private fun dispatchPolicy(placement: Placement) = DispatchPolicy(
     choose = mostFreeSlotsChoice,
     headroom = HeadroomPolicy(revokeGrace = 150.milliseconds),
     deadlineMargin = 0.0,
+    completionChoice = if (placement == Placement.EXPECTED_COMPLETION) expectedCompletionChoice else null,
 )
 
 /** A daemon on the users' platform, with its components built from [settings]. */
@@ -153,8 +156,18 @@
     private val platform = StoreClient(storeClient, settings.storeAddress)
     private val store = observed(platform.store, telemetry)
     private val peers = httpFleetPeers(PeerClient(peerClient, settings.fleetName))
-    private val slots = SlotDispatcher(localSlots(), dispatchPolicy, random)
-    private val slotOwner = SlotOwner(slots, control, clock) { host, ticket -> revoke(host, ticket) }
+    private val placementLog = DecisionLog("placement")
+    private val policy = dispatchPolicy(settings.placement)
+    private val slots = SlotDispatcher(
+        ownSlots(control) { placementLog.notePlacement(it, clock()) },
+        policy,
+        random,
+    )
+    private val placement = when (settings.placement) {
+        Placement.FREE_SLOTS -> SlotPlacement()
+        Placement.EXPECTED_COMPLETION -> completionPlacement(control, clock, policy, telemetry.meters)
+    }
+    private val slotOwner = SlotOwner(slots, control, clock, placement) { host, ticket -> revoke(host, ticket) }
     private val slotClient: SlotClient = SlotClient(control, clock, slotOwner, RemoteSlotOwners(control, peers), scope)
     private val teamLimits = TeamLimits(control, clock, peers, DecisionLog("limits"))
     private val crashRiskWriter = CrashRiskWriter(control, clock, store)
@@ -289,11 +302,6 @@
         bodies = BodyMemory(bodyMemoryLimits(heapBytes), clock),
     )
 
-    private fun localSlots() = LocalSlots(
-        now = { control.snapshot.slots },
-        decide = { decision -> control.run { state: ServingState, now -> updateSlots(state) { decision(it, now) } } },
-    )
-
     private fun launchFollower(table: String, minInterval: () -> Duration, follower: TableFollower) {
         startLoop("table $table") { platform.feed.follow(table, random, minInterval, follower) }
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -48,6 +48,7 @@
     private val slots: SlotDispatcher,
     private val control: Control<ServingState>,
     private val clock: Clock,
+    private val placement: SlotPlacement = SlotPlacement(),
     private val onRevoked: (HostId, Long) -> Unit,
 ) {
     private val grantedSlots = ConcurrentHashMap<Long, GrantedSlot>()
@@ -65,7 +66,7 @@
             else -> answer.fold(
                 { SlotResponse.Full(it.retryAfter ?: FULL_RETRY_AFTER) },
                 { permit ->
-                    hold(request, permit)
+                    hold(request, permit, placement.expectedTime(permit))
                     SlotResponse.Granted(permit.upstream.id)
                 },
             )
@@ -76,6 +77,9 @@
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
         slots.release(slot.permit, release.outcome, release.cost, release.usage)
+        if (slot.expectedTime != null && release.usage?.isWhole == true) {
+            placement.recordTime(slot.expectedTime, clock() - slot.grantedAt)
+        }
         val upstream = slot.permit.upstream.id
         if (release.outcome == SlotOutcome.GONE) {
             control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
@@ -123,21 +127,22 @@
 
     private suspend fun awaitSlot(request: SlotRequest, candidates: List<Upstream>): Either<Refusal, Permit>? =
         withTimeoutOrNull(request.maxWait) {
-            slots.acquire(request.ticket, request.toDispatchRequest(candidates, clock()))
+            slots.acquire(request.ticket, request.toDispatchRequest(candidates, placement, clock()))
         }
 
     private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
-        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, clock())) ?: FULL_RETRY_AFTER
+        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, placement, clock()))
+            ?: FULL_RETRY_AFTER
 
     private suspend fun adopt(slot: HeldSlot) {
         val upstream = control.snapshot.pools.members[slot.upstream]?.upstream ?: return
-        val request = slot.request.toDispatchRequest(listOf(upstream), clock())
-        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream))
+        val request = slot.request.toDispatchRequest(listOf(upstream), placement, clock())
+        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream), expectedTime = null)
     }
 
-    private fun hold(request: SlotRequest, permit: Permit) {
+    private fun hold(request: SlotRequest, permit: Permit, expectedTime: Duration?) {
         val now = clock()
-        grantedSlots[request.ticket] = GrantedSlot(request.from, permit, now, now)
+        grantedSlots[request.ticket] = GrantedSlot(request.from, permit, now, now, expectedTime)
         permit.revoked.invokeOnCompletion { onRevoked(request.from, request.ticket) }
     }
 
@@ -158,6 +163,7 @@
         val permit: Permit,
         val grantedAt: Moment,
         val confirmedAt: Moment,
+        val expectedTime: Duration? = null,
     )
 }
 
@@ -167,7 +173,11 @@
 /** How long a host waits for the owner's answer before it treats the owner as lost. */
 internal val SlotRequest.timeout: Duration get() = maxWait + ANSWER_MARGIN
 
-private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>, now: Moment) = DispatchRequest(
+private fun SlotRequest.toDispatchRequest(
+    candidates: List<Upstream>,
+    placement: SlotPlacement,
+    now: Moment,
+) = DispatchRequest(
     candidates = candidates,
     team = team,
     weight = 1,
@@ -177,4 +187,5 @@
     deadline = now + if (lane == Lane.BATCH) BATCH_DEADLINE - age else maxWait,
     willMissDeadline = willMissDeadline,
     slotTimeUsed = slotTimeUsed,
+    placement = placement.contextOf(this),
 )
