--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -6,6 +6,7 @@
 import figdeck.model.Moment
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
+import figdeck.model.serving.PoolName
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Duration
@@ -17,6 +18,7 @@
  *
  * @property tickets the upstream at which each queued or running ticket is registered.
  * @property heldBack how many requests found a free slot that only a cold limit kept from them.
+ * @property paces the latest comparison of the upstreams of each pool that may be placed by expected completion.
  */
 public data class DispatchState(
     public val dataCentre: DataCentre?,
@@ -24,6 +26,7 @@
     public val tickets: PersistentMap<Long, UpstreamId>,
     public val retryBudget: RetryBudget,
     public val heldBack: Long = 0,
+    public val paces: PersistentMap<PoolName, PoolPace> = persistentMapOf(),
 )
 
 /** The new state and the effects of a dispatch decision. */
@@ -44,7 +47,8 @@
 internal fun DispatchState.withCandidates(request: DispatchRequest, now: Moment): DispatchState =
     request.candidates.fold(this) { state, upstream ->
         val known = state.stateOf(upstream, now)
-        state.with(known.copy(cold = known.cold.limitedBy(request.coldLimits[upstream.id], now)))
+        val limited = known.copy(cold = known.cold.limitedBy(request.coldLimits[upstream.id], now))
+        if (limited == state.upstreams[upstream.id]) state else state.with(limited)
     }
 
 /** This state with the state of one upstream replaced. */
@@ -56,15 +60,25 @@
     request: DispatchRequest,
     policy: DispatchPolicy,
     now: Moment,
-): List<UpstreamView> = request.candidates
-    .map { stateOf(it, now) }
-    .filter { it.usableSlots(now) > 0 && !(it.health.isProbing && it.occupiedSlots > 0) }
-    .map { state ->
-        val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
-        val load = state.loadFor(request.lane)
-        val free = state.grantableSlots(now) - state.online.waiting.size
-        UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
-    }
+): List<UpstreamView> {
+    val pace = activePace(request, policy)
+    return request.candidates
+        .map { stateOf(it, now) }
+        .filter { it.usableSlots(now) > 0 && !(it.health.isProbing && it.occupiedSlots > 0) }
+        .map { if (pace == null) viewOf(it, request, policy, now) else it.completionView(pace, request, policy, now) }
+}
+
+private fun DispatchState.viewOf(
+    state: UpstreamState,
+    request: DispatchRequest,
+    policy: DispatchPolicy,
+    now: Moment,
+): UpstreamView {
+    val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
+    val load = state.loadFor(request.lane)
+    val free = state.grantableSlots(now) - state.online.waiting.size
+    return UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
+}
 
 /** This state after [step] on one of its upstreams, without the tickets that the step refused. */
 internal fun DispatchState.after(step: UpstreamStep): DispatchState {
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -50,6 +50,7 @@
  *
  * @property lastReturnAt the latest time at which a refused caller was told to return; null before the first refusal.
  * @property cold the limit while the upstream is cold; null if it isn't, or if the limit has ended.
+ * @property pace how fast the upstream has been. It is observed only for requests with a [DispatchRequest.placement].
  */
 public data class UpstreamState(
     public val upstream: Upstream,
@@ -60,6 +61,7 @@
     public val health: Health,
     public val lastReturnAt: Moment? = null,
     public val cold: ColdBucket? = null,
+    public val pace: UpstreamPace = unknownPace,
 )
 
 /** The initial state of an [upstream]. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -59,6 +59,7 @@
     private val slots: SlotDispatcher,
     private val control: Control<ServingState>,
     private val clock: Clock,
+    private val placement: SlotPlacement = SlotPlacement(),
     private val work: WorkEstimator? = null,
     private val onRevoked: (HostId, Long) -> Unit,
 ) {
@@ -81,7 +82,7 @@
                 { permit ->
                     // The data centre of the upstream may be evacuated since the candidates were chosen.
                     if (control.snapshot.limitsOf(request.homes).permit(permit.upstream)) {
-                        hold(request, permit, expected)
+                        hold(request, permit, expected, placement.expectedTime(permit))
                         SlotResponse.Granted(permit.upstream.id)
                     } else {
                         control.snapshot.noteReturnedSlot(request, permit.upstream.id)
@@ -96,6 +97,9 @@
     /** Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. */
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
+        if (slot.expectedTime != null && release.usage?.isWhole == true) {
+            placement.recordTime(slot.expectedTime, clock() - slot.grantedAt)
+        }
         val upstream = slot.permit.upstream.id
         // Before the slot is freed, since freeing it grants it to the next request.
         release.coldRemaining?.let { remaining ->
@@ -154,25 +158,26 @@
         candidates: List<Upstream>,
         expected: ExpectedWork?,
     ): Either<Refusal, Permit>? = withTimeoutOrNull(request.maxWait) {
-        slots.acquire(
-            request.ticket,
-            control.snapshot.limitedRequest(request, candidates, clock()).copy(expected = expected),
-        )
+        val now = clock()
+        val limits = coldLimits(control.snapshot, request.pool, now)
+        val dispatched = request.toDispatchRequest(candidates, placement, now)
+        slots.acquire(request.ticket, dispatched.copy(coldLimits = limits, expected = expected))
     }
 
     private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
-        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, clock())) ?: FULL_RETRY_AFTER
+        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, placement, clock()))
+            ?: FULL_RETRY_AFTER
 
     private suspend fun adopt(slot: HeldSlot) {
         val upstream = control.snapshot.pools.members[slot.upstream]?.upstream ?: return
         val expected = work?.estimate(slot.request)
-        val request = slot.request.toDispatchRequest(listOf(upstream), clock()).copy(expected = expected)
-        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream), expected)
+        val request = slot.request.toDispatchRequest(listOf(upstream), placement, clock()).copy(expected = expected)
+        hold(slot.request, slots.adopt(slot.request.ticket, request, upstream), expected, expectedTime = null)
     }
 
-    private fun hold(request: SlotRequest, permit: Permit, expected: ExpectedWork?) {
+    private fun hold(request: SlotRequest, permit: Permit, expected: ExpectedWork?, expectedTime: Duration?) {
         val now = clock()
-        grantedSlots[request.ticket] = GrantedSlot(request, expected, permit, now, now)
+        grantedSlots[request.ticket] = GrantedSlot(request, expected, permit, now, now, expectedTime)
         permit.revoked.invokeOnCompletion { onRevoked(request.from, request.ticket) }
     }
 
@@ -194,6 +199,7 @@
         val permit: Permit,
         val grantedAt: Moment,
         val confirmedAt: Moment,
+        val expectedTime: Duration? = null,
     )
 }
 
@@ -203,13 +209,14 @@
 /** How long a host waits for the owner's answer before it treats the owner as lost. */
 internal val SlotRequest.timeout: Duration get() = maxWait + ANSWER_MARGIN
 
-private fun ServingState.limitedRequest(request: SlotRequest, candidates: List<Upstream>, now: Moment) =
-    request.toDispatchRequest(candidates, now).copy(coldLimits = coldLimits(this, request.pool, now))
-
 private fun Refusal.toResponse(): SlotResponse =
     if (this is Refusal.Evacuated) SlotResponse.NoUpstream else SlotResponse.Full(retryAfter ?: FULL_RETRY_AFTER)
 
-private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>, now: Moment) = DispatchRequest(
+private fun SlotRequest.toDispatchRequest(
+    candidates: List<Upstream>,
+    placement: SlotPlacement,
+    now: Moment,
+) = DispatchRequest(
     candidates = candidates,
     team = team,
     weight = 1,
@@ -219,4 +226,5 @@
     deadline = now + if (lane == Lane.BATCH) BATCH_DEADLINE - age else maxWait,
     willMissDeadline = willMissDeadline,
     slotTimeUsed = slotTimeUsed,
+    placement = placement.contextOf(this),
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
@@ -107,12 +107,11 @@
         }
     }
 
-    private suspend fun takeFromOwnBucket(team: TeamId, limit: Limit, isCutOff: Boolean): TakeResult =
+    private suspend fun takeFromOwnBucket(team: TeamId, limit: Limit, mayHaveSuccessor: Boolean): TakeResult =
         control.run { state, now ->
-            val fleet = state.fleet
-            val relying = if (isCutOff) relyingHosts(now) else fleet.liveMembers().size
-            val part = (relying.toDouble() / fleet.estimatedHostCount()).coerceAtMost(1.0)
-            val conditions = LimitConditions(limit, fleet.levels[team]?.tokens, part)
+            val relying = if (mayHaveSuccessor) recentAskers(now) + state.fleet.self.host else relyingHosts(state, now)
+            val part = (relying.size.toDouble() / state.fleet.estimatedHostCount()).coerceAtMost(1.0)
+            val conditions = LimitConditions(limit, state.fleet.levels[team]?.tokens, part)
             updateLimits(state) { takeOwned(it, team, conditions, now) }
         }
 
@@ -122,7 +121,11 @@
         updateLimits(state) { takeFromFallback(it, team, conditions, now) }
     }
 
-    private fun relyingHosts(now: Moment): Int = 1 + lastAskedAt.values.count { now - it < ASKER_TIMEOUT }
+    /** The hosts that have no other owner: those that reach the store, and those without it that ask this host. */
+    private fun relyingHosts(state: ServingState, now: Moment): Set<HostId> =
+        state.fleet.liveMembers().map { it.host }.toSet() + recentAskers(now)
+
+    private fun recentAskers(now: Moment): Set<HostId> = lastAskedAt.filterValues { now - it < ASKER_TIMEOUT }.keys
 }
 
 private fun bucketKey(team: TeamId): String = "limit/$team"
--- a/src/test/kotlin/figdeck/daemon/command/serving/TeamLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TeamLimitsSpec.kt
@@ -22,6 +22,9 @@
 private const val BURST = 20
 private val team = TeamId("walkers")
 
+/** Longer than a lease, and shorter than the time for which a host may still serve without the store. */
+private const val LAPSED_MILLIS = 5_000L
+
 /** So slow that no token returns during a case. */
 private const val RATE_PER_SECOND = 0.5
 
@@ -37,11 +40,14 @@
 }.getOrElse { error(it) }
 
 /** A host that owns the bucket of [team] among [HOSTS] hosts and last reached the store at [reachedStoreAt]. */
-private suspend fun bucketOwner(reachedStoreAt: Moment): TestHost {
+private suspend fun bucketOwner(reachedStoreAt: Moment, lapsed: Set<Int> = emptySet()): TestHost {
     // Only a host with far more cores than the others owns buckets.
     val self = fleetMember("host-0", cores = 8.0)
     val host = TestHost(self)
-    val members = List(HOSTS) { if (it == 0) self else fleetMember("host-$it") }
+    val members = List(HOSTS) { i ->
+        val member = if (i == 0) self else fleetMember("host-$i")
+        if (i in lapsed) member.copy(renewedAtMillis = self.renewedAtMillis - LAPSED_MILLIS) else member
+    }
     val scan = FleetScan(members, self.renewedAtMillis, reachedStoreAt)
     host.control.run { state, _ -> updateFleet(state) { applyScan(it, scan) } }
     host.control.run { state, _ -> adoptPlan(state, plan) }
@@ -67,6 +73,12 @@
                 INITIAL_TOKENS
         }
 
+        it("counts among the hosts that rely on the owner, although its own lease has lapsed") {
+            // Of ten hosts, five are live and one without the store asks: 6 tenths of the burst are granted to it.
+            bucketOwner(systemClock(), lapsed = setOf(1, 2, 3, 4, 5)).use { it.tokensForCutOffHost() } shouldBe
+                INITIAL_TOKENS * 6 / HOSTS
+        }
+
         it("gets the part of the hosts that rely on the owner if that one is cut off as well") {
             bucketOwner(systemClock() + (-60).seconds).use { it.tokensForCutOffHost() } shouldBe
                 INITIAL_TOKENS * 2 / HOSTS
--- a/src/test/kotlin/figdeck/daemon/command/serving/WorkEstimatorSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/WorkEstimatorSpec.kt
@@ -72,7 +72,7 @@
         SlotDispatcher(slots, DispatchPolicy(), Random(1)),
         control,
         systemClock,
-        estimator(control),
+        work = estimator(control),
     ) { _, _ -> }
     private var last = 0L
 
