Grant an engine no more tokens than it holds in memory

Cause: a slot was granted whatever the requests in an engine's other slots take of its memory, and an engine crashes if they exceed it.

Change: DispatchRequest.demand carries the tokens of a request (prompt and longest output, from the features of the slot request or else its cost) and the capacity of its pool's engines. An engine whose held tokens leave no room for a request has no usable slot for it. A later request that fits goes before an earlier one that does not. Batch work is revoked for the tokens of online work only if they are lacking. A request larger than an engine is refused at once as not run. Pools without KvCapacityTokens decide as before.

--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -25,7 +25,8 @@
     val free = state.usableSlots(now) - state.occupiedSlots
     val headroom = state.headroom.wholeSlots(now, policy.headroom)
     return expire(state, policy, now) ?: when {
-        state.online.waiting.isNotEmpty() && free > 0 -> grant(state, Lane.ONLINE, policy, now)
+        state.online.waiting.isNotEmpty() && free > 0 ->
+            grant(state, Lane.ONLINE, policy, now) ?: revokeForTokens(state, now)
         state.online.waiting.isNotEmpty() -> revokeOne(state, now)
         state.batch.waiting.isNotEmpty() && free > headroom -> grant(state, Lane.BATCH, policy, now)
         else -> null
@@ -44,9 +45,10 @@
 private fun LaneQueue.findTooLate(policy: DispatchPolicy, now: Moment): QueuedRequest? =
     waiting.find { it.since < now && it.request.deadline < now + requiredTime(it.request.lane, policy) }
 
-private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep {
+/** Grants a slot to the next request of [lane] whose tokens fit, or returns null if there is none. */
+private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep? {
     val queue = state.queue(lane)
-    val next = policy.order(queue)
+    val next = policy.order(state.fittingQueue(lane) ?: return null)
     val request = next.request
     val shares = queue.shares.charge(request.team, request.cost, request.weight)
     val left = queue.copy(waiting = queue.waiting.remove(next), shares = shares)
@@ -57,6 +59,9 @@
     )
 }
 
+private fun revokeForTokens(state: UpstreamState, now: Moment): UpstreamStep? =
+    if (state.needsTokensOfBatch()) revokeOne(state, now) else null
+
 /** Revokes the batch work that has held slots for the shortest time, since it loses the least. */
 private fun revokeOne(state: UpstreamState, now: Moment): UpstreamStep? {
     val victim = state.running.values
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -17,6 +17,7 @@
  * @property willMissDeadline whether the work can no longer meet its deadline. It is served after all work that still
  *   can.
  * @property slotTimeUsed how long the work has held slots before. It resumes from the output of that time.
+ * @property demand the tokens that the work takes in the memory of its engine; null if they are not limited.
  * @property attempt how often the same work was sent before. Every attempt after the first uses the retry budget.
  */
 public data class DispatchRequest(
@@ -30,6 +31,7 @@
     public val attempt: Int = 0,
     public val willMissDeadline: Boolean = false,
     public val slotTimeUsed: Duration = Duration.ZERO,
+    public val demand: TokenDemand? = null,
 )
 
 /** How the use of a slot ended, from which the health of the upstream is derived. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -55,7 +55,8 @@
         val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
         val load = state.loadFor(request.lane)
         val free = state.usableSlots(now) - state.occupiedSlots - state.online.waiting.size
-        UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
+        val usable = if (state.hasTokensFor(request)) free else minOf(free, 0)
+        UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, usable)
     }
 
 /** This state after [step] on one of its upstreams, without the tickets that the step refused. */
@@ -75,7 +76,8 @@
     val blockingSlots = if (request.lane == Lane.ONLINE) heldSlots(Lane.ONLINE) else occupiedSlots
     val ahead = queue(request.lane).requestsAhead(request.team)
     val free = usableSlots(now) - blockingSlots
-    return if (ahead < free) Duration.ZERO else queue(request.lane).averageHold * (ahead + 1) / upstream.slots
+    val isFree = ahead < free && hasTokensFor(request)
+    return if (isFree) Duration.ZERO else queue(request.lane).averageHold * (ahead + 1) / upstream.slots
 }
 
 private fun UpstreamState.loadFor(lane: Lane): Double = when (lane) {
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -76,7 +76,7 @@
 }
 
 private fun QueuedRequest.canRunAt(upstream: UpstreamState): Boolean =
-    request.candidates.any { it.id == upstream.upstream.id }
+    request.candidates.any { it.id == upstream.upstream.id } && upstream.hasTokensFor(request)
 
 /** The time until the first paused candidate is probed, at least 1 second. */
 internal fun DispatchState.timeToNextProbe(request: DispatchRequest, now: Moment): Duration = request.candidates
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.dispatch.TokenDemand
+import figdeck.command.dispatch.exceedsCapacity
 import figdeck.command.serving.announceLeaving
 import figdeck.command.serving.removeImmediately
 import figdeck.control.Control
@@ -57,9 +59,10 @@
     suspend fun acquire(request: SlotRequest): SlotResponse {
         val candidates = control.snapshot.pools.members.usableUpstreams(request.pool, request.excluded)
         val isTooEarly = isInGracePeriod(request.pool) && request.lane == Lane.BATCH
-        val answer = if (candidates.isEmpty() || isTooEarly) null else awaitSlot(request, candidates)
+        val isImpossible = candidates.isEmpty() || control.snapshot.demandOf(request)?.exceedsCapacity == true
+        val answer = if (isImpossible || isTooEarly) null else awaitSlot(request, candidates)
         return when {
-            candidates.isEmpty() -> SlotResponse.NoUpstream
+            isImpossible -> SlotResponse.NoUpstream
             isTooEarly -> SlotResponse.Full(FULL_RETRY_AFTER)
             answer == null -> SlotResponse.Full(refuseOverdue(request, candidates))
             else -> answer.fold(
@@ -123,15 +126,16 @@
 
     private suspend fun awaitSlot(request: SlotRequest, candidates: List<Upstream>): Either<Refusal, Permit>? =
         withTimeoutOrNull(request.maxWait) {
-            slots.acquire(request.ticket, request.toDispatchRequest(candidates, clock()))
+            slots.acquire(request.ticket, request.toDispatchRequest(candidates, control.snapshot, clock()))
         }
 
     private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
-        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, clock())) ?: FULL_RETRY_AFTER
+        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, control.snapshot, clock()))
+            ?: FULL_RETRY_AFTER
 
     private suspend fun adopt(slot: HeldSlot) {
         val upstream = control.snapshot.pools.members[slot.upstream]?.upstream ?: return
-        val request = slot.request.toDispatchRequest(listOf(upstream), clock())
+        val request = slot.request.toDispatchRequest(listOf(upstream), control.snapshot, clock())
         hold(slot.request, slots.adopt(slot.request.ticket, request, upstream))
     }
 
@@ -167,7 +171,18 @@
 /** How long a host waits for the owner's answer before it treats the owner as lost. */
 internal val SlotRequest.timeout: Duration get() = maxWait + ANSWER_MARGIN
 
-private fun SlotRequest.toDispatchRequest(candidates: List<Upstream>, now: Moment) = DispatchRequest(
+/** The tokens that [request] may take at an engine of its pool; null if the pool has no limit. */
+private fun ServingState.demandOf(request: SlotRequest): TokenDemand? =
+    index?.plan?.pools?.find { it.name == request.pool }?.tokenCapacity?.let { capacity ->
+        val tokens = request.features?.let { it.promptTokens.toLong() + it.maxOutputTokens } ?: request.cost.toLong()
+        TokenDemand(tokens, capacity)
+    }
+
+private fun SlotRequest.toDispatchRequest(
+    candidates: List<Upstream>,
+    state: ServingState,
+    now: Moment,
+) = DispatchRequest(
     candidates = candidates,
     team = team,
     weight = 1,
@@ -177,4 +192,5 @@
     deadline = now + if (lane == Lane.BATCH) BATCH_DEADLINE - age else maxWait,
     willMissDeadline = willMissDeadline,
     slotTimeUsed = slotTimeUsed,
+    demand = state.demandOf(this),
 )
