Give up sends to upstreams that don't read, and bound bodies at a plain service

Cause: the body of a request that its upstream does not read took memory until the caller's deadline. A body of 4 MB disappeared in the buffers of both systems, so that nothing showed that it was not read. Nothing bounded the bodies that one host sends to one plain service, which crashes if they exceed its memory.

Change: a body is written in parts of 16 KiB. If the upstream takes none of them for 2 s, the exchange ends as a time-out, and its memory is freed. The system's send buffer of connections to upstreams is 64 KiB, so that the parts show what the upstream reads. Bodies in flight from one host to one plain service take at most 8 MiB: another one waits for at most 500 ms and then counts as not run there, without a failure of the upstream.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -23,6 +23,7 @@
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.runJobs
+import figdeck.daemon.command.serving.BodiesInFlight
 import figdeck.daemon.command.serving.BodyMemory
 import figdeck.daemon.command.serving.CallsInProgress
 import figdeck.daemon.command.serving.CrashGuard
@@ -116,6 +117,9 @@
 private val MIN_CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 private val SERVER_LIMITS = HttpServerLimits(headerTimeout = 120.seconds)
 
+/** What the system holds for an upstream that doesn't read; Linux doubles it. */
+private const val SEND_BUFFER_BYTES = 64 * 1024
+
 /**
  * How slots are assigned. A revocation reaches a slot holder on another host only after the network delay between data
  * centres, and the engine queues the requests that arrive meanwhile. Batch work that releases its slot within
@@ -147,7 +151,7 @@
     )
     private val startLoop = supervision.startIn(scope)
     private val rowCache = FollowedRowCache()
-    private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT)
+    private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT, SEND_BUFFER_BYTES)
     private val peerClient = HttpClient(eventLoops, PEER_CONNECT_TIMEOUT)
     private val storeClient = HttpClient(eventLoops, STORE_CONNECT_TIMEOUT)
     private val platform = StoreClient(storeClient, settings.storeAddress)
@@ -171,6 +175,7 @@
         countFailedSend = { telemetry.meters.countFailedSend(it.label) },
     )
     private val heapBytes = Runtime.getRuntime().maxMemory()
+    private val bodiesInFlight = BodiesInFlight()
     private val memoryLimits = jobMemoryLimits(heapBytes)
     private val jobs = JobServices(
         control = control,
@@ -182,7 +187,7 @@
         timeEstimator = ItemTimeEstimator(),
         slots = slotClient,
         crashGuard = crashGuard,
-        forward = httpItemForwarder(upstreamClient),
+        forward = httpItemForwarder(upstreamClient, bodiesInFlight),
         random = random,
         log = DecisionLog("jobs"),
         sharedParts = ::sharedPartsOf,
@@ -287,6 +292,7 @@
         jobs = JobApi(jobs),
         client = upstreamClient,
         bodies = BodyMemory(bodyMemoryLimits(heapBytes), clock),
+        bodiesInFlight = bodiesInFlight,
     )
 
     private fun localSlots() = LocalSlots(
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -8,6 +8,7 @@
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.daemon.command.serving.ending
 import figdeck.daemon.command.serving.isSuccess
+import figdeck.http.client.ExchangeFailure
 import figdeck.model.Clock
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
@@ -217,12 +218,15 @@
         }
         val hasBegun = output.progress.events.size > before
         return result.fold(
-            { lost -> AttemptResult.Interrupted(lost.reason, SlotOutcome.FAILED, lost.ending(hasBegun)) },
+            { lost -> AttemptResult.Interrupted(lost.reason, slotOutcomeOf(lost), lost.ending(hasBegun)) },
             { attemptResult },
         )
     }
 }
 
+private fun slotOutcomeOf(lost: ExchangeFailure): SlotOutcome =
+    if (lost is ExchangeFailure.NotSent && !lost.isPeerAtFault) SlotOutcome.ABANDONED else SlotOutcome.FAILED
+
 private suspend fun ItemOutput.receive(
     reply: UpstreamReply,
     clock: Clock,
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -118,7 +118,10 @@
     }
 
     private fun failedSend(upstream: UpstreamId, lost: ExchangeFailure, hasBegun: Boolean): FailedSend = when (lost) {
-        is ExchangeFailure.NotSent -> FailedSend.NotRun(upstream, lost.reason, NotRunCause.UNREACHABLE)
+        is ExchangeFailure.NotSent -> {
+            val cause = if (lost.isPeerAtFault) NotRunCause.UNREACHABLE else NotRunCause.FULL
+            FailedSend.NotRun(upstream, lost.reason, cause)
+        }
         is ExchangeFailure.Lost -> FailedSend.MayHaveRun(upstream, lost.reason, lost.ending(hasBegun))
     }
 
--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -2,21 +2,16 @@
 
 import figdeck.http.ChunkQueue
 import figdeck.http.IncompleteMessageException
-import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.PrematureChannelClosureException
-import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
@@ -68,7 +63,11 @@
         pendingReply = reply
         responseBody = null
         bodyIdleTimeout = request.idleTimeout
-        val written = ctx.channel().writeAndFlush(encode(request))
+        val written = ctx.writeRequest(request) {
+            keepsAlive = false
+            failExchange("the peer took nothing of the request for ${request.writeTimeout}", LossCause.TIMEOUT)
+            ctx.close()
+        }
         written.addListener { done ->
             if (!done.isSuccess) {
                 reply.completeExceptionally(IncompleteMessageException("the request could not be written whole"))
@@ -177,22 +176,6 @@
     }
 }
 
-private fun encode(request: OutgoingRequest): DefaultFullHttpRequest {
-    val message = DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        HttpMethod.valueOf(request.line.method),
-        request.line.target,
-        Unpooled.wrappedBuffer(request.body),
-    )
-    message.headers()
-        .set(request.headers)
-        .set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
-    if (HttpHeaderNames.HOST !in request.headers) {
-        message.headers().set(HttpHeaderNames.HOST, request.address.toString())
-    }
-    return message
-}
-
 /**
  * Whether this is the head of a response that was joined to the beginning of another one, which broke off within its
  * status line or a header. The status is that of the first response, the headers are those of the second.
--- a/src/main/kotlin/figdeck/http/client/ExchangeFailure.kt
+++ b/src/main/kotlin/figdeck/http/client/ExchangeFailure.kt
@@ -5,8 +5,15 @@
     /** A description of the failure for logs and results. */
     public val reason: String
 
-    /** No byte of the request was sent. */
-    public data class NotSent(override val reason: String) : ExchangeFailure
+    /**
+     * No byte of the request was sent.
+     *
+     * @property isPeerAtFault whether it was not sent because of its peer, and not because of this host's own limits.
+     */
+    public data class NotSent(
+        override val reason: String,
+        public val isPeerAtFault: Boolean = true,
+    ) : ExchangeFailure
 
     /** All or part of the request was sent, so it may have taken effect. */
     public data class Lost(override val reason: String, public val cause: LossCause) : ExchangeFailure
--- a/src/main/kotlin/figdeck/http/client/HttpClient.kt
+++ b/src/main/kotlin/figdeck/http/client/HttpClient.kt
@@ -39,10 +39,14 @@
 /**
  * An HTTP/1.1 client that reuses connections. Each connection carries one exchange at a time, so a response can't be
  * matched with the wrong request.
+ *
+ * @param sendBufferBytes the bytes that the system holds for each connection until its peer reads them; null for the
+ * system's own choice, which is some megabytes for a fast link.
  */
 public class HttpClient(
     private val group: EventLoopGroup,
     private val connectTimeout: Duration = CONNECT_TIMEOUT,
+    private val sendBufferBytes: Int? = null,
 ) : AutoCloseable {
     private val idle = IdleConnections()
 
@@ -111,6 +115,7 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.AUTO_READ, false)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
+        .apply { sendBufferBytes?.let { option(ChannelOption.SO_SNDBUF, it) } }
         .handler(ClientInitializer)
         .connect(address.ip, address.port)
         .awaitChannel()
--- a/src/main/kotlin/figdeck/http/client/OutgoingRequest.kt
+++ b/src/main/kotlin/figdeck/http/client/OutgoingRequest.kt
@@ -15,6 +15,7 @@
  * @property freshConnection whether to open a new connection for this request. The peer may be closing a reused
  * connection, and then it is unknown whether the request arrived. Set this for requests that must not be repeated.
  * @property headTimeout the maximum time to wait for the response head.
+ * @property writeTimeout the maximum time in which the peer takes nothing of a body that it has not read whole.
  * @property idleTimeout the maximum pause between chunks of the response body.
  */
 public data class OutgoingRequest(
@@ -25,4 +26,5 @@
     public val freshConnection: Boolean = false,
     public val headTimeout: Duration = DEFAULT_TIMEOUT,
     public val idleTimeout: Duration = DEFAULT_TIMEOUT,
+    public val writeTimeout: Duration = DEFAULT_TIMEOUT,
 )
--- a/src/main/kotlin/figdeck/platform/ForwardedRequest.kt
+++ b/src/main/kotlin/figdeck/platform/ForwardedRequest.kt
@@ -5,6 +5,10 @@
 import figdeck.http.client.RequestLine
 import figdeck.model.TeamId
 import io.netty.handler.codec.http.HttpHeaders
+import kotlin.time.Duration.Companion.seconds
+
+/** How long an upstream may take nothing of a body before the send is given up. */
+private val BODY_WRITE_TIMEOUT = 2.seconds
 
 /**
  * The parts of a forwarded request that are the same for every upstream.
@@ -29,4 +33,5 @@
     freshConnection = freshConnection,
     headTimeout = headTimeout,
     idleTimeout = idleTimeout,
+    writeTimeout = BODY_WRITE_TIMEOUT,
 )
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -6,6 +6,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.hasRequiredData
+import figdeck.daemon.command.serving.BodiesInFlight
 import figdeck.daemon.command.serving.BodyMemory
 import figdeck.daemon.command.serving.CallerChannel
 import figdeck.daemon.command.serving.Forward
@@ -53,6 +54,7 @@
     val jobs: JobApi,
     val client: HttpClient,
     val bodies: BodyMemory,
+    val bodiesInFlight: BodiesInFlight,
 )
 
 /** Handles the requests of callers: calls of batch jobs, submissions and online requests. */
@@ -213,7 +215,9 @@
 ): Forward = { options, handleReply ->
     val call = received.call
     val request = ForwardedRequest(line, call.headers, access.team?.id)
-    client.exchange(options.toOutgoingRequest(request, received.body)) { reply ->
-        handleReply(upstreamReply(reply, call.headers.get(ATTEMPT_ID_HEADER)))
+    bodiesInFlight.withRoom(options, received.body) {
+        client.exchange(options.toOutgoingRequest(request, received.body)) { reply ->
+            handleReply(upstreamReply(reply, call.headers.get(ATTEMPT_ID_HEADER)))
+        }
     }
 }
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -11,6 +11,7 @@
 import figdeck.daemon.command.jobs.Submission
 import figdeck.daemon.command.jobs.endJob
 import figdeck.daemon.command.jobs.submit
+import figdeck.daemon.command.serving.BodiesInFlight
 import figdeck.daemon.query.jobs.readItemBody
 import figdeck.daemon.query.jobs.readResults
 import figdeck.http.checkedHeaders
@@ -111,13 +112,18 @@
 }
 
 /** Returns a function that sends items of batch jobs to upstreams as POST requests. */
-internal fun httpItemForwarder(client: HttpClient): ForwardItem = { call, options, handleReply ->
+internal fun httpItemForwarder(
+    client: HttpClient,
+    bodiesInFlight: BodiesInFlight = BodiesInFlight(),
+): ForwardItem = { call, options, handleReply ->
     forwardedRequest(call.item)
         .flatMap { request -> request.headers.setChecked(HttpHeaderNames.HOST, call.route.host).map { request } }
         .mapLeft { ExchangeFailure.NotSent(it) }
         .flatMap { request ->
             val outgoing = options.toOutgoingRequest(request.copy(team = call.team), call.item.body)
-            client.exchange(outgoing) { reply -> handleReply(upstreamReply(reply, call.item.id)) }
+            bodiesInFlight.withRoom(options, call.item.body) {
+                client.exchange(outgoing) { reply -> handleReply(upstreamReply(reply, call.item.id)) }
+            }
         }
 }
 
