Bound what the host holds for callers that don't read, and end their responses

Cause: callers that read nothing kept their streams, slots and memory until the deadline.

Change: what the connections of callers have not taken is counted, for each response (256 KiB) and for the host (a tenth of the heap), and the upstream is read on as long as there is room. A stopped response that its caller gives no room for 2 s is ended: the connection closes without the end of the stream, the upstream's exchange is cancelled, with a line slow_reader in the log and the counter figdeck_slow_readers_total. Memory that others free gives a caller that takes nothing no more time. Whole answers are sent in parts of 16 KiB under the same rule, after their slot is returned. Responses are waited for until they are written, since closing a connection drops what it holds. The system's send buffer of a caller's connection is 64 KiB. Parts that the connection takes at once are neither counted nor delayed.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -6,6 +6,7 @@
 import figdeck.command.serving.bodyMemoryLimits
 import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
+import figdeck.command.serving.responseMemoryLimits
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.beginStop
@@ -66,6 +67,7 @@
 import figdeck.platform.PLAN_TABLE
 import figdeck.platform.StoreClient
 import figdeck.platform.UPSTREAM_TABLE
+import figdeck.platform.callerResponseRoom
 import figdeck.platform.decodePlan
 import figdeck.platform.decodeUpstream
 import figdeck.platform.gatewayHandler
@@ -117,7 +119,10 @@
 private val MIN_CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 private val SERVER_LIMITS = HttpServerLimits(headerTimeout = 120.seconds)
 
-/** What the system holds for an upstream that doesn't read; Linux doubles it. */
+/**
+ * What the system holds for a caller or an upstream that doesn't read; Linux doubles it. By itself it holds 1.6 to
+ * 2.7 MB for each on a fast link. A sound caller of a stream leaves a few kilobytes unread.
+ */
 private const val SEND_BUFFER_BYTES = 64 * 1024
 
 /**
@@ -193,7 +198,18 @@
         sharedParts = ::sharedPartsOf,
         sendFault = ::sendFaultOf,
     )
-    private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
+    private val callerServer = HttpServer(
+        eventLoops,
+        SERVER_LIMITS.copy(
+            responseRoom = callerResponseRoom(
+                responseMemoryLimits(heapBytes),
+                DecisionLog("serve"),
+                telemetry.meters::countSlowReader,
+            ),
+            sendBufferBytes = SEND_BUFFER_BYTES,
+        ),
+        observed("caller", gatewayHandler(gatewayServices()), telemetry),
+    )
     private val readinessServer = server(readinessHandler(control))
     private val peerServer = server(
         peerApi(settings.fleetName, fleetServingHandlers(slotOwner, slotClient, teamLimits, ::storeView)),
@@ -202,6 +218,10 @@
         responder.respond(HTTP_OK, newHeaders(), telemetry.meters.scrape().encodeToByteArray())
     }
 
+    init {
+        telemetry.meters.gauge("figdeck.responses.held.bytes") { callerServer.unreadResponseBytes }
+    }
+
     /** Starts the listeners and the background loops. */
     fun start() {
         val decisionLog = DecisionLog("follow")
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -103,7 +103,7 @@
                 services.slots.release(permit, SlotOutcome.ABANDONED, 0)
                 refuse(refusal)
             }
-            sendTo(permit) -> Unit.right()
+            sendTo(permit) -> sender.deliverAnswer().right()
             else -> handleFailure()
         }
     }
@@ -143,7 +143,7 @@
     private suspend fun refuse(refusal: Refusal): Either<Refusal, Unit> {
         val answer = sender.lastErrorResponse
         return when {
-            answer != null -> sender.answer(answer.status, answer.headers, answer.body).right()
+            answer != null -> sender.deliver(answer).right()
             history.possibleRuns > 0 -> Refusal.UpstreamLost(history.failures.last().upstream).left()
             else -> refusal.left()
         }
@@ -156,7 +156,7 @@
         else -> notRun.left()
     }
 
-    /** Sends the request to the upstream of [permit] and returns whether the caller got its answer. */
+    /** Sends the request to the upstream of [permit] and returns whether it answered; a stream was relayed then. */
     private suspend fun sendTo(permit: HeldPermit): Boolean {
         var use = SlotOutcome.ABANDONED
         try {
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -33,8 +33,8 @@
 internal fun holdsAnswerTo(id: String, body: ByteArray): Boolean =
     id.isNotEmpty() && body.containsStatusLine() && id in body.decodeToString()
 
-/** An error response from an upstream that ran the request. */
-internal class ErrorResponse(
+/** A whole answer from an upstream that ran the request. */
+internal class WholeAnswer(
     val status: Int,
     val headers: HttpHeaders,
     val body: ByteArray,
@@ -53,9 +53,12 @@
     val stream: StreamRelay = StreamRelay(call.lastEventId)
 
     /** The latest error response from an upstream. */
-    var lastErrorResponse: ErrorResponse? = null
+    var lastErrorResponse: WholeAnswer? = null
         private set
 
+    /** The answer of the upstream for [deliver]. */
+    private var answer: WholeAnswer? = null
+
     /** The memory of the answers read so far; an error response is kept until the request ends. */
     private val shares = mutableListOf<AnswerMemory.AnswerShare>()
     private var hasWholeAnswerBegun = false
@@ -66,22 +69,30 @@
     /** Ends the request, whose answers are needed no more. */
     override fun close() = shares.forEach { it.close() }
 
-    /** Sends a whole answer to the caller. */
-    suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray) {
+    /** Sends [answer] to the caller. */
+    suspend fun deliver(answer: WholeAnswer) {
         hasWholeAnswerBegun = true
-        caller.full(status, headers, body)
+        caller.full(answer.status, answer.headers, answer.body)
+    }
+
+    /** Sends the whole answer that the latest upstream gave, unless the caller got it as a stream. */
+    suspend fun deliverAnswer() {
+        answer?.let { deliver(it) }
     }
 
-    /** Sends the request to the upstream of [permit]. Returns null if the caller got its answer. */
+    /**
+     * Sends the request to the upstream of [permit]. Returns null if the caller got its stream, or if there is a whole
+     * answer for [deliverAnswer]: a caller that reads it slowly must not keep the slot.
+     */
     suspend fun send(permit: HeldPermit, history: SendHistory): FailedSend? {
         var failure: FailedSend? = null
-        var answer: UpstreamReply? = null
+        var received: UpstreamReply? = null
         val sentAt = services.clock()
         val upstream = permit.upstream.id
         val options = sendOptions(permit, history)
         val eventsBefore = stream.eventCount
         val result = forward(options) { reply ->
-            answer = reply
+            received = reply
             failure = receive(reply, options)
         }
         val hasBegun = stream.eventCount > eventsBefore
@@ -91,7 +102,7 @@
             put("owner", permit.owner?.host?.value ?: "self")
             put("waited_ms", (sentAt - call.receivedAt).inWholeMilliseconds)
             put("took_ms", (services.clock() - sentAt).inWholeMilliseconds)
-            answer?.let { logAnswer(it) }
+            received?.let { logAnswer(it) }
             put("failure", failed?.reason ?: "none")
             if (failed is FailedSend.MayHaveRun) {
                 put("ending", failed.label)
@@ -103,13 +114,6 @@
         return failed
     }
 
-    /** Adds how the upstream answered, and whether the connection may have held bytes of an earlier answer. */
-    private fun LogLine.logAnswer(answer: UpstreamReply) {
-        put("status", answer.status.toLong())
-        put("execution", answer.executionStatus.name.lowercase())
-        put("earlier_exchanges", answer.earlierExchanges.toLong())
-    }
-
     private suspend fun recordFailure(failed: FailedSend) {
         services.countFailedSend(failed)
         if (failed is FailedSend.MayHaveRun && failed.ending == SendEnding.LOST_BEFORE_ANSWER) {
@@ -154,7 +158,7 @@
                     id,
                     "the upstream answered ${reply.status} to a begun stream"
                 )
-                else -> deliver(id, reply)
+                else -> receiveWhole(id, reply)
             }
         }
     }
@@ -175,7 +179,7 @@
         }
     }
 
-    private suspend fun deliver(upstream: UpstreamId, reply: UpstreamReply): FailedSend? {
+    private suspend fun receiveWhole(upstream: UpstreamId, reply: UpstreamReply): FailedSend? {
         val share = services.answerMemory.newShare().also { shares += it }
         val body = reply.body.readAll(MAX_BUFFERED_ANSWER_BYTES) { share.growTo(it) }.getOrNull()
         if (body == null) share.close()
@@ -189,14 +193,21 @@
                 "the answer holds the head of another one to the same request"
             )
             reply.status >= FIRST_SERVER_ERROR -> {
-                lastErrorResponse = ErrorResponse(reply.status, reply.headers, body)
+                lastErrorResponse = WholeAnswer(reply.status, reply.headers, body)
                 FailedSend.MayHaveRun(upstream, "the upstream answered ${reply.status}")
             }
             else -> {
                 services.crashGuard.recordAnswer(call.suspects)
-                answer(reply.status, reply.headers, body)
+                answer = WholeAnswer(reply.status, reply.headers, body)
                 null
             }
         }
     }
 }
+
+/** Adds how the upstream answered, and whether the connection may have held bytes of an earlier answer. */
+private fun LogLine.logAnswer(answer: UpstreamReply) {
+    put("status", answer.status.toLong())
+    put("execution", answer.executionStatus.name.lowercase())
+    put("earlier_exchanges", answer.earlierExchanges.toLong())
+}
--- a/src/main/kotlin/figdeck/http/server/HttpServer.kt
+++ b/src/main/kotlin/figdeck/http/server/HttpServer.kt
@@ -33,11 +33,15 @@
 ) : AutoCloseable {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val listenerState = ListenerState(AtomicInteger(), AtomicBoolean(), AtomicBoolean())
+    private val responseMemory = ResponseMemory(limits.responseRoom ?: plainResponseRoom(limits.writeTimeout))
     private var listener: Channel? = null
 
     /** The number of calls in progress. */
     public val activeCalls: Int get() = listenerState.activeCalls.get()
 
+    /** The bytes of responses that wait for their readers. */
+    public val unreadResponseBytes: Long get() = responseMemory.heldBytes
+
     /** Starts listening on [ip]:[port] and returns the bound address. Port 0 selects a free port. */
     public fun listen(ip: String, port: Int): Address {
         val channel = ServerBootstrap()
@@ -99,10 +103,11 @@
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             connections.add(channel)
+            limits.sendBufferBytes?.let { channel.config().sendBufferSize = it }
             channel.pipeline()
                 .addLast(StrictRequestDecoder(limits))
                 .addLast(HttpResponseEncoder())
-                .addLast(ServerConnection(limits, listenerState, handler))
+                .addLast(ServerConnection(limits, listenerState, responseMemory, handler))
         }
     }
 }
--- /dev/null
+++ b/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
@@ -0,0 +1,89 @@
+package figdeck.http.server
+
+import figdeck.http.READ_GRACE
+import io.netty.channel.ChannelFuture
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** What a part of a response takes beside its bytes: the encoder makes three buffers of a chunk. */
+private const val PART_OVERHEAD_BYTES = 512L
+
+/** The memory of one listener for the parts of responses that the connections of their readers have not taken. */
+internal class ResponseMemory(private val room: ResponseRoom) {
+    private val all = MutableStateFlow(0L)
+
+    /** The bytes that are held now. */
+    val heldBytes: Long get() = all.value
+
+    fun newShare(): Share = Share()
+
+    /** The memory of one response. Its parts are released as they are written, or as the connection closes. */
+    inner class Share {
+        private val own = AtomicLong()
+        private val taken = AtomicLong()
+
+        /** When the response was stopped first since its reader last took something; null if it never was. */
+        private var stop: Stop? = null
+
+        val unread: UnreadBytes get() = UnreadBytes(own.get(), all.value)
+
+        /** Counts the [bytes] that [written] stands for until they are written. Most are written at once. */
+        fun hold(written: ChannelFuture, bytes: Int) {
+            if (written.isDone) return
+            val held = bytes + PART_OVERHEAD_BYTES
+            change(held)
+            written.addListener {
+                taken.addAndGet(held)
+                change(-held)
+            }
+        }
+
+        /**
+         * Waits until more may be sent. Returns false if the response was stopped for too long. Memory that others free
+         * lets it continue, but gives a reader that takes nothing no more time.
+         */
+        suspend fun awaitRoom(): Boolean = room.hasRoom(unread) || timeLeft().let { left ->
+            left > Duration.ZERO && within(left) { room.mayResume(unread) }
+        }
+
+        private fun timeLeft(): Duration {
+            val takenNow = taken.get()
+            val current = stop?.takeIf { it.taken == takenNow } ?: Stop(TimeSource.Monotonic.markNow(), takenNow)
+            stop = current
+            return room.stallTimeout - current.since.elapsedNow()
+        }
+
+        /** Waits until everything is written. Returns false if the reader stalled, or was not done within [limit]. */
+        suspend fun awaitEmpty(limit: Duration): Boolean = own.get() == 0L ||
+            withTimeoutOrNull(limit) {
+                var isReading = true
+                while (isReading && own.get() > 0) {
+                    val before = own.get()
+                    isReading = within(room.stallTimeout) { own.get() < before }
+                }
+                isReading
+            } == true
+
+        private suspend fun within(limit: Duration, condition: () -> Boolean): Boolean =
+            withTimeoutOrNull(limit) { all.first { condition() } } != null ||
+                // After this process was stopped for a while, the time-out is due before the connections are looked at.
+                withTimeoutOrNull(READ_GRACE) { all.first { condition() } } != null
+
+        private fun change(bytes: Long) {
+            own.addAndGet(bytes)
+            all.update { it + bytes }
+        }
+    }
+
+    /** A stop of a response at the time [since], when its reader had taken [taken] bytes of what waited for it. */
+    private data class Stop(
+        val since: TimeMark,
+        val taken: Long,
+    )
+}
--- a/src/main/kotlin/figdeck/http/server/ServerConnection.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerConnection.kt
@@ -27,6 +27,7 @@
 internal class ServerConnection(
     private val limits: HttpServerLimits,
     private val listenerState: ListenerState,
+    private val responseMemory: ResponseMemory,
     private val handler: HttpHandler,
 ) : ChannelInboundHandlerAdapter() {
     private val pendingMessages = ArrayDeque<HttpObject>()
@@ -106,7 +107,8 @@
             ctx.channel().read()
         }
         requestBody = queue
-        exchange = ServerExchange(ctx, request, queue, limits.writeTimeout) { listenerState.draining.get() }
+        val share = responseMemory.newShare()
+        exchange = ServerExchange(ctx, request, queue, limits, share) { listenerState.draining.get() }
         val call = httpCall(request.method().name(), request.uri(), request.headers(), queue.body)
         val job = scope.launch {
             try {
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -41,6 +41,11 @@
         registry.counter("figdeck.failed.sends", "ending", ending).increment()
     }
 
+    /** Counts a response that was ended because its caller read too little of it. */
+    fun countSlowReader() {
+        registry.counter("figdeck.slow.readers").increment()
+    }
+
     /** Records [duration] in the timer [name]. [tags] alternates label names and values, both from small sets. */
     fun recordTime(name: String, duration: Duration, tags: List<String> = emptyList()) {
         val timer = timers.computeIfAbsent(TimerKey(name, tags)) { register(it) }
--- a/src/test/kotlin/figdeck/http/RawUpstream.kt
+++ b/src/test/kotlin/figdeck/http/RawUpstream.kt
@@ -11,6 +11,9 @@
 
 private const val LOOPBACK = "127.0.0.1"
 
+/** Connections are accepted late on a machine with other work; a daemon gives them up after 300 ms. */
+private const val BACKLOG = 1024
+
 /** A request as [RawUpstream] received it: its [number] since the start, and the lines of its [head]. */
 internal data class RawRequest(
     val number: Int,
@@ -23,7 +26,7 @@
 
 /** A server that answers each request without a body by [script], which writes any bytes to the connection. */
 internal class RawUpstream(private val script: (request: RawRequest, socket: Socket) -> Unit) : AutoCloseable {
-    private val listener = ServerSocket(0, 0, InetAddress.getByName(LOOPBACK))
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName(LOOPBACK))
     private val requests = AtomicInteger()
     private val ended = AtomicInteger()
     val address: Address = Address(LOOPBACK, listener.localPort)
--- a/src/test/kotlin/figdeck/process/Fleet.kt
+++ b/src/test/kotlin/figdeck/process/Fleet.kt
@@ -110,14 +110,14 @@
         )
     }
 
-    /** Starts a daemon on the users' platform, which listens for callers, readiness checks and peers, in this order. */
+    /** Starts a daemon on the users' platform. Its addresses are for callers, readiness checks, peers and metrics. */
     fun edgeDaemon(
         host: String,
         dataCentre: String = "centre-a",
         seeds: List<FleetProcess> = emptyList(),
         jvmFlags: List<String> = JVM_FLAGS,
     ): FleetProcess {
-        val addresses = List(3) { freeAddress() }
+        val addresses = List(4) { freeAddress() }
         return launch(
             host,
             addresses,
@@ -129,7 +129,7 @@
             "--readiness-address=${addresses[1]}",
             "--peer-address=${addresses[2]}",
             "--store-address=${platform.address}",
-            "--metrics-port=${freeAddress().port}",
+            "--metrics-port=${addresses[3].port}",
             "--seeds=${seeds.joinToString(",") { it.peerAddress.toString() }}",
         )
     }
