--- a/src/main/kotlin/figdeck/daemon/command/serving/BodiesInFlight.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/BodiesInFlight.kt
@@ -30,7 +30,7 @@
         if (body.isEmpty()) return send()
         var isAdded = tryAdd(options.upstream, body)
         return try {
-            if (!isAdded) {
+            if (!isAdded && fitsInFlight(options.upstream, body.size.toLong(), inFlight = 0)) {
                 withTimeoutOrNull(minOf(options.headTimeout / 2, MAX_WAIT)) {
                     bytesAt.first {
                         isAdded = tryAdd(options.upstream, body)
