--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -7,6 +7,7 @@
 import figdeck.command.serving.bodyMemoryLimits
 import figdeck.command.serving.jobMemoryLimits
 import figdeck.command.serving.planStop
+import figdeck.command.serving.responseMemoryLimits
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.beginStop
@@ -24,6 +25,7 @@
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.acceptRelayed
 import figdeck.daemon.command.jobs.runJobs
+import figdeck.daemon.command.serving.BodiesInFlight
 import figdeck.daemon.command.serving.BodyMemory
 import figdeck.daemon.command.serving.CallsInProgress
 import figdeck.daemon.command.serving.CrashGuard
@@ -73,6 +75,7 @@
 import figdeck.platform.PLAN_TABLE
 import figdeck.platform.StoreClient
 import figdeck.platform.UPSTREAM_TABLE
+import figdeck.platform.callerResponseRoom
 import figdeck.platform.decodeEvacuationKey
 import figdeck.platform.decodePlan
 import figdeck.platform.decodeUpstream
@@ -127,6 +130,12 @@
 private val MIN_CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 private val SERVER_LIMITS = HttpServerLimits(headerTimeout = 120.seconds)
 
+/**
+ * What the system holds for a caller or an upstream that doesn't read; Linux doubles it. By itself it holds 1.6 to
+ * 2.7 MB for each on a fast link. A sound caller of a stream leaves a few kilobytes unread.
+ */
+private const val SEND_BUFFER_BYTES = 64 * 1024
+
 /**
  * How slots are assigned. A revocation reaches a slot holder on another host only after the network delay between data
  * centres, and the engine queues the requests that arrive meanwhile. Batch work that releases its slot within
@@ -159,7 +168,7 @@
     )
     private val startLoop = supervision.startIn(scope)
     private val rowCache = FollowedRowCache()
-    private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT)
+    private val upstreamClient = HttpClient(eventLoops, UPSTREAM_CONNECT_TIMEOUT, SEND_BUFFER_BYTES)
     private val peerClient = HttpClient(eventLoops, PEER_CONNECT_TIMEOUT)
     private val storeClient = HttpClient(eventLoops, STORE_CONNECT_TIMEOUT)
     private val platform = StoreClient(storeClient, settings.storeAddress)
@@ -196,6 +205,7 @@
         countHomeRefusal = { telemetry.meters.count("figdeck.home.refusals", "reason", "no_upstream") },
     )
     private val heapBytes = Runtime.getRuntime().maxMemory()
+    private val bodiesInFlight = BodiesInFlight()
     private val memoryLimits = jobMemoryLimits(heapBytes)
     private val jobs = JobServices(
         control = control,
@@ -207,7 +217,7 @@
         timeEstimator = ItemTimeEstimator(),
         slots = slotClient,
         crashGuard = crashGuard,
-        forward = httpItemForwarder(upstreamClient),
+        forward = httpItemForwarder(upstreamClient, bodiesInFlight),
         random = random,
         log = DecisionLog("jobs"),
         sharedParts = ::sharedPartsOf,
@@ -219,7 +229,18 @@
         },
         features = ::itemFeaturesOf,
     )
-    private val callerServer = server(observed("caller", gatewayHandler(gatewayServices()), telemetry))
+    private val callerServer = HttpServer(
+        eventLoops,
+        SERVER_LIMITS.copy(
+            responseRoom = callerResponseRoom(
+                responseMemoryLimits(heapBytes),
+                DecisionLog("serve"),
+                { telemetry.meters.count("figdeck.slow.readers", "ended", "unread") },
+            ),
+            sendBufferBytes = SEND_BUFFER_BYTES,
+        ),
+        observed("caller", gatewayHandler(gatewayServices()), telemetry),
+    )
     private val readinessServer = server(readinessHandler(control))
     private val peerServer = server(
         peerApi(
@@ -232,6 +253,10 @@
         responder.respond(HTTP_OK, newHeaders(), telemetry.meters.scrape().encodeToByteArray())
     }
 
+    init {
+        telemetry.meters.gauge("figdeck.responses.held.bytes") { callerServer.unreadResponseBytes }
+    }
+
     /** Starts the listeners and the background loops. */
     fun start() {
         val decisionLog = DecisionLog("follow")
@@ -330,6 +355,7 @@
         jobs = JobApi(jobs),
         client = upstreamClient,
         bodies = BodyMemory(bodyMemoryLimits(heapBytes), clock),
+        bodiesInFlight = bodiesInFlight,
     )
 
     private fun launchFollower(table: String, minInterval: () -> Duration, follower: TableFollower) {
--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -26,7 +26,8 @@
     val headroom = state.headroom.wholeSlots(now, policy.headroom)
     return expire(state, policy, now) ?: when {
         !state.hasToken(now) -> null
-        state.online.waiting.isNotEmpty() && free > 0 -> grant(state, Lane.ONLINE, policy, now)
+        state.online.waiting.isNotEmpty() && free > 0 ->
+            grant(state, Lane.ONLINE, policy, now) ?: revokeForTokens(state, now)
         state.online.waiting.isNotEmpty() -> revokeOne(state, now)
         state.batch.waiting.isNotEmpty() && free > headroom -> grant(state, Lane.BATCH, policy, now)
         else -> null
@@ -45,9 +46,10 @@
 private fun LaneQueue.findTooLate(policy: DispatchPolicy, now: Moment): QueuedRequest? =
     waiting.find { it.since < now && it.request.deadline < now + requiredTime(it.request.lane, policy) }
 
-private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep {
+/** Grants a slot to the next request of [lane] whose tokens fit, or returns null if there is none. */
+private fun grant(state: UpstreamState, lane: Lane, policy: DispatchPolicy, now: Moment): UpstreamStep? {
     val queue = state.queue(lane)
-    val next = policy.order(queue)
+    val next = policy.order(state.fittingQueue(lane) ?: return null)
     val request = next.request
     val shares = queue.shares.charge(request.team, request.chargedTokens, request.weight)
     val left = queue.copy(waiting = queue.waiting.remove(next), shares = shares)
@@ -58,6 +60,9 @@
     )
 }
 
+private fun revokeForTokens(state: UpstreamState, now: Moment): UpstreamStep? =
+    if (state.needsTokensOfBatch()) revokeOne(state, now) else null
+
 private fun revokeOne(state: UpstreamState, now: Moment): UpstreamStep? {
     val victim = state.workToRevoke(now) ?: return null
     val running = state.running.put(victim.ticket, victim.copy(revokedAt = now))
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchRequest.kt
@@ -20,6 +20,7 @@
  *   can.
  * @property slotTimeUsed how long the work has held slots before. It resumes from the output of that time.
  * @property coldLimits the limits of the candidates that are cold.
+ * @property demand the tokens that the work takes in the memory of its engine; null if they are not limited.
  * @property attempt how often the same work was sent before. Every attempt after the first uses the retry budget.
  * @property expected the expected work, which is charged instead of [cost]; null if nothing is known about it.
  * @property placement what placement by expected completion depends on; null where it does not apply.
@@ -38,6 +39,7 @@
     public val coldLimits: Map<UpstreamId, ColdLimit> = emptyMap(),
     public val expected: ExpectedWork? = null,
     public val placement: PlacementContext? = null,
+    public val demand: TokenDemand? = null,
 )
 
 /** How the use of a slot ended, from which the health of the upstream is derived. */
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -77,7 +77,8 @@
     val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
     val load = state.loadFor(request.lane)
     val free = state.grantableSlots(now) - state.online.waiting.size
-    return UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, free)
+    val usable = if (state.hasTokensFor(request)) free else minOf(free, 0)
+    return UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, usable)
 }
 
 /** This state after [step] on one of its upstreams, without the tickets that the step refused. */
@@ -97,7 +98,8 @@
     val blockingSlots = if (request.lane == Lane.ONLINE) heldSlots(Lane.ONLINE) else occupiedSlots
     val ahead = queue(request.lane).requestsAhead(request.team)
     val free = usableSlots(now) - blockingSlots
-    val slotWait = if (ahead < free) Duration.ZERO else queue(request.lane).averageHold * (ahead + 1) / upstream.slots
+    val isFree = ahead < free && hasTokensFor(request)
+    val slotWait = if (isFree) Duration.ZERO else queue(request.lane).averageHold * (ahead + 1) / upstream.slots
     return maxOf(slotWait, tokenWait(request.lane, ahead, now))
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -232,13 +232,16 @@
         return result.fold(
             { lost ->
                 if (lost is ExchangeFailure.NotSent) meter.onNotRun()
-                AttemptResult.Interrupted(lost.reason, SlotOutcome.FAILED, lost.ending(hasBegun))
+                AttemptResult.Interrupted(lost.reason, slotOutcomeOf(lost), lost.ending(hasBegun))
             },
             { attemptResult },
         )
     }
 }
 
+private fun slotOutcomeOf(lost: ExchangeFailure): SlotOutcome =
+    if (lost is ExchangeFailure.NotSent && !lost.isPeerAtFault) SlotOutcome.ABANDONED else SlotOutcome.FAILED
+
 private suspend fun ItemOutput.receive(
     reply: UpstreamReply,
     clock: Clock,
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -3,13 +3,13 @@
 import arrow.core.Either
 import figdeck.command.dispatch.DispatchRequest
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.dispatch.exceedsCapacity
 import figdeck.command.serving.ColdSource
 import figdeck.command.serving.announceLeaving
 import figdeck.command.serving.recordCold
 import figdeck.command.serving.removeImmediately
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
-import figdeck.control.serving.coldLimits
 import figdeck.control.serving.limitsOf
 import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
@@ -40,8 +40,6 @@
 private val HOLDER_TIMEOUT = 2_500.milliseconds
 private val CHECK_INTERVAL = 500.milliseconds
 
-/** Batch work uses the slots that online work leaves free, so its deadline is long enough never to refuse it. */
-private val BATCH_DEADLINE = 600.seconds
 private val FULL_RETRY_AFTER = 300.milliseconds
 
 /** After this time without a request for a pool, the next one starts a new tenure of this host as its owner. */
@@ -66,15 +64,21 @@
     private val grantedSlots = ConcurrentHashMap<Long, GrantedSlot>()
     private val tenures = ConcurrentHashMap<PoolName, Tenure>()
 
+    /** Adds to a request what this host knows of its candidates. */
+    private val dispatchRequestOf: (SlotRequest, List<Upstream>) -> DispatchRequest = { request, candidates ->
+        request.toDispatchRequest(candidates, control.snapshot, placement.contextOf(request), clock())
+    }
+
     /** Answers [request] as soon as a slot is free or its wait time is over. */
     suspend fun acquire(request: SlotRequest): SlotResponse {
         val until = clock() + request.maxWait
         val candidates = control.snapshot.usableUpstreams(request)
         val isTooEarly = isInGracePeriod(request.pool) && request.lane == Lane.BATCH
+        val isImpossible = candidates.isEmpty() || control.snapshot.demandOf(request)?.exceedsCapacity == true
         val expected = work?.estimate(request)
-        val answer = if (candidates.isEmpty() || isTooEarly) null else awaitSlot(request, candidates, expected)
+        val answer = if (isImpossible || isTooEarly) null else awaitSlot(request, candidates, expected)
         return when {
-            candidates.isEmpty() -> SlotResponse.NoUpstream
+            isImpossible -> SlotResponse.NoUpstream
             isTooEarly -> SlotResponse.Full(FULL_RETRY_AFTER)
             answer == null -> SlotResponse.Full(refuseOverdue(request, candidates))
             else -> answer.fold(
@@ -158,20 +162,17 @@
         candidates: List<Upstream>,
         expected: ExpectedWork?,
     ): Either<Refusal, Permit>? = withTimeoutOrNull(request.maxWait) {
-        val now = clock()
-        val limits = coldLimits(control.snapshot, request.pool, now)
-        val dispatched = request.toDispatchRequest(candidates, placement, now)
-        slots.acquire(request.ticket, dispatched.copy(coldLimits = limits, expected = expected))
+        slots.acquire(request.ticket, dispatchRequestOf(request, candidates).copy(expected = expected))
     }
 
     private suspend fun refuseOverdue(request: SlotRequest, candidates: List<Upstream>): Duration =
-        slots.refuseOverdue(request.ticket, request.toDispatchRequest(candidates, placement, clock()))
+        slots.refuseOverdue(request.ticket, dispatchRequestOf(request, candidates))
             ?: FULL_RETRY_AFTER
 
     private suspend fun adopt(slot: HeldSlot) {
         val upstream = control.snapshot.pools.members[slot.upstream]?.upstream ?: return
         val expected = work?.estimate(slot.request)
-        val request = slot.request.toDispatchRequest(listOf(upstream), placement, clock()).copy(expected = expected)
+        val request = dispatchRequestOf(slot.request, listOf(upstream)).copy(expected = expected)
         hold(slot.request, slots.adopt(slot.request.ticket, request, upstream), expected, expectedTime = null)
     }
 
@@ -211,20 +212,3 @@
 
 private fun Refusal.toResponse(): SlotResponse =
     if (this is Refusal.Evacuated) SlotResponse.NoUpstream else SlotResponse.Full(retryAfter ?: FULL_RETRY_AFTER)
-
-private fun SlotRequest.toDispatchRequest(
-    candidates: List<Upstream>,
-    placement: SlotPlacement,
-    now: Moment,
-) = DispatchRequest(
-    candidates = candidates,
-    team = team,
-    weight = 1,
-    lane = lane,
-    cost = cost,
-    affinity = affinity,
-    deadline = now + if (lane == Lane.BATCH) BATCH_DEADLINE - age else maxWait,
-    willMissDeadline = willMissDeadline,
-    slotTimeUsed = slotTimeUsed,
-    placement = placement.contextOf(this),
-)
