--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -90,6 +90,7 @@
 import figdeck.query.serving.liveMembers
 import figdeck.telemetry.Meters
 import figdeck.telemetry.Telemetry
+import figdeck.telemetry.countRelayedJob
 import figdeck.telemetry.createTracer
 import figdeck.telemetry.observed
 import figdeck.telemetry.updateEvacuations
@@ -202,7 +203,7 @@
         log = DecisionLog("serve"),
         calls = calls,
         countFailedSend = { telemetry.meters.countFailedSend(it.label) },
-        countHomeRefusal = { telemetry.meters.count("figdeck.home.refusals", "reason", "no_upstream") },
+        countHomeRefusal = { telemetry.meters.count("figdeck.home.refusals") },
     )
     private val heapBytes = Runtime.getRuntime().maxMemory()
     private val bodiesInFlight = BodiesInFlight()
@@ -223,9 +224,7 @@
         sharedParts = ::sharedPartsOf,
         sendFault = ::sendFaultOf,
         relaySubmission = { member, submission ->
-            peers.relayJob(member.address, submission).also { answer ->
-                telemetry.meters.count("figdeck.relayed.jobs", "answer", answer?.name?.lowercase() ?: "none")
-            }
+            peers.relayJob(member.address, submission).also { telemetry.meters.countRelayedJob(it) }
         },
         features = ::itemFeaturesOf,
     )
@@ -235,7 +234,7 @@
             responseRoom = callerResponseRoom(
                 responseMemoryLimits(heapBytes),
                 DecisionLog("serve"),
-                { telemetry.meters.count("figdeck.slow.readers", "ended", "unread") },
+                { telemetry.meters.count("figdeck.slow.readers") },
             ),
             sendBufferBytes = SEND_BUFFER_BYTES,
         ),
--- a/src/main/kotlin/figdeck/command/dispatch/ColdUpstream.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ColdUpstream.kt
@@ -50,5 +50,11 @@
 public fun limitCold(state: DispatchState, limits: Map<UpstreamId, ColdLimit>, now: Moment): DispatchState =
     limits.entries.fold(state) { current, (id, limit) ->
         val known = current.upstreams[id]
-        if (known == null) current else current.with(known.copy(cold = known.cold.limitedBy(limit, now)))
+        if (known == null) current else current.with(known.limitedBy(limit, now))
     }
+
+/** This upstream under [limit]. What it runs until the limit ends tells nothing about its pace when it is warm. */
+internal fun UpstreamState.limitedBy(limit: ColdLimit?, now: Moment): UpstreamState {
+    val bucket = cold.limitedBy(limit, now)
+    return copy(cold = bucket, pace = if (bucket == null) pace else pace.coldUntil(bucket.limit.until))
+}
--- a/src/main/kotlin/figdeck/command/dispatch/CompletionViews.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/CompletionViews.kt
@@ -13,7 +13,7 @@
     now: Moment,
 ): UpstreamView {
     val speed = pace.speedOf(this, now)
-    val free = freeFor(request.lane, policy, now)
+    val free = freeFor(request, policy, now)
     val ahead = loadAhead(free, request, speed, now)
     val isNear = request.placement?.dataCentre.let { it == null || it == upstream.dataCentre }
     val wait = maxOf(ahead.slotWait, tokenWait(request.lane, queue(request.lane).requestsAhead(request.team), now))
@@ -50,11 +50,15 @@
     LoadAhead(wait, work.remainingNanos.nanoseconds)
 }
 
-/** The free slots that work of [lane] may take. Batch work leaves the headroom, and waits behind other batch work. */
-private fun UpstreamState.freeFor(lane: Lane, policy: DispatchPolicy, now: Moment): Int {
-    val free = grantableSlots(now) - online.waiting.size
-    return when (lane) {
-        Lane.ONLINE -> free
-        Lane.BATCH -> free - batch.waiting.size - headroom.wholeSlots(now, policy.headroom)
+/**
+ * The free slots that [request] may take: none if its tokens don't fit. Batch work leaves the headroom, and waits
+ * behind other batch work.
+ */
+private fun UpstreamState.freeFor(request: DispatchRequest, policy: DispatchPolicy, now: Moment): Int {
+    val open = grantableSlots(now) - online.waiting.size
+    val free = when (request.lane) {
+        Lane.ONLINE -> open
+        Lane.BATCH -> open - batch.waiting.size - headroom.wholeSlots(now, policy.headroom)
     }
+    return if (hasTokensFor(request)) free else minOf(free, 0)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -47,7 +47,7 @@
 internal fun DispatchState.withCandidates(request: DispatchRequest, now: Moment): DispatchState =
     request.candidates.fold(this) { state, upstream ->
         val known = state.stateOf(upstream, now)
-        val limited = known.copy(cold = known.cold.limitedBy(request.coldLimits[upstream.id], now))
+        val limited = known.limitedBy(request.coldLimits[upstream.id], now)
         if (limited == state.upstreams[upstream.id]) state else state.with(limited)
     }
 
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -55,15 +55,15 @@
     }
 
 /**
- * Moves queued requests to an upstream that has free slots and an empty queue: one per lane, from the longest queue of
- * that lane with a request that can run there.
+ * Moves queued requests to an upstream that has free slots and queues none that fits: one per lane, from the longest
+ * queue of that lane with a request that can run there.
  */
 internal fun stealWork(state: DispatchState, to: UpstreamState, policy: DispatchPolicy, now: Moment): DispatchState =
     Lane.entries.fold(state) { current, lane ->
         val here = current.upstreams.getValue(to.upstream.id)
         val reserved = if (lane == Lane.BATCH) here.headroom.wholeSlots(now, policy.headroom) else 0
         val hasFree = here.usableSlots(now) - here.occupiedSlots > reserved && here.hasToken(now)
-        if (here.queue(lane).waiting.isEmpty() && hasFree) current.stealOne(lane, here, policy) else current
+        if (here.fittingQueue(lane) == null && hasFree) current.stealOne(lane, here, policy) else current
     }
 
 private fun DispatchState.stealOne(lane: Lane, to: UpstreamState, policy: DispatchPolicy): DispatchState {
--- a/src/main/kotlin/figdeck/command/dispatch/ObservePace.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ObservePace.kt
@@ -13,6 +13,5 @@
 private fun UpstreamState.observes(running: RunningRequest, context: PlacementContext): Boolean {
     val startedAt = context.upstreams[upstream.id]
     val isSameStart = startedAt == null || startedAt == pace.startedAtMillis
-    val isWarm = cold?.isActive(running.since) != true
-    return isSameStart && isWarm && (pace.coldUntil == null || running.since >= pace.coldUntil)
+    return isSameStart && (pace.coldUntil == null || running.since >= pace.coldUntil)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/RemainingWork.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/RemainingWork.kt
@@ -65,7 +65,7 @@
     val onlineAhead = if (request.lane == Lane.BATCH) online.waiting.size else 0
     val ahead = onlineAhead + queue(request.lane).requestsAhead(request.team)
     val slots = usableSlots(now)
-    val isFree = ahead + work.blockingSlots < slots
+    val isFree = ahead + work.blockingSlots < slots && hasTokensFor(request)
     val nanos = work.remainingNanos + speed.nanosOf(request.expectedTokens) * ahead
     return if (isFree) Duration.ZERO else (nanos / slots.coerceAtLeast(1)).nanoseconds
 }
--- a/src/main/kotlin/figdeck/command/dispatch/TokenDemand.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/TokenDemand.kt
@@ -33,10 +33,19 @@
     }
 }
 
-/** Whether no queued online request will fit, even when all revoked holders have ended. */
+/**
+ * Whether no queued online request will fit when all revoked holders have ended, and one would without the batch work
+ * that holds slots.
+ */
 internal fun UpstreamState.needsTokensOfBatch(): Boolean {
-    val kept = running.values.filter { it.revokedAt == null }.sumOf { it.request.heldTokens }
-    return online.waiting.none { it.request.demand?.fitsBeside(kept) ?: true }
+    val kept = running.values.filter { it.revokedAt == null }
+    val online = kept.filter { it.request.lane == Lane.ONLINE }
+    return !anyFitsBeside(kept) && anyFitsBeside(online)
+}
+
+private fun UpstreamState.anyFitsBeside(holders: List<RunningRequest>): Boolean {
+    val held = holders.sumOf { it.request.heldTokens }
+    return online.waiting.any { it.request.demand?.fitsBeside(held) ?: true }
 }
 
 private fun TokenDemand.fitsBeside(held: Long): Boolean = held + tokens <= capacity
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamPace.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamPace.kt
@@ -102,6 +102,10 @@
     else -> UpstreamPace(startedAtMillis = startedAtMillis, coldUntil = coldUntil)
 }
 
+/** This pace of an upstream that is cold until [until] or longer. */
+internal fun UpstreamPace.coldUntil(until: Moment): UpstreamPace =
+    if (coldUntil != null && coldUntil >= until) this else copy(coldUntil = until)
+
 private fun UpstreamPace.afterGap() = copy(
     tokenNanos = tokenNanos.afterGap(),
     firstEventNanos = firstEventNanos.afterGap(),
--- a/src/main/kotlin/figdeck/daemon/command/jobs/AcceptRelayed.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/AcceptRelayed.kt
@@ -4,6 +4,10 @@
 import figdeck.model.Refusal
 import figdeck.model.serving.RelayAnswer
 import figdeck.model.serving.RelayedSubmission
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How long writes for another host are retried. With the last write it is less than that host waits for the answer. */
+private val RELAYED_STORE_TIMEOUT = 300.milliseconds
 
 /**
  * Stores a job for a host that doesn't reach the store, as if its caller had submitted it here. It is declined if this
@@ -15,7 +19,8 @@
         RelayAnswer.NOT_STORED
     } else {
         try {
-            submit(submission).fold({ answerOf(it) }, { RelayAnswer.STORED })
+            submit(submission) { persist(it, submission, RELAYED_STORE_TIMEOUT) }
+                .fold({ answerOf(it) }, { RelayAnswer.STORED })
         } finally {
             acceptedRelays.release()
         }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RelaySubmission.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RelaySubmission.kt
@@ -78,16 +78,19 @@
     var remaining = hosts.size + 1
     while (remaining > 0) {
         val refusal = results.receive().leftOrNull()
-        remaining = if (refusal == null) 0 else remaining - 1
         failure = refusal?.let { worse(failure, it) }
+        remaining = if (failure == null || failure.isFinal) 0 else remaining - 1
     }
     coroutineContext.cancelChildren()
     failure?.left() ?: Unit.right()
 }
 
-/** One write without a known result outweighs any number that were certainly not done. */
+/** One write without a known result outweighs any refusal: the job may have been stored. */
 private fun worse(known: Refusal?, latest: Refusal): Refusal = if (known is Refusal.Unconfirmed) known else latest
 
+/** Whether another host would refuse the job too. */
+private val Refusal.isFinal: Boolean get() = this !is Refusal.Unconfirmed && this !is Refusal.StoreUnavailable
+
 private fun CoroutineScope.launchRelays(
     services: JobServices,
     submission: Submission,
--- a/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -48,11 +48,14 @@
 internal suspend fun JobServices.submit(submission: Submission): Either<Refusal, Unit> =
     submit(submission) { persist(it, submission) }
 
-/** Checks [submission] and stores it with [persist]. */
+/**
+ * Checks [submission] and stores it with [persist]. A host without the store doesn't know which jobs have ended, so it
+ * leaves the limit of waiting tokens to the host that stores the job.
+ */
 internal suspend fun JobServices.submit(submission: Submission, persist: PersistJob): Either<Refusal, Unit> {
     val known = control.snapshot.jobs.jobs[submission.id]
     val newRecord = recordOf(submission, clock())
-    val limit = submission.route.batch?.maxWaitingTokens
+    val limit = submission.route.batch?.maxWaitingTokens?.takeUnless { lacksStore() }
     return when {
         known != null -> acceptIfSameTeam(known, submission)
         limit != null && control.snapshot.jobs.lastUpdateAt == null ->
@@ -96,8 +99,12 @@
     control.run { state, _ -> updateJobs(state) { it.copy(pendingWrites = it.pendingWrites.remove(id)) } }
 }
 
-/** Writes [record] and the items of [submission] to the store, as often as it takes within [STORE_TIMEOUT]. */
-internal suspend fun JobServices.persist(record: JobRecord, submission: Submission): Either<Refusal, Unit> {
+/** Writes [record] and the items of [submission] to the store, as often as it takes within [timeout]. */
+internal suspend fun JobServices.persist(
+    record: JobRecord,
+    submission: Submission,
+    timeout: Duration = STORE_TIMEOUT,
+): Either<Refusal, Unit> {
     val startedAt = clock()
     var isUncertain = false
     var result: Either<Refusal, Unit>? = null
@@ -111,7 +118,7 @@
             is RecordWrite.NotDone, is RecordWrite.Unknown -> null
         }
         isUncertain = isUncertain || written is RecordWrite.Unknown
-        if (result == null && clock() - startedAt > STORE_TIMEOUT) {
+        if (result == null && clock() - startedAt > timeout) {
             result = refusalOfWrite(isUncertain).left()
         }
         if (result == null) {
--- a/src/main/kotlin/figdeck/daemon/command/serving/FleetPeers.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/FleetPeers.kt
@@ -22,7 +22,6 @@
 import figdeck.wire.serving.encodeSlotRequest
 import figdeck.wire.serving.encodeTakeRequest
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 internal const val ACQUIRE_PATH = "/peer/slots/acquire"
 internal const val RELEASE_PATH = "/peer/slots/release"
@@ -36,8 +35,8 @@
 private val CALL_TIMEOUT = 150.milliseconds
 private val TAKE_TIMEOUT = 80.milliseconds
 
-/** A host that stores a job writes to the store, several times at most. */
-private val RELAY_TIMEOUT = 1.seconds
+/** A host that stores a job repeats a failed write for 300 ms, and the last write takes up to 1 s. */
+private val RELAY_TIMEOUT = 1_500.milliseconds
 
 /**
  * The requests between daemons of the front end. A function returns null or false if the peer gave no valid response in
--- a/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/TeamLimits.kt
@@ -22,6 +22,7 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.TeamId
+import figdeck.model.serving.Fleet
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.ServingTeam
 import figdeck.query.serving.BucketLocation
@@ -86,7 +87,7 @@
         // While neither host can reach the store, the asking host can't have seen another owner.
         val mayAnswer = isHere && (fleet.ownLeaseHolds(now) || request.isCutOff)
         return if (limit != null && mayAnswer) {
-            // While the lease holds, this is the only bucket, also for hosts that can't reach the store.
+            // Without a successor, also the hosts that don't reach the store rely on this bucket if they ask here.
             val mayHaveSuccessor = fleet.isCutOff(now) || !fleet.ownLeaseHolds(now)
             TakeResponse.Decided(takeFromOwnBucket(request.team, limit, mayHaveSuccessor))
         } else {
@@ -109,8 +110,8 @@
 
     private suspend fun takeFromOwnBucket(team: TeamId, limit: Limit, mayHaveSuccessor: Boolean): TakeResult =
         control.run { state, now ->
-            val relying = if (mayHaveSuccessor) recentAskers(now) + state.fleet.self.host else relyingHosts(state, now)
-            val part = (relying.size.toDouble() / state.fleet.estimatedHostCount()).coerceAtMost(1.0)
+            val relying = relyingHosts(state.fleet, mayHaveSuccessor, now)
+            val part = (relying.toDouble() / state.fleet.estimatedHostCount()).coerceAtMost(1.0)
             val conditions = LimitConditions(limit, state.fleet.levels[team]?.tokens, part)
             updateLimits(state) { takeOwned(it, team, conditions, now) }
         }
@@ -121,11 +122,11 @@
         updateLimits(state) { takeFromFallback(it, team, conditions, now) }
     }
 
-    /** The hosts that have no other owner: those that reach the store, and those without it that ask this host. */
-    private fun relyingHosts(state: ServingState, now: Moment): Set<HostId> =
-        state.fleet.liveMembers().map { it.host }.toSet() + recentAskers(now)
-
-    private fun recentAskers(now: Moment): Set<HostId> = lastAskedAt.filterValues { now - it < ASKER_TIMEOUT }.keys
+    /** The number of hosts that have no other owner: those that reach the store, and those that ask this host. */
+    private fun relyingHosts(fleet: Fleet, mayHaveSuccessor: Boolean, now: Moment): Int {
+        val live = if (mayHaveSuccessor) listOf(fleet.self) else fleet.liveMembers()
+        return live.size + lastAskedAt.count { (host, at) -> now - at < ASKER_TIMEOUT && live.none { it.host == host } }
+    }
 }
 
 private fun bucketKey(team: TeamId): String = "limit/$team"
--- a/src/main/kotlin/figdeck/telemetry/Meters.kt
+++ b/src/main/kotlin/figdeck/telemetry/Meters.kt
@@ -54,9 +54,9 @@
         registry.counter("figdeck.failed.sends", "ending", ending).increment()
     }
 
-    /** Adds one to the counter [name] with [value] in its label [label]. The values are from a small set. */
-    fun count(name: String, label: String, value: String) {
-        registry.counter(name, label, value).increment()
+    /** Adds one to the counter [name] with [labels], whose values are from small sets. */
+    fun count(name: String, labels: Tags = Tags.empty()) {
+        registry.counter(name, labels).increment()
     }
 
     /** Replaces the gauges [name], of which there is one for each value of the label [label]. */
--- a/src/test/kotlin/figdeck/cli/BackgroundLoopsSpec.kt
+++ b/src/test/kotlin/figdeck/cli/BackgroundLoopsSpec.kt
@@ -16,7 +16,8 @@
 
 private val edgeLoops = listOf(
     "table op", "table servers", "table job", "table promptrisk",
-    "bootstrap", "membership", "pools", "slots", "granted slots", "held slots", "jobs", "prompt reports",
+    "bootstrap", "membership", "pools", "cold upstreams", "slots", "granted slots", "held slots", "jobs",
+    "prompt reports",
 )
 private val ownLoops = listOf(
     "lease", "promises", "shards",
--- a/src/test/kotlin/figdeck/command/dispatch/TokenCapacitySpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/TokenCapacitySpec.kt
@@ -2,28 +2,32 @@
 
 import figdeck.model.Address
 import figdeck.model.DataCentre
+import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.Moment
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.model.UpstreamKind
+import figdeck.model.serving.PoolName
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentMapOf
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 private const val CAPACITY = 100L
 private const val SLOTS = 8
 private val start = Moment(0, 0)
-private val policy = DispatchPolicy(choose = mostFreeSlotsChoice, deadlineMargin = 0.0)
+private val freeSlotsPolicy = DispatchPolicy(choose = mostFreeSlotsChoice, deadlineMargin = 0.0)
 
 private fun engine(name: String) =
     Upstream(UpstreamId(name), Address("127.0.0.1", 1), DataCentre("centre-a"), UpstreamKind.ENGINE, SLOTS, false)
 
 private val one = listOf(engine("engine-1"))
+private val other = listOf(engine("engine-2"))
 private val two = listOf(engine("engine-1"), engine("engine-2"))
 
 private fun request(candidates: List<Upstream>, tokens: Long, lane: Lane = Lane.ONLINE) = DispatchRequest(
@@ -37,8 +41,27 @@
     demand = TokenDemand(tokens, CAPACITY),
 )
 
-private class TokenHarness {
-    var state = emptyDispatch(DataCentre("centre-a"))
+private val placedPool = PoolName("engines")
+
+/** Requests to [placedPool] are placed by expected completion. */
+private val byCompletion = persistentMapOf(
+    placedPool to PoolPace(1e6, 1e8, known = 2, setOf(), mapOf(), 2.0, isByCompletion = true, reviewedAt = start)
+)
+
+private val completionPolicy = freeSlotsPolicy.copy(completionChoice = expectedCompletionChoice)
+
+private fun DispatchRequest.byCompletion() = copy(
+    placement = PlacementContext(
+        placedPool,
+        HostId("host-1"),
+        DataCentre("centre-a"),
+        isOnlyGranter = true,
+        upstreams = candidates.associate { it.id to null },
+    )
+)
+
+private class TokenHarness(private val policy: DispatchPolicy = freeSlotsPolicy) {
+    var state = emptyDispatch(DataCentre("centre-a")).copy(paces = byCompletion)
     val effects = mutableListOf<DispatchEffect>()
 
     val granted: List<Pair<Long, String>>
@@ -51,6 +74,16 @@
     fun finish(ticket: Long) =
         apply(release(state, Release(ticket, SlotOutcome.ANSWERED, 0, ticket), policy, start))
 
+    fun tick() = apply(tick(state, policy, start))
+
+    /** Queues [request] at [upstream], wherever it would have been placed. */
+    fun queueAt(upstream: Upstream, ticket: Long, request: DispatchRequest) {
+        val at = state.stateOf(upstream, start)
+        val waiting = at.online.waiting.add(QueuedRequest(ticket, request, start))
+        state = state.with(at.withQueue(Lane.ONLINE, at.online.copy(waiting = waiting)))
+            .copy(tickets = state.tickets.put(ticket, upstream.id))
+    }
+
     fun heldAt(name: String): Long =
         state.upstreams[UpstreamId(name)]?.running?.values.orEmpty().sumOf { it.request.demand?.tokens ?: 0 }
 
@@ -96,7 +129,42 @@
         }
     }
 
+    // Guards against requests that are refused or queued at an engine without memory beside an idle one.
+    describe("an engine without memory in a pool that is placed by expected completion") {
+        it("is passed over for another engine with room, whichever is preferred") {
+            repeat(20) { seed ->
+                val harness = TokenHarness(completionPolicy)
+                val first = 100L * seed
+                harness.submit(first + 1, request(two, 60).byCompletion())
+                harness.submit(first + 2, request(two, 60).byCompletion())
+                harness.granted.map { it.second }.toSet() shouldBe setOf("engine-1", "engine-2")
+            }
+        }
+    }
+
+    // Guards against idle engines beside queues: a request that doesn't fit must not keep the engine from others.
+    describe("an engine with a queued request that does not fit") {
+        it("takes over a smaller one that waits elsewhere") {
+            val harness = TokenHarness()
+            harness.submit(1, request(one, 60))
+            harness.submit(2, request(one, 90))
+            // All slots of the other engine are held, so a request for both waits there if it has come first.
+            repeat(SLOTS) { harness.submit(10L + it, request(other, 1)) }
+            harness.queueAt(other.single(), 3, request(two, 30))
+            harness.tick()
+            harness.granted.last() shouldBe (3L to "engine-1")
+        }
+    }
+
     describe("batch work at an engine") {
+        it("is not revoked for online work that would not fit without it either") {
+            val harness = TokenHarness()
+            harness.submit(1, request(one, 70))
+            harness.submit(2, request(one, 20, Lane.BATCH))
+            harness.submit(3, request(one, 40))
+            harness.revoked.shouldBeEmpty()
+        }
+
         it("is revoked for the tokens of online work, which waits until it has ended") {
             val harness = TokenHarness()
             harness.submit(1, request(one, 50, Lane.BATCH))
--- a/src/test/kotlin/figdeck/command/dispatch/UpstreamPaceSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/UpstreamPaceSpec.kt
@@ -1,6 +1,11 @@
 package figdeck.command.dispatch
 
+import figdeck.model.Address
+import figdeck.model.DataCentre
 import figdeck.model.Moment
+import figdeck.model.Upstream
+import figdeck.model.UpstreamId
+import figdeck.model.UpstreamKind
 import figdeck.model.serving.SlotUsage
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.plusOrMinus
@@ -169,6 +174,17 @@
         }
     }
 
+    describe("an upstream that is cold again without a restart") {
+        it("is not observed for what began before it was warm, also after its limit has ended") {
+            val engine = Upstream(UpstreamId("e"), Address("h", 1), DataCentre("a"), UpstreamKind.ENGINE, 8, false)
+            val limit = ColdLimit(until = start + 3.seconds, requestsPerSecond = 20.0)
+            val cold = idleUpstream(engine, start).limitedBy(limit, start)
+            val warm = cold.limitedBy(null, start + 4.seconds)
+            warm.cold shouldBe null
+            warm.pace.coldUntil shouldBe start + 3.seconds
+        }
+    }
+
     describe("the changes to log") {
         it("name a slow upstream and the pool once, and nothing while they last") {
             val even = (1..3).associate { "engine-$it" to unknownPace.after(20, usualToken) }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RelaySubmissionSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RelaySubmissionSpec.kt
@@ -4,8 +4,10 @@
 import arrow.core.getOrElse
 import arrow.core.right
 import figdeck.command.serving.JobMemoryLimits
+import figdeck.command.serving.recordStoreFailure
 import figdeck.control.serving.adoptPlan
 import figdeck.control.serving.updateJobs
+import figdeck.control.serving.updatePools
 import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.MemoryBackends
 import figdeck.daemon.command.serving.CrashGuard
@@ -101,10 +103,14 @@
         relaySubmission = relay,
     )
 
-    suspend fun start(members: List<FleetMember>) {
+    suspend fun start(members: List<FleetMember>, lacksStore: Boolean = false) {
         test.setView(members, emptyList())
         test.control.run { state, _ -> adoptPlan(state, plan) }
-        test.control.run { state, now -> updateJobs(state) { it.copy(lastUpdateAt = now) } }
+        if (lacksStore) {
+            test.control.run { state, now -> updatePools(state) { recordStoreFailure(it, now) } }
+        } else {
+            test.control.run { state, now -> updateJobs(state) { it.copy(lastUpdateAt = now) } }
+        }
     }
 
     override fun close() = test.close()
@@ -195,6 +201,28 @@
         }
     }
 
+    // Guards against a caller that repeats for ever what no host will store.
+    describe("a job that the store refuses for good") {
+        it("is refused at once, without asking other hosts") {
+            var relays = 0
+            submitAt(store.thatAnswers { CallResult.Refused("too large") }, { _, _ ->
+                relays++
+                RelayAnswer.NOT_STORED
+            }).leftOrNull().shouldBeInstanceOf<Refusal.BadRequest>()
+            relays shouldBe 0
+        }
+    }
+
+    // Guards against jobs that are refused over a limit that was read before the outage.
+    describe("a host that has not reached the store since it started") {
+        it("leaves the limit of waiting tokens to the host that stores the job") {
+            SubmittingHost("self", store.thatIsSilent(), { _, _ -> RelayAnswer.STORED }).use { host ->
+                host.start(listOf(near), lacksStore = true)
+                host.services.submitAnywhere(job) shouldBe Unit.right()
+            }
+        }
+    }
+
     describe("a job that was written here without a reply, and then through another host") {
         it("is stored once and accepted") {
             val shared = MemoryBackends()
