--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -64,6 +64,9 @@
     private val grantedSlots = ConcurrentHashMap<Long, GrantedSlot>()
     private val tenures = ConcurrentHashMap<PoolName, Tenure>()
 
+    /** The tickets of slots that were returned lately. A list of held slots that was sent earlier may name them. */
+    private val returnedTickets = ConcurrentHashMap<Long, Moment>()
+
     /** Adds to a request what this host knows of its candidates. */
     private val dispatchRequestOf: (SlotRequest, List<Upstream>) -> DispatchRequest = { request, candidates ->
         request.toDispatchRequest(candidates, control.snapshot, placement.contextOf(request), clock())
@@ -100,6 +103,7 @@
 
     /** Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. */
     suspend fun release(release: SlotRelease) {
+        returnedTickets[release.ticket] = clock()
         val slot = grantedSlots.remove(release.ticket) ?: return
         if (slot.expectedTime != null && release.usage?.isWhole == true) {
             placement.recordTime(slot.expectedTime, clock() - slot.grantedAt)
@@ -130,7 +134,7 @@
         for (slot in list) {
             val known = grantedSlots[slot.request.ticket]
             if (known == null) {
-                adopt(slot)
+                if (!returnedTickets.containsKey(slot.request.ticket)) adopt(slot)
             } else {
                 grantedSlots[slot.request.ticket] = known.copy(confirmedAt = now)
             }
@@ -145,6 +149,7 @@
             delay(CHECK_INTERVAL)
             val now = clock()
             releaseWhere { now - it.confirmedAt > HOLDER_TIMEOUT }
+            returnedTickets.values.removeIf { now - it > HOLDER_TIMEOUT }
         }
     }
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -7,6 +7,7 @@
 import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
+import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
@@ -127,6 +128,27 @@
         }
     }
 
+    // Guards against a slot that stays held by nobody for seconds, and turns requests away from its upstream.
+    describe("a list of held slots that arrives after the release of one of them") {
+        it("does not bring that slot back") {
+            TestHost(fleetMember("host-1")).use { host ->
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("ready-1"))
+                host.owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1))
+                host.owner.confirm(HostId("host-1"), listOf(HeldSlot(slotRequest(1), UpstreamId("ready-1"))))
+                host.control.snapshot.slots.tickets.keys shouldBe emptySet()
+            }
+        }
+
+        it("brings back a slot that an earlier owner granted") {
+            TestHost(fleetMember("host-1")).use { host ->
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                host.owner.confirm(HostId("host-1"), listOf(HeldSlot(slotRequest(2), UpstreamId("ready-1"))))
+                host.control.snapshot.slots.tickets.keys shouldBe setOf(2L)
+            }
+        }
+    }
+
     describe("an owner that does not know which upstreams are leaving") {
         it("gets slots at leaving upstreams back and is asked for others") {
             val owner = GrantingOwner(listOf("leaving-1", "leaving-2", "ready-1"))
