Full pools are shared by the expected work that teams hold

Cause: an arrival that finds no free slot was refused by the estimate from one upstream's queue, whoever waits there, and start tags forget the slots that a team took while no request waited. A free slot goes to the waiting request of the pool whose team would hold the least work; if not all can get one in time, the newest of the team that would hold the most is refused. A team that holds twice its share doesn't wait behind others. Arrivals at cold upstreams, resumed requests and requests without an expectation are decided as before.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -146,6 +146,7 @@
     headroom = HeadroomPolicy(revokeGrace = 150.milliseconds),
     deadlineMargin = 0.0,
     completionChoice = if (placement == Placement.EXPECTED_COMPLETION) expectedCompletionChoice else null,
+    shareByHeldWork = placement == Placement.EXPECTED_COMPLETION,
 )
 
 /** A daemon on the users' platform, with its components built from [settings]. */
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -85,11 +85,16 @@
     val chosen = state.stateOf(choose(views, request, arrival.seed).upstream, now)
     val wait = chosen.expectedWait(request, now)
     val late = now + wait + chosen.queue(request.lane).requiredTime(request.lane, policy) - request.deadline
-    return if (wait > Duration.ZERO && late > Duration.ZERO) {
-        val step = chosen.refuse(arrival.ticket, request.lane, late, now)
-        Step(state.with(step.state), step.result)
-    } else {
-        enqueue(state, chosen, arrival, policy, now)
+    return when {
+        wait > Duration.ZERO && chosen.cold == null && policy.shareByHeldWork && request.sharesByHeldWork ->
+            placeByHeldWork(state, chosen, arrival, now) {
+                enqueue(it, it.stateOf(chosen.upstream, now), arrival, policy, now)
+            }
+        wait > Duration.ZERO && late > Duration.ZERO -> {
+            val step = chosen.refuse(arrival.ticket, request.lane, late, now)
+            Step(state.with(step.state), step.result)
+        }
+        else -> enqueue(state, chosen, arrival, policy, now)
     }
 }
 
@@ -133,9 +138,10 @@
 }
 
 private fun assignSlotsAt(state: DispatchState, id: UpstreamId, policy: DispatchPolicy, now: Moment): DispatchStep {
-    val upstream = state.upstreams[id] ?: return Step(state, emptyList())
-    val refilled = stealWork(state, upstream, policy, now)
-    val assigned = assignFreeSlots(refilled.upstreams.getValue(id), policy, now)
+    if (id !in state.upstreams) return Step(state, emptyList())
+    val (taken, order) = takeByHeldWork(state, id, policy, now)
+    val refilled = stealWork(taken, taken.upstreams.getValue(id), policy, now)
+    val assigned = assignFreeSlots(refilled.upstreams.getValue(id), policy.copy(order = order), now)
     return Step(refilled.after(assigned), assigned.result)
 }
 
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchPolicy.kt
@@ -55,6 +55,8 @@
  *     to wait.
  * @property crossCentreRoundTrip the round-trip time to another data centre.
  * @property completionChoice the choice for pools whose upstreams differ in pace; null to use [choose] for all.
+ * @property shareByHeldWork whether online work with an expectation that finds no free slot in its pool is served, or
+ *     refused, by the work that its team already holds there.
  */
 public data class DispatchPolicy(
     public val choose: ChoicePolicy = prefixAffinityChoice,
@@ -65,4 +67,5 @@
     public val deadlineMargin: Double = 2.0,
     public val crossCentreRoundTrip: Duration = CROSS_CENTRE_ROUND_TRIP,
     public val completionChoice: ChoicePolicy? = null,
+    public val shareByHeldWork: Boolean = false,
 )
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -80,7 +80,7 @@
         .copy(tickets = tickets.put(moved.ticket, to.upstream.id))
 }
 
-private fun QueuedRequest.canRunAt(upstream: UpstreamState): Boolean =
+internal fun QueuedRequest.canRunAt(upstream: UpstreamState): Boolean =
     request.candidates.any { it.id == upstream.upstream.id } && upstream.hasTokensFor(request)
 
 /** The time until the first paused candidate is probed, at least 1 second. */
