Let stopped responses go on whose callers read

The wait of a stopped response was one of 2 s, whatever its caller took meanwhile. While others held the memory, a response could go on only when all that waited for it was taken, up to 256 KiB, so callers that read steadily at up to 128 KB/s were cut off.

The 2 s now start again whenever the caller has taken another 16 KiB, as they do at the end of a response.

ResponseMemorySpec, "goes on while its reader takes another part within each stall timeout", failed before (expected true, was false) and passes now.

--- a/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
+++ b/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
@@ -45,18 +45,30 @@
         }
 
         /**
-         * Waits until more may be sent. Returns false if the response was stopped for too long. Memory that others free
-         * lets it continue, but gives a reader that takes nothing no more time.
+         * Waits until more may be sent. Returns false if the response was stopped for too long while its reader took too
+         * little. Memory that others free lets it continue, but gives a reader that takes nothing no more time.
          */
-        suspend fun awaitRoom(): Boolean = room.hasRoom(unread) || timeLeft().let { left ->
-            left > Duration.ZERO && within(left) { room.mayResume(unread) }
+        suspend fun awaitRoom(): Boolean = room.hasRoom(unread) || awaitResume()
+
+        private suspend fun awaitResume(): Boolean {
+            var mayResume = false
+            var isReading = true
+            while (isReading && !mayResume) {
+                val current = currentStop()
+                val left = room.stallTimeout - current.since.elapsedNow()
+                isReading = left > Duration.ZERO && within(left) {
+                    mayResume = room.mayResume(unread)
+                    mayResume || taken.get() - current.taken >= room.progressBytes
+                }
+            }
+            return mayResume
         }
 
-        private fun timeLeft(): Duration {
+        private fun currentStop(): Stop {
             val takenNow = taken.get()
             val current = stop?.takeIf { it.taken == takenNow } ?: Stop(TimeSource.Monotonic.markNow(), takenNow)
             stop = current
-            return room.stallTimeout - current.since.elapsedNow()
+            return current
         }
 
         /** Waits until everything is written. Returns false if the reader stalled, or was not done within [limit]. */
--- a/src/main/kotlin/figdeck/http/server/ResponseRoom.kt
+++ b/src/main/kotlin/figdeck/http/server/ResponseRoom.kt
@@ -25,12 +25,14 @@
  * @property hasRoom whether more of a response may be sent.
  * @property mayResume whether a response that was stopped may continue.
  * @property stallTimeout how long a response may be stopped before it is ended.
+ * @property progressBytes how much the reader of a stopped response must take for that time to start again.
  * @property onStalled is called for each response that is ended.
  */
 public data class ResponseRoom(
     public val hasRoom: (UnreadBytes) -> Boolean,
     public val mayResume: (UnreadBytes) -> Boolean,
     public val stallTimeout: Duration,
+    public val progressBytes: Long,
     public val onStalled: (StalledResponse) -> Unit = {},
 )
 
@@ -39,4 +41,5 @@
     hasRoom = { it.own <= PLAIN_BYTES },
     mayResume = { it.own == 0L },
     stallTimeout = writeTimeout,
+    progressBytes = PLAIN_BYTES.toLong(),
 )
--- a/src/main/kotlin/figdeck/platform/SlowReaders.kt
+++ b/src/main/kotlin/figdeck/platform/SlowReaders.kt
@@ -14,6 +14,7 @@
         hasRoom = { hasRoom(it.toUse(), limits) },
         mayResume = { mayResume(it.toUse(), limits) },
         stallTimeout = limits.stallTimeout,
+        progressBytes = limits.resume,
         onStalled = { stalled ->
             count()
             log.note("slow_reader", stalled.request.get(ATTEMPT_ID_HEADER).orEmpty()) {
