Look at the connection before a response without time left ends

A response whose 2 s had passed at the next write was ended at once. A host that was frozen for longer than that therefore ended responses before it saw what their callers had taken meanwhile.

Such a response is now waited for during the grace of 50 ms, and goes on if its caller takes anything. Memory that others free doesn't let it go on, as before.

ResponseMemorySpec, "goes on if its reader takes something at once", failed before (expected true, was false) and passes now.

--- a/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
+++ b/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
@@ -56,9 +56,12 @@
             while (isReading && !mayResume) {
                 val current = currentStop()
                 val left = room.stallTimeout - current.since.elapsedNow()
-                isReading = left > Duration.ZERO && within(left) {
-                    mayResume = room.mayResume(unread)
-                    mayResume || taken.get() - current.taken >= room.progressBytes
+                val hasTime = left > Duration.ZERO
+                // Without time left, only what its reader takes within the grace lets the response go on.
+                val progress = if (hasTime) room.progressBytes else 1
+                isReading = within(left) {
+                    mayResume = hasTime && room.mayResume(unread)
+                    mayResume || taken.get() - current.taken >= progress
                 }
             }
             return mayResume
--- a/src/test/kotlin/figdeck/http/server/ResponseMemorySpec.kt
+++ b/src/test/kotlin/figdeck/http/server/ResponseMemorySpec.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -18,6 +19,9 @@
 /** Several parts are taken within the stall timeout, and all of them take longer than it. */
 private val PART_INTERVAL = 100.milliseconds
 
+/** Within the time in which a process that was stopped looks at its connections. */
+private val LATE_READ = 10.milliseconds
+
 private fun newPart() = DefaultChannelPromise(EmbeddedChannel(), ImmediateEventExecutor.INSTANCE)
 
 /** A response that is stopped until [mayResume], since others hold the memory. */
@@ -65,4 +69,25 @@
             }
         }
     }
+
+    describe("a response whose reader has taken nothing for the stall timeout") {
+        // Guards against ending a response before the connection is looked at, after the process was stopped.
+        it("goes on if its reader takes something at once") {
+            coroutineScope {
+                val stopped = StoppedResponse { true }
+                stopped.awaitRoom() shouldBe true
+                delay(STALL_TIMEOUT * 2)
+                launch { stopped.read(1, LATE_READ) }
+                stopped.awaitRoom() shouldBe true
+            }
+        }
+
+        // Guards against readers that take turns in the memory that others free.
+        it("ends otherwise, also if others have freed memory") {
+            val stopped = StoppedResponse { true }
+            stopped.awaitRoom() shouldBe true
+            delay(STALL_TIMEOUT * 2)
+            stopped.awaitRoom() shouldBe false
+        }
+    }
 })
