Don't reuse connections whose request is not written whole

An upstream that answers before it reads a large body, such as with 503, and keeps the connection open left it in the pool with parts of the body still queued. The next request waited behind them until its time-out, and the watch of the earlier write could fail it.

A connection is now reused only if its request was written too.

--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -3,6 +3,7 @@
 import figdeck.http.ChunkQueue
 import figdeck.http.IncompleteMessageException
 import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.PrematureChannelClosureException
@@ -32,6 +33,10 @@
 
     @Volatile
     private var responseBody: IncomingBody? = null
+
+    /** Completes when the latest request is written. */
+    @Volatile
+    private var written: ChannelFuture? = null
     private var bodyIdleTimeout = Duration.ZERO
 
     @Volatile
@@ -48,10 +53,11 @@
         private set
 
     /**
-     * Whether the latest response was read to its end and the peer keeps the connection open. A response that is left
-     * unread is of no use to its reader, such as a refusal; its peer may be in trouble and send it once more.
+     * Whether the latest request was written whole, its response was read to its end, and the peer keeps the connection
+     * open. A response that is left unread is of no use to its reader, such as a refusal; its peer may be in trouble and
+     * send it once more. A peer may answer before it has read the request, and the next one would wait for the rest.
      */
-    val isReusable: Boolean get() = keepsAlive && responseBody?.isConsumed == true
+    val isReusable: Boolean get() = keepsAlive && written?.isSuccess == true && responseBody?.isConsumed == true
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -63,12 +69,13 @@
         pendingReply = reply
         responseBody = null
         bodyIdleTimeout = request.idleTimeout
-        val written = ctx.writeRequest(request) {
+        val requestWritten = ctx.writeRequest(request) {
             keepsAlive = false
             failExchange("the peer took nothing of the request for ${request.writeTimeout}", LossCause.TIMEOUT)
             ctx.close()
         }
-        written.addListener { done ->
+        written = requestWritten
+        requestWritten.addListener { done ->
             if (!done.isSuccess) {
                 reply.completeExceptionally(IncompleteMessageException("the request could not be written whole"))
                 responseBody?.fail("the connection failed while the request was written", LossCause.CONNECTION_ENDED)
