Exclude the time that a caller takes from its engine's pace

Time in which a stream isn't read because its caller isn't ready was excluded from the pause that ends a stream, but counted as the time that the engine streams. A slow caller made its engine look slow.

The meter of the slot now excludes the same time.

--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotUsageMeter.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotUsageMeter.kt
@@ -19,7 +19,10 @@
 ) {
     private var events = 0
     private var firstEventAt: Moment? = null
-    private var lastEventAt: Moment? = null
+    private var streamingTime = Duration.ZERO
+
+    /** The time since the first event in which nothing was read of the stream. */
+    private var unreadTime = Duration.ZERO
     private var hasEnded = false
     private var hasNotRun = false
 
@@ -27,11 +30,17 @@
     fun onEvents(count: Int, now: Moment) {
         if (count > 0) {
             events += count
-            firstEventAt = firstEventAt ?: now
-            lastEventAt = now
+            val first = firstEventAt ?: now
+            firstEventAt = first
+            streamingTime = now - first - unreadTime
         }
     }
 
+    /** Excludes [duration], in which the stream was not read because its caller was not ready, from its pace. */
+    fun exclude(duration: Duration) {
+        if (firstEventAt != null) unreadTime += duration
+    }
+
     /** Records that the stream has ended and is complete. */
     fun onComplete() {
         hasEnded = true
@@ -47,12 +56,10 @@
      * [tokensPerEvent], so that the output counts as no longer than [maxOutputTokens].
      */
     fun usage(tokensPerEvent: Int, maxOutputTokens: Int): SlotUsage? {
-        val first = firstEventAt
-        val last = lastEventAt
         return SlotUsage(
             outputTokens = (events.toLong() * tokensPerEvent).coerceAtMost(maxOutputTokens.toLong()).toInt(),
-            timeToFirstEvent = first?.let { it - sentAt },
-            streamingTime = if (first != null && last != null) last - first else Duration.ZERO,
+            timeToFirstEvent = firstEventAt?.let { it - sentAt },
+            streamingTime = streamingTime,
             isWhole = hasEnded && !isResumed && events > 0,
         ).takeUnless { hasNotRun }
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/StreamRelay.kt
@@ -68,7 +68,9 @@
                 val hasBegun = eventCount > eventsBefore
                 forwardEvents(events, reply, caller)
                 if (!hasBegun) onBegun()
-                reader.exclude(clock() - readAt)
+                val unread = clock() - readAt
+                reader.exclude(unread)
+                meter?.exclude(unread)
             }
             error == null
         }.collect()
--- a/src/test/kotlin/figdeck/daemon/command/serving/WorkUsageSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/WorkUsageSpec.kt
@@ -193,7 +193,12 @@
 class WorkUsageSpec : DescribeSpec({
     describe("a relayed stream") {
         /** Relays events that each arrive after one of [pauses], to a caller that takes [callerTime] for each. */
-        suspend fun measure(pauses: List<Duration>, isResumed: Boolean = false, end: String = ""): SlotUsageMeter {
+        suspend fun measure(
+            pauses: List<Duration>,
+            isResumed: Boolean = false,
+            end: String = "",
+            callerTime: Duration = Duration.ZERO,
+        ): SlotUsageMeter {
             var now = Moment(0, 0)
             val meter = SlotUsageMeter(now, isResumed)
             val relay = StreamRelay(null)
@@ -205,7 +210,8 @@
                 }
                 if (end.isNotEmpty()) emit(end.encodeToByteArray())
             }
-            if (relay.relay(reply(chunks), 10.seconds, { now }, silentCaller) == RelayResult.Complete) {
+            val caller = CallerChannel({ _, _ -> }, { now += callerTime }, { _, _, _ -> })
+            if (relay.relay(reply(chunks), 10.seconds, { now }, caller) == RelayResult.Complete) {
                 meter.onComplete()
             }
             return meter
@@ -218,6 +224,12 @@
                 SlotUsage(32, 120.milliseconds, 100.milliseconds, isWhole = true)
         }
 
+        // Guards against slow callers that make their engine look slow.
+        it("counts no time that its caller takes") {
+            val usage = measure(pauses, callerTime = 400.milliseconds).usage(TOKENS_PER_EVENT, 400)
+            usage?.streamingTime shouldBe 100.milliseconds
+        }
+
         it("counts no more tokens than the maximum, since the last event may be shorter") {
             measure(pauses).usage(TOKENS_PER_EVENT, 27)?.outputTokens shouldBe 27
         }
