Docs: what the small limit for responses covers, and the least rate of a caller

The comment said that 16 KiB cover most whole answers, but a full part counts 16,384 + 512 bytes. The rate below which a caller counts as stalled is now given as a number.

--- a/src/main/kotlin/figdeck/command/serving/ResponseMemoryLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/ResponseMemoryLimits.kt
@@ -6,10 +6,13 @@
 /** Some seconds of the output of the fastest engines for a caller that doesn't read meanwhile. */
 private const val EACH_BYTES = 256L * 1024
 
-/** Most whole answers, and more than a stream's caller leaves unread between two looks at its socket. */
+/**
+ * More than a stream's caller leaves unread between two looks at its socket. A whole answer of up to 15,360 bytes fits
+ * too; one full part of a larger answer does not, with the 512 bytes that are counted beside it.
+ */
 private const val SMALL_BYTES = 16L * 1024
 
-/** A caller that takes less than this within the stall timeout reads more slowly than any sound one. */
+/** A caller that takes less than this within the stall timeout reads less than 8 KB/s. */
 private const val RESUME_BYTES = 16L * 1024
 
 /** Shorter than the time for which upstreams keep a response that nobody reads. */
