--- a/src/main/kotlin/figdeck/http/client/ClientConnection.kt
+++ b/src/main/kotlin/figdeck/http/client/ClientConnection.kt
@@ -53,9 +53,10 @@
         private set
 
     /**
-     * Whether the latest request was written whole, its response was read to its end, and the peer keeps the connection
-     * open. A response that is left unread is of no use to its reader, such as a refusal; its peer may be in trouble and
-     * send it once more. A peer may answer before it has read the request, and the next one would wait for the rest.
+     * Whether the latest request was written whole, its response was read to its end, and the peer keeps the
+     * connection open. A response that is left unread is of no use to its reader, such as a refusal; its peer may be in
+     * trouble and send it once more. A peer may answer before it has read the request, and the next one would wait for
+     * the rest.
      */
     val isReusable: Boolean get() = keepsAlive && written?.isSuccess == true && responseBody?.isConsumed == true
 
--- a/src/main/kotlin/figdeck/http/server/ServerExchange.kt
+++ b/src/main/kotlin/figdeck/http/server/ServerExchange.kt
@@ -101,8 +101,8 @@
     }
 
     /**
-     * Sends the parts of [body] after the first. What has no room yet stays with its owner. The channel copies each part
-     * into a buffer of its own, so that a part which waits for its reader doesn't keep all of the body.
+     * Sends the parts of [body] after the first. What has no room yet stays with its owner. The channel copies each
+     * part into a buffer of its own, so that a part which waits for its reader doesn't keep all of the body.
      */
     private suspend fun writeRest(body: ByteArray) {
         for (from in MAX_PART_BYTES until body.size step MAX_PART_BYTES) {
--- a/src/test/kotlin/figdeck/http/client/EarlyAnswerSpec.kt
+++ b/src/test/kotlin/figdeck/http/client/EarlyAnswerSpec.kt
@@ -40,7 +40,11 @@
                 responder.respond(200, newHeaders(), ByteArray(0))
             }
             HttpServer(group, HttpServerLimits(), taking).use { server ->
-                val large = OutgoingRequest(server.listen(IP, 0), RequestLine("POST", "/"), body = ByteArray(BODY_BYTES))
+                val large = OutgoingRequest(
+                    server.listen(IP, 0),
+                    RequestLine("POST", "/"),
+                    body = ByteArray(BODY_BYTES)
+                )
                 val earlier = List(2) {
                     client.exchange(large) { reply ->
                         reply.body.readAll(MAX_ANSWER_BYTES)
