Wake a stopped response only when it may be able to go on

All stopped responses waited for one flow of the bytes held in all, so each part of any response woke all of them. The flow drops equal values: a caller's part that was taken while another response added one as large woke nobody, and the response went on only at the end of its 2 s.

Each response now has a flow of its own bytes, in which no two values are equal after a part is taken. The total wakes stopped responses when it crosses a limit.

--- a/src/main/kotlin/figdeck/command/serving/ResponseMemoryLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/ResponseMemoryLimits.kt
@@ -71,3 +71,13 @@
 /** Whether a response that was stopped for want of room may continue. */
 public fun mayResume(use: ResponseMemoryUse, limits: ResponseMemoryLimits): Boolean =
     use.own == 0L || hasRoom(ResponseMemoryUse(use.own + limits.resume, use.all + limits.resume), limits)
+
+/**
+ * How many of the limits for all responses leave no room beside [all] bytes for a stopped response to continue. Whether
+ * [mayResume] holds for a response changes only with its own bytes and with this number.
+ */
+public fun exceededLimits(all: Long, limits: ResponseMemoryLimits): Int = when {
+    all + limits.resume > limits.all -> 2
+    all + limits.resume > limits.large -> 1
+    else -> 0
+}
--- a/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
+++ b/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
@@ -2,11 +2,12 @@
 
 import figdeck.http.READ_GRACE
 import io.netty.channel.ChannelFuture
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.merge
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.withTimeoutOrNull
-import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
@@ -16,37 +17,47 @@
 
 /** The memory of one listener for the parts of responses that the connections of their readers have not taken. */
 internal class ResponseMemory(private val room: ResponseRoom) {
-    private val all = MutableStateFlow(0L)
+    private val lock = Any()
 
-    /** The bytes that are held now. */
-    val heldBytes: Long get() = all.value
+    /** The bytes that are held now. Written under [lock]. */
+    @Volatile
+    var heldBytes: Long = 0
+        private set
+
+    /** How many limits [heldBytes] exceeds. A change wakes the stopped responses; other parts of other responses do not. */
+    private val exceededLimits = MutableStateFlow(room.exceededLimits(0))
 
     fun newShare(): Share = Share()
 
+    private fun change(bytes: Long) = synchronized(lock) {
+        heldBytes += bytes
+        exceededLimits.value = room.exceededLimits(heldBytes)
+    }
+
     /** The memory of one response. Its parts are released as they are written, or as the connection closes. */
     inner class Share {
-        private val own = AtomicLong()
-        private val taken = AtomicLong()
+        private val use = MutableStateFlow(ShareUse(own = 0, taken = 0))
 
         /** When the response was stopped first since its reader last took something; null if it never was. */
         private var stop: Stop? = null
 
-        val unread: UnreadBytes get() = UnreadBytes(own.get(), all.value)
+        val unread: UnreadBytes get() = UnreadBytes(use.value.own, heldBytes)
 
         /** Counts the [bytes] that [written] stands for until they are written. Most are written at once. */
         fun hold(written: ChannelFuture, bytes: Int) {
             if (written.isDone) return
             val held = bytes + PART_OVERHEAD_BYTES
+            use.update { it.copy(own = it.own + held) }
             change(held)
             written.addListener {
-                taken.addAndGet(held)
+                use.update { ShareUse(it.own - held, it.taken + held) }
                 change(-held)
             }
         }
 
         /**
-         * Waits until more may be sent. Returns false if the response was stopped for too long while its reader took too
-         * little. Memory that others free lets it continue, but gives a reader that takes nothing no more time.
+         * Waits until more may be sent. Returns false if the response was stopped for too long while its reader took
+         * too little. Memory that others free lets it continue, but gives a reader that takes nothing no more time.
          */
         suspend fun awaitRoom(): Boolean = room.hasRoom(unread) || awaitResume()
 
@@ -59,43 +70,44 @@
                 val hasTime = left > Duration.ZERO
                 // Without time left, only what its reader takes within the grace lets the response go on.
                 val progress = if (hasTime) room.progressBytes else 1
-                isReading = within(left) {
+                isReading = within(left, merge(use, exceededLimits)) {
                     mayResume = hasTime && room.mayResume(unread)
-                    mayResume || taken.get() - current.taken >= progress
+                    mayResume || use.value.taken - current.taken >= progress
                 }
             }
             return mayResume
         }
 
         private fun currentStop(): Stop {
-            val takenNow = taken.get()
+            val takenNow = use.value.taken
             val current = stop?.takeIf { it.taken == takenNow } ?: Stop(TimeSource.Monotonic.markNow(), takenNow)
             stop = current
             return current
         }
 
         /** Waits until everything is written. Returns false if the reader stalled, or was not done within [limit]. */
-        suspend fun awaitEmpty(limit: Duration): Boolean = own.get() == 0L ||
+        suspend fun awaitEmpty(limit: Duration): Boolean = use.value.own == 0L ||
             withTimeoutOrNull(limit) {
                 var isReading = true
-                while (isReading && own.get() > 0) {
-                    val before = own.get()
-                    isReading = within(room.stallTimeout) { own.get() < before }
+                while (isReading && use.value.own > 0) {
+                    val before = use.value.own
+                    isReading = within(room.stallTimeout, use) { use.value.own < before }
                 }
                 isReading
             } == true
 
-        private suspend fun within(limit: Duration, condition: () -> Boolean): Boolean =
-            withTimeoutOrNull(limit) { all.first { condition() } } != null ||
+        private suspend fun within(limit: Duration, changes: Flow<Any>, condition: () -> Boolean): Boolean =
+            withTimeoutOrNull(limit) { changes.first { condition() } } != null ||
                 // After this process was stopped for a while, the time-out is due before the connections are looked at.
-                withTimeoutOrNull(READ_GRACE) { all.first { condition() } } != null
-
-        private fun change(bytes: Long) {
-            own.addAndGet(bytes)
-            all.update { it + bytes }
-        }
+                withTimeoutOrNull(READ_GRACE) { changes.first { condition() } } != null
     }
 
+    /** The bytes of one response: [own] are held, [taken] were held and then taken by its reader. */
+    private data class ShareUse(
+        val own: Long,
+        val taken: Long,
+    )
+
     /** A stop of a response at the time [since], when its reader had taken [taken] bytes of what waited for it. */
     private data class Stop(
         val since: TimeMark,
--- a/src/main/kotlin/figdeck/http/server/ResponseRoom.kt
+++ b/src/main/kotlin/figdeck/http/server/ResponseRoom.kt
@@ -26,6 +26,7 @@
  * @property mayResume whether a response that was stopped may continue.
  * @property stallTimeout how long a response may be stopped before it is ended.
  * @property progressBytes how much the reader of a stopped response must take for that time to start again.
+ * @property exceededLimits how many limits the bytes of all responses exceed, by which stopped responses may continue.
  * @property onStalled is called for each response that is ended.
  */
 public data class ResponseRoom(
@@ -33,6 +34,7 @@
     public val mayResume: (UnreadBytes) -> Boolean,
     public val stallTimeout: Duration,
     public val progressBytes: Long,
+    public val exceededLimits: (all: Long) -> Int,
     public val onStalled: (StalledResponse) -> Unit = {},
 )
 
@@ -42,4 +44,5 @@
     mayResume = { it.own == 0L },
     stallTimeout = writeTimeout,
     progressBytes = PLAIN_BYTES.toLong(),
+    exceededLimits = { 0 },
 )
--- a/src/main/kotlin/figdeck/platform/SlowReaders.kt
+++ b/src/main/kotlin/figdeck/platform/SlowReaders.kt
@@ -2,6 +2,7 @@
 
 import figdeck.command.serving.ResponseMemoryLimits
 import figdeck.command.serving.ResponseMemoryUse
+import figdeck.command.serving.exceededLimits
 import figdeck.command.serving.hasRoom
 import figdeck.command.serving.mayResume
 import figdeck.http.server.ResponseRoom
@@ -15,6 +16,7 @@
         mayResume = { mayResume(it.toUse(), limits) },
         stallTimeout = limits.stallTimeout,
         progressBytes = limits.resume,
+        exceededLimits = { exceededLimits(it, limits) },
         onStalled = { stalled ->
             count()
             log.note("slow_reader", stalled.request.get(ATTEMPT_ID_HEADER).orEmpty()) {
--- a/src/test/kotlin/figdeck/command/serving/ResponseMemoryLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/ResponseMemoryLimitsSpec.kt
@@ -41,6 +41,17 @@
         }
     }
 
+    describe("the number of exceeded limits") {
+        // Guards against a stopped response that is not woken when it may continue.
+        it("changes wherever the memory of others decides whether a response may continue") {
+            val small = limits.copy(resume = KIB)
+            val totals = listOf(small.large, small.all).map { it - small.resume }.flatMap { listOf(it, it + 1) }
+            totals.map { exceededLimits(it, small) } shouldBe listOf(0, 1, 1, 2)
+            totals.map { mayResume(use(200 * KIB, all = it), small) } shouldBe listOf(true, false, false, false)
+            totals.map { mayResume(use(KIB, all = it), small) } shouldBe listOf(true, true, true, false)
+        }
+    }
+
     describe("a response that was stopped") {
         // Guards against callers that take single bytes and so keep a stream stopped without end.
         it("continues when its caller has taken more than a few bytes") {
--- a/src/test/kotlin/figdeck/http/server/HeldAnswerSpec.kt
+++ b/src/test/kotlin/figdeck/http/server/HeldAnswerSpec.kt
@@ -27,7 +27,7 @@
         // Guards against parts that keep all of the answer in memory, while only their own bytes are counted.
         it("is held no longer than its last part") {
             val answer = AtomicReference<WeakReference<ByteArray>>()
-            val room = ResponseRoom({ true }, { true }, stallTimeout = 20.seconds, progressBytes = 1)
+            val room = ResponseRoom({ true }, { true }, 20.seconds, progressBytes = 1, { 0 })
             val handler: HttpHandler = { _, responder ->
                 val body = ByteArray(ANSWER_BYTES)
                 answer.set(WeakReference(body))
