--- a/src/main/kotlin/figdeck/command/serving/ResponseMemoryLimits.kt
+++ b/src/main/kotlin/figdeck/command/serving/ResponseMemoryLimits.kt
@@ -6,10 +6,13 @@
 /** Some seconds of the output of the fastest engines for a caller that doesn't read meanwhile. */
 private const val EACH_BYTES = 256L * 1024
 
-/** Most whole answers, and more than a stream's caller leaves unread between two looks at its socket. */
+/**
+ * More than a stream's caller leaves unread between two looks at its socket. A whole answer of up to 15,360 bytes fits
+ * too; one full part of a larger answer does not, with the 512 bytes that are counted beside it.
+ */
 private const val SMALL_BYTES = 16L * 1024
 
-/** A caller that takes less than this within the stall timeout reads more slowly than any sound one. */
+/** A caller that takes less than this within the stall timeout reads less than 8 KB/s. */
 private const val RESUME_BYTES = 16L * 1024
 
 /** Shorter than the time for which upstreams keep a response that nobody reads. */
@@ -68,3 +71,13 @@
 /** Whether a response that was stopped for want of room may continue. */
 public fun mayResume(use: ResponseMemoryUse, limits: ResponseMemoryLimits): Boolean =
     use.own == 0L || hasRoom(ResponseMemoryUse(use.own + limits.resume, use.all + limits.resume), limits)
+
+/**
+ * How many of the limits for all responses leave no room beside [all] bytes for a stopped response to continue. Whether
+ * [mayResume] holds for a response changes only with its own bytes and with this number.
+ */
+public fun exceededLimits(all: Long, limits: ResponseMemoryLimits): Int = when {
+    all + limits.resume > limits.all -> 2
+    all + limits.resume > limits.large -> 1
+    else -> 0
+}
