A cancelled release frees its slot

Cause: the slot's owner removed the ticket and then suspended to record that the upstream is cold. A holder that disconnected at that moment cancelled the release, and nobody knew the slot any more: it stayed taken for good. Change: what follows the removal of the ticket is not cancellable. Measured: SlotClientSpec has a release with coldRemaining that is cancelled; it failed before (1 slot occupied instead of 0) and passes now.

--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -29,7 +29,9 @@
 import figdeck.model.serving.SlotResponse
 import figdeck.query.serving.permit
 import figdeck.wire.serving.SlotRelease
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
@@ -98,26 +100,32 @@
         }
     }
 
-    /** Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. */
+    /**
+     * Frees a slot. Drops the upstream if it is gone, and grants no more of its slots if it is leaving. A holder that
+     * disconnects cancels this call. The slot is freed all the same, since nobody else knows it once its ticket is
+     * removed.
+     */
     suspend fun release(release: SlotRelease) {
         val slot = grantedSlots.remove(release.ticket) ?: return
-        if (slot.expectedTime != null && release.usage?.isWhole == true) {
-            placement.recordTime(slot.expectedTime, clock() - slot.grantedAt)
-        }
-        val upstream = slot.permit.upstream.id
-        // Before the slot is freed, since freeing it grants it to the next request.
-        release.coldRemaining?.let { remaining ->
-            control.run { state, now ->
-                updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.RELEASE, now) }
+        withContext(NonCancellable) {
+            if (slot.expectedTime != null && release.usage?.isWhole == true) {
+                placement.recordTime(slot.expectedTime, clock() - slot.grantedAt)
+            }
+            val upstream = slot.permit.upstream.id
+            // Before the slot is freed, since freeing it grants it to the next request.
+            release.coldRemaining?.let { remaining ->
+                control.run { state, now ->
+                    updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.RELEASE, now) }
+                }
+            }
+            slots.release(slot.permit, release.outcome, release.cost, release.usage)
+            work?.learn(slot.request, slot.expected, release.usage)
+            if (release.outcome == SlotOutcome.GONE) {
+                control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
+            }
+            if (release.isLeaving) {
+                control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
             }
-        }
-        slots.release(slot.permit, release.outcome, release.cost, release.usage)
-        work?.learn(slot.request, slot.expected, release.usage)
-        if (release.outcome == SlotOutcome.GONE) {
-            control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
-        }
-        if (release.isLeaving) {
-            control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
         }
     }
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.serving
 
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.dispatch.occupiedSlots
 import figdeck.command.serving.ColdSource
 import figdeck.control.serving.adoptPlan
 import figdeck.log.DecisionLog
@@ -19,6 +20,9 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -106,6 +110,22 @@
                 host.control.snapshot.pools.cold.values.map { it.source } shouldBe listOf(ColdSource.RELEASE)
             }
         }
+
+        // Guards against a slot that is lost for good because the holder disconnects during its release.
+        it("gets its slot back from a release that is cancelled") {
+            TestHost(fleetMember("host-1")).use { host ->
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("ready-1"))
+                coroutineScope {
+                    launch {
+                        cancel()
+                        host.owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1, coldRemaining = 60.seconds))
+                    }
+                }
+                host.control.snapshot.slots.upstreams.values.single().occupiedSlots shouldBe 0
+                host.control.snapshot.pools.cold.keys shouldBe setOf(UpstreamId("ready-1"))
+            }
+        }
     }
 
     // Guards against an owner that reads of a cold upstream and grants its slots as before.
