Limits of cold upstreams are computed only where a statement has changed

Cause: each changed entry recomputed the limits of all cold upstreams, and each of those counted the hosts of the fleet anew. Change: updateColdPools applies limits only to the upstreams whose statement has changed. The hosts are counted at most once per call, the share once per pool. Measured: ColdLimitsSpec shows that the state of an upstream stays as it is when another's entry changes; it failed before and passes now.

--- a/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
@@ -5,13 +5,14 @@
 import figdeck.command.dispatch.limitCold
 import figdeck.command.dispatch.mainColdLimit
 import figdeck.command.dispatch.ownColdLimit
+import figdeck.command.serving.ColdStatement
 import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.until
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
-import figdeck.model.serving.ColdStartPolicy
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.ServingPool
 import figdeck.query.serving.BucketLocation
 import figdeck.query.serving.bucketLocation
 import figdeck.query.serving.estimatedHostCount
@@ -24,20 +25,18 @@
     bucketLocation(slotKey(pool), now) == BucketLocation.Local && !isCutOff(now)
 
 /** The upstreams that are cold at [now]. */
-internal fun coldUpstreams(state: ServingState, now: Moment): List<ColdUpstream> {
-    val policies = state.index?.plan?.pools.orEmpty().mapNotNull { pool -> pool.coldStart?.let { pool.name to it } }
-    return policies.flatMap { (pool, policy) -> coldUpstreams(state, pool, policy, now) }
-}
+internal fun coldUpstreams(state: ServingState, now: Moment): List<ColdUpstream> =
+    coldUpstreams(state, state.index?.plan?.pools.orEmpty(), state.pools.cold, now)
 
 /** The limits of the upstreams of [pool] that are cold at [now]. */
 internal fun coldLimits(state: ServingState, pool: PoolName, now: Moment): Map<UpstreamId, ColdLimit> {
-    val policy = state.index?.plan?.pools?.find { it.name == pool }?.coldStart
-    return if (policy == null) emptyMap() else coldUpstreams(state, pool, policy, now).associate { it.id to it.limit }
+    val pools = state.index?.plan?.pools.orEmpty().filter { it.name == pool }
+    return coldUpstreams(state, pools, state.pools.cold, now).associate { it.id to it.limit }
 }
 
 /**
- * Updates the state of the pools by something that may tell that upstreams are cold, and puts their limits in force at
- * once, also for requests that are queued already.
+ * Updates the state of the pools by something that may tell that upstreams are cold, and puts the limits of those whose
+ * statement has changed in force at once, also for requests that are queued already.
  */
 internal fun updateColdPools(
     state: ServingState,
@@ -48,29 +47,35 @@
     return if (next.pools.cold === state.pools.cold) {
         Step(next, Unit)
     } else {
-        val limits = coldUpstreams(next, now).associate { it.id to it.limit }
-        Step(next.copy(slots = limitCold(next.slots, limits, now)), Unit)
+        val changed = next.pools.cold.filter { (id, statement) -> statement != state.pools.cold[id] }
+        val limits = coldUpstreams(next, next.index?.plan?.pools.orEmpty(), changed, now)
+        Step(next.copy(slots = limitCold(next.slots, limits.associate { it.id to it.limit }, now)), Unit)
     }
 }
 
+/** Those of the upstreams of [pools] with one of [statements] that are cold at [now]. */
 private fun coldUpstreams(
     state: ServingState,
-    pool: PoolName,
-    policy: ColdStartPolicy,
+    pools: List<ServingPool>,
+    statements: Map<UpstreamId, ColdStatement>,
     now: Moment,
 ): List<ColdUpstream> {
-    val cold = state.pools.cold.filter { (id, statement) ->
-        now < statement.until(policy) && state.pools.members[id]?.pool == pool
-    }
     val fleet = state.fleet
-    val isMain = cold.isNotEmpty() && fleet.hasMainColdShare(pool, now)
-    return cold.map { (id, statement) ->
-        val until = statement.until(policy)
-        val limit = if (isMain) {
-            mainColdLimit(policy, until)
-        } else {
-            ownColdLimit(policy, until, fleet.estimatedHostCount(), fleet.self.host, id)
+    val hosts by lazy(LazyThreadSafetyMode.NONE) { fleet.estimatedHostCount() }
+    return pools.flatMap { pool ->
+        val policy = pool.coldStart ?: return@flatMap emptyList()
+        val cold = statements.filter { (id, statement) ->
+            now < statement.until(policy) && state.pools.members[id]?.pool == pool.name
+        }
+        val isMain = cold.isNotEmpty() && fleet.hasMainColdShare(pool.name, now)
+        cold.map { (id, statement) ->
+            val until = statement.until(policy)
+            val limit = if (isMain) {
+                mainColdLimit(policy, until)
+            } else {
+                ownColdLimit(policy, until, hosts, fleet.self.host, id)
+            }
+            ColdUpstream(id, pool.name, policy, limit, statement)
         }
-        ColdUpstream(id, pool, policy, limit, statement)
     }
 }
