A statement that an upstream is not cold lifts its limit

Cause: an entry that was corrected to 0, or an answer with X-Cold-Ms: 0 from an upstream that was only assumed cold, removed the statement. The bucket in the dispatcher stayed in force until the end of the period stated before. Change: updateColdPools clears the buckets of the upstreams that have lost their statement and are still members. A removed upstream keeps its bucket, since requests may be queued there.

--- a/src/main/kotlin/figdeck/command/dispatch/ColdUpstream.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ColdUpstream.kt
@@ -52,3 +52,10 @@
         val known = current.upstreams[id]
         if (known == null) current else current.with(known.copy(cold = known.cold.limitedBy(limit, now)))
     }
+
+/** Lifts the limits of [upstreams], which have turned out not to be cold, also for the requests queued there. */
+public fun liftCold(state: DispatchState, upstreams: Collection<UpstreamId>): DispatchState =
+    upstreams.fold(state) { current, id ->
+        val known = current.upstreams[id]
+        if (known?.cold == null) current else current.with(known.copy(cold = null))
+    }
--- a/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
@@ -2,6 +2,7 @@
 
 import figdeck.command.Step
 import figdeck.command.dispatch.ColdLimit
+import figdeck.command.dispatch.liftCold
 import figdeck.command.dispatch.limitCold
 import figdeck.command.dispatch.mainColdLimit
 import figdeck.command.dispatch.ownColdLimit
@@ -35,8 +36,9 @@
 }
 
 /**
- * Updates the state of the pools by something that may tell that upstreams are cold, and puts the limits of those whose
- * statement has changed in force at once, also for requests that are queued already.
+ * Updates the state of the pools by something that may tell which upstreams are cold. The limits of those whose
+ * statement has changed are in force at once, and those of upstreams that are not cold are lifted, also for requests
+ * that are queued already. An upstream that is removed keeps its limit, since requests may still be queued there.
  */
 internal fun updateColdPools(
     state: ServingState,
@@ -49,7 +51,9 @@
     } else {
         val changed = next.pools.cold.filter { (id, statement) -> statement != state.pools.cold[id] }
         val limits = coldUpstreams(next, next.index?.plan?.pools.orEmpty(), changed, now)
-        Step(next.copy(slots = limitCold(next.slots, limits.associate { it.id to it.limit }, now)), Unit)
+        val warm = state.pools.cold.keys.filter { it !in next.pools.cold && it in next.pools.members }
+        val slots = limitCold(liftCold(next.slots, warm), limits.associate { it.id to it.limit }, now)
+        Step(next.copy(slots = slots), Unit)
     }
 }
 
--- a/src/test/kotlin/figdeck/control/serving/ColdLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdLimitsSpec.kt
@@ -5,8 +5,11 @@
 import figdeck.command.dispatch.UpstreamState
 import figdeck.command.dispatch.idleUpstream
 import figdeck.command.dispatch.with
+import figdeck.command.serving.ColdSource
 import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.putMember
+import figdeck.command.serving.recordCold
+import figdeck.command.serving.removeImmediately
 import figdeck.daemon.command.serving.fleetMember
 import figdeck.daemon.command.serving.poolMember
 import figdeck.model.UpstreamId
@@ -14,6 +17,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.servingPlan
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeSameInstanceAs
@@ -56,6 +60,29 @@
 
 class ColdLimitsSpec : DescribeSpec({
     describe("the limit of an upstream") {
+        // Guards against upstreams that stay limited by a statement that was corrected.
+        it("ends when its entry is corrected to 0") {
+            val host = ColdHost(2.seconds)
+            host.bucket(first).shouldNotBeNull()
+            host.update(100) { putMember(it, entry(first, Duration.ZERO), at(100)) }
+            host.bucket(first).shouldBeNull()
+            host.bucket(second).shouldNotBeNull()
+        }
+
+        it("ends when an answer says that the upstream, which was assumed cold, isn't") {
+            val host = ColdHost(null)
+            host.bucket(first).shouldNotBeNull()
+            host.update(100) { recordCold(it, first, Duration.ZERO, ColdSource.REPLY, at(100)) }
+            host.bucket(first).shouldBeNull()
+        }
+
+        // Guards against requests that are queued at an upstream without an entry and are all sent to it at once.
+        it("stays in force when its upstream is removed") {
+            val host = ColdHost(2.seconds)
+            host.update(100) { removeImmediately(it, first) }
+            host.bucket(first).shouldNotBeNull()
+        }
+
         // Guards against a start of a whole pool whose cost is the square of the number of its upstreams.
         it("is not computed again when that of another upstream changes") {
             val host = ColdHost(2.seconds)
