Answers that tell nothing new of a cold start cost no control command

Cause: each answer with X-Cold-Ms waited for a command of the control thread before it was handled, also with 0, with a time already known, and in pools without cold starts. Before the plan is read, answers are recorded as before.

--- a/src/main/kotlin/figdeck/command/serving/ColdUpstreams.kt
+++ b/src/main/kotlin/figdeck/command/serving/ColdUpstreams.kt
@@ -67,16 +67,14 @@
     remaining: Duration,
     source: ColdSource,
     now: Moment,
-): PoolMembers {
-    val known = state.cold[id]
+): PoolMembers =
+    if (state.isColdChange(id, remaining, now)) state.with(id, ColdStatement(source, now, remaining)) else state
+
+/** Whether [recordCold] changes anything if the upstream [id] stays cold for [remaining]. */
+internal fun PoolMembers.isColdChange(id: UpstreamId, remaining: Duration, now: Moment): Boolean {
+    val known = cold[id]
     val left = known?.timeLeft(now) ?: Duration.ZERO
-    val isAssumed = known?.source == ColdSource.ASSUMED
-    val isNews = isAssumed || remaining > left
-    return if (id in state.members && isNews) {
-        state.with(id, ColdStatement(source, now, remaining))
-    } else {
-        state
-    }
+    return id in members && (known?.source == ColdSource.ASSUMED || remaining > left)
 }
 
 /**
--- a/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
@@ -8,6 +8,7 @@
 import figdeck.command.dispatch.ownColdLimit
 import figdeck.command.serving.ColdStatement
 import figdeck.command.serving.PoolMembers
+import figdeck.command.serving.isColdChange
 import figdeck.command.serving.until
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
@@ -19,6 +20,7 @@
 import figdeck.query.serving.estimatedHostCount
 import figdeck.query.serving.isCutOff
 import figdeck.query.serving.slotKey
+import kotlin.time.Duration
 
 /** Whether this host may use the main part of the rate at the cold upstreams of [pool]. */
 internal fun Fleet.hasMainColdShare(pool: PoolName, now: Moment): Boolean =
@@ -35,6 +37,16 @@
     return coldUpstreams(state, pools, state.pools.cold, now).associate { it.id to it.limit }
 }
 
+/**
+ * Whether an answer by which [upstream] stays cold for [remaining] changes a limit. It doesn't if the pool has no cold
+ * starts. Before the plan is read that is not known.
+ */
+internal fun ServingState.isColdChange(upstream: UpstreamId, remaining: Duration, now: Moment): Boolean {
+    val pool = pools.members[upstream]?.pool
+    val hasColdStarts = index?.plan?.pools?.any { it.name == pool && it.coldStart != null } ?: true
+    return hasColdStarts && pools.isColdChange(upstream, remaining, now)
+}
+
 /**
  * Updates the state of the pools by something that may tell which upstreams are cold. The limits of those whose
  * statement has changed are in force at once, and those of upstreams that are not cold are lifted, also for requests
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -13,6 +13,7 @@
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.forbiddenUpstreams
 import figdeck.control.serving.refusalByLimits
+import figdeck.control.serving.isColdChange
 import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
 import figdeck.control.serving.usableUpstream
@@ -154,12 +155,14 @@
     }
 
     /**
-     * Records that [upstream] has said in an answer that it stays cold for [remaining]. The owner of its slots is told
-     * when the next one is returned.
+     * Records that [upstream] has said in an answer that it stays cold for [remaining], if that tells anything new. The
+     * owner of its slots is told when the next one is returned.
      */
     suspend fun recordColdReply(upstream: UpstreamId, remaining: Duration) {
-        control.run { state, now ->
-            updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.REPLY, now) }
+        if (control.snapshot.isColdChange(upstream, remaining, clock())) {
+            control.run { state, now ->
+                updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.REPLY, now) }
+            }
         }
     }
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -20,10 +20,12 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.matchers.types.shouldBeSameInstanceAs
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -102,6 +104,32 @@
             }
         }
 
+        // Guards against a command for each answer of warm upstreams, which say 0, and of those known as cold.
+        it("changes nothing with an answer that tells nothing new") {
+            TestHost(fleetMember("host-1")).use { host ->
+                val upstream = UpstreamId("ready-1")
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, upstream.value)))
+                val warm = host.control.snapshot
+                host.slots.recordColdReply(upstream, Duration.ZERO)
+                host.control.snapshot shouldBeSameInstanceAs warm
+                host.slots.recordColdReply(upstream, 60.seconds)
+                val cold = host.control.snapshot
+                host.slots.recordColdReply(upstream, 40.seconds)
+                host.control.snapshot shouldBeSameInstanceAs cold
+            }
+        }
+
+        it("changes nothing in a pool without cold starts") {
+            TestHost(fleetMember("host-1")).use { host ->
+                val plan = servingPlan { pool(pool.value) { } }.getOrNull().shouldNotBeNull()
+                host.control.run { state, _ -> adoptPlan(state, plan) }
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                val before = host.control.snapshot
+                host.slots.recordColdReply(UpstreamId("ready-1"), 60.seconds)
+                host.control.snapshot shouldBeSameInstanceAs before
+            }
+        }
+
         it("is known as cold by an owner that is told") {
             TestHost(fleetMember("host-1")).use { host ->
                 host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
