The adopter of a lost job is computed once per round, and why it has none is logged

Cause: every 150 ms each lost job ranked all hosts twice, to adopt it and to find out whether nobody may. no_host_at_home was also logged while the route was not read, when its homes are unknown. Change: runJobs computes the adopter once for both. The log line has a reason: "no host at home" or "route not read". Measured: HomesJobsSpec, with a new test of the reason, and RunJobsSpec pass. The number of rankings has no test of its own.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobHomes.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobHomes.kt
@@ -41,16 +41,26 @@
     return fleet.ranked("job/${record.id}", now) { limits.isHome(it.dataCentre) }.firstOrNull()
 }
 
+/** A job whose owner is lost, and the host that takes it over; null if there is none. */
+internal data class LostJob(
+    val job: VersionedJob,
+    val adopter: FleetMember?,
+)
+
 /** Logs those of [lost] that no host may take over and that are not in [known] yet. Returns all of them. */
-internal fun JobServices.noteStranded(state: ServingState, lost: List<VersionedJob>, known: Set<JobId>): Set<JobId> {
-    val now = clock()
-    val stranded = lost.filter { state.adopterOf(it.record, now) == null }
-    stranded.filter { it.record.id !in known }.forEach {
-        log.note("no_host_at_home", it.record.id.value) {
-            put("from", it.record.owner.host.value)
-            put("route", it.record.route)
-            put("team", it.record.team.value)
+internal fun JobServices.noteStranded(state: ServingState, lost: List<LostJob>, known: Set<JobId>): Set<JobId> {
+    val stranded = lost.filter { it.adopter == null }.map { it.job.record }
+    stranded.filter { it.id !in known }.forEach {
+        log.note("no_host_at_home", it.id.value) {
+            put("from", it.owner.host.value)
+            put("route", it.route)
+            put("team", it.team.value)
+            put("reason", state.strandedReason(it))
         }
     }
-    return stranded.map { it.record.id }.toSet()
+    return stranded.map { it.id }.toSet()
 }
+
+/** Why no host may take over the job [record]. */
+internal fun ServingState.strandedReason(record: JobRecord): String =
+    if (routeOf(record) is Known.NotRead) "route not read" else "no host at home"
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJobs.kt
@@ -58,8 +58,10 @@
             missingFor > ORPHAN_TIMEOUT ||
                 (it.record.owner.host in restarted && it.record.age(clock()) > ORPHAN_TIMEOUT)
         }
-        adoptOrphans(state, lost)
-        stranded = noteStranded(state, lost, stranded)
+        val now = clock()
+        val assigned = lost.map { LostJob(it, state.adopterOf(it.record, now)) }
+        assigned.filter { it.adopter?.host == self.host }.forEach { adopt(it.job) }
+        stranded = noteStranded(state, assigned, stranded)
     }
 }
 
@@ -98,13 +100,6 @@
     return if (known) open.filter { incarnations[it.record.owner.host] != it.record.owner.incarnation } else emptyList()
 }
 
-private suspend fun JobServices.adoptOrphans(state: ServingState, orphans: List<VersionedJob>) {
-    val now = clock()
-    orphans
-        .filter { state.adopterOf(it.record, now)?.host == self.host }
-        .forEach { adopt(it) }
-}
-
 private suspend fun JobServices.adopt(job: VersionedJob) {
     val adopted = job.record.copy(owner = self, writeId = newWriteId())
     val written = store.write(adopted, job.version)
--- a/src/test/kotlin/figdeck/daemon/command/jobs/HomesJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/HomesJobsSpec.kt
@@ -134,6 +134,16 @@
                 host.control.snapshot.copy(index = null).adopterOf(record, systemClock()) shouldBe null
             }
         }
+
+        // Guards against operators who widen the homes of a job although only its route isn't read yet.
+        it("is logged with the reason for which it waits") {
+            withJobs(centreS) { host, jobs ->
+                jobs.submit("job-1", "northern", owner = lost)
+                val record = host.control.snapshot.jobs.jobs.values.single().record
+                host.control.snapshot.strandedReason(record) shouldBe "no host at home"
+                host.control.snapshot.copy(index = null).strandedReason(record) shouldBe "route not read"
+            }
+        }
     }
 
     describe("items of a job whose homes leave no upstream") {
