A pool whose ColdS or ColdPerS is 0 has no cold starts

Cause: with ColdS 0 and ColdPerS above 0 the pool had a policy, so that entries and answers could limit its upstreams. Change: ServingPoolBuilder sets coldStart only if both are above 0. Measured: PlanMessagesSpec with pools that have one of the values failed before and passes now.

--- a/src/main/kotlin/figdeck/model/serving/ServingPool.kt
+++ b/src/main/kotlin/figdeck/model/serving/ServingPool.kt
@@ -32,7 +32,7 @@
 
 /** Builds a [ServingPool]. */
 public class ServingPoolBuilder internal constructor(private val name: String) {
-    /** How many seconds an upstream stays cold if its entry doesn't say so. */
+    /** How many seconds an upstream stays cold if its entry doesn't say so; 0 if it needs no protection. */
     public var coldSeconds: Double = 0.0
 
     /** The requests per second that a cold upstream tolerates; 0 if it needs no protection. */
@@ -53,7 +53,7 @@
             "$coldRequestsPerSecond is negative: use 0 for no limit",
         )
         faults.expect(tokensPerEvent > 0, "tokensPerEvent", "$tokensPerEvent is too small: use 1 or more")
-        val coldStart = if (coldRequestsPerSecond > 0) {
+        val coldStart = if (coldSeconds > 0 && coldRequestsPerSecond > 0) {
             ColdStartPolicy(coldSeconds.seconds, coldRequestsPerSecond)
         } else {
             null
--- a/src/test/kotlin/figdeck/platform/PlanMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/platform/PlanMessagesSpec.kt
@@ -73,7 +73,8 @@
             {"Version":8,"Routes":[{"Name":"r","Host":"h.example","Prefix":"/a/","Kind":"streaming","TimeoutMs":5000,
               "Service":"p","AllowedRegions":["north"]}],
              "Services":[{"Name":"p","ColdS":3.0,"ColdPerS":23.0,"Engine":{"Stride":12,"KvCapacityTokens":101495}},
-              {"Name":"q","ColdS":0.0,"ColdPerS":0.0}],
+              {"Name":"q","ColdS":0.0,"ColdPerS":0.0},{"Name":"no-time","ColdS":0.0,"ColdPerS":23.0},
+              {"Name":"no-rate","ColdS":3.0}],
              "Tenants":[{"Name":"t","ApiKeys":["k"],"AllowedRegions":["north","south"]}]}
             """.trimIndent()
         ).getOrElse { error(it) }
@@ -87,6 +88,8 @@
                     tokenCapacity = 101_495,
                 ),
                 ServingPool(PoolName("q")),
+                ServingPool(PoolName("no-time")),
+                ServingPool(PoolName("no-rate")),
             )
         }
 
