--- a/src/main/kotlin/figdeck/daemon/command/serving/ReturnedSlots.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ReturnedSlots.kt
@@ -27,7 +27,7 @@
                 put("version", evacuation)
             }
             !limitsOf(request.homes).isHome(centre) -> {
-                put("reason", "no home")
+                put("reason", "outside the request's homes")
                 put("data_centre", centre.value)
             }
             else -> put("reason", "leaving or excluded")
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -12,8 +12,8 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.forbiddenUpstreams
-import figdeck.control.serving.refusalByLimits
 import figdeck.control.serving.isColdChange
+import figdeck.control.serving.refusalByLimits
 import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
 import figdeck.control.serving.usableUpstream
@@ -140,7 +140,7 @@
         held.remove(permit.request.ticket)
         val usage = meter?.usageOf(permit.request, control.snapshot.index?.plan)
         val release = SlotRelease(permit.request.ticket, use, cost, usage = usage)
-        sendRelease(permit.owner, release.withNews(control.snapshot.pools, permit.upstream.id, clock()))
+        sendRelease(permit.owner, release.withUpstreamStatus(control.snapshot.pools, permit.upstream.id, clock()))
     }
 
     /**
@@ -206,7 +206,7 @@
         if (granted != null) {
             control.snapshot.noteReturnedSlot(request, granted.upstream)
             val release = SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0)
-            sendRelease(owner, release.withNews(control.snapshot.pools, granted.upstream, clock()))
+            sendRelease(owner, release.withUpstreamStatus(control.snapshot.pools, granted.upstream, clock()))
         }
     }
 
@@ -233,7 +233,7 @@
 internal fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
 /** Adds what this host knows of [upstream] by [pools] and the owner of its slots may not know. */
-private fun SlotRelease.withNews(pools: PoolMembers, upstream: UpstreamId, now: Moment): SlotRelease =
+private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, upstream: UpstreamId, now: Moment): SlotRelease =
     copy(isLeaving = upstream in pools.leaving, coldRemaining = pools.ownColdTimeLeft(upstream, now))
 
 private fun refusalOf(response: SlotResponse): Refusal = when (response) {
