--- a/src/main/kotlin/figdeck/command/dispatch/ColdUpstream.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ColdAdmission.kt
@@ -58,3 +58,10 @@
     val bucket = cold.limitedBy(limit, now)
     return copy(cold = bucket, pace = if (bucket == null) pace else pace.coldUntil(bucket.limit.until))
 }
+
+/** Lifts the limits of [upstreams], which have turned out not to be cold, also for the requests queued there. */
+public fun liftCold(state: DispatchState, upstreams: Collection<UpstreamId>): DispatchState =
+    upstreams.fold(state) { current, id ->
+        val known = current.upstreams[id]
+        if (known?.cold == null) current else current.with(known.copy(cold = null))
+    }
--- a/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
@@ -2,21 +2,25 @@
 
 import figdeck.command.Step
 import figdeck.command.dispatch.ColdLimit
+import figdeck.command.dispatch.liftCold
 import figdeck.command.dispatch.limitCold
 import figdeck.command.dispatch.mainColdLimit
 import figdeck.command.dispatch.ownColdLimit
+import figdeck.command.serving.ColdStatement
 import figdeck.command.serving.PoolMembers
+import figdeck.command.serving.isColdChange
 import figdeck.command.serving.until
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
-import figdeck.model.serving.ColdStartPolicy
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.ServingPool
 import figdeck.query.serving.BucketLocation
 import figdeck.query.serving.bucketLocation
 import figdeck.query.serving.estimatedHostCount
 import figdeck.query.serving.isCutOff
 import figdeck.query.serving.slotKey
+import kotlin.time.Duration
 
 /** Whether this host may use the main part of the rate at the cold upstreams of [pool]. */
 internal fun Fleet.hasMainColdShare(pool: PoolName, now: Moment): Boolean =
@@ -24,20 +28,29 @@
     bucketLocation(slotKey(pool), now) == BucketLocation.Local && !isCutOff(now)
 
 /** The upstreams that are cold at [now]. */
-internal fun coldUpstreams(state: ServingState, now: Moment): List<ColdUpstream> {
-    val policies = state.index?.plan?.pools.orEmpty().mapNotNull { pool -> pool.coldStart?.let { pool.name to it } }
-    return policies.flatMap { (pool, policy) -> coldUpstreams(state, pool, policy, now) }
-}
+internal fun coldUpstreams(state: ServingState, now: Moment): List<ColdUpstream> =
+    coldUpstreams(state, state.index?.plan?.pools.orEmpty(), state.pools.cold, now)
 
 /** The limits of the upstreams of [pool] that are cold at [now]. */
 internal fun coldLimits(state: ServingState, pool: PoolName, now: Moment): Map<UpstreamId, ColdLimit> {
-    val policy = state.index?.plan?.pools?.find { it.name == pool }?.coldStart
-    return if (policy == null) emptyMap() else coldUpstreams(state, pool, policy, now).associate { it.id to it.limit }
+    val pools = state.index?.plan?.pools.orEmpty().filter { it.name == pool }
+    return coldUpstreams(state, pools, state.pools.cold, now).associate { it.id to it.limit }
 }
 
 /**
- * Updates the state of the pools by something that may tell that upstreams are cold, and puts their limits in force at
- * once, also for requests that are queued already.
+ * Whether an answer by which [upstream] stays cold for [remaining] changes a limit. It doesn't if the pool has no cold
+ * starts. Before the plan is read that is not known.
+ */
+internal fun ServingState.isColdChange(upstream: UpstreamId, remaining: Duration, now: Moment): Boolean {
+    val pool = pools.members[upstream]?.pool
+    val hasColdStarts = index?.plan?.pools?.any { it.name == pool && it.coldStart != null } ?: true
+    return hasColdStarts && pools.isColdChange(upstream, remaining, now)
+}
+
+/**
+ * Updates the state of the pools by something that may tell which upstreams are cold. The limits of those whose
+ * statement has changed are in force at once, and those of upstreams that are not cold are lifted, also for requests
+ * that are queued already. An upstream that is removed keeps its limit, since requests may still be queued there.
  */
 internal fun updateColdPools(
     state: ServingState,
@@ -48,29 +61,37 @@
     return if (next.pools.cold === state.pools.cold) {
         Step(next, Unit)
     } else {
-        val limits = coldUpstreams(next, now).associate { it.id to it.limit }
-        Step(next.copy(slots = limitCold(next.slots, limits, now)), Unit)
+        val changed = next.pools.cold.filter { (id, statement) -> statement != state.pools.cold[id] }
+        val limits = coldUpstreams(next, next.index?.plan?.pools.orEmpty(), changed, now)
+        val warm = state.pools.cold.keys.filter { it !in next.pools.cold && it in next.pools.members }
+        val slots = limitCold(liftCold(next.slots, warm), limits.associate { it.id to it.limit }, now)
+        Step(next.copy(slots = slots), Unit)
     }
 }
 
+/** Those of the upstreams of [pools] with one of [statements] that are cold at [now]. */
 private fun coldUpstreams(
     state: ServingState,
-    pool: PoolName,
-    policy: ColdStartPolicy,
+    pools: List<ServingPool>,
+    statements: Map<UpstreamId, ColdStatement>,
     now: Moment,
 ): List<ColdUpstream> {
-    val cold = state.pools.cold.filter { (id, statement) ->
-        now < statement.until(policy) && state.pools.members[id]?.pool == pool
-    }
     val fleet = state.fleet
-    val isMain = cold.isNotEmpty() && fleet.hasMainColdShare(pool, now)
-    return cold.map { (id, statement) ->
-        val until = statement.until(policy)
-        val limit = if (isMain) {
-            mainColdLimit(policy, until)
-        } else {
-            ownColdLimit(policy, until, fleet.estimatedHostCount(), fleet.self.host, id)
+    val hosts by lazy(LazyThreadSafetyMode.NONE) { fleet.estimatedHostCount() }
+    return pools.flatMap { pool ->
+        val policy = pool.coldStart ?: return@flatMap emptyList()
+        val cold = statements.filter { (id, statement) ->
+            now < statement.until(policy) && state.pools.members[id]?.pool == pool.name
+        }
+        val isMain = cold.isNotEmpty() && fleet.hasMainColdShare(pool.name, now)
+        cold.map { (id, statement) ->
+            val until = statement.until(policy)
+            val limit = if (isMain) {
+                mainColdLimit(policy, until)
+            } else {
+                ownColdLimit(policy, until, hosts, fleet.self.host, id)
+            }
+            ColdUpstream(id, pool.name, policy, limit, statement)
         }
-        ColdUpstream(id, pool, policy, limit, statement)
     }
 }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -12,6 +12,7 @@
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.forbiddenUpstreams
+import figdeck.control.serving.isColdChange
 import figdeck.control.serving.refusalByLimits
 import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
@@ -139,7 +140,7 @@
         held.remove(permit.request.ticket)
         val usage = meter?.usageOf(permit.request, control.snapshot.index?.plan)
         val release = SlotRelease(permit.request.ticket, use, cost, usage = usage)
-        sendRelease(permit.owner, release.withNews(control.snapshot.pools, permit.upstream.id, clock()))
+        sendRelease(permit.owner, release.withUpstreamStatus(control.snapshot.pools, permit.upstream.id, clock()))
     }
 
     /**
@@ -154,12 +155,14 @@
     }
 
     /**
-     * Records that [upstream] has said in an answer that it stays cold for [remaining]. The owner of its slots is told
-     * when the next one is returned.
+     * Records that [upstream] has said in an answer that it stays cold for [remaining], if that tells anything new. The
+     * owner of its slots is told when the next one is returned.
      */
     suspend fun recordColdReply(upstream: UpstreamId, remaining: Duration) {
-        control.run { state, now ->
-            updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.REPLY, now) }
+        if (control.snapshot.isColdChange(upstream, remaining, clock())) {
+            control.run { state, now ->
+                updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.REPLY, now) }
+            }
         }
     }
 
@@ -203,7 +206,7 @@
         if (granted != null) {
             control.snapshot.noteReturnedSlot(request, granted.upstream)
             val release = SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0)
-            sendRelease(owner, release.withNews(control.snapshot.pools, granted.upstream, clock()))
+            sendRelease(owner, release.withUpstreamStatus(control.snapshot.pools, granted.upstream, clock()))
         }
     }
 
@@ -230,7 +233,7 @@
 internal fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
 /** Adds what this host knows of [upstream] by [pools] and the owner of its slots may not know. */
-private fun SlotRelease.withNews(pools: PoolMembers, upstream: UpstreamId, now: Moment): SlotRelease =
+private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, upstream: UpstreamId, now: Moment): SlotRelease =
     copy(isLeaving = upstream in pools.leaving, coldRemaining = pools.ownColdTimeLeft(upstream, now))
 
 private fun refusalOf(response: SlotResponse): Refusal = when (response) {
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -1,6 +1,7 @@
 package figdeck.daemon.command.serving
 
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.command.dispatch.occupiedSlots
 import figdeck.command.serving.ColdSource
 import figdeck.control.serving.adoptPlan
 import figdeck.log.DecisionLog
@@ -20,7 +21,12 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.matchers.types.shouldBeSameInstanceAs
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -99,6 +105,32 @@
             }
         }
 
+        // Guards against a command for each answer of warm upstreams, which say 0, and of those known as cold.
+        it("changes nothing with an answer that tells nothing new") {
+            TestHost(fleetMember("host-1")).use { host ->
+                val upstream = UpstreamId("ready-1")
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, upstream.value)))
+                val warm = host.control.snapshot
+                host.slots.recordColdReply(upstream, Duration.ZERO)
+                host.control.snapshot shouldBeSameInstanceAs warm
+                host.slots.recordColdReply(upstream, 60.seconds)
+                val cold = host.control.snapshot
+                host.slots.recordColdReply(upstream, 40.seconds)
+                host.control.snapshot shouldBeSameInstanceAs cold
+            }
+        }
+
+        it("changes nothing in a pool without cold starts") {
+            TestHost(fleetMember("host-1")).use { host ->
+                val plan = servingPlan { pool(pool.value) { } }.getOrNull().shouldNotBeNull()
+                host.control.run { state, _ -> adoptPlan(state, plan) }
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                val before = host.control.snapshot
+                host.slots.recordColdReply(UpstreamId("ready-1"), 60.seconds)
+                host.control.snapshot shouldBeSameInstanceAs before
+            }
+        }
+
         it("is known as cold by an owner that is told") {
             TestHost(fleetMember("host-1")).use { host ->
                 host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
@@ -107,6 +139,22 @@
                 host.control.snapshot.pools.cold.values.map { it.source } shouldBe listOf(ColdSource.RELEASE)
             }
         }
+
+        // Guards against a slot that is lost for good because the holder disconnects during its release.
+        it("gets its slot back from a release that is cancelled") {
+            TestHost(fleetMember("host-1")).use { host ->
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
+                host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("ready-1"))
+                coroutineScope {
+                    launch {
+                        cancel()
+                        host.owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1, coldRemaining = 60.seconds))
+                    }
+                }
+                host.control.snapshot.slots.upstreams.values.single().occupiedSlots shouldBe 0
+                host.control.snapshot.pools.cold.keys shouldBe setOf(UpstreamId("ready-1"))
+            }
+        }
     }
 
     // Guards against an owner that reads of a cold upstream and grants its slots as before.
