--- a/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
+++ b/src/main/kotlin/figdeck/http/server/ResponseMemory.kt
@@ -24,7 +24,7 @@
     var heldBytes: Long = 0
         private set
 
-    /** How many limits [heldBytes] exceeds. A change wakes the stopped responses; other parts of other responses do not. */
+    /** How many limits [heldBytes] exceeds. Only a change of it wakes the stopped responses. */
     private val exceededLimits = MutableStateFlow(room.exceededLimits(0))
 
     fun newShare(): Share = Share()
