Requests share the map of their pool's upstreams

Cause: each request that may be placed by expected completion built a map of all upstreams of its pool and kept it while it ran: some 37 KB at 600 upstreams, by reading, which thousands of running requests of one pool could not hold in the heap. Change: the map is computed once for each list of members and shared. Measured: PlacementContextsSpec, SlotPlacementSpec and PlacementSpec pass.

--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotPlacement.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotPlacement.kt
@@ -10,11 +10,17 @@
 import figdeck.daemon.command.LocalSlots
 import figdeck.daemon.command.Permit
 import figdeck.model.Clock
+import figdeck.model.UpstreamId
+import figdeck.model.serving.PoolMember
+import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.query.serving.PlacementView
+import figdeck.query.serving.UpstreamStarts
 import figdeck.query.serving.placementContextOf
 import figdeck.query.serving.slotKey
+import figdeck.query.serving.upstreamStarts
 import figdeck.telemetry.Meters
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 
 /**
@@ -36,15 +42,32 @@
     clock: Clock,
     policy: DispatchPolicy,
     meters: Meters,
-): SlotPlacement = SlotPlacement(
-    contextOf = { request ->
-        val state = control.snapshot
-        val view = PlacementView(state.pools.members, state.fleet, state.index?.plan)
-        placementContextOf(request, slotKey(request.pool), view, clock())
-    },
-    expectedTime = { permit -> control.snapshot.slots.expectedSlotTime(permit.id, policy, clock()) },
-    recordTime = meters.observePlacement { control.snapshot.slots },
-)
+): SlotPlacement {
+    val starts = SharedStarts()
+    return SlotPlacement(
+        contextOf = { request ->
+            val state = control.snapshot
+            val view = PlacementView(starts.of(state.pools.members), state.fleet, state.index?.plan)
+            placementContextOf(request, slotKey(request.pool), view, clock())
+        },
+        expectedTime = { permit -> control.snapshot.slots.expectedSlotTime(permit.id, policy, clock()) },
+        recordTime = meters.observePlacement { control.snapshot.slots },
+    )
+}
+
+/** The upstreams of all pools, computed once for each list of members. */
+private class SharedStarts {
+    private val latest = AtomicReference<Pair<Map<UpstreamId, PoolMember>, Map<PoolName, UpstreamStarts>>>()
+
+    fun of(members: Map<UpstreamId, PoolMember>): Map<PoolName, UpstreamStarts> {
+        val known = latest.get()
+        return if (known != null && known.first === members) {
+            known.second
+        } else {
+            upstreamStarts(members).also { latest.set(members to it) }
+        }
+    }
+}
 
 /** The slots that this host grants, as part of the state of [control]. Changes of placement go to [onChange]. */
 internal fun ownSlots(control: Control<ServingState>, onChange: (PlacementChange) -> Unit) = LocalSlots(
--- a/src/main/kotlin/figdeck/query/serving/PlacementContexts.kt
+++ b/src/main/kotlin/figdeck/query/serving/PlacementContexts.kt
@@ -25,9 +25,7 @@
         host = request.from,
         dataCentre = sender?.dataCentre,
         isOnlyGranter = !fleet.isCutOff(now) && fleet.bucketLocation(key, now) == BucketLocation.Local,
-        upstreams = view.members.values
-            .filter { it.pool == request.pool && !it.isLeaving }
-            .associate { it.upstream.id to it.startedAtMillis },
+        upstreams = view.starts[request.pool].orEmpty(),
         tokensPerEvent = pool?.tokensPerEvent ?: 1,
         coldTime = pool?.coldStart?.duration ?: Duration.ZERO,
     )
--- a/src/test/kotlin/figdeck/query/serving/PlacementContextsSpec.kt
+++ b/src/test/kotlin/figdeck/query/serving/PlacementContextsSpec.kt
@@ -65,7 +65,7 @@
 }
 
 private fun view(self: String, upstreams: List<PoolMember> = emptyList(), plan: ServingPlan? = null) =
-    PlacementView(upstreams.associateBy { it.upstream.id }, fleet(self), plan)
+    PlacementView(upstreamStarts(upstreams.associateBy { it.upstream.id }), fleet(self), plan)
 
 class PlacementContextsSpec : DescribeSpec({
     describe("the context of a placement") {
