--- a/src/main/kotlin/figdeck/command/dispatch/CompletionChoice.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/CompletionChoice.kt
@@ -41,9 +41,9 @@
 private fun List<UpstreamView>.earliest(context: PlacementContext?, seed: Long): UpstreamView {
     val equal = equalToBest()
     return when {
-        context == null -> equal.roomy().random(Random(seed))
-        context.isOnlyGranter -> equal.nearIfRoomy(context).roomy().preferredBy(context.host)
-        else -> equal.nearIfRoomy(context).roomy().lessRemainingOfTwo(seed)
+        context == null -> equal.leastCrowded().random(Random(seed))
+        context.isOnlyGranter -> equal.nearUnlessCrowded(context).leastCrowded().preferredBy(context.host)
+        else -> equal.nearUnlessCrowded(context).leastCrowded().leastWorkOfTwo(seed)
     }
 }
 
@@ -54,19 +54,19 @@
 
 /**
  * The views in the data centre of the requesting host, or all of them if those elsewhere have far more free slots. A
- * full engine is slower for each of its requests, which outweighs the cost of the way at some point.
+ * full engine is slower for each of its requests, which outweighs the network delay at some point.
  */
-private fun List<UpstreamView>.nearIfRoomy(context: PlacementContext): List<UpstreamView> {
+private fun List<UpstreamView>.nearUnlessCrowded(context: PlacementContext): List<UpstreamView> {
     val near = filter { it.upstream.dataCentre == context.dataCentre }
-    val isRoomy = near.isNotEmpty() && near.maxOf { it.free } * NEAR_FREE_DIVISOR >= maxOf { it.free }
-    return if (isRoomy) near else this
+    val hasRoom = near.isNotEmpty() && near.maxOf { it.free } * NEAR_FREE_DIVISOR >= maxOf { it.free }
+    return if (hasRoom) near else this
 }
 
 /**
  * The views without those that have clearly fewer free slots than the emptiest one. Hosts with the same preferred
  * upstream would otherwise fill it while others are idle.
  */
-private fun List<UpstreamView>.roomy(): List<UpstreamView> {
+private fun List<UpstreamView>.leastCrowded(): List<UpstreamView> {
     val maxFree = maxOf { it.free }
     return filter { maxFree - it.free <= it.upstream.slots / SPREAD_DIVISOR }
 }
@@ -78,7 +78,7 @@
 }
 
 /** Several hosts that grant at the same time would all pick the one best view, so each draws two of the best. */
-private fun List<UpstreamView>.lessRemainingOfTwo(seed: Long): UpstreamView {
+private fun List<UpstreamView>.leastWorkOfTwo(seed: Long): UpstreamView {
     val source = Random(seed)
     return listOf(random(source), random(source)).minBy { it.remainingWork }
 }
--- a/src/main/kotlin/figdeck/command/dispatch/PlacementChange.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/PlacementChange.kt
@@ -51,7 +51,9 @@
     val changed = comparison.slow.keys - known.keys + (known.keys - comparison.slow.keys)
     val upstreams = changed.map { id ->
         val pace = after.upstreams[id]?.pace ?: unknownPace
-        val relativePace = (pace.tokenNanos.slow.value / comparison.tokenNanos).takeIf { pace.isKnown }
+        val relativePace = (pace.tokenNanos.slow.value / comparison.tokenNanos).takeIf {
+            pace.isKnown && comparison.tokenNanos > 0
+        }
         PlacementChange.Upstream(pool, comparison, id, id in comparison.slow, relativePace, pace)
     }
     val isPoolChange = comparison.isByCompletion != (last?.isByCompletion ?: false)
--- a/src/main/kotlin/figdeck/daemon/command/serving/LogPlacement.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/LogPlacement.kt
@@ -21,11 +21,11 @@
     ) { putComparison(change.comparison) }
     is PlacementChange.Upstream -> note(if (change.isSlow) "slow" else "not_slow", change.id.value) {
         put("pool", change.pool.value)
-        change.relativePace?.let { put("pacePercent", (it * PERCENT).roundToLong()) }
-        put("tokenMicros", change.pace.tokenNanos.slow.value.roundToLong() / NANOS_PER_MICRO)
-        put("recentTokenMicros", change.pace.tokenNanos.fast.value.roundToLong() / NANOS_PER_MICRO)
+        change.relativePace?.let { put("pace_percent", (it * PERCENT).roundToLong()) }
+        put("token_us", change.pace.tokenNanos.slow.value.roundToLong() / NANOS_PER_MICRO)
+        put("recent_token_us", change.pace.tokenNanos.fast.value.roundToLong() / NANOS_PER_MICRO)
         put("observations", change.pace.observations.toLong())
-        change.pace.observedAt?.let { put("ageMillis", (now - it).inWholeMilliseconds) }
+        change.pace.observedAt?.let { put("observed_ms_ago", (now - it).inWholeMilliseconds) }
         putComparison(change.comparison)
     }
 }
@@ -43,9 +43,9 @@
 }
 
 private fun LogLine.putComparison(comparison: PoolPace) {
-    put("medianTokenMicros", comparison.tokenNanos.roundToLong() / NANOS_PER_MICRO)
-    put("slowestPercent", (comparison.slowest * PERCENT).roundToLong())
-    put("slowUpstreams", comparison.slow.size.toLong())
-    put("knownUpstreams", comparison.known.toLong())
+    put("median_token_us", comparison.tokenNanos.roundToLong() / NANOS_PER_MICRO)
+    put("slowest_percent", (comparison.slowest * PERCENT).roundToLong())
+    put("slow", comparison.slow.size.toLong())
+    put("known", comparison.known.toLong())
     put("upstreams", comparison.upstreams.size.toLong())
 }
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotPlacementSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotPlacementSpec.kt
@@ -90,7 +90,7 @@
                     listOf(slow to true)
                 eventually(5.seconds) {
                     host.lines.count { "\"placed_by_completion\"" in it } shouldBe 1
-                    host.lines.single { "\"event\":\"slow\"" in it } shouldContain "\"pacePercent\":200"
+                    host.lines.single { "\"event\":\"slow\"" in it } shouldContain "\"pace_percent\":200"
                 }
                 host.meters.scrape() shouldContain "figdeck_placement_slow_upstreams 1.0"
                 host.meters.scrape() shouldContain "figdeck_placement_slot_time_seconds_count{kind=\"seen\"}"
