Log the start to which the announcement of a leaving upstream applies

The log told that an entry was back and "ready", and neither whether the host used it nor why not. Three hypotheses couldn't be told apart: an announcement that outlives its start, a paused upstream, slots that were never returned.

upstream_changed now has the start of the entry and whether the upstream counts as leaving by an announcement. upstream_leaving has the start that is recorded, and whether the upstream has an entry.

--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -150,7 +150,12 @@
     suspend fun recordLeaving(upstream: UpstreamId, request: String, decisions: DecisionLog) {
         if (upstream !in control.snapshot.pools.leaving) {
             control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
-            decisions.note("upstream_leaving", request) { put("upstream", upstream.value) }
+            decisions.note("upstream_leaving", request) {
+                put("upstream", upstream.value)
+                val pools = control.snapshot.pools
+                pools.leaving[upstream]?.startedAtMillis?.let { put("started_at_ms", it) }
+                put("is_listed", upstream in pools.members)
+            }
         }
     }
 
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -19,6 +19,7 @@
 import figdeck.control.serving.updateJobs
 import figdeck.control.serving.updatePools
 import figdeck.log.DecisionLog
+import figdeck.log.LogLine
 import figdeck.log.PartLog
 import figdeck.log.orWarn
 import figdeck.model.Moment
@@ -89,6 +90,7 @@
                 }
                 decisions.note("upstream_changed", change.key) {
                     put("state", member?.let { if (it.isLeaving) "leaving" else "ready" } ?: "gone")
+                    member?.let { logUse(it, control.snapshot.pools) }
                 }
             }
         },
@@ -125,6 +127,12 @@
     )
 }
 
+/** Adds the start of [member], and whether an announcement by [pools] makes it leave, whatever its entry says. */
+private fun LogLine.logUse(member: PoolMember, pools: PoolMembers) {
+    member.startedAtMillis?.let { put("started_at_ms", it) }
+    put("has_announced", member.upstream.id in pools.leaving)
+}
+
 /** Drops the upstream of the row [key]. A key that is no identifier never named one. */
 private fun PoolMembers.without(key: String, now: Moment): PoolMembers =
     if (isId(key)) removeMember(this, UpstreamId(key), now) else this
