An announcement of leaving applies to the start that made it

Cause: an upstream that leaves says so in the answers that it still gives, often after its entry is gone. announceLeaving looked for the start of the upstream in the entry as it was by then. Without an entry the announcement had no start and counted for every later entry with the id; with the entry of a later start it marked that one. The same happened on the host that grants the slots, which is told by the release of a slot. An announcement ends after two minutes, but the entry that it marked stays marked until it changes.

Change: an announcement is recorded for a start of an upstream (its id and its time of start), taken from the entry by which the request was sent. The permit holds it, and the release of the slot tells it to the host that grants the slots. Announcements of one start don't touch another, whichever comes first. A release without a start, from an earlier version, counts for the entry that the granting host knows.

--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -3,6 +3,7 @@
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
 import figdeck.model.serving.PoolMember
+import figdeck.model.serving.UpstreamStart
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Duration
@@ -14,16 +15,6 @@
  */
 private val REAPPEARANCE_GRACE: Duration = 2_200.milliseconds
 
-/**
- * The announcement of an upstream that it is leaving, which came with an answer.
- *
- * @property startedAtMillis the start of the upstream to which it applies; null if that is unknown.
- */
-public data class LeavingAnnouncement(
-    public val startedAtMillis: Long?,
-    public val announcedAt: Moment,
-)
-
 /**
  * The upstreams that have registered in their pools.
  *
@@ -31,7 +22,8 @@
  * @property silence how long the store has not answered this host.
  * @property recoveredAt when the store first answered after its latest outage, or null without an outage.
  * @property missing the upstreams without an entry in the store, with the time at which they are dropped.
- * @property leaving the upstreams that have said in an answer that they are leaving, whatever their entries say.
+ * @property leaving the starts of upstreams that have said in an answer that they are leaving, whatever their entries
+ * say, with the time at which this host learned it.
  * @property cold what this host has last learned about each upstream that may be cold.
  */
 public data class PoolMembers(
@@ -39,7 +31,7 @@
     public val lastResponseAt: Moment?,
     public val recoveredAt: Moment?,
     public val missing: PersistentMap<UpstreamId, Moment>,
-    public val leaving: PersistentMap<UpstreamId, LeavingAnnouncement> = persistentMapOf(),
+    public val leaving: PersistentMap<UpstreamStart, Moment> = persistentMapOf(),
     public val silence: StoreSilence = StoreSilence(),
     public val cold: PersistentMap<UpstreamId, ColdStatement> = persistentMapOf(),
 )
@@ -59,24 +51,27 @@
 /** Adds or updates the entry of one upstream. What is known about its cold start stays as it is. */
 public fun putMember(state: PoolMembers, member: PoolMember): PoolMembers {
     val id = member.upstream.id
-    val hasAnnounced = state.leaving[id]?.appliesTo(member) ?: false
+    val isLeaving = member.isLeaving || member.start in state.leaving
     return state.copy(
-        members = state.members.put(id, if (hasAnnounced) member.copy(isLeaving = true) else member),
+        members = state.members.put(id, member.copy(isLeaving = isLeaving)),
         missing = state.missing.remove(id),
-        leaving = if (hasAnnounced) state.leaving else state.leaving.remove(id),
     )
 }
 
-private fun LeavingAnnouncement.appliesTo(member: PoolMember): Boolean =
-    startedAtMillis == null || startedAtMillis == member.startedAtMillis
-
-/** Records that the upstream [id] has said in an answer that it is leaving, until it starts again. */
-public fun announceLeaving(state: PoolMembers, id: UpstreamId, now: Moment): PoolMembers {
-    val member = state.members[id]
-    val announced = state.copy(leaving = state.leaving.put(id, LeavingAnnouncement(member?.startedAtMillis, now)))
+/**
+ * Records that [start] has said in an answer that it is leaving. Its entry may be gone by then, or be that of a later
+ * start, which the announcement doesn't concern.
+ */
+public fun announceLeaving(state: PoolMembers, start: UpstreamStart, now: Moment): PoolMembers {
+    val announced = state.copy(leaving = state.leaving.put(start, now))
+    val member = state.members[start.id]?.takeIf { it.start == start }
     return if (member == null) announced else putMember(announced, member)
 }
 
+/** The start of the upstream [id] by its entry. Without an entry, the one that announced its leaving last. */
+public fun PoolMembers.latestStart(id: UpstreamId): UpstreamStart? =
+    members[id]?.start ?: leaving.filterKeys { it.id == id }.maxByOrNull { it.value.monotonicNanos }?.key
+
 /** Adds upstreams known to another host. They count as missing until the store lists them. */
 public fun adoptUnconfirmed(state: PoolMembers, members: List<PoolMember>, now: Moment): PoolMembers = members
     .filter { it.upstream.id !in state.members }
--- a/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
+++ b/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
@@ -5,10 +5,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
-/**
- * How long the announcement of an upstream that it is leaving counts. The upstream ends within a minute, and what has
- * its id later is another start of it.
- */
+/** How long the announcement of an upstream that it is leaving counts. The upstream ends within a minute. */
 private val LEAVING_RETENTION: Duration = 2.minutes
 
 /** Records an answer of the store and drops the missing upstreams whose grace period has ended. */
@@ -17,7 +14,7 @@
     return dropMissing(state, now).copy(
         lastResponseAt = now,
         recoveredAt = if (wasUnavailable) now else state.recoveredAt,
-        leaving = state.leaving.filterValues { now - it.announcedAt < LEAVING_RETENTION }.toPersistentMap(),
+        leaving = state.leaving.filterValues { now - it < LEAVING_RETENTION }.toPersistentMap(),
         silence = StoreSilence(countedUntil = now),
         cold = state.currentColdStatements(now),
     )
--- a/src/main/kotlin/figdeck/control/serving/EvacuationState.kt
+++ b/src/main/kotlin/figdeck/control/serving/EvacuationState.kt
@@ -8,11 +8,12 @@
 import figdeck.model.UpstreamId
 import figdeck.model.serving.EvacuationChange
 import figdeck.model.serving.Evacuations
+import figdeck.model.serving.PoolMember
 import figdeck.model.serving.SlotRequest
 import figdeck.query.serving.UpstreamLimits
 import figdeck.query.serving.forbiddenUpstreams
 import figdeck.query.serving.refusalByLimits
-import figdeck.query.serving.usableUpstream
+import figdeck.query.serving.usableMember
 import figdeck.query.serving.usableUpstreams
 
 /** Updates the evacuated data centres, and returns what begins and ends with it. */
@@ -32,9 +33,9 @@
 internal fun ServingState.usableUpstreams(request: SlotRequest): List<Upstream> =
     pools.members.usableUpstreams(request.pool, request.excluded, limitsOf(request.homes))
 
-/** The upstream [id] if [request] may run there. */
-internal fun ServingState.usableUpstream(request: SlotRequest, id: UpstreamId): Upstream? =
-    pools.members.usableUpstream(request.pool, request.excluded, id, limitsOf(request.homes))
+/** The entry of the upstream [id] if [request] may run there. */
+internal fun ServingState.usableMember(request: SlotRequest, id: UpstreamId): PoolMember? =
+    pools.members.usableMember(request.pool, request.excluded, id, limitsOf(request.homes))
 
 /** The usable upstreams of the pool of [request] to which it may not be sent. */
 internal fun ServingState.forbiddenUpstreams(request: SlotRequest): Set<UpstreamId> =
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -222,7 +222,7 @@
             ItemCall(item, route, record.team),
             options
         ) { reply ->
-            if (reply.isLeaving) services.slots.recordLeaving(permit.upstream.id, item.id, services.log)
+            if (reply.isLeaving) services.slots.recordLeaving(permit, item.id, services.log)
             reply.coldRemaining?.let { services.slots.recordColdReply(permit.upstream.id, it) }
             attemptResult = output.receive(reply, services.clock, meter) {
                 services.crashGuard.recordAnswer(sharedParts)
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -7,6 +7,7 @@
 import figdeck.command.serving.ColdSource
 import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.announceLeaving
+import figdeck.command.serving.latestStart
 import figdeck.command.serving.ownColdTimeLeft
 import figdeck.command.serving.recordCold
 import figdeck.control.Control
@@ -16,7 +17,7 @@
 import figdeck.control.serving.refusalByLimits
 import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
-import figdeck.control.serving.usableUpstream
+import figdeck.control.serving.usableMember
 import figdeck.log.DecisionLog
 import figdeck.model.Clock
 import figdeck.model.HostId
@@ -30,6 +31,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
+import figdeck.model.serving.UpstreamStart
 import figdeck.query.serving.SlotConfirmations
 import figdeck.query.serving.areDue
 import figdeck.query.serving.ranked
@@ -56,12 +58,14 @@
 /**
  * A slot that this host holds.
  *
+ * @property start the start of the upstream to which its address belongs.
  * @property owner the host that granted the slot; null for this host.
  * @property revoked completes when the slot must be returned immediately.
  */
 internal data class HeldPermit(
     val request: SlotRequest,
     val upstream: Upstream,
+    val start: UpstreamStart,
     val owner: FleetMember?,
     val revoked: Deferred<Unit>,
 )
@@ -120,16 +124,16 @@
             throw e
         }
         val granted = response.first as? SlotResponse.Granted
-        val upstream = granted?.let {
-            control.snapshot.usableUpstream(request, it.upstream)
+        val member = granted?.let {
+            control.snapshot.usableMember(request, it.upstream)
         }
-        return if (upstream == null) {
+        return if (member == null) {
             held.remove(request.ticket)
             returnUnusableSlot(granted, response.second, request)
             val refusal = control.snapshot.refusalByLimits(request) ?: refusalOf(response.first)
             AcquireFailure(refusal, granted?.upstream).left()
         } else {
-            val permit = HeldPermit(request, upstream, response.second, ticketState.revoked)
+            val permit = HeldPermit(request, member.upstream, member.start, response.second, ticketState.revoked)
             held[request.ticket] = ticketState.copy(permit = permit)
             permit.right()
         }
@@ -140,21 +144,22 @@
         held.remove(permit.request.ticket)
         val usage = meter?.usageOf(permit.request, control.snapshot.index?.plan)
         val release = SlotRelease(permit.request.ticket, use, cost, usage = usage)
-        sendRelease(permit.owner, release.withUpstreamStatus(control.snapshot.pools, permit.upstream.id, clock()))
+        sendRelease(permit.owner, release.withUpstreamStatus(control.snapshot.pools, permit.start, clock()))
     }
 
     /**
-     * Records that [upstream] has said in its answer to [request] that it is leaving, whatever its entry in the store
-     * says. It gets no new work from this host, and the owner of its slots is told when the next one is returned.
+     * Records that the upstream of [permit] has said in its answer to [request] that it is leaving, whatever its entry
+     * in the store says. It gets no new work from this host until it has started again, and the owner of its slots is
+     * told when the next one is returned.
      */
-    suspend fun recordLeaving(upstream: UpstreamId, request: String, decisions: DecisionLog) {
-        if (upstream !in control.snapshot.pools.leaving) {
-            control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
+    suspend fun recordLeaving(permit: HeldPermit, request: String, decisions: DecisionLog) {
+        val start = permit.start
+        if (start !in control.snapshot.pools.leaving) {
+            control.run { state, now -> updatePools(state) { announceLeaving(it, start, now) } }
             decisions.note("upstream_leaving", request) {
-                put("upstream", upstream.value)
-                val pools = control.snapshot.pools
-                pools.leaving[upstream]?.startedAtMillis?.let { put("started_at_ms", it) }
-                put("is_listed", upstream in pools.members)
+                put("upstream", start.id.value)
+                start.startedAtMillis?.let { put("started_at_ms", it) }
+                put("is_listed", control.snapshot.pools.members[start.id]?.start == start)
             }
         }
     }
@@ -211,7 +216,9 @@
         if (granted != null) {
             control.snapshot.noteReturnedSlot(request, granted.upstream)
             val release = SlotRelease(request.ticket, SlotOutcome.ABANDONED, 0)
-            sendRelease(owner, release.withUpstreamStatus(control.snapshot.pools, granted.upstream, clock()))
+            val pools = control.snapshot.pools
+            val start = pools.latestStart(granted.upstream)
+            sendRelease(owner, if (start == null) release else release.withUpstreamStatus(pools, start, clock()))
         }
     }
 
@@ -237,9 +244,15 @@
 
 internal fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
-/** Adds what this host knows of [upstream] by [pools] and the owner of its slots may not know. */
-private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, upstream: UpstreamId, now: Moment): SlotRelease =
-    copy(isLeaving = upstream in pools.leaving, coldRemaining = pools.ownColdTimeLeft(upstream, now))
+/** Adds what this host knows of [start] by [pools] and the owner of its slots may not know. */
+private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, start: UpstreamStart, now: Moment): SlotRelease {
+    val isLeaving = start in pools.leaving
+    return copy(
+        isLeaving = isLeaving,
+        startedAtMillis = if (isLeaving) start.startedAtMillis else null,
+        coldRemaining = pools.ownColdTimeLeft(start.id, now),
+    )
+}
 
 private fun refusalOf(response: SlotResponse): Refusal = when (response) {
     is SlotResponse.Full -> Refusal.Overloaded("every upstream", response.retryAfter)
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -5,6 +5,7 @@
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.command.dispatch.exceedsCapacity
 import figdeck.command.serving.ColdSource
+import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.announceLeaving
 import figdeck.command.serving.recordCold
 import figdeck.command.serving.removeImmediately
@@ -22,11 +23,13 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
+import figdeck.model.UpstreamId
 import figdeck.model.serving.ExpectedWork
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
+import figdeck.model.serving.UpstreamStart
 import figdeck.query.serving.permit
 import figdeck.wire.serving.SlotRelease
 import kotlinx.coroutines.NonCancellable
@@ -128,7 +131,9 @@
                 control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
             }
             if (release.isLeaving) {
-                control.run { state, now -> updatePools(state) { announceLeaving(it, upstream, now) } }
+                control.run { state, now ->
+                    updatePools(state) { announceLeaving(it, release.startOf(upstream, it), now) }
+                }
             }
         }
     }
@@ -217,6 +222,10 @@
     )
 }
 
+/** The start of [upstream] that the holder has used. A holder of an earlier version doesn't say so. */
+private fun SlotRelease.startOf(upstream: UpstreamId, pools: PoolMembers): UpstreamStart =
+    UpstreamStart(upstream, startedAtMillis ?: pools.members[upstream]?.startedAtMillis)
+
 /** Covers the network latency between data centres and the delays of busy hosts. */
 private val ANSWER_MARGIN = 120.milliseconds
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -100,7 +100,7 @@
         stream.meter = meter
         val result = forward(options) { reply ->
             received = reply
-            failure = receive(reply, options, meter)
+            failure = receive(reply, permit, options, meter)
         }
         val hasBegun = stream.eventCount > eventsBefore
         val failed = result.fold({ failedSend(upstream, it, hasBegun) }, { failure })
@@ -151,9 +151,14 @@
         )
     }
 
-    private suspend fun receive(reply: UpstreamReply, options: SendOptions, meter: SlotUsageMeter): FailedSend? {
-        val id = options.upstream.id
-        if (reply.isLeaving) services.slots.recordLeaving(id, call.id, services.log)
+    private suspend fun receive(
+        reply: UpstreamReply,
+        permit: HeldPermit,
+        options: SendOptions,
+        meter: SlotUsageMeter,
+    ): FailedSend? {
+        val id = permit.upstream.id
+        if (reply.isLeaving) services.slots.recordLeaving(permit, call.id, services.log)
         reply.coldRemaining?.let { services.slots.recordColdReply(id, it) }
         return when (reply.executionStatus) {
             ExecutionStatus.NOT_RUN ->
--- a/src/main/kotlin/figdeck/model/serving/PoolMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/PoolMember.kt
@@ -20,4 +20,7 @@
     public val startedAtMillis: Long? = null,
     public val coldRemaining: Duration? = null,
     public val entryHash: Long? = null,
-)
+) {
+    /** The start of the upstream that wrote the announcement. */
+    public val start: UpstreamStart get() = UpstreamStart(upstream.id, startedAtMillis)
+}
--- a/src/main/kotlin/figdeck/query/serving/PoolChoice.kt
+++ b/src/main/kotlin/figdeck/query/serving/PoolChoice.kt
@@ -26,14 +26,14 @@
     .filter { it.isUsable(pool, excluded) && limits.permit(it.upstream) }
     .map { it.upstream }
 
-/** The upstream [id] of [pool] if it accepts new work, isn't in [excluded] and [limits] permit it. */
-public fun Map<UpstreamId, PoolMember>.usableUpstream(
+/** The entry of the upstream [id] of [pool] if it accepts new work, isn't in [excluded] and [limits] permit it. */
+public fun Map<UpstreamId, PoolMember>.usableMember(
     pool: PoolName,
     excluded: Set<UpstreamId>,
     id: UpstreamId,
     limits: UpstreamLimits = noUpstreamLimits,
-): Upstream? =
-    this[id]?.takeIf { it.isUsable(pool, excluded) && limits.permit(it.upstream) }?.upstream
+): PoolMember? =
+    this[id]?.takeIf { it.isUsable(pool, excluded) && limits.permit(it.upstream) }
 
 private fun PoolMember.isUsable(pool: PoolName, excluded: Set<UpstreamId>): Boolean =
     this.pool == pool && !isLeaving && upstream.id !in excluded
--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -80,9 +80,22 @@
 
     override fun close() = server.close()
 
-    /** Encodes its store entry as an upstream of [pool]. */
-    fun encodeEntry(pool: String, slots: Int = DEFAULT_SLOTS, dataCentre: String = "centre-a"): String =
-        encodeUpstream(UpstreamMessage(pool, address.toString(), dataCentre, slots = slots, state = READY_STATE))
+    /** Encodes its store entry as an upstream of [pool] that started at [startedAtMillis], if that is to be said. */
+    fun encodeEntry(
+        pool: String,
+        slots: Int = DEFAULT_SLOTS,
+        dataCentre: String = "centre-a",
+        startedAtMillis: Long? = null,
+    ): String = encodeUpstream(
+        UpstreamMessage(
+            pool,
+            address.toString(),
+            dataCentre,
+            slots = slots,
+            state = READY_STATE,
+            startedAtMillis = startedAtMillis?.toDouble(),
+        ),
+    )
 
     private suspend fun handle(call: HttpCall, responder: HttpResponder) {
         val body = call.body.readAll(MAX_BODY_BYTES).getOrElse { ByteArray(0) }.decodeToString()
--- a/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
@@ -15,6 +15,8 @@
  * @property ticket the ticket of the request to which the slot was granted.
  * @property outcome how the use of the slot ended.
  * @property isLeaving whether the upstream has said to the holder that it is shutting down.
+ * @property startedAtMillis the start of the upstream that said so, in Unix milliseconds; null if it is unknown, as it
+ * is from hosts of an earlier version.
  * @property usage what the holder has seen of a generation in the slot; null if it saw none.
  * @property coldRemaining how long the upstream stays cold, as the holder knows; null if it isn't cold.
  */
@@ -23,6 +25,7 @@
     public val outcome: SlotOutcome,
     public val cost: Int,
     public val isLeaving: Boolean = false,
+    public val startedAtMillis: Long? = null,
     public val usage: SlotUsage? = null,
     public val coldRemaining: Duration? = null,
 )
@@ -34,6 +37,7 @@
     val use: String,
     val cost: Int,
     val leaving: Boolean = false,
+    val startedAtMillis: Long? = null,
     val usage: SlotUsageDto? = null,
     val coldMillis: Long? = null,
 )
@@ -61,6 +65,7 @@
         use = release.outcome.name,
         cost = release.cost,
         leaving = release.isLeaving,
+        startedAtMillis = release.startedAtMillis,
         usage = usage,
         coldMillis = release.coldRemaining?.inWholeMilliseconds,
     )
@@ -74,6 +79,7 @@
             outcome = SlotOutcome.valueOf(it.use),
             cost = it.cost,
             isLeaving = it.leaving,
+            startedAtMillis = it.startedAtMillis,
             usage = it.usage?.toUsage(),
             coldRemaining = it.coldMillis?.milliseconds,
         )
--- a/src/test/kotlin/figdeck/command/dispatch/ColdStartSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/ColdStartSpec.kt
@@ -117,7 +117,7 @@
             val later = start + 1.seconds
             putMember(cold, member(2.seconds, hash = 7), later).coldUntil() shouldBe start + 2.seconds
             replaceMembers(cold, listOf(member(2.seconds, hash = 7)), later).coldUntil() shouldBe start + 2.seconds
-            announceLeaving(cold, id, later).coldUntil() shouldBe start + 2.seconds
+            announceLeaving(cold, member(2.seconds).start, later).coldUntil() shouldBe start + 2.seconds
             replaceMembers(cold, listOf(member(2.seconds, hash = 7)), start + 9.seconds).coldUntil().shouldBeNull()
         }
 
--- a/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -8,6 +8,7 @@
 import figdeck.model.UpstreamKind
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.UpstreamStart
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.milliseconds
@@ -68,7 +69,7 @@
     // Guards against work for an upstream that has said in an answer that it is leaving while its entry says "ready".
     describe("an upstream that has said that it is leaving") {
         val first = UpstreamId("i-1")
-        val announced = announceLeaving(both, first, start)
+        val announced = announceLeaving(both, UpstreamStart(first, null), start)
 
         it("is leaving, and the others are not") {
             announced.isLeaving("i-1") shouldBe true
@@ -82,19 +83,47 @@
         }
 
         it("is ready again once it has started again under its id") {
-            val started = announceLeaving(putMember(both, member("i-1", startedAt = 5)), first, start)
+            val started = announceLeaving(putMember(both, member("i-1", startedAt = 5)), UpstreamStart(first, 5), start)
             putMember(started, member("i-1", startedAt = 5)).isLeaving("i-1") shouldBe true
             val restarted = putMember(started, member("i-1", startedAt = 6))
             restarted.isLeaving("i-1") shouldBe false
             putMember(restarted, member("i-1", startedAt = 6)).isLeaving("i-1") shouldBe false
         }
 
-        it("is remembered for two minutes if it names no start") {
+        it("is remembered for two minutes") {
             val later = recordStoreResponse(announced, start + 119.seconds)
             putMember(later, member("i-1")).isLeaving("i-1") shouldBe true
             val end = recordStoreResponse(announced, start + 120.seconds)
             putMember(end, member("i-1")).isLeaving("i-1") shouldBe false
         }
+
+        // Guards against sound upstreams that stay unused because an earlier start under their id has left.
+        it("is ready again under its id although it said so without an entry") {
+            val gone = removeMember(putMember(both, member("i-1", startedAt = 5)), first, start)
+            val said = announceLeaving(gone, UpstreamStart(first, 5), start)
+            putMember(said, member("i-1", startedAt = 6)).isLeaving("i-1") shouldBe false
+            putMember(said, member("i-1", startedAt = 5)).isLeaving("i-1") shouldBe true
+        }
+
+        it("is ready if it has started again before the last answers of its earlier start") {
+            val startedAgain = putMember(both, member("i-1", startedAt = 6))
+            announceLeaving(startedAgain, UpstreamStart(first, 5), start).isLeaving("i-1") shouldBe false
+        }
+
+        it("is still leaving if an earlier start says so too") {
+            val later = UpstreamStart(first, 6)
+            val said = announceLeaving(putMember(both, member("i-1", startedAt = 6)), later, start)
+            val alsoSaid = announceLeaving(said, UpstreamStart(first, 5), start)
+            putMember(alsoSaid, member("i-1", startedAt = 6)).isLeaving("i-1") shouldBe true
+        }
+
+        it("is known by the start of its entry, or without an entry by the one that said so last") {
+            val said = announceLeaving(both, UpstreamStart(first, 4), start)
+            val saidLater = announceLeaving(said, UpstreamStart(first, 5), start + 1.seconds)
+            saidLater.latestStart(first) shouldBe UpstreamStart(first, null)
+            removeImmediately(saidLater, first).latestStart(first) shouldBe UpstreamStart(first, 5)
+            removeImmediately(both, first).latestStart(first) shouldBe null
+        }
     }
 
     describe("upstreams learned from another host") {
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -12,6 +12,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.servingPlan
 import figdeck.process.eventually
 import figdeck.wire.serving.SlotRelease
@@ -81,13 +82,56 @@
             TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
                 val upstreams = listOf("ready-1", "ready-2").map { poolMember(pool, it) }
                 host.setView(listOf(fleetMember("host-2", cores = 2.0)), upstreams)
-                host.slots.acquire(slotRequest(1)).getOrNull()?.upstream?.id shouldBe UpstreamId("ready-1")
-                host.slots.recordLeaving(UpstreamId("ready-1"), "request", DecisionLog("serve"))
+                val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
+                permit.upstream.id shouldBe UpstreamId("ready-1")
+                host.slots.recordLeaving(permit, "request", DecisionLog("serve"))
                 host.slots.acquire(slotRequest(2)).getOrNull()?.upstream?.id shouldBe UpstreamId("ready-2")
                 eventually(5.seconds) { owner.released.size == 1 }
                 owner.released.single().isLeaving shouldBe true
             }
         }
+
+        // Guards against a later start that gets no requests because of an earlier one under its id.
+        it("gets requests again once it has started again, although its last answers come later") {
+            val owner = GrantingOwner(listOf("i-1", "i-1"))
+            TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
+                val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(earlier))
+                val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
+                host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
+                host.slots.recordLeaving(permit, "request", DecisionLog("serve"))
+                host.slots.acquire(slotRequest(2)).getOrNull()?.start shouldBe UpstreamStart(UpstreamId("i-1"), 2)
+                host.slots.release(permit, SlotOutcome.ANSWERED, 1)
+                eventually(5.seconds) { owner.released.size == 1 }
+                owner.released.single().isLeaving shouldBe true
+                owner.released.single().startedAtMillis shouldBe 1
+            }
+        }
+
+        // Guards against an owner that takes the announcement of one start for that of another.
+        listOf(null to false, 1L to true, 2L to false).forEach { (listed, isLeaving) ->
+            it("is leaving at an owner that lists its start as $listed and is told of start 1: $isLeaving") {
+                TestHost(fleetMember("host-1")).use { host ->
+                    val known = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                    host.setView(listOf(fleetMember("host-1")), listOf(known))
+                    host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
+                    host.setView(emptyList(), listOf(known.copy(startedAtMillis = listed)))
+                    host.owner.release(
+                        SlotRelease(1, SlotOutcome.ANSWERED, 1, isLeaving = true, startedAtMillis = 1),
+                    )
+                    host.control.snapshot.pools.members.values.single().isLeaving shouldBe isLeaving
+                }
+            }
+        }
+
+        it("is leaving at an owner that is told so by a host of an earlier version") {
+            TestHost(fleetMember("host-1")).use { host ->
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "i-1").copy(startedAtMillis = 1)))
+                host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
+                host.owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1, isLeaving = true))
+                host.control.snapshot.pools.members.values.single().isLeaving shouldBe true
+            }
+        }
     }
 
     // Guards against an owner that grants a cold upstream's slots at full rate because it doesn't see its answers.
--- a/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
+++ b/src/test/kotlin/figdeck/wire/serving/SlotMessagesSpec.kt
@@ -54,6 +54,11 @@
             decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
         }
 
+        it("is read as it was sent, with the start that is leaving") {
+            val sent = release.copy(isLeaving = true, startedAtMillis = 1_796_574_273_372)
+            decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
+        }
+
         it("is read as it was sent if no event came") {
             val sent = release.copy(usage = SlotUsage(0, null, Duration.ZERO, isWhole = false))
             decodeSlotRelease(encodeSlotRelease(sent)) shouldBe sent.right()
