Another upstream at an address drops only the start that had it

A request that was sent to an upstream's earlier start may be answered by another upstream, which has its address now. The host that grants the slots then dropped the entry with the same id, although it was that of a later start, and used this one no more until its entry changed.

The release of the slot names the start, and an entry of another start stays. Releases that say nothing of their upstream are sent as before.

SlotClientSpec, "is dropped only if it has not started again: start 2 after start 1": failed before (expected ["i-1"], was []); passes.

--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -90,7 +90,11 @@
     }
 }
 
-/** Drops an upstream without a grace period because another one answers at its address. */
+/** Drops the entry of [start] without a grace period because another upstream answers at its address. */
+public fun removeReplaced(state: PoolMembers, start: UpstreamStart): PoolMembers =
+    if (state.members[start.id]?.start == start) removeImmediately(state, start.id) else state
+
+/** Drops an upstream without a grace period. */
 public fun removeImmediately(state: PoolMembers, id: UpstreamId): PoolMembers = state.copy(
     members = state.members.remove(id),
     missing = state.missing.remove(id),
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -246,12 +246,8 @@
 
 /** Adds what this host knows of [start] by [pools] and the owner of its slots may not know. */
 private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, start: UpstreamStart, now: Moment): SlotRelease {
-    val isLeaving = start in pools.leaving
-    return copy(
-        isLeaving = isLeaving,
-        startedAtMillis = if (isLeaving) start.startedAtMillis else null,
-        coldRemaining = pools.ownColdTimeLeft(start.id, now),
-    )
+    val release = copy(isLeaving = start in pools.leaving, coldRemaining = pools.ownColdTimeLeft(start.id, now))
+    return if (release.concernsUpstream) release.copy(startedAtMillis = start.startedAtMillis) else release
 }
 
 private fun refusalOf(response: SlotResponse): Refusal = when (response) {
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -8,7 +8,7 @@
 import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.announceLeaving
 import figdeck.command.serving.recordCold
-import figdeck.command.serving.removeImmediately
+import figdeck.command.serving.removeReplaced
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.limitsOf
@@ -128,7 +128,7 @@
             slots.release(slot.permit, release.outcome, release.cost, release.usage)
             work?.learn(slot.request, slot.expected, release.usage)
             if (release.outcome == SlotOutcome.GONE) {
-                control.run { state, _ -> updatePools(state) { removeImmediately(it, upstream) } }
+                control.run { state, _ -> updatePools(state) { removeReplaced(it, release.startOf(upstream, it)) } }
             }
             if (release.isLeaving) {
                 control.run { state, now ->
--- a/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
@@ -15,20 +15,24 @@
  * @property ticket the ticket of the request to which the slot was granted.
  * @property outcome how the use of the slot ended.
  * @property isLeaving whether the upstream has said to the holder that it is shutting down.
- * @property startedAtMillis the start of the upstream that said so, in Unix milliseconds; null if it is unknown, as it
- * is from hosts of an earlier version.
  * @property usage what the holder has seen of a generation in the slot; null if it saw none.
  * @property coldRemaining how long the upstream stays cold, as the holder knows; null if it isn't cold.
+ * @property startedAtMillis the start of the upstream in Unix milliseconds, if the release [concernsUpstream]; null if
+ * it is unknown, as it is from hosts of an earlier version.
  */
 public data class SlotRelease(
     public val ticket: Long,
     public val outcome: SlotOutcome,
     public val cost: Int,
     public val isLeaving: Boolean = false,
-    public val startedAtMillis: Long? = null,
     public val usage: SlotUsage? = null,
     public val coldRemaining: Duration? = null,
-)
+    public val startedAtMillis: Long? = null,
+) {
+    /** Whether the release tells something of the upstream that may not be true of its next start. */
+    public val concernsUpstream: Boolean
+        get() = isLeaving || coldRemaining != null || outcome == SlotOutcome.GONE
+}
 
 /** The release of a slot by its holder. */
 @Serializable
@@ -37,9 +41,9 @@
     val use: String,
     val cost: Int,
     val leaving: Boolean = false,
-    val startedAtMillis: Long? = null,
     val usage: SlotUsageDto? = null,
     val coldMillis: Long? = null,
+    val startedAtMillis: Long? = null,
 )
 
 /** What the holder of a slot has seen of the work in it. */
@@ -65,9 +69,9 @@
         use = release.outcome.name,
         cost = release.cost,
         leaving = release.isLeaving,
-        startedAtMillis = release.startedAtMillis,
         usage = usage,
         coldMillis = release.coldRemaining?.inWholeMilliseconds,
+        startedAtMillis = release.startedAtMillis,
     )
     return lenientJson.encodeToString(SlotReleaseDto.serializer(), dto)
 }
@@ -79,9 +83,9 @@
             outcome = SlotOutcome.valueOf(it.use),
             cost = it.cost,
             isLeaving = it.leaving,
-            startedAtMillis = it.startedAtMillis,
             usage = it.usage?.toUsage(),
             coldRemaining = it.coldMillis?.milliseconds,
+            startedAtMillis = it.startedAtMillis,
         )
     }
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -134,6 +134,39 @@
         }
     }
 
+    // Guards against a later start that is dropped because another upstream answers at the address of an earlier one.
+    describe("an upstream at whose address another one has answered") {
+        listOf(1L to emptySet(), 2L to setOf("i-1")).forEach { (listed, kept) ->
+            it("is dropped only if it has not started again: start $listed after start 1") {
+                TestHost(fleetMember("host-1")).use { host ->
+                    val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                    host.setView(listOf(fleetMember("host-1")), listOf(earlier))
+                    host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
+                    host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = listed)))
+                    host.owner.release(SlotRelease(1, SlotOutcome.GONE, 1, startedAtMillis = 1))
+                    host.control.snapshot.pools.members.keys.map { it.value }.toSet() shouldBe kept
+                }
+            }
+        }
+    }
+
+    // Guards against an owner that can't tell of which start it is told, and against a field in each of many releases.
+    describe("the release of a slot") {
+        listOf(SlotOutcome.ANSWERED to null, SlotOutcome.GONE to 1L).forEach { (outcome, told) ->
+            it("tells the start of the upstream as $told if the slot ends as $outcome") {
+                val owner = GrantingOwner(listOf("i-1"))
+                TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
+                    val upstreams = listOf(poolMember(pool, "i-1").copy(startedAtMillis = 1))
+                    host.setView(listOf(fleetMember("host-2", cores = 2.0)), upstreams)
+                    val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
+                    host.slots.release(permit, outcome, 1)
+                    eventually(5.seconds) { owner.released.size == 1 }
+                    owner.released.single().startedAtMillis shouldBe told
+                }
+            }
+        }
+    }
+
     // Guards against an owner that grants a cold upstream's slots at full rate because it doesn't see its answers.
     describe("an upstream that has said how long it stays cold") {
         it("is known as cold, and the owner of its slots is told") {
