What an upstream says of its cold time applies to the start that said it

An answer of an upstream's earlier start that came after the entry of a later one limited the later start for the earlier one's time, or lifted a limit that was assumed. So did the release of a slot on the host that grants the slots.

Statements are recorded for the start to which the request was sent, and ignored if the entry is that of another start.

SlotClientSpec, "is not known as cold if it has started again since": failed before (expected [], was [i-1]); passes, as does the new case of ColdStartSpec. The other specs of cold upstreams demand the same as before; they name starts where they named ids.

--- a/src/main/kotlin/figdeck/command/serving/ColdUpstreams.kt
+++ b/src/main/kotlin/figdeck/command/serving/ColdUpstreams.kt
@@ -4,6 +4,7 @@
 import figdeck.model.UpstreamId
 import figdeck.model.serving.ColdStartPolicy
 import figdeck.model.serving.PoolMember
+import figdeck.model.serving.UpstreamStart
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentMap
 import kotlin.time.Duration
@@ -58,31 +59,33 @@
 }
 
 /**
- * Records that the upstream [id] stays cold for [remaining] by an answer or by another host. An answer may be older
- * than the latest entry, so it shortens no period but an assumed one.
+ * Records that [start] stays cold for [remaining] by an answer or by another host, unless its upstream has started
+ * again since. An answer may be older than the latest entry, so it shortens no period but an assumed one.
  */
 public fun recordCold(
     state: PoolMembers,
-    id: UpstreamId,
+    start: UpstreamStart,
     remaining: Duration,
     source: ColdSource,
     now: Moment,
-): PoolMembers =
-    if (state.isColdChange(id, remaining, now)) state.with(id, ColdStatement(source, now, remaining)) else state
+): PoolMembers = when {
+    state.isColdChange(start, remaining, now) -> state.with(start.id, ColdStatement(source, now, remaining))
+    else -> state
+}
 
-/** Whether [recordCold] changes anything if the upstream [id] stays cold for [remaining]. */
-internal fun PoolMembers.isColdChange(id: UpstreamId, remaining: Duration, now: Moment): Boolean {
-    val known = cold[id]
+/** Whether [recordCold] changes anything if [start] stays cold for [remaining]. */
+internal fun PoolMembers.isColdChange(start: UpstreamStart, remaining: Duration, now: Moment): Boolean {
+    val known = cold[start.id]
     val left = known?.timeLeft(now) ?: Duration.ZERO
-    return id in members && (known?.source == ColdSource.ASSUMED || remaining > left)
+    return isListed(start) && (known?.source == ColdSource.ASSUMED || remaining > left)
 }
 
 /**
- * How long the upstream [id] stays cold after [now] by what this host has learned from the upstream itself or its
- * entry; null if it isn't cold. Other hosts' statements are left out, since each hop would add its delay to them.
+ * How long [start] stays cold after [now] by what this host has learned from the upstream itself or its entry; null if
+ * it isn't cold. Other hosts' statements are left out, since each hop would add its delay to them.
  */
-public fun PoolMembers.ownColdTimeLeft(id: UpstreamId, now: Moment): Duration? = cold[id]
-    ?.takeIf { it.source != ColdSource.RELEASE }
+public fun PoolMembers.ownColdTimeLeft(start: UpstreamStart, now: Moment): Duration? = cold[start.id]
+    ?.takeIf { isListed(start) && it.source != ColdSource.RELEASE }
     ?.timeLeft(now)
     ?.takeIf { it.isPositive() }
 
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -64,10 +64,13 @@
  */
 public fun announceLeaving(state: PoolMembers, start: UpstreamStart, now: Moment): PoolMembers {
     val announced = state.copy(leaving = state.leaving.put(start, now))
-    val member = state.members[start.id]?.takeIf { it.start == start }
+    val member = state.members[start.id]?.takeIf { state.isListed(start) }
     return if (member == null) announced else putMember(announced, member)
 }
 
+/** Whether the upstream's entry is that of [start]. */
+public fun PoolMembers.isListed(start: UpstreamStart): Boolean = members[start.id]?.start == start
+
 /** The start of the upstream [id] by its entry. Without an entry, the one that announced its leaving last. */
 public fun PoolMembers.latestStart(id: UpstreamId): UpstreamStart? =
     members[id]?.start ?: leaving.filterKeys { it.id == id }.maxByOrNull { it.value.monotonicNanos }?.key
@@ -92,7 +95,7 @@
 
 /** Drops the entry of [start] without a grace period because another upstream answers at its address. */
 public fun removeReplaced(state: PoolMembers, start: UpstreamStart): PoolMembers =
-    if (state.members[start.id]?.start == start) removeImmediately(state, start.id) else state
+    if (state.isListed(start)) removeImmediately(state, start.id) else state
 
 /** Drops an upstream without a grace period. */
 public fun removeImmediately(state: PoolMembers, id: UpstreamId): PoolMembers = state.copy(
--- a/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
@@ -15,6 +15,7 @@
 import figdeck.model.serving.Fleet
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.ServingPool
+import figdeck.model.serving.UpstreamStart
 import figdeck.query.serving.BucketLocation
 import figdeck.query.serving.bucketLocation
 import figdeck.query.serving.estimatedHostCount
@@ -38,13 +39,13 @@
 }
 
 /**
- * Whether an answer by which [upstream] stays cold for [remaining] changes a limit. It doesn't if the pool has no cold
+ * Whether an answer by which [start] stays cold for [remaining] changes a limit. It doesn't if the pool has no cold
  * starts. Before the plan is read that is not known.
  */
-internal fun ServingState.isColdChange(upstream: UpstreamId, remaining: Duration, now: Moment): Boolean {
-    val pool = pools.members[upstream]?.pool
+internal fun ServingState.isColdChange(start: UpstreamStart, remaining: Duration, now: Moment): Boolean {
+    val pool = pools.members[start.id]?.pool
     val hasColdStarts = index?.plan?.pools?.any { it.name == pool && it.coldStart != null } ?: true
-    return hasColdStarts && pools.isColdChange(upstream, remaining, now)
+    return hasColdStarts && pools.isColdChange(start, remaining, now)
 }
 
 /**
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -222,8 +222,8 @@
             ItemCall(item, route, record.team),
             options
         ) { reply ->
-            if (reply.isLeaving) services.slots.recordLeaving(permit, item.id, services.log)
-            reply.coldRemaining?.let { services.slots.recordColdReply(permit.upstream.id, it) }
+            if (reply.isLeaving) services.slots.recordLeaving(permit.start, item.id, services.log)
+            reply.coldRemaining?.let { services.slots.recordColdReply(permit.start, it) }
             attemptResult = output.receive(reply, services.clock, meter) {
                 services.crashGuard.recordAnswer(sharedParts)
             }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -7,6 +7,7 @@
 import figdeck.command.serving.ColdSource
 import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.announceLeaving
+import figdeck.command.serving.isListed
 import figdeck.command.serving.latestStart
 import figdeck.command.serving.ownColdTimeLeft
 import figdeck.command.serving.recordCold
@@ -148,30 +149,29 @@
     }
 
     /**
-     * Records that the upstream of [permit] has said in its answer to [request] that it is leaving, whatever its entry
-     * in the store says. It gets no new work from this host until it has started again, and the owner of its slots is
-     * told when the next one is returned.
+     * Records that [start] has said in its answer to [request] that it is leaving, whatever its entry in the store
+     * says. Its upstream gets no new work from this host until it has started again, and the owner of its slots is told
+     * when the next one is returned.
      */
-    suspend fun recordLeaving(permit: HeldPermit, request: String, decisions: DecisionLog) {
-        val start = permit.start
+    suspend fun recordLeaving(start: UpstreamStart, request: String, decisions: DecisionLog) {
         if (start !in control.snapshot.pools.leaving) {
             control.run { state, now -> updatePools(state) { announceLeaving(it, start, now) } }
             decisions.note("upstream_leaving", request) {
                 put("upstream", start.id.value)
                 start.startedAtMillis?.let { put("started_at_ms", it) }
-                put("is_listed", control.snapshot.pools.members[start.id]?.start == start)
+                put("is_listed", control.snapshot.pools.isListed(start))
             }
         }
     }
 
     /**
-     * Records that [upstream] has said in an answer that it stays cold for [remaining], if that tells anything new. The
+     * Records that [start] has said in an answer that it stays cold for [remaining], if that tells anything new. The
      * owner of its slots is told when the next one is returned.
      */
-    suspend fun recordColdReply(upstream: UpstreamId, remaining: Duration) {
-        if (control.snapshot.isColdChange(upstream, remaining, clock())) {
+    suspend fun recordColdReply(start: UpstreamStart, remaining: Duration) {
+        if (control.snapshot.isColdChange(start, remaining, clock())) {
             control.run { state, now ->
-                updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.REPLY, now) }
+                updateColdPools(state, now) { recordCold(it, start, remaining, ColdSource.REPLY, now) }
             }
         }
     }
@@ -246,7 +246,7 @@
 
 /** Adds what this host knows of [start] by [pools] and the owner of its slots may not know. */
 private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, start: UpstreamStart, now: Moment): SlotRelease {
-    val release = copy(isLeaving = start in pools.leaving, coldRemaining = pools.ownColdTimeLeft(start.id, now))
+    val release = copy(isLeaving = start in pools.leaving, coldRemaining = pools.ownColdTimeLeft(start, now))
     return if (release.concernsUpstream) release.copy(startedAtMillis = start.startedAtMillis) else release
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -122,7 +122,9 @@
             // Before the slot is freed, since freeing it grants it to the next request.
             release.coldRemaining?.let { remaining ->
                 control.run { state, now ->
-                    updateColdPools(state, now) { recordCold(it, upstream, remaining, ColdSource.RELEASE, now) }
+                    updateColdPools(state, now) {
+                        recordCold(it, release.startOf(upstream, it), remaining, ColdSource.RELEASE, now)
+                    }
                 }
             }
             slots.release(slot.permit, release.outcome, release.cost, release.usage)
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -158,8 +158,8 @@
         meter: SlotUsageMeter,
     ): FailedSend? {
         val id = permit.upstream.id
-        if (reply.isLeaving) services.slots.recordLeaving(permit, call.id, services.log)
-        reply.coldRemaining?.let { services.slots.recordColdReply(id, it) }
+        if (reply.isLeaving) services.slots.recordLeaving(permit.start, call.id, services.log)
+        reply.coldRemaining?.let { services.slots.recordColdReply(permit.start, it) }
         return when (reply.executionStatus) {
             ExecutionStatus.NOT_RUN ->
                 FailedSend.NotRun(id, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
--- a/src/test/kotlin/figdeck/command/dispatch/ColdStartSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/ColdStartSpec.kt
@@ -152,40 +152,49 @@
     }
 
     describe("an answer that says how long its upstream stays cold") {
+        val first = member().start
         val warm = putMember(emptyPoolMembers, member(Duration.ZERO), start)
 
         it("makes a known upstream cold and an unknown one not") {
-            recordCold(warm, id, 900.milliseconds, ColdSource.REPLY, start).coldUntil() shouldBe
+            recordCold(warm, first, 900.milliseconds, ColdSource.REPLY, start).coldUntil() shouldBe
                 start + 900.milliseconds
-            recordCold(emptyPoolMembers, id, 1.seconds, ColdSource.REPLY, start) shouldBe emptyPoolMembers
+            recordCold(emptyPoolMembers, first, 1.seconds, ColdSource.REPLY, start) shouldBe emptyPoolMembers
+        }
+
+        // Guards against a limit on a later start for what an earlier one has said.
+        it("tells nothing of another start of its upstream") {
+            val startedAgain = putMember(warm, member(Duration.ZERO, startedAt = 2), start)
+            recordCold(startedAgain, first, 1.seconds, ColdSource.REPLY, start) shouldBe startedAgain
+            val cold = putMember(warm, member(3.seconds, startedAt = 2), start)
+            cold.ownColdTimeLeft(first, start).shouldBeNull()
         }
 
         // Guards against an answer from before the cold start that arrives after the entry which tells of it.
         it("shortens a period that an entry has stated by nothing, and is outlasted by no older entry") {
             val cold = putMember(emptyPoolMembers, member(3.seconds), start)
-            recordCold(cold, id, Duration.ZERO, ColdSource.REPLY, start).coldUntil() shouldBe start + 3.seconds
-            val told = recordCold(warm, id, 2.seconds, ColdSource.REPLY, start)
+            recordCold(cold, first, Duration.ZERO, ColdSource.REPLY, start).coldUntil() shouldBe start + 3.seconds
+            val told = recordCold(warm, first, 2.seconds, ColdSource.REPLY, start)
             putMember(told, member(Duration.ZERO, hash = 5), start).coldUntil() shouldBe start + 2.seconds
         }
 
         it("replaces an assumed period") {
             val assumed = putMember(emptyPoolMembers, member(), start)
-            recordCold(assumed, id, 500.milliseconds, ColdSource.REPLY, start).coldUntil() shouldBe
+            recordCold(assumed, first, 500.milliseconds, ColdSource.REPLY, start).coldUntil() shouldBe
                 start + 500.milliseconds
-            recordCold(assumed, id, Duration.ZERO, ColdSource.REPLY, start).coldUntil().shouldBeNull()
+            recordCold(assumed, first, Duration.ZERO, ColdSource.REPLY, start).coldUntil().shouldBeNull()
         }
 
         // Guards against a period that two hosts extend without end by telling each other of it.
         it("is passed on by the host that saw it, and not by the host that was told") {
-            val seen = recordCold(warm, id, 1.seconds, ColdSource.REPLY, start)
-            seen.ownColdTimeLeft(id, start + 400.milliseconds) shouldBe
-                600.milliseconds
-            recordCold(warm, id, 1.seconds, ColdSource.RELEASE, start).ownColdTimeLeft(id, start).shouldBeNull()
+            val seen = recordCold(warm, first, 1.seconds, ColdSource.REPLY, start)
+            seen.ownColdTimeLeft(first, start + 400.milliseconds) shouldBe 600.milliseconds
+            val told = recordCold(warm, first, 1.seconds, ColdSource.RELEASE, start)
+            told.ownColdTimeLeft(first, start).shouldBeNull()
         }
 
         // Guards against an upstream that a wrong header would limit for good.
         it("limits its upstream for ten minutes at most") {
-            recordCold(warm, id, Duration.INFINITE, ColdSource.REPLY, start).coldUntil() shouldBe start + 600.seconds
+            recordCold(warm, first, Duration.INFINITE, ColdSource.REPLY, start).coldUntil() shouldBe start + 600.seconds
         }
     }
 
--- a/src/test/kotlin/figdeck/control/serving/ColdFleetSimulation.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdFleetSimulation.kt
@@ -32,6 +32,7 @@
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.storeMillisAt
 import figdeck.query.serving.joinedAt
 import figdeck.query.serving.ranked
@@ -103,6 +104,9 @@
         return step.result
     }
 
+    /** The start of [upstream] by its entry; null if this host knows none. */
+    fun startOf(upstream: UpstreamId): UpstreamStart? = state.pools.members[upstream]?.start
+
     private fun newState(incarnation: Int): ServingState {
         val self = FleetMember(id, Address("127.0.0.1", 1), DataCentre("centre-a"), "$name-$incarnation", 0, 0)
         return adoptPlan(initialServingState(self), plan).state
@@ -247,7 +251,7 @@
         }
         val isTold = owner === holder || links.peers(hosts.indexOf(holder), hosts.indexOf(owner))
         if (owner.isAlive && isTold) {
-            holder.state.pools.ownColdTimeLeft(send.upstream, at(now))
+            holder.startOf(send.upstream)?.let { holder.state.pools.ownColdTimeLeft(it, at(now)) }
                 ?.let { learn(owner, send.upstream, it, ColdSource.RELEASE) }
             val freed = Release(send.ticket, SlotOutcome.ANSWERED, 1, random.nextLong())
             apply(owner, owner.decide { release(it, freed, policy, at(now)) })
@@ -255,7 +259,8 @@
     }
 
     private fun learn(host: SimulatedHost, upstream: UpstreamId, left: Duration, source: ColdSource) {
-        host.state = updateColdPools(host.state, at(now)) { recordCold(it, upstream, left, source, at(now)) }.state
+        val start = host.startOf(upstream) ?: return
+        host.state = updateColdPools(host.state, at(now)) { recordCold(it, start, left, source, at(now)) }.state
     }
 }
 
--- a/src/test/kotlin/figdeck/control/serving/ColdLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdLimitsSpec.kt
@@ -72,7 +72,7 @@
         it("ends when an answer says that the upstream, which was assumed cold, isn't") {
             val host = ColdHost(null)
             host.bucket(first).shouldNotBeNull()
-            host.update(100) { recordCold(it, first, Duration.ZERO, ColdSource.REPLY, at(100)) }
+            host.update(100) { recordCold(it, entry(first, null).start, Duration.ZERO, ColdSource.REPLY, at(100)) }
             host.bucket(first).shouldBeNull()
         }
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -84,7 +84,7 @@
                 host.setView(listOf(fleetMember("host-2", cores = 2.0)), upstreams)
                 val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
                 permit.upstream.id shouldBe UpstreamId("ready-1")
-                host.slots.recordLeaving(permit, "request", DecisionLog("serve"))
+                host.slots.recordLeaving(permit.start, "request", DecisionLog("serve"))
                 host.slots.acquire(slotRequest(2)).getOrNull()?.upstream?.id shouldBe UpstreamId("ready-2")
                 eventually(5.seconds) { owner.released.size == 1 }
                 owner.released.single().isLeaving shouldBe true
@@ -99,7 +99,7 @@
                 host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(earlier))
                 val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
                 host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
-                host.slots.recordLeaving(permit, "request", DecisionLog("serve"))
+                host.slots.recordLeaving(permit.start, "request", DecisionLog("serve"))
                 host.slots.acquire(slotRequest(2)).getOrNull()?.start shouldBe UpstreamStart(UpstreamId("i-1"), 2)
                 host.slots.release(permit, SlotOutcome.ANSWERED, 1)
                 eventually(5.seconds) { owner.released.size == 1 }
@@ -174,7 +174,7 @@
             TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
                 host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(poolMember(pool, "ready-1")))
                 val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
-                host.slots.recordColdReply(permit.upstream.id, 60.seconds)
+                host.slots.recordColdReply(permit.start, 60.seconds)
                 host.control.snapshot.pools.cold.keys shouldBe setOf(permit.upstream.id)
                 host.slots.release(permit, SlotOutcome.ANSWERED, 1)
                 eventually(5.seconds) { owner.released.size == 1 }
@@ -182,17 +182,39 @@
             }
         }
 
+        // Guards against a limit on a later start for what an earlier one has said, at the holder and at the owner.
+        it("is not known as cold if it has started again since") {
+            val owner = GrantingOwner(listOf("i-1"))
+            TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
+                val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1, coldRemaining = Duration.ZERO)
+                host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(earlier))
+                val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
+                host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
+                host.slots.recordColdReply(permit.start, 60.seconds)
+                host.control.snapshot.pools.cold.keys shouldBe emptySet()
+            }
+            TestHost(fleetMember("host-1")).use { host ->
+                val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                host.setView(listOf(fleetMember("host-1")), listOf(earlier))
+                host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
+                host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
+                val told = SlotRelease(1, SlotOutcome.ANSWERED, 1, startedAtMillis = 1, coldRemaining = 60.seconds)
+                host.owner.release(told)
+                host.control.snapshot.pools.cold.keys shouldBe emptySet()
+            }
+        }
+
         // Guards against a command for each answer of warm upstreams, which say 0, and of those known as cold.
         it("changes nothing with an answer that tells nothing new") {
             TestHost(fleetMember("host-1")).use { host ->
-                val upstream = UpstreamId("ready-1")
-                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, upstream.value)))
+                val member = poolMember(pool, "ready-1")
+                host.setView(listOf(fleetMember("host-1")), listOf(member))
                 val warm = host.control.snapshot
-                host.slots.recordColdReply(upstream, Duration.ZERO)
+                host.slots.recordColdReply(member.start, Duration.ZERO)
                 host.control.snapshot shouldBeSameInstanceAs warm
-                host.slots.recordColdReply(upstream, 60.seconds)
+                host.slots.recordColdReply(member.start, 60.seconds)
                 val cold = host.control.snapshot
-                host.slots.recordColdReply(upstream, 40.seconds)
+                host.slots.recordColdReply(member.start, 40.seconds)
                 host.control.snapshot shouldBeSameInstanceAs cold
             }
         }
@@ -203,7 +225,7 @@
                 host.control.run { state, _ -> adoptPlan(state, plan) }
                 host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
                 val before = host.control.snapshot
-                host.slots.recordColdReply(UpstreamId("ready-1"), 60.seconds)
+                host.slots.recordColdReply(poolMember(pool, "ready-1").start, 60.seconds)
                 host.control.snapshot shouldBeSameInstanceAs before
             }
         }
@@ -246,7 +268,7 @@
                 }.getOrNull().shouldNotBeNull()
                 host.control.run { state, _ -> adoptPlan(state, plan) }
                 host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "ready-1")))
-                host.slots.recordColdReply(UpstreamId("ready-1"), 60.seconds)
+                host.slots.recordColdReply(poolMember(pool, "ready-1").start, 60.seconds)
                 host.owner.acquire(slotRequest(1)).shouldBeInstanceOf<SlotResponse.Full>()
                 host.control.snapshot.slots.heldBack shouldBe 1
             }
