--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -64,7 +64,7 @@
  */
 public fun announceLeaving(state: PoolMembers, start: UpstreamStart, now: Moment): PoolMembers {
     val announced = state.copy(leaving = state.leaving.put(start, now))
-    val member = state.members[start.id]?.takeIf { state.isListed(start) }
+    val member = state.members[start.id]?.takeIf { it.start == start }
     return if (member == null) announced else putMember(announced, member)
 }
 
--- a/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
+++ b/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
@@ -5,7 +5,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
-/** How long the announcement of an upstream that it is leaving counts. The upstream ends within a minute. */
+/**
+ * How long the announcement of an upstream that it is leaving counts. The upstream ends within a minute. Entries that
+ * name no start may be those of a later one by then.
+ */
 private val LEAVING_RETENTION: Duration = 2.minutes
 
 /** Records an answer of the store and drops the missing upstreams whose grace period has ended. */
