--- a/src/main/kotlin/figdeck/command/serving/ColdUpstreams.kt
+++ b/src/main/kotlin/figdeck/command/serving/ColdUpstreams.kt
@@ -101,7 +101,7 @@
 
 /** What a new, restarted or changed entry says; null if the earlier statement stays in force. */
 private fun PoolMember.statement(known: PoolMember?, earlier: ColdStatement?, now: Moment): ColdStatement? {
-    val isNew = known == null || known.startedAtMillis != startedAtMillis
+    val isNew = known == null || known.start != start
     val isUnchanged = !isNew && known.coldRemaining == coldRemaining && known.entryHash == entryHash
     val outlasts = !isNew && earlier != null && earlier.source in setOf(ColdSource.REPLY, ColdSource.RELEASE) &&
         (earlier.timeLeft(now) ?: Duration.ZERO) > (coldRemaining ?: Duration.ZERO)
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -226,7 +226,7 @@
 
 /** The start of [upstream] that the holder has used. A holder of an earlier version doesn't say so. */
 private fun SlotRelease.startOf(upstream: UpstreamId, pools: PoolMembers): UpstreamStart =
-    UpstreamStart(upstream, startedAtMillis ?: pools.members[upstream]?.startedAtMillis)
+    UpstreamStart(upstream, startedAtMillis ?: pools.members[upstream]?.upstream?.startedAtMillis)
 
 /** Covers the network latency between data centres and the delays of busy hosts. */
 private val ANSWER_MARGIN = 120.milliseconds
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -129,7 +129,7 @@
 
 /** Adds the start of [member], and whether an announcement by [pools] makes it leave, whatever its entry says. */
 private fun LogLine.logUse(member: PoolMember, pools: PoolMembers) {
-    member.startedAtMillis?.let { put("started_at_ms", it) }
+    member.upstream.startedAtMillis?.let { put("started_at_ms", it) }
     put("has_announced", member.start in pools.leaving)
 }
 
--- a/src/main/kotlin/figdeck/model/Upstream.kt
+++ b/src/main/kotlin/figdeck/model/Upstream.kt
@@ -20,6 +20,8 @@
  *
  * @property slots how many requests it can run concurrently before they slow each other down noticeably.
  * @property honoursFencing whether it refuses requests with an outdated fencing token.
+ * @property startedAtMillis when it started, in Unix milliseconds, by its own clock; null if it doesn't say so. An
+ * upstream may start again under its id.
  */
 public data class Upstream(
     public val id: UpstreamId,
@@ -28,6 +30,7 @@
     public val kind: UpstreamKind,
     public val slots: Int,
     public val honoursFencing: Boolean,
+    public val startedAtMillis: Long? = null,
 )
 
 /** Builds an [Upstream]. */
--- a/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamMessage.kt
@@ -60,12 +60,12 @@
         kind = if (models.isEmpty()) UpstreamKind.SERVICE else UpstreamKind.ENGINE,
         slots = slots,
         honoursFencing = false,
+        startedAtMillis = startedAtMillis?.toLong(),
     )
     return PoolMember(
         upstream = upstream,
         pool = PoolName(pool),
         isLeaving = state == LEAVING_STATE,
-        startedAtMillis = startedAtMillis?.toLong(),
         coldRemaining = coldRemainingMillis?.milliseconds,
     )
 }
--- a/src/main/kotlin/figdeck/query/serving/PlacementView.kt
+++ b/src/main/kotlin/figdeck/query/serving/PlacementView.kt
@@ -25,4 +25,4 @@
 public fun upstreamStarts(members: Map<UpstreamId, PoolMember>): Map<PoolName, UpstreamStarts> = members.values
     .filter { !it.isLeaving }
     .groupBy { it.pool }
-    .mapValues { (_, upstreams) -> upstreams.associate { it.upstream.id to it.startedAtMillis } }
+    .mapValues { (_, upstreams) -> upstreams.associate { it.upstream.id to it.upstream.startedAtMillis } }
--- a/src/test/kotlin/figdeck/command/dispatch/ColdStartSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/ColdStartSpec.kt
@@ -47,7 +47,7 @@
     Upstream(UpstreamId(name), Address("127.0.0.1", 1), DataCentre("centre-a"), UpstreamKind.SERVICE, slots, false)
 
 private fun member(remaining: Duration? = null, startedAt: Long = 1, hash: Long? = null) =
-    PoolMember(upstream("i-1"), PoolName("p"), isLeaving = false, startedAt, remaining, hash)
+    PoolMember(upstream("i-1").copy(startedAtMillis = startedAt), PoolName("p"), isLeaving = false, remaining, hash)
 
 private val id = UpstreamId("i-1")
 
--- a/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -17,10 +17,9 @@
 private val start = Moment(0, 0)
 
 private fun member(id: String, startedAt: Long? = null) = PoolMember(
-    Upstream(UpstreamId(id), Address("10.0.0.1", 80), DataCentre("a"), UpstreamKind.ENGINE, 8, false),
+    Upstream(UpstreamId(id), Address("10.0.0.1", 80), DataCentre("a"), UpstreamKind.ENGINE, 8, false, startedAt),
     PoolName("p"),
     isLeaving = false,
-    startedAt,
 )
 
 private fun PoolMembers.isLeaving(id: String): Boolean? = members[UpstreamId(id)]?.isLeaving
--- a/src/test/kotlin/figdeck/control/serving/ColdLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdLimitsSpec.kt
@@ -12,6 +12,7 @@
 import figdeck.command.serving.removeImmediately
 import figdeck.daemon.command.serving.fleetMember
 import figdeck.daemon.command.serving.poolMember
+import figdeck.daemon.command.serving.startedAt
 import figdeck.model.UpstreamId
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.PoolName
@@ -35,7 +36,7 @@
 }.getOrElse { error(it) }
 
 private fun entry(id: UpstreamId, remaining: Duration?): PoolMember =
-    poolMember(pool, id.value).copy(startedAtMillis = 1, coldRemaining = remaining)
+    poolMember(pool, id.value).startedAt(1).copy(coldRemaining = remaining)
 
 /** The state of a host whose dispatcher knows both upstreams. Their entries say that they are cold for [remaining]. */
 private class ColdHost(remaining: Duration?) {
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -95,10 +95,10 @@
         it("gets requests again once it has started again, although its last answers come later") {
             val owner = GrantingOwner(listOf("i-1", "i-1"))
             TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
-                val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                val earlier = poolMember(pool, "i-1").startedAt(1)
                 host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(earlier))
                 val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
-                host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
+                host.setView(emptyList(), listOf(earlier.startedAt(2)))
                 host.slots.recordLeaving(permit.start, "request", DecisionLog("serve"))
                 host.slots.acquire(slotRequest(2)).getOrNull()?.start shouldBe UpstreamStart(UpstreamId("i-1"), 2)
                 host.slots.release(permit, SlotOutcome.ANSWERED, 1)
@@ -112,10 +112,10 @@
         listOf(null to false, 1L to true, 2L to false).forEach { (listed, isLeaving) ->
             it("is leaving at an owner that lists its start as $listed and is told of start 1: $isLeaving") {
                 TestHost(fleetMember("host-1")).use { host ->
-                    val known = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                    val known = poolMember(pool, "i-1").startedAt(1)
                     host.setView(listOf(fleetMember("host-1")), listOf(known))
                     host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
-                    host.setView(emptyList(), listOf(known.copy(startedAtMillis = listed)))
+                    host.setView(emptyList(), listOf(known.startedAt(listed)))
                     host.owner.release(
                         SlotRelease(1, SlotOutcome.ANSWERED, 1, isLeaving = true, startedAtMillis = 1),
                     )
@@ -126,7 +126,7 @@
 
         it("is leaving at an owner that is told so by a host of an earlier version") {
             TestHost(fleetMember("host-1")).use { host ->
-                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "i-1").copy(startedAtMillis = 1)))
+                host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "i-1").startedAt(1)))
                 host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
                 host.owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1, isLeaving = true))
                 host.control.snapshot.pools.members.values.single().isLeaving shouldBe true
@@ -139,10 +139,10 @@
         listOf(1L to emptySet(), 2L to setOf("i-1")).forEach { (listed, kept) ->
             it("is dropped only if it has not started again: start $listed after start 1") {
                 TestHost(fleetMember("host-1")).use { host ->
-                    val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                    val earlier = poolMember(pool, "i-1").startedAt(1)
                     host.setView(listOf(fleetMember("host-1")), listOf(earlier))
                     host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
-                    host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = listed)))
+                    host.setView(emptyList(), listOf(earlier.startedAt(listed)))
                     host.owner.release(SlotRelease(1, SlotOutcome.GONE, 1, startedAtMillis = 1))
                     host.control.snapshot.pools.members.keys.map { it.value }.toSet() shouldBe kept
                 }
@@ -156,7 +156,7 @@
             it("tells the start of the upstream as $told if the slot ends as $outcome") {
                 val owner = GrantingOwner(listOf("i-1"))
                 TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
-                    val upstreams = listOf(poolMember(pool, "i-1").copy(startedAtMillis = 1))
+                    val upstreams = listOf(poolMember(pool, "i-1").startedAt(1))
                     host.setView(listOf(fleetMember("host-2", cores = 2.0)), upstreams)
                     val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
                     host.slots.release(permit, outcome, 1)
@@ -186,18 +186,18 @@
         it("is not known as cold if it has started again since") {
             val owner = GrantingOwner(listOf("i-1"))
             TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
-                val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1, coldRemaining = Duration.ZERO)
+                val earlier = poolMember(pool, "i-1").startedAt(1).copy(coldRemaining = Duration.ZERO)
                 host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(earlier))
                 val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
-                host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
+                host.setView(emptyList(), listOf(earlier.startedAt(2)))
                 host.slots.recordColdReply(permit.start, 60.seconds)
                 host.control.snapshot.pools.cold.keys shouldBe emptySet()
             }
             TestHost(fleetMember("host-1")).use { host ->
-                val earlier = poolMember(pool, "i-1").copy(startedAtMillis = 1)
+                val earlier = poolMember(pool, "i-1").startedAt(1)
                 host.setView(listOf(fleetMember("host-1")), listOf(earlier))
                 host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
-                host.setView(emptyList(), listOf(earlier.copy(startedAtMillis = 2)))
+                host.setView(emptyList(), listOf(earlier.startedAt(2)))
                 val told = SlotRelease(1, SlotOutcome.ANSWERED, 1, startedAtMillis = 1, coldRemaining = 60.seconds)
                 host.owner.release(told)
                 host.control.snapshot.pools.cold.keys shouldBe emptySet()
--- a/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -66,6 +66,10 @@
     isLeaving,
 )
 
+/** The announcement that the start at [millis] of the same upstream writes. */
+internal fun PoolMember.startedAt(millis: Long?): PoolMember =
+    copy(upstream = upstream.copy(startedAtMillis = millis))
+
 /** The slot client and owner of one host, without network and store. */
 internal class TestHost(
     self: FleetMember,
--- a/src/test/kotlin/figdeck/daemon/query/serving/ColdUpstreamLogSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/ColdUpstreamLogSpec.kt
@@ -9,6 +9,7 @@
 import figdeck.control.serving.updateColdPools
 import figdeck.daemon.command.serving.fleetMember
 import figdeck.daemon.command.serving.poolMember
+import figdeck.daemon.command.serving.startedAt
 import figdeck.model.Moment
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.servingPlan
@@ -18,7 +19,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val start = Moment(0, 0)
-private val member = poolMember(PoolName("p"), "i-1").copy(startedAtMillis = 1, coldRemaining = 2.seconds)
+private val member = poolMember(PoolName("p"), "i-1").startedAt(1).copy(coldRemaining = 2.seconds)
 private val plan = servingPlan {
     pool("p") {
         coldSeconds = 3.0
--- a/src/test/kotlin/figdeck/platform/UpstreamMessageSpec.kt
+++ b/src/test/kotlin/figdeck/platform/UpstreamMessageSpec.kt
@@ -39,13 +39,13 @@
                 kind = UpstreamKind.ENGINE,
                 slots = 8,
                 honoursFencing = false,
+                startedAtMillis = 17,
             )
             decodeUpstream("i-7f3a91c2", entry()) shouldBe
                 PoolMember(
                     upstream = upstream,
                     pool = PoolName("huvo11a"),
                     isLeaving = false,
-                    startedAtMillis = 17,
                     coldRemaining = Duration.ZERO,
                 ).right()
         }
--- a/src/test/kotlin/figdeck/query/serving/PlacementContextsSpec.kt
+++ b/src/test/kotlin/figdeck/query/serving/PlacementContextsSpec.kt
@@ -60,8 +60,8 @@
 ): PoolMember {
     val kind = UpstreamKind.ENGINE
     val address = Address("10.0.0.2", 80)
-    val upstream = Upstream(UpstreamId(id), address, DataCentre("north"), kind, 8, honoursFencing = false)
-    return PoolMember(upstream, pool, isLeaving, startedAt)
+    val upstream = Upstream(UpstreamId(id), address, DataCentre("north"), kind, 8, honoursFencing = false, startedAt)
+    return PoolMember(upstream, pool, isLeaving)
 }
 
 private fun view(self: String, upstreams: List<PoolMember> = emptyList(), plan: ServingPlan? = null) =
