--- a/src/main/kotlin/figdeck/command/dispatch/AdoptSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AdoptSlot.kt
@@ -15,7 +15,7 @@
     if (ticket in state.tickets) {
         return Step(state, emptyList())
     }
-    val known = state.stateOf(upstream, now)
+    val known = state.registeredStateOf(upstream, now)
     val running = known.running.put(ticket, RunningRequest(ticket, request, now, revokedAt = null))
     val adopted = state.copy(tickets = state.tickets.put(ticket, upstream.id)).with(known.copy(running = running))
     return Step(adopted, emptyList())
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -36,9 +36,13 @@
 public fun emptyDispatch(dataCentre: DataCentre? = null): DispatchState =
     DispatchState(dataCentre, persistentMapOf(), persistentMapOf(), fullRetryBudget)
 
-/** The state of [upstream], with its currently configured slots and address. */
+/** The state of [upstream], which is idle if it isn't registered. */
 public fun DispatchState.stateOf(upstream: Upstream, now: Moment): UpstreamState =
-    upstreams[upstream.id]?.copy(upstream = upstream) ?: idleUpstream(upstream, now)
+    upstreams[upstream.id] ?: idleUpstream(upstream, now)
+
+/** The state of [upstream], with its currently configured slots and address. */
+internal fun DispatchState.registeredStateOf(upstream: Upstream, now: Moment): UpstreamState =
+    upstreams[upstream.id]?.updatedTo(upstream, now) ?: idleUpstream(upstream, now)
 
 /**
  * This state with all candidates of [request] registered, so that idle ones can steal work queued at others, and with
@@ -46,7 +50,7 @@
  */
 internal fun DispatchState.withCandidates(request: DispatchRequest, now: Moment): DispatchState =
     request.candidates.fold(this) { state, upstream ->
-        val known = state.stateOf(upstream, now)
+        val known = state.registeredStateOf(upstream, now)
         val limited = known.limitedBy(request.coldLimits[upstream.id], now)
         if (limited == state.upstreams[upstream.id]) state else state.with(limited)
     }
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -27,7 +27,11 @@
     return withQueue(request.lane, if (answered) corrected.observeHold(now - running.since) else corrected)
         .copy(
             running = this.running.remove(running.ticket),
-            health = health.after(release.outcome, Random(release.seed).nextDouble(), now),
+            health = if (isOfPresentStart(running)) {
+                health.after(release.outcome, Random(release.seed).nextDouble(), now)
+            } else {
+                health
+            },
             pace = paceAfter(running, release, now),
         )
         .observeRevokedRelease(running, policy.headroom, now)
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -48,6 +48,7 @@
 /**
  * The slots, queues and health of an upstream as its owner tracks them.
  *
+ * @property startSeenAt when this host learned that the upstream had started again; null if it has not.
  * @property lastReturnAt the latest time at which a refused caller was told to return; null before the first refusal.
  * @property cold the limit while the upstream is cold; null if it isn't, or if the limit has ended.
  * @property pace how fast the upstream has been. It is observed only for requests with a [DispatchRequest.placement].
@@ -59,6 +60,7 @@
     public val batch: LaneQueue,
     public val headroom: Headroom,
     public val health: Health,
+    public val startSeenAt: Moment? = null,
     public val lastReturnAt: Moment? = null,
     public val cold: ColdBucket? = null,
     public val pace: UpstreamPace = unknownPace,
@@ -74,6 +76,24 @@
     health = healthy,
 )
 
+/**
+ * This state with the address and slots of [current], which describes the same upstream at [now]. The failures of an
+ * earlier start say nothing about a later one.
+ */
+internal fun UpstreamState.updatedTo(current: Upstream, now: Moment): UpstreamState {
+    val earlier = upstream.startedAtMillis
+    val hasRestarted = earlier != null && current.startedAtMillis != null && earlier != current.startedAtMillis
+    return if (hasRestarted) {
+        copy(upstream = current, health = healthy, startSeenAt = now)
+    } else {
+        copy(upstream = current)
+    }
+}
+
+/** Whether [running] got its slot at the present start of the upstream, as far as this host knows. */
+internal fun UpstreamState.isOfPresentStart(running: RunningRequest): Boolean =
+    startSeenAt == null || running.since >= startSeenAt
+
 /** The number of slots that [lane] holds, without revoked ones. */
 public fun UpstreamState.heldSlots(lane: Lane): Int =
     running.values.count { it.request.lane == lane && it.revokedAt == null }
