--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -5,7 +5,6 @@
 import figdeck.command.dispatch.SlotOutcome
 import figdeck.command.dispatch.exceedsCapacity
 import figdeck.command.serving.ColdSource
-import figdeck.command.serving.PoolMembers
 import figdeck.command.serving.announceLeaving
 import figdeck.command.serving.recordCold
 import figdeck.command.serving.removeReplaced
@@ -23,7 +22,6 @@
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.Upstream
-import figdeck.model.UpstreamId
 import figdeck.model.serving.ExpectedWork
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
@@ -118,23 +116,23 @@
             if (slot.expectedTime != null && release.usage?.isWhole == true) {
                 placement.recordTime(slot.expectedTime, clock() - slot.grantedAt)
             }
-            val upstream = slot.permit.upstream.id
+            val start = release.startAt(slot.permit.upstream)
             // Before the slot is freed, since freeing it grants it to the next request.
             release.coldRemaining?.let { remaining ->
                 control.run { state, now ->
                     updateColdPools(state, now) {
-                        recordCold(it, release.startOf(upstream, it), remaining, ColdSource.RELEASE, now)
+                        recordCold(it, start, remaining, ColdSource.RELEASE, now)
                     }
                 }
             }
             slots.release(slot.permit, release.outcome, release.cost, release.usage)
             work?.learn(slot.request, slot.expected, release.usage)
             if (release.outcome == SlotOutcome.GONE) {
-                control.run { state, _ -> updatePools(state) { removeReplaced(it, release.startOf(upstream, it)) } }
+                control.run { state, _ -> updatePools(state) { removeReplaced(it, start) } }
             }
             if (release.isLeaving) {
                 control.run { state, now ->
-                    updatePools(state) { announceLeaving(it, release.startOf(upstream, it), now) }
+                    updatePools(state) { announceLeaving(it, start, now) }
                 }
             }
         }
@@ -224,9 +222,9 @@
     )
 }
 
-/** The start of [upstream] that the holder has used. A holder of an earlier version doesn't say so. */
-private fun SlotRelease.startOf(upstream: UpstreamId, pools: PoolMembers): UpstreamStart =
-    UpstreamStart(upstream, startedAtMillis ?: pools.members[upstream]?.upstream?.startedAtMillis)
+/** The start of [upstream] that the holder has used. Without its word, the one at which the slot was granted. */
+private fun SlotRelease.startAt(upstream: Upstream): UpstreamStart =
+    UpstreamStart(upstream.id, startedAtMillis ?: upstream.startedAtMillis)
 
 /** Covers the network latency between data centres and the delays of busy hosts. */
 private val ANSWER_MARGIN = 120.milliseconds
--- a/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/PoolMembersSpec.kt
@@ -116,6 +116,15 @@
             putMember(alsoSaid, member("i-1", startedAt = 6)).isLeaving("i-1") shouldBe true
         }
 
+        // Guards against requests to a later start that leaves before this host has read its entry.
+        it("is leaving when its entry is read if its later start has said so before") {
+            val known = putMember(both, member("i-1", startedAt = 5))
+            val said = announceLeaving(known, UpstreamStart(first, 6), start)
+            said.isLeaving("i-1") shouldBe false
+            putMember(said, member("i-1", startedAt = 6)).isLeaving("i-1") shouldBe true
+            putMember(said, member("i-1", startedAt = 7)).isLeaving("i-1") shouldBe false
+        }
+
         it("is known by the start of its entry, or without an entry by the one that said so last") {
             val said = announceLeaving(both, UpstreamStart(first, 4), start)
             val saidLater = announceLeaving(said, UpstreamStart(first, 5), start + 1.seconds)
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -132,6 +132,26 @@
                 host.control.snapshot.pools.members.values.single().isLeaving shouldBe true
             }
         }
+
+        // Guards against a sound start that is unused while hosts are upgraded: earlier versions name no start.
+        listOf(
+            SlotRelease(1, SlotOutcome.ANSWERED, 1, isLeaving = true),
+            SlotRelease(1, SlotOutcome.GONE, 1),
+            SlotRelease(1, SlotOutcome.ANSWERED, 1, coldRemaining = 60.seconds),
+        ).forEach { told ->
+            it("is in use if it has started again since a host of an earlier version got its slot: $told") {
+                TestHost(fleetMember("host-1")).use { host ->
+                    val earlier = poolMember(pool, "i-1").startedAt(1).copy(coldRemaining = Duration.ZERO)
+                    host.setView(listOf(fleetMember("host-1")), listOf(earlier))
+                    host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
+                    host.setView(emptyList(), listOf(earlier.startedAt(2)))
+                    host.owner.release(told)
+                    val pools = host.control.snapshot.pools
+                    pools.members.values.map { it.isLeaving } shouldBe listOf(false)
+                    pools.cold.keys shouldBe emptySet()
+                }
+            }
+        }
     }
 
     // Guards against a later start that is dropped because another upstream answers at the address of an earlier one.
