--- a/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
+++ b/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
@@ -24,8 +24,8 @@
 /** The number of losses after which a request itself is quarantined, from whichever attempts of its caller. */
 private const val QUARANTINE_REQUEST_LOSSES = 3
 
-/** At a single upstream, the upstream itself may be the cause. */
-private const val QUARANTINE_UPSTREAMS = 2
+/** At a single start of an upstream, the upstream itself may be the cause. */
+private const val QUARANTINE_STARTS = 2
 
 /**
  * While upstreams crash for another reason too, a suspect that takes part in less than half of their losses may have
@@ -74,7 +74,7 @@
     losses: List<KnownCrash>,
     all: List<KnownCrash>,
 ): Quarantine? {
-    val enough = (QUARANTINE_UPSTREAMS..losses.size).asSequence().map { losses.take(it) }
+    val enough = (QUARANTINE_STARTS..losses.size).asSequence().map { losses.take(it) }
         .firstOrNull { isEnough(suspect, it) && isBeyondChance(it, all) }
     val companions = losses.map { suspectsOf(it).toSet() - suspect }.reduce { all, next -> all intersect next }
     return enough?.let { Quarantine(it.last().reportedAt + CRASH_REPORT_RETENTION, companions) }
@@ -93,11 +93,16 @@
 )
 
 private val KnownCrash.upstreamCrash: UpstreamCrash
-    get() = UpstreamCrash(report.upstream, reportedAt.monotonicNanos / SAME_CRASH.inWholeNanoseconds)
+    get() = UpstreamCrash(report.start.id, reportedAt.monotonicNanos / SAME_CRASH.inWholeNanoseconds)
+
+/** The starts of upstreams in [losses]. One that a host of an earlier version doesn't tell may be any of its upstream. */
+private fun countStarts(losses: List<KnownCrash>): Int = losses
+    .groupBy({ it.report.start.id }, { it.report.start.startedAtMillis })
+    .values
+    .sumOf { starts -> starts.filterNotNull().distinct().size.coerceAtLeast(1) }
 
 private fun isEnough(suspect: CrashSuspect, losses: List<KnownCrash>): Boolean {
-    val upstreams = losses.distinctBy { it.report.upstream }.size
-    return upstreams >= QUARANTINE_UPSTREAMS && when (suspect) {
+    return countStarts(losses) >= QUARANTINE_STARTS && when (suspect) {
         is RequestFingerprint -> losses.size >= QUARANTINE_REQUEST_LOSSES
         is PromptPart ->
             losses.distinctBy { it.report.request }.size >= QUARANTINE_REQUESTS || losses.size >= QUARANTINE_LOSSES
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -12,12 +12,12 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.model.Clock
 import figdeck.model.Lane
-import figdeck.model.UpstreamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.ServingRoute
 import figdeck.model.serving.SlotRequest
+import figdeck.model.serving.UpstreamStart
 import figdeck.query.serving.SendEnding
 import figdeck.query.serving.poolFor
 import kotlinx.coroutines.async
@@ -135,7 +135,7 @@
             }
             AttemptResult.Impossible -> services.giveUp(record, state, "the upstream can't process the item")
             is AttemptResult.Interrupted -> {
-                if (attemptResult.ending == SendEnding.LOST_BEFORE_ANSWER) onLoss(permit.upstream.id)
+                if (attemptResult.ending == SendEnding.LOST_BEFORE_ANSWER) onLoss(permit.start)
                 null
             }
             is AttemptResult.Failed -> {
@@ -147,7 +147,7 @@
     }
 
     /** Reports the loss of [upstream], and waits longer after each loss: the item may be the cause. */
-    private suspend fun onLoss(upstream: UpstreamId) {
+    private suspend fun onLoss(upstream: UpstreamStart) {
         services.crashGuard.recordLoss(item.id, upstream, sharedParts)
         delay((FAILURE_RETRY_DELAY * (1 shl state.losses)).coerceAtMost(MAX_LOSS_DELAY))
         state.losses = (state.losses + 1).coerceAtMost(MAX_LOSS_DOUBLINGS)
--- a/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
@@ -8,13 +8,13 @@
 import figdeck.log.DecisionLog
 import figdeck.model.Clock
 import figdeck.model.Moment
-import figdeck.model.UpstreamId
 import figdeck.model.serving.CrashReport
 import figdeck.model.serving.CrashRiskRow
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
+import figdeck.model.serving.UpstreamStart
 import figdeck.query.serving.CrashHold
 import figdeck.query.serving.holdOf
 import figdeck.wire.serving.crashKey
@@ -65,11 +65,11 @@
      * itself is reported at once, since it counts only if it is lost again and again. Parts of its prompt are reported
      * after the next answer to another request: where none is answered, the upstreams are at fault.
      */
-    suspend fun recordLoss(request: String, upstream: UpstreamId, suspects: List<CrashSuspect>) {
+    suspend fun recordLoss(request: String, upstream: UpstreamStart, suspects: List<CrashSuspect>) {
         val now = clock()
         val unanswered = suspects.filterNot { answersOf(it).contains(it, now) }.toSet()
         log.note("upstream_lost", request) {
-            put("upstream", upstream.value)
+            put("upstream", upstream.id.value)
             put("suspects", unanswered.joinToString(" "))
         }
         val loss = UnreportedLoss(crashKey(random.nextLong()), CrashReport(request, upstream, unanswered), now)
@@ -118,7 +118,7 @@
             log.note("quarantined", suspect.id) {
                 put("companions", risks.quarantined[suspect]?.companions.orEmpty().joinToString(" "))
                 put("requests", against.joinToString(" ") { it.report.request })
-                put("upstreams", against.joinToString(" ") { it.report.upstream.value })
+                put("upstreams", against.joinToString(" ") { it.report.start.id.value })
             }
         }
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -118,14 +118,14 @@
                 put("shared_parts", call.sharedParts.joinToString(" "))
             }
         }
-        failed?.let { recordFailure(it) }
+        failed?.let { recordFailure(it, permit) }
         return failed
     }
 
-    private suspend fun recordFailure(failed: FailedSend) {
+    private suspend fun recordFailure(failed: FailedSend, permit: HeldPermit) {
         services.countFailedSend(failed)
         if (failed is FailedSend.MayHaveRun && failed.ending == SendEnding.LOST_BEFORE_ANSWER) {
-            services.crashGuard.recordLoss(call.id, failed.upstream, call.suspects)
+            services.crashGuard.recordLoss(call.id, permit.start, call.suspects)
         }
     }
 
--- a/src/main/kotlin/figdeck/wire/serving/CrashRiskCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/CrashRiskCodec.kt
@@ -8,6 +8,7 @@
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
+import figdeck.model.serving.UpstreamStart
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
@@ -16,12 +17,16 @@
 internal const val CRASH_RISK_TABLE = "promptrisk"
 private const val HEX_RADIX = 16
 
-/** A row of the table as stored: either a report, with its request and upstream, or the suspect that is sound. */
+/**
+ * A row of the table as stored: either a report, with its request and upstream, or the suspect that is sound. Hosts of
+ * an earlier version don't tell when the upstream started.
+ */
 @Serializable
 internal data class CrashRiskDto(
     val writtenAt: Long,
     val request: String? = null,
     val upstream: String? = null,
+    val upstreamStartedAt: Long? = null,
     val suspects: List<String> = emptyList(),
     val fingerprint: String? = null,
     val sound: String? = null,
@@ -45,7 +50,8 @@
         is CrashRiskRow.Crash -> CrashRiskDto(
             writtenAt = row.writtenAtMillis,
             request = row.report.request,
-            upstream = row.report.upstream.value,
+            upstream = row.report.start.id.value,
+            upstreamStartedAt = row.report.start.startedAtMillis,
             suspects = row.report.suspects.filterIsInstance<PromptPart>().map { it.id },
             fingerprint = row.report.suspects.filterIsInstance<RequestFingerprint>().singleOrNull()?.id,
         )
@@ -67,7 +73,10 @@
     else -> {
         val report = CrashReport(
             request = requireNotNull(request) { "the report names no request" },
-            upstream = UpstreamId(requireNotNull(upstream) { "the report names no upstream" }),
+            start = UpstreamStart(
+                id = UpstreamId(requireNotNull(upstream) { "the report names no upstream" }),
+                startedAtMillis = upstreamStartedAt,
+            ),
             suspects = (suspects.map { PromptPart(it) } + listOfNotNull(fingerprint?.let { RequestFingerprint(it) }))
                 .toSet(),
         )
--- a/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
@@ -10,6 +10,7 @@
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.noCrashRisks
 import figdeck.query.serving.CrashHold
 import figdeck.query.serving.expiredClearances
@@ -31,11 +32,12 @@
     val upstream: String,
     val second: Int,
     val suspects: Set<CrashSuspect> = setOf(deadly),
+    val startedAt: Long? = null,
 )
 
 private fun CrashRisks.after(vararg losses: Loss): CrashRisks = losses.fold(this) { risks, loss ->
     val at = start + loss.second.seconds
-    val report = CrashReport(loss.request, UpstreamId(loss.upstream), loss.suspects)
+    val report = CrashReport(loss.request, UpstreamStart(UpstreamId(loss.upstream), loss.startedAt), loss.suspects)
     putCrash(risks, "crash-${loss.second}", KnownCrash(report, at, loss.second.toLong()), at)
 }
 
@@ -57,6 +59,18 @@
             noCrashRisks.after(*Array(6) { Loss("request-$it", "e-1", it + 1) }).holds(deadly).shouldBeNull()
         }
 
+        // Guards against a prompt that crashes the only upstream of a pool again each time it starts.
+        it("is held back after three requests have lost two starts of a single upstream") {
+            val losses = Array(3) { Loss("request-$it", "e-1", 5 * it + 1, startedAt = it / 2 + 1L) }
+            noCrashRisks.after(*losses.copyOf(2).requireNoNulls()).holds(deadly).shouldBeNull()
+            noCrashRisks.after(*losses).holdOf(listOf(deadly), start + 12.seconds).shouldNotBeNull()
+        }
+
+        it("is not held back for losses at a single start that not all hosts tell") {
+            val losses = Array(6) { Loss("request-$it", "e-1", it + 1, startedAt = if (it % 2 == 0) null else 1) }
+            noCrashRisks.after(*losses).holds(deadly).shouldBeNull()
+        }
+
         it("is held back after one request has lost five upstreams") {
             val losses = Array(5) { Loss("item", "e-$it", it + 1) }
             noCrashRisks.after(*losses.copyOf(4).requireNoNulls()).holds(deadly).shouldBeNull()
@@ -176,7 +190,8 @@
 
     describe("a host that reads the table anew") {
         it("keeps its own reports that the store has not confirmed") {
-            val own = KnownCrash(CrashReport("own", UpstreamId("e-1"), setOf(deadly)), start, version = null)
+            val report = CrashReport("own", UpstreamStart(UpstreamId("e-1"), null), setOf(deadly))
+            val own = KnownCrash(report, start, version = null)
             val listed = quarantined.crashes - "crash-1"
             val risks = replaceRisks(putCrash(quarantined, "crash-own", own, start), listed, emptyMap(), start)
             risks.crashes.keys shouldBe setOf("crash-own", "crash-2", "crash-3")
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -42,6 +42,7 @@
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingPlan
 import figdeck.model.serving.ServingTeam
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.servingPlan
 import figdeck.model.systemClock
 import figdeck.platform.sendFaultOf
@@ -431,7 +432,7 @@
                         if (item.id.substringAfter('-').toInt() % 2 == 0) listOf(deadly) else emptyList()
                     },
                 )
-                (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamId("e-$it"), listOf(deadly)) }
+                (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamStart(UpstreamId("e-$it"), null), listOf(deadly)) }
                 services.crashGuard.recordAnswer(listOf(PromptPart("other")))
                 val run = CoroutineScope(Dispatchers.Default).launch { services.runJob(created.job, Semaphore(4)) }
                 eventually(10.seconds) { (jobs.readResults(id, 0) as CallResult.Done).value.size == many.size / 2 }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
@@ -27,6 +27,7 @@
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.isOpen
 import figdeck.model.serving.servingPlan
 import figdeck.model.systemClock
@@ -223,7 +224,7 @@
         val deadly = PromptPart("deadly")
 
         suspend fun Run.quarantine() {
-            (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamId("engine-$it"), listOf(deadly)) }
+            (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamStart(UpstreamId("engine-$it"), null), listOf(deadly)) }
             services.crashGuard.recordAnswer(listOf(PromptPart("other")))
             (services.crashGuard.holdOf(listOf(deadly)) != null) shouldBe true
         }
--- a/src/test/kotlin/figdeck/daemon/command/serving/CrashGuardSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/CrashGuardSpec.kt
@@ -4,6 +4,7 @@
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
+import figdeck.model.serving.UpstreamStart
 import figdeck.process.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
@@ -19,7 +20,7 @@
 private val reactionTime = 5.seconds
 
 private suspend fun CrashGuard.lose(request: String, upstream: Int, suspects: List<CrashSuspect>) =
-    recordLoss(request, UpstreamId("e-$upstream"), suspects)
+    recordLoss(request, UpstreamStart(UpstreamId("e-$upstream"), null), suspects)
 
 private suspend fun <R> withFleet(hosts: Int, use: suspend (GuardedFleet) -> R): R = GuardedFleet(hosts).use { use(it) }
 
--- a/src/test/kotlin/figdeck/daemon/command/serving/CrashRiskWriterSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/CrashRiskWriterSpec.kt
@@ -12,6 +12,7 @@
 import figdeck.model.serving.CrashRiskRow
 import figdeck.model.serving.KnownCrash
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.valueOrNull
 import figdeck.process.eventually
 import figdeck.wire.serving.CRASH_RISK_TABLE
@@ -30,7 +31,7 @@
 
 private fun report(number: Int, idLength: Int = 10) = CrashReport(
     request = "request-$number",
-    upstream = UpstreamId("engine-$number"),
+    start = UpstreamStart(UpstreamId("engine-$number"), number.toLong()),
     suspects = setOf(PromptPart("p".repeat(idLength))),
 )
 
