--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -45,6 +45,7 @@
 import figdeck.daemon.command.serving.leaveMembership
 import figdeck.daemon.command.serving.maintainPools
 import figdeck.daemon.command.serving.notePlacement
+import figdeck.daemon.command.serving.observeSlotRefusals
 import figdeck.daemon.command.serving.ownSlots
 import figdeck.daemon.command.startIn
 import figdeck.daemon.query.serving.EvacuationFollower
@@ -179,7 +180,7 @@
     private val placementLog = DecisionLog("placement")
     private val policy = dispatchPolicy(settings.placement)
     private val slots = SlotDispatcher(
-        ownSlots(control) { placementLog.notePlacement(it, clock()) },
+        ownSlots(control, telemetry.meters.observeSlotRefusals()) { placementLog.notePlacement(it, clock()) },
         policy,
         random,
     )
--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -40,7 +40,8 @@
     val queue = lane?.let { state.queue(it) }
     val expired = queue?.findTooLate(policy, now) ?: return null
     val left = state.withQueue(lane, queue.copy(waiting = queue.waiting.remove(expired)))
-    return left.refuse(expired.ticket, lane, left.expectedWait(expired.request, now), now)
+    val cause = expired.request.refusedFor(RefusalReason.EXPIRED)
+    return left.refuse(expired.ticket, cause, left.expectedWait(expired.request, now), now)
 }
 
 private fun LaneQueue.findTooLate(policy: DispatchPolicy, now: Moment): QueuedRequest? =
@@ -92,5 +93,6 @@
     val left = queue.copy(waiting = queue.waiting.filter { it != victim }.toPersistentList())
     val ahead = left.requestsAhead(victim.request.team)
     val wait = maxOf(queue.averageHold * (ahead + 1) / state.upstream.slots, state.tokenWait(lane, ahead, now))
-    return state.withQueue(lane, left).refuse(victim.ticket, lane, wait, now)
+    return state.withQueue(lane, left)
+        .refuse(victim.ticket, victim.request.refusedFor(RefusalReason.QUEUE_FULL), wait, now)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -34,7 +34,7 @@
 public fun admit(state: DispatchState, arrival: Arrival, policy: DispatchPolicy, now: Moment): DispatchStep {
     val budget = state.retryBudget.spend(arrival.request.attempt)
     return if (budget == null) {
-        Step(state, refused(arrival, Refusal.Overloaded("retrying", 1.seconds)))
+        Step(state, refused(arrival, Refusal.Overloaded("retrying", 1.seconds), RefusalReason.RETRY_BUDGET))
     } else {
         val current = state.copy(retryBudget = budget)
             .withCandidates(arrival.request, now)
@@ -79,7 +79,8 @@
     val request = arrival.request
     val views = state.candidateViews(request, policy, now)
     if (views.isEmpty()) {
-        return Step(state, refused(arrival, Refusal.Overloaded("every upstream", state.timeToNextProbe(request, now))))
+        val refusal = Refusal.Overloaded("every upstream", state.timeToNextProbe(request, now))
+        return Step(state, refused(arrival, refusal, RefusalReason.NO_USABLE_UPSTREAM))
     }
     val choose = state.choiceFor(request, policy)
     val chosen = state.stateOf(choose(views, request, arrival.seed).upstream, now)
@@ -91,7 +92,7 @@
                 enqueue(it, it.stateOf(chosen.upstream, now), arrival, policy, now)
             }
         wait > Duration.ZERO && late > Duration.ZERO -> {
-            val step = chosen.refuse(arrival.ticket, request.lane, late, now)
+            val step = chosen.refuse(arrival.ticket, request.refusedFor(RefusalReason.LATE_IN_QUEUE), late, now)
             Step(state.with(step.state), step.result)
         }
         else -> enqueue(state, chosen, arrival, policy, now)
@@ -145,8 +146,8 @@
     return Step(refilled.after(assigned), assigned.result)
 }
 
-private fun refused(arrival: Arrival, refusal: Refusal): List<DispatchEffect> =
-    listOf(DispatchEffect.Refused(arrival.ticket, refusal))
+private fun refused(arrival: Arrival, refusal: Refusal, reason: RefusalReason): List<DispatchEffect> =
+    listOf(DispatchEffect.Refused(arrival.ticket, refusal, arrival.request.refusedFor(reason)))
 
 /**
  * Records an online arrival that found a free slot. An arrival that revokes batch work is recorded when that work
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchEffect.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchEffect.kt
@@ -23,6 +23,15 @@
     /** The holder must return its slot immediately. */
     public data class Revoked(override val ticket: Long) : DispatchEffect
 
-    /** The request is refused a slot. */
-    public data class Refused(override val ticket: Long, public val refusal: Refusal) : DispatchEffect
+    /**
+     * The request is refused a slot.
+     *
+     * @property refusal what its caller is told.
+     * @property cause the decision behind it.
+     */
+    public data class Refused(
+        override val ticket: Long,
+        public val refusal: Refusal,
+        public val cause: SlotRefusal,
+    ) : DispatchEffect
 }
--- a/src/main/kotlin/figdeck/command/dispatch/RetryPacing.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/RetryPacing.kt
@@ -11,7 +11,7 @@
 private val MAX_RETRY_AFTER = 2.seconds
 
 /**
- * Refuses [ticket] at this upstream and tells its caller to return after [earliest] or later.
+ * Refuses [ticket] for [cause] at this upstream and tells its caller to return after [earliest] or later.
  *
  * It answers a burst that exceeds the capacity for longer than its callers can wait. If all of them returned at the
  * same time, most would be refused again, and callers return only once or twice. So each refusal promises a return one
@@ -19,13 +19,14 @@
  * token later if the upstream is cold. Without a burst the last promise is in the past and [earliest] alone counts.
  * Batch work repeats its requests by itself and is not paced.
  */
-internal fun UpstreamState.refuse(ticket: Long, lane: Lane, earliest: Duration, now: Moment): UpstreamStep {
+internal fun UpstreamState.refuse(ticket: Long, cause: SlotRefusal, earliest: Duration, now: Moment): UpstreamStep {
+    val lane = cause.lane
     val paced = lastReturnAt?.takeIf { lane == Lane.ONLINE }?.let { it + returnPace(lane, it) - now } ?: Duration.ZERO
     val retryAfter = maxOf(earliest, paced.coerceAtMost(MAX_RETRY_AFTER))
     val refusal = Refusal.Overloaded("upstream '${upstream.id}'", retryAfter)
     return Step(
         if (lane == Lane.ONLINE) copy(lastReturnAt = now + retryAfter) else this,
-        listOf(DispatchEffect.Refused(ticket, refusal)),
+        listOf(DispatchEffect.Refused(ticket, refusal, cause)),
     )
 }
 
@@ -39,7 +40,8 @@
     return if (shortest == null) {
         Step(state, emptyList())
     } else {
-        val step = shortest.refuse(arrival.ticket, request.lane, shortest.expectedWait(request, now), now)
+        val cause = request.refusedFor(RefusalReason.OVERDUE)
+        val step = shortest.refuse(arrival.ticket, cause, shortest.expectedWait(request, now), now)
         Step(state.with(step.state), step.result)
     }
 }
--- a/src/main/kotlin/figdeck/command/dispatch/ScarceSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ScarceSlots.kt
@@ -40,11 +40,13 @@
     return when {
         now + wait <= last.request.deadline && !isBeyondShare -> enqueue(state)
         isNew -> {
-            val step = chosen.refuseAfter(last, wait, now)
+            val reason = if (isBeyondShare) RefusalReason.FAR_BEYOND_SHARE else RefusalReason.LAST_BY_HELD_WORK
+            val step = chosen.refuseAfter(last, reason, wait, now)
             Step(state.with(step.state), step.result)
         }
         else -> {
-            val refused = state.upstreams.getValue(last.at).withoutTicket(last.ticket).refuseAfter(last, wait, now)
+            val refused = state.upstreams.getValue(last.at).withoutTicket(last.ticket)
+                .refuseAfter(last, RefusalReason.LAST_BY_HELD_WORK, wait, now)
             val placed = enqueue(state.after(refused))
             Step(placed.state, refused.result + placed.result)
         }
@@ -97,8 +99,15 @@
     return eligible.map { Contender(it.ticket, it.request, upstream.id) }
 }
 
-private fun UpstreamState.refuseAfter(contender: Contender, wait: Duration, now: Moment): UpstreamStep =
-    refuse(contender.ticket, Lane.ONLINE, maxOf(wait, expectedWait(contender.request, now)), now)
+private fun UpstreamState.refuseAfter(
+    contender: Contender,
+    reason: RefusalReason,
+    wait: Duration,
+    now: Moment,
+): UpstreamStep {
+    val request = contender.request
+    return refuse(contender.ticket, request.refusedFor(reason), maxOf(wait, expectedWait(request, now)), now)
+}
 
 private fun DispatchState.moveWaiting(next: Contender, to: UpstreamId): DispatchState {
     if (next.at == to) {
--- a/src/main/kotlin/figdeck/command/dispatch/WithdrawUpstreams.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/WithdrawUpstreams.kt
@@ -27,7 +27,13 @@
         .flatMap { it.online.waiting + it.batch.waiting }
         .filter { it.request.candidates.isEmpty() }
     val left = stranded.fold(limited) { all, queued -> all.withoutTicket(queued.ticket) }
-    val refusals = stranded.map { DispatchEffect.Refused(it.ticket, Refusal.Evacuated("this work")) }
+    val refusals = stranded.map {
+        DispatchEffect.Refused(
+            it.ticket,
+            Refusal.Evacuated("this work"),
+            it.request.refusedFor(RefusalReason.EVACUATED),
+        )
+    }
     val random = Random(seed)
     return left.upstreams.values
         .filter { isWithdrawn(it.upstream) && (it.online.waiting.isNotEmpty() || it.batch.waiting.isNotEmpty()) }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotPlacement.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotPlacement.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.serving
 
+import figdeck.command.dispatch.DispatchEffect
 import figdeck.command.dispatch.DispatchPolicy
 import figdeck.command.dispatch.PlacementChange
 import figdeck.command.dispatch.PlacementContext
@@ -69,14 +70,24 @@
     }
 }
 
-/** The slots that this host grants, as part of the state of [control]. Changes of placement go to [onChange]. */
-internal fun ownSlots(control: Control<ServingState>, onChange: (PlacementChange) -> Unit) = LocalSlots(
+/**
+ * The slots that this host grants, as part of the state of [control].
+ *
+ * @param onRefused receives the refusals of slots.
+ * @param onChange receives changes of placement.
+ */
+internal fun ownSlots(
+    control: Control<ServingState>,
+    onRefused: (DispatchEffect.Refused) -> Unit = {},
+    onChange: (PlacementChange) -> Unit,
+) = LocalSlots(
     now = { control.snapshot.slots },
     decide = { decision ->
         val changes = control.run { state: ServingState, now ->
             updateSlotsWithChanges(state) { decision(it, now) }
         }
         changes.placementChanges.forEach(onChange)
+        changes.effects.filterIsInstance<DispatchEffect.Refused>().forEach(onRefused)
         changes.effects
     },
 )
--- a/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/DispatchSpec.kt
@@ -211,6 +211,7 @@
             val refused = harness.effects.filterIsInstance<DispatchEffect.Refused>().single()
             refused.ticket shouldBe hot.last()
             refused.refusal.shouldBeInstanceOf<Refusal.Overloaded>().retryAfter shouldBe 1250.milliseconds
+            refused.cause shouldBe SlotRefusal(RefusalReason.QUEUE_FULL, Lane.ONLINE, TeamId("hot"))
             harness.finish(hot[0])
             harness.grants().last() shouldBe small
         }
@@ -222,7 +223,8 @@
             repeat(4) { harness.submit(request(one)) }
             harness.submit(request(one).copy(deadline = start + 100.milliseconds))
             val refusal = Refusal.Overloaded("upstream 'engine-1'", 1650.milliseconds)
-            harness.effects.last() shouldBe DispatchEffect.Refused(5, refusal)
+            val cause = SlotRefusal(RefusalReason.LATE_IN_QUEUE, Lane.ONLINE, TeamId("stado"))
+            harness.effects.last() shouldBe DispatchEffect.Refused(5, refusal, cause)
         }
     }
 
--- a/src/test/kotlin/figdeck/command/dispatch/RetryPacingSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/RetryPacingSpec.kt
@@ -128,12 +128,13 @@
     describe("refusals at one upstream") {
         val start = Moment(0, 0)
         val idle = idleUpstream(engine, start)
+        val overdue = SlotRefusal(RefusalReason.OVERDUE, Lane.ONLINE, team = null)
         val pace = idle.online.averageHold / SLOTS
 
         it("promise returns at the pace at which its slots become free") {
             var upstream = idle
             val promised = (1L..5L).map { ticket ->
-                val step = upstream.refuse(ticket, Lane.ONLINE, 20.milliseconds, start)
+                val step = upstream.refuse(ticket, overdue, 20.milliseconds, start)
                 upstream = step.state
                 (step.result.single() as DispatchEffect.Refused).refusal.retryAfter
             }
@@ -141,8 +142,8 @@
         }
 
         it("promise the earliest return again once the burst is over") {
-            val during = idle.refuse(1, Lane.ONLINE, 20.milliseconds, start).state
-            val after = during.refuse(2, Lane.ONLINE, 20.milliseconds, start + 5.seconds)
+            val during = idle.refuse(1, overdue, 20.milliseconds, start).state
+            val after = during.refuse(2, overdue, 20.milliseconds, start + 5.seconds)
             (after.result.single() as DispatchEffect.Refused).refusal.retryAfter shouldBe 20.milliseconds
         }
     }
