--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -82,6 +82,7 @@
 import figdeck.platform.decodeUpstream
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
+import figdeck.platform.expectedWeightsOf
 import figdeck.platform.itemFeaturesOf
 import figdeck.platform.readinessHandler
 import figdeck.platform.sendFaultOf
@@ -229,6 +230,8 @@
             peers.relayJob(member.address, submission).also { telemetry.meters.countRelayedJob(it) }
         },
         features = ::itemFeaturesOf,
+        expectedWeights = ::expectedWeightsOf,
+        countMisdirected = { telemetry.meters.countFailedSend(it.label) },
     )
     private val callerServer = HttpServer(
         eventLoops,
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -25,6 +25,7 @@
  * @property leaving the starts of upstreams that have said in an answer that they are leaving, whatever their entries
  * say, with the time at which this host learned it.
  * @property cold what this host has last learned about each upstream that may be cold.
+ * @property weights the weights that upstreams had by their answers.
  */
 public data class PoolMembers(
     public val members: PersistentMap<UpstreamId, PoolMember>,
@@ -34,6 +35,7 @@
     public val leaving: PersistentMap<UpstreamStart, Moment> = persistentMapOf(),
     public val silence: StoreSilence = StoreSilence(),
     public val cold: PersistentMap<UpstreamId, ColdStatement> = persistentMapOf(),
+    public val weights: PersistentMap<UpstreamStart, ObservedWeights> = persistentMapOf(),
 )
 
 /** The state before the first answer of the store. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -9,6 +9,8 @@
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.daemon.command.serving.ending
 import figdeck.daemon.command.serving.isSuccess
+import figdeck.daemon.command.serving.misdirection
+import figdeck.daemon.command.serving.recordReply
 import figdeck.http.client.ExchangeFailure
 import figdeck.model.Clock
 import figdeck.model.Lane
@@ -73,6 +75,7 @@
 ) {
     private val output = state.output
     private val sharedParts = services.sharedParts(item)
+    private val expectedWeights = services.expectedWeights(item)
 
     /** Rows that earlier versions stored may hold such items. */
     private val sendFault = services.sendFault(item)?.also { fault ->
@@ -101,22 +104,24 @@
         } else {
             services.crashGuard.holdOf(sharedParts)?.let { ItemHold.Quarantined(it.companions + it.suspect) }
                 ?: services.control.snapshot.holdByLimits(record, route, route.poolFor(item.id))
+                ?: expectedWeights?.let { services.holdByWeights(record, route, route.poolFor(item.id), it) }
         }
 
-    private suspend fun tryOnce(route: ServingRoute): JobResult? = services.slots.acquire(newSlotRequest(route)).fold(
-        {
-            delay(SLOT_RETRY_DELAY)
-            null
-        },
-        { permit ->
-            if (services.crashGuard.holdOf(sharedParts) == null) {
-                resultOf(runWithPermit(permit, route), permit, route)
-            } else {
-                services.slots.release(permit, SlotOutcome.ABANDONED, 0)
+    private suspend fun tryOnce(route: ServingRoute): JobResult? =
+        services.slots.acquire(newSlotRequest(route), expectedWeights).fold(
+            {
+                delay(SLOT_RETRY_DELAY)
                 null
-            }
-        },
-    )
+            },
+            { permit ->
+                if (services.crashGuard.holdOf(sharedParts) == null) {
+                    resultOf(runWithPermit(permit, route), permit, route)
+                } else {
+                    services.slots.release(permit, SlotOutcome.ABANDONED, 0)
+                    null
+                }
+            },
+        )
 
     private suspend fun resultOf(attemptResult: AttemptResult, permit: HeldPermit, route: ServingRoute): JobResult? {
         if (attemptResult != AttemptResult.Whole) {
@@ -222,8 +227,8 @@
             ItemCall(item, route, record.team),
             options
         ) { reply ->
-            if (reply.isLeaving) services.slots.recordLeaving(permit.start, item.id, services.log)
-            reply.coldRemaining?.let { services.slots.recordColdReply(permit.start, it) }
+            services.slots.recordReply(permit, reply, item.id, services.log)
+            reply.executionStatus.misdirection?.let { services.countMisdirected(it) }
             attemptResult = output.receive(reply, services.clock, meter) {
                 services.crashGuard.recordAnswer(sharedParts)
             }
@@ -253,6 +258,10 @@
         meter.onNotRun()
         AttemptResult.Interrupted("another upstream answered", SlotOutcome.GONE)
     }
+    ExecutionStatus.OTHER_WEIGHTS -> {
+        meter.onNotRun()
+        AttemptResult.Interrupted("the upstream has weights ${reply.weights}", SlotOutcome.ABANDONED)
+    }
     ExecutionStatus.NOT_RUN -> {
         meter.onNotRun()
         delay(FAILURE_RETRY_DELAY)
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.jobs
 
+import figdeck.control.serving.refusalByWeights
 import figdeck.control.serving.routeOf
 import figdeck.model.Known
 import figdeck.model.serving.CrashSuspect
@@ -7,6 +8,7 @@
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.WeightsVersion
 import kotlin.time.Duration
 
 /** What is kept of an item without result while its body is not in memory. */
@@ -33,6 +35,9 @@
     /** Evacuations or the homes of its route and team leave no upstream of [pool] for it. */
     data class NoUpstream(val pool: PoolName) : ItemHold
 
+    /** All upstreams of [pool] where it may run have other [weights] than it asks for. */
+    data class OtherWeights(val pool: PoolName, val weights: WeightsVersion) : ItemHold
+
     /** @property suspects those of its suspects for which it is quarantined. */
     data class Quarantined(val suspects: Set<CrashSuspect>) : ItemHold
 }
@@ -83,9 +88,22 @@
     ItemHold.RouteNotRead -> null
     ItemHold.NotProcessable -> known
     is ItemHold.NoUpstream -> control.snapshot.holdByLimits(record, route, known.pool)
+    is ItemHold.OtherWeights -> holdByWeights(record, route, known.pool, known.weights)
     is ItemHold.Quarantined -> known.takeIf { crashGuard.holdOf(known.suspects.toList()) != null }
 }
 
+/** What holds an item of [record] back that asks for [weights], if all upstreams of [pool] have others. */
+internal fun JobServices.holdByWeights(
+    record: JobRecord,
+    route: ServingRoute,
+    pool: PoolName,
+    weights: WeightsVersion,
+): ItemHold? {
+    val state = control.snapshot
+    return state.refusalByWeights(pool, weights, state.homesOf(record, route), clock())
+        ?.let { ItemHold.OtherWeights(pool, weights) }
+}
+
 /** The result of the item with [state], which is given up. */
 internal fun JobServices.giveUp(record: JobRecord, state: ItemState, reason: String): JobResult {
     log.note("item_given_up", state.id) {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -19,7 +19,9 @@
 import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
+import figdeck.model.serving.WeightsVersion
 import figdeck.model.serving.WorkFeatures
+import figdeck.query.serving.NotRunCause
 import kotlinx.coroutines.sync.Semaphore
 import kotlin.random.Random
 
@@ -43,6 +45,8 @@
  * @property sharedParts returns the parts of an item's prompt that other requests may share.
  * @property sendFault returns the reason why an item can't be sent to any upstream; null if it can.
  * @property features returns what an item on a route tells about its work; null if it tells nothing.
+ * @property expectedWeights returns the weights that an item asks for; null for any.
+ * @property countMisdirected counts an item that an upstream rejected as misdirected in the metrics.
  * @property relaySubmission asks another host to store a job.
  * @property acceptedRelays limits the jobs that this host stores for others at the same time.
  */
@@ -62,6 +66,8 @@
     val sharedParts: (JobItem) -> List<PromptPart>,
     val sendFault: (JobItem) -> String?,
     val features: (route: String, JobItem) -> WorkFeatures? = { _, _ -> null },
+    val expectedWeights: (JobItem) -> WeightsVersion? = { null },
+    val countMisdirected: (NotRunCause) -> Unit = {},
     val relaySubmission: RelaySubmission = { _, _ -> null },
     val acceptedRelays: Semaphore = Semaphore(MAX_ACCEPTED_RELAYS),
 )
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -8,7 +8,9 @@
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
+import figdeck.model.serving.WeightsVersion
 import figdeck.model.serving.WorkFeatures
+import figdeck.query.serving.NotRunCause
 import figdeck.query.serving.RouteAccess
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
@@ -24,6 +26,7 @@
  * @property sharedParts the parts of the prompt that other requests may share; empty without a prompt.
  * @property fingerprint the same for each repetition of the request by its caller; null if it was not computed.
  * @property features what the request tells about its work; null for a plain service.
+ * @property expectedWeights the weights that the request asks for; null for any.
  */
 internal data class OnlineCall(
     val id: String,
@@ -36,6 +39,7 @@
     val sharedParts: List<PromptPart> = emptyList(),
     val fingerprint: RequestFingerprint? = null,
     val features: WorkFeatures? = null,
+    val expectedWeights: WeightsVersion? = null,
 ) {
     /** What may be the cause if this request loses its upstreams. */
     val suspects: List<CrashSuspect> = sharedParts + listOfNotNull(fingerprint)
@@ -72,6 +76,9 @@
     /** Another upstream uses the address now. It did not run the request. */
     WRONG_UPSTREAM,
 
+    /** The upstream has other weights than the request asks for. It did not run the request. */
+    OTHER_WEIGHTS,
+
     /** The response belongs to another request, or it lacks the proof that an upstream sent it. */
     UNVERIFIED,
 }
@@ -80,6 +87,18 @@
 internal val ExecutionStatus.isFromExpectedUpstream: Boolean
     get() = this == ExecutionStatus.RAN || this == ExecutionStatus.NOT_RUN
 
+/** Whether the weights that the response names are those of the expected upstream. */
+internal val ExecutionStatus.showsOwnWeights: Boolean
+    get() = isFromExpectedUpstream || this == ExecutionStatus.OTHER_WEIGHTS
+
+/** Why the response rejects the request as misdirected; null if it doesn't. */
+internal val ExecutionStatus.misdirection: NotRunCause?
+    get() = when (this) {
+        ExecutionStatus.WRONG_UPSTREAM -> NotRunCause.REPLACED
+        ExecutionStatus.OTHER_WEIGHTS -> NotRunCause.OTHER_WEIGHTS
+        ExecutionStatus.RAN, ExecutionStatus.NOT_RUN, ExecutionStatus.UNVERIFIED -> null
+    }
+
 /**
  * A response whose head has arrived.
  *
@@ -87,6 +106,7 @@
  * @property isDelimited whether the response declares where its body ends. Otherwise it ends with its connection.
  * @property isLeaving whether the upstream says that it is shutting down.
  * @property coldRemaining how long the upstream stays cold; null if it doesn't say so.
+ * @property weights the weights of the upstream that answered; null if it doesn't name them.
  * @property earlierExchanges the number of exchanges that the connection had carried before this one.
  */
 internal data class UpstreamReply(
@@ -98,6 +118,7 @@
     val isLeaving: Boolean = false,
     val earlierExchanges: Int = 0,
     val coldRemaining: Duration? = null,
+    val weights: WeightsVersion? = null,
 )
 
 private const val FIRST_SUCCESS = 200
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -90,7 +90,8 @@
         if (history.hasStarted) null else services.refusalOfHold(call)
 
     private suspend fun acquireAndSend(): Either<Refusal, Unit>? = services.slots.acquire(
-        services.slotRequest(call, history)
+        services.slotRequest(call, history),
+        call.expectedWeights,
     ).fold(
         { refusal -> onSlotRefused(refusal) },
         { permit -> useSlot(permit) },
@@ -109,9 +110,13 @@
         }
     }
 
-    /** A started stream is worth more than a new request, so it keeps requesting a slot instead of being refused. */
+    /**
+     * A started stream is worth more than a new request, so it keeps requesting a slot instead of being refused. It
+     * breaks off if no upstream has its weights, since none is likely to get them back.
+     */
     private suspend fun onSlotRefused(refusal: Refusal): Either<Refusal, Unit>? {
         if (history.hasStarted) {
+            if (refusal is Refusal.WeightsUnavailable) breakOff(refusal.message)
             delay(RESUME_RETRY_DELAY)
             return null
         }
@@ -127,7 +132,7 @@
     }
 
     private suspend fun handleFailure(): Either<Refusal, Unit>? {
-        val step = nextStep(route.kind, route.maxAttempts, history)
+        val step = nextStep(route.kind, route.maxAttempts, history, call.expectedWeights)
         services.log.note("next", call.id) {
             put("failure", history.failures.last().reason)
             put("upstream", history.failures.last().upstream.value)
@@ -136,10 +141,12 @@
         return when (step) {
             NextStep.SendAgain -> null
             is NextStep.Refuse -> refuse(step.refusal)
-            is NextStep.BreakOff -> throw IOException("the answer of ${call.id} broke off: ${step.reason}")
+            is NextStep.BreakOff -> breakOff(step.reason)
         }
     }
 
+    private fun breakOff(reason: String): Nothing = throw IOException("the answer of ${call.id} broke off: $reason")
+
     /**
      * Ends the request with [refusal] if no upstream may have run it. Otherwise forwards the error response of the
      * upstream, or refuses the request because the upstream was lost.
@@ -200,7 +207,7 @@
     null -> SlotOutcome.ANSWERED
     is FailedSend.MayHaveRun -> SlotOutcome.FAILED
     is FailedSend.NotRun -> when (failure.cause) {
-        NotRunCause.FULL -> SlotOutcome.ABANDONED
+        NotRunCause.FULL, NotRunCause.OTHER_WEIGHTS -> SlotOutcome.ABANDONED
         NotRunCause.UNREACHABLE -> SlotOutcome.FAILED
         NotRunCause.REPLACED -> SlotOutcome.GONE
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -11,14 +11,17 @@
 import figdeck.command.serving.latestStart
 import figdeck.command.serving.ownColdTimeLeft
 import figdeck.command.serving.recordCold
+import figdeck.command.serving.recordWeights
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.forbiddenUpstreams
 import figdeck.control.serving.isColdChange
 import figdeck.control.serving.refusalByLimits
+import figdeck.control.serving.refusalByWeights
 import figdeck.control.serving.updateColdPools
 import figdeck.control.serving.updatePools
 import figdeck.control.serving.usableMember
+import figdeck.control.serving.withoutOtherWeights
 import figdeck.log.DecisionLog
 import figdeck.model.Clock
 import figdeck.model.HostId
@@ -33,6 +36,7 @@
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
 import figdeck.model.serving.UpstreamStart
+import figdeck.model.serving.WeightsVersion
 import figdeck.query.serving.SlotConfirmations
 import figdeck.query.serving.areDue
 import figdeck.query.serving.ranked
@@ -91,9 +95,16 @@
     /**
      * Waits for a slot in the pool of [request]. An owner that can't reach the store may grant slots at upstreams that
      * this host knows to be leaving or evacuated. Such slots are returned and another one is requested. A request for
-     * which evacuations or its homes leave no upstream is refused without asking the owner.
+     * which evacuations, its homes or its [weights] leave no upstream is refused without asking the owner.
      */
-    suspend fun acquire(request: SlotRequest): Either<Refusal, HeldPermit> {
+    suspend fun acquire(request: SlotRequest, weights: WeightsVersion? = null): Either<Refusal, HeldPermit> {
+        val state = control.snapshot
+        val now = clock()
+        val refused = weights?.let { state.refusalByWeights(request.pool, it, request.homes, now) }
+        return refused?.left() ?: acquireUsable(weights?.let { state.withoutOtherWeights(request, it, now) } ?: request)
+    }
+
+    private suspend fun acquireUsable(request: SlotRequest): Either<Refusal, HeldPermit> {
         var current = request
         var unusableGrants = 0
         var result: Either<Refusal, HeldPermit>? = null
@@ -176,6 +187,16 @@
         }
     }
 
+    /**
+     * Records that [start] had the weights [version] by an answer, if that tells anything new. A rejection for its
+     * weights always does: it tells that they are still the same.
+     */
+    suspend fun recordWeights(start: UpstreamStart, version: WeightsVersion, isRejection: Boolean) {
+        if (isRejection || control.snapshot.pools.weights[start]?.version != version) {
+            control.run { state, now -> updatePools(state) { recordWeights(it, start, version, now) } }
+        }
+    }
+
     /** Marks the slots with [tickets] as revoked, so that the requests that use them stop. */
     fun revoke(tickets: List<Long>) {
         tickets.forEach { held[it]?.revoked?.complete(Unit) }
@@ -238,6 +259,20 @@
     )
 }
 
+/** Records what [reply] to [request] tells of the upstream of [permit]. */
+internal suspend fun SlotClient.recordReply(
+    permit: HeldPermit,
+    reply: UpstreamReply,
+    request: String,
+    decisions: DecisionLog,
+) {
+    if (reply.isLeaving) recordLeaving(permit.start, request, decisions)
+    reply.coldRemaining?.let { recordColdReply(permit.start, it) }
+    reply.weights?.takeIf { reply.executionStatus.showsOwnWeights }?.let {
+        recordWeights(permit.start, it, isRejection = reply.executionStatus == ExecutionStatus.OTHER_WEIGHTS)
+    }
+}
+
 /** The hosts that grant slots of [pool]: one to online work and one to batch work, which may be the same. */
 private fun Fleet.slotOwners(pool: PoolName, now: Moment): Set<FleetMember> =
     setOfNotNull(ranked(slotKey(pool), now).firstOrNull(), batchOwner(pool, now))
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -158,12 +158,13 @@
         meter: SlotUsageMeter,
     ): FailedSend? {
         val id = permit.upstream.id
-        if (reply.isLeaving) services.slots.recordLeaving(permit.start, call.id, services.log)
-        reply.coldRemaining?.let { services.slots.recordColdReply(permit.start, it) }
+        services.slots.recordReply(permit, reply, call.id, services.log)
         return when (reply.executionStatus) {
             ExecutionStatus.NOT_RUN ->
                 FailedSend.NotRun(id, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
             ExecutionStatus.WRONG_UPSTREAM -> FailedSend.NotRun(id, "another upstream answered", NotRunCause.REPLACED)
+            ExecutionStatus.OTHER_WEIGHTS ->
+                FailedSend.NotRun(id, "the upstream has weights ${reply.weights}", NotRunCause.OTHER_WEIGHTS)
             ExecutionStatus.UNVERIFIED -> FailedSend.MayHaveRun(id, "the response matches no request")
             ExecutionStatus.RAN -> when {
                 reply.isSuccess && route.kind.isStream -> relay(reply, options, meter)
--- a/src/main/kotlin/figdeck/model/Refusal.kt
+++ b/src/main/kotlin/figdeck/model/Refusal.kt
@@ -1,5 +1,6 @@
 package figdeck.model
 
+import figdeck.model.serving.WeightsVersion
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -116,6 +117,12 @@
         override val retryAfter: Duration get() = 1.seconds
     }
 
+    /** No upstream is known to have the [weights] that the request asks for; it was not run. */
+    public data class WeightsUnavailable(public val weights: WeightsVersion) : Refusal {
+        override val message: String
+            get() = "no upstream is known to have version '$weights' of the weights: ask for another version or for any"
+    }
+
     /** An upstream was lost after the work was sent to it. */
     public data class UpstreamLost(public val upstream: UpstreamId) : Refusal {
         override val message: String
--- a/src/main/kotlin/figdeck/platform/CallerHeaders.kt
+++ b/src/main/kotlin/figdeck/platform/CallerHeaders.kt
@@ -10,6 +10,7 @@
 import figdeck.model.UpstreamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.WeightsVersion
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
@@ -25,6 +26,9 @@
 internal const val LAST_EVENT_ID_HEADER = "Last-Event-Id"
 internal const val TEAM_HEADER = "X-Tenant"
 internal const val WAIT_HEADER = "X-Wait-Ms"
+internal const val EXPECTED_WEIGHTS_HEADER = "X-Expect-Version"
+internal const val WEIGHTS_HEADER = "X-Weight-Versions"
+internal const val UPSTREAM_ID_HEADER = "X-Instance-Id"
 internal const val EXPECTED_UPSTREAM_HEADER = "X-Expect-Instance"
 internal const val TOKEN_USAGE_HEADER = "X-Token-Usage"
 internal const val PROMPT_PREFIX_HEADER = "X-Prompt-Prefix"
@@ -50,6 +54,7 @@
  * @property affinity a hash of the prompt prefix that other requests share; null if there is none.
  * @property lastEventId the event after which the stream resumes; null to start at the beginning.
  * @property sharedParts the parts of the prompt that other requests may share, in order.
+ * @property expectedWeights the weights that the request asks for; null for any.
  */
 internal data class CallerHeaders(
     val id: String,
@@ -60,6 +65,7 @@
     val affinity: Long?,
     val lastEventId: Long?,
     val sharedParts: List<PromptPart>,
+    val expectedWeights: WeightsVersion?,
 )
 
 /** Parses the headers of [call]; refuses a request without a Host header. */
@@ -82,6 +88,7 @@
             affinity = hashOf(sharedParts),
             lastEventId = headers.get(LAST_EVENT_ID_HEADER)?.trim()?.toLongOrNull(),
             sharedParts = sharedParts,
+            expectedWeights = headers.get(EXPECTED_WEIGHTS_HEADER)?.let { parseWeights(it) },
         ).right()
     }
 }
@@ -91,6 +98,17 @@
     item.headers.entries.find { it.key.equals(PROMPT_PREFIX_HEADER, ignoreCase = true) }
         ?.let { parseSharedParts(it.value) }.orEmpty()
 
+/** Returns the weights that [item] asks for; null for any. */
+internal fun expectedWeightsOf(item: JobItem): WeightsVersion? =
+    item.headers.entries.find { it.key.equals(EXPECTED_WEIGHTS_HEADER, ignoreCase = true) }
+        ?.let { parseWeights(it.value) }
+
+/** Parses a version of weights. Integers are equal if they have the same value; another text is kept as it is. */
+internal fun parseWeights(text: String): WeightsVersion {
+    val name = text.trim()
+    return WeightsVersion(name.toLongOrNull()?.toString() ?: name)
+}
+
 /**
  * Returns the request headers to send to [upstream]: the end-to-end headers of [original] and the gateway's own.
  *
--- a/src/main/kotlin/figdeck/platform/GatewayHandler.kt
+++ b/src/main/kotlin/figdeck/platform/GatewayHandler.kt
@@ -164,6 +164,7 @@
         sharedParts = headers.sharedParts,
         fingerprint = fingerprintOf(received.call, received.body),
         features = if (access.route.kind.isStream) workFeaturesOf(access.route.name, received.call.headers) else null,
+        expectedWeights = headers.expectedWeights,
     )
     val caller = CallerChannel(responder.start, responder.write, responder.respond)
     val refusalOfStop = refusalOfStop(onlineCall.timeLeft(this.online.clock()))?.left()
@@ -217,9 +218,11 @@
 ): Forward = { options, handleReply ->
     val call = received.call
     val request = ForwardedRequest(line, call.headers, access.team?.id)
+    val expected =
+        ExpectedReply(call.headers.get(ATTEMPT_ID_HEADER), options.upstream.id, received.headers.expectedWeights)
     bodiesInFlight.withRoom(options, received.body) {
         client.exchange(options.toOutgoingRequest(request, received.body)) { reply ->
-            handleReply(upstreamReply(reply, call.headers.get(ATTEMPT_ID_HEADER)))
+            handleReply(upstreamReply(reply, expected))
         }
     }
 }
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -122,7 +122,8 @@
         .flatMap { request ->
             val outgoing = options.toOutgoingRequest(request.copy(team = call.team), call.item.body)
             bodiesInFlight.withRoom(options, call.item.body) {
-                client.exchange(outgoing) { reply -> handleReply(upstreamReply(reply, call.item.id)) }
+                val expected = ExpectedReply(call.item.id, options.upstream.id, expectedWeightsOf(call.item))
+                client.exchange(outgoing) { reply -> handleReply(upstreamReply(reply, expected)) }
             }
         }
 }
--- a/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -5,6 +5,11 @@
 import figdeck.daemon.command.serving.isFromExpectedUpstream
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.http.client.HttpReply
+import figdeck.model.UpstreamId
+import figdeck.model.serving.WeightsVersion
+import figdeck.query.serving.Misdirection
+import figdeck.query.serving.MisdirectionCause
+import figdeck.query.serving.cause
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -15,17 +20,32 @@
 private const val IS_LEAVING = "1"
 
 /**
- * Converts [reply] to the response to the attempt [id]. A response without this id is not trusted, nor is a successful
+ * What the response to a request is checked against.
+ *
+ * @property id the id of the attempt; null if the request has none.
+ * @property upstream the upstream to which it was sent.
+ * @property weights the weights that it asks for; null for any.
+ */
+internal data class ExpectedReply(
+    val id: String?,
+    val upstream: UpstreamId,
+    val weights: WeightsVersion?,
+)
+
+/**
+ * Converts [reply] to the response to the [expected] attempt. A response without this id is not trusted, nor is a successful
  * one that lacks the upstream's stamp or has a content encoding: it may be a late copy of the answer to an earlier
  * request on the connection. Upstreams return the id in all their responses.
  */
-internal fun upstreamReply(reply: HttpReply, id: String?): UpstreamReply {
+internal fun upstreamReply(reply: HttpReply, expected: ExpectedReply): UpstreamReply {
     val headers = reply.headers
-    val hasOwnId = headers.get(ATTEMPT_ID_HEADER) == id
+    val hasOwnId = headers.get(ATTEMPT_ID_HEADER) == expected.id
+    val weights = headers.get(WEIGHTS_HEADER)?.let { parseWeights(it) }
     val isOwnBody = RESPONSE_STAMP_HEADER in headers && HttpHeaderNames.CONTENT_ENCODING !in headers
     val executionStatus = when {
         !hasOwnId || (isSuccess(reply.status) && !isOwnBody) -> ExecutionStatus.UNVERIFIED
-        reply.status == MISDIRECTED_REQUEST -> ExecutionStatus.WRONG_UPSTREAM
+        reply.status == MISDIRECTED_REQUEST ->
+            Misdirection(expected.upstream, expected.weights, headers.get(UPSTREAM_ID_HEADER)?.trim(), weights).cause.executionStatus
         NOT_EXECUTED_HEADER in headers -> ExecutionStatus.NOT_RUN
         else -> ExecutionStatus.RAN
     }
@@ -39,9 +59,17 @@
         isLeaving = executionStatus.isFromExpectedUpstream && headers.get(LEAVING_HEADER)?.trim() == IS_LEAVING,
         earlierExchanges = reply.earlierExchanges,
         coldRemaining = if (executionStatus.isFromExpectedUpstream) parseColdTime(headers.get(COLD_HEADER)) else null,
+        weights = weights,
     )
 }
 
+private val MisdirectionCause.executionStatus: ExecutionStatus
+    get() = when (this) {
+        MisdirectionCause.REPLACED -> ExecutionStatus.WRONG_UPSTREAM
+        MisdirectionCause.OTHER_WEIGHTS -> ExecutionStatus.OTHER_WEIGHTS
+        MisdirectionCause.OTHER -> ExecutionStatus.NOT_RUN
+    }
+
 /** Parses the milliseconds for which an upstream stays cold; null if there is no valid number. */
 private fun parseColdTime(text: String?): Duration? =
     text?.trim()?.toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }?.milliseconds
--- a/src/main/kotlin/figdeck/query/serving/NextStep.kt
+++ b/src/main/kotlin/figdeck/query/serving/NextStep.kt
@@ -3,6 +3,7 @@
 import figdeck.model.Refusal
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CallKind
+import figdeck.model.serving.WeightsVersion
 import figdeck.model.serving.isRepeatable
 
 private const val MAX_NOT_RUN_SENDS = 4
@@ -52,13 +53,19 @@
 
     /** Another upstream now has its address. */
     REPLACED,
+
+    /** The upstream has other weights than the request asks for. */
+    OTHER_WEIGHTS,
 }
 
+/** This cause, as metrics and logs name it. */
+internal val NotRunCause.label: String get() = "not_run_${name.lowercase()}"
+
 /** How this send ended, as metrics and logs name it. */
 internal val FailedSend.label: String
     get() = when (this) {
         is FailedSend.MayHaveRun -> ending.name.lowercase()
-        is FailedSend.NotRun -> "not_run_${cause.name.lowercase()}"
+        is FailedSend.NotRun -> cause.label
     }
 
 /**
@@ -90,15 +97,32 @@
     public data class BreakOff(public val reason: String) : NextStep
 }
 
-/** Decides what to do after the latest failure in [history] of a request of [kind] with at most [maxAttempts] runs. */
-public fun nextStep(kind: CallKind, maxAttempts: Int, history: SendHistory): NextStep {
+/**
+ * Decides what to do after the latest failure in [history] of a request of [kind] with at most [maxAttempts] runs, which
+ * asks for the weights [expectedWeights].
+ */
+public fun nextStep(
+    kind: CallKind,
+    maxAttempts: Int,
+    history: SendHistory,
+    expectedWeights: WeightsVersion? = null,
+): NextStep {
     val last = history.failures.last()
     val mayRepeat = history.possibleRuns == 0 || kind.isRepeatable
     val notRunCount = history.failures.size - history.possibleRuns
     return when {
         mayRepeat && history.possibleRuns < maxAttempts && notRunCount < MAX_NOT_RUN_SENDS -> NextStep.SendAgain
         history.hasStarted -> NextStep.BreakOff(last.reason)
-        history.possibleRuns == 0 -> NextStep.Refuse(Refusal.NoUpstream("this route"))
+        history.possibleRuns == 0 -> NextStep.Refuse(refusalAfter(last, expectedWeights))
         else -> NextStep.Refuse(Refusal.UpstreamLost(last.upstream))
     }
 }
+
+private fun refusalAfter(last: FailedSend, expectedWeights: WeightsVersion?): Refusal {
+    val hasOtherWeights = last is FailedSend.NotRun && last.cause == NotRunCause.OTHER_WEIGHTS
+    return if (hasOtherWeights && expectedWeights != null) {
+        Refusal.WeightsUnavailable(expectedWeights)
+    } else {
+        Refusal.NoUpstream("this route")
+    }
+}
--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -10,11 +10,14 @@
 import figdeck.model.Address
 import figdeck.platform.ATTEMPT_ID_HEADER
 import figdeck.platform.EXPECTED_UPSTREAM_HEADER
+import figdeck.platform.EXPECTED_WEIGHTS_HEADER
 import figdeck.platform.LAST_EVENT_ID_HEADER
 import figdeck.platform.LEAVING_HEADER
 import figdeck.platform.READY_STATE
 import figdeck.platform.RESPONSE_STAMP_HEADER
+import figdeck.platform.UPSTREAM_ID_HEADER
 import figdeck.platform.UpstreamMessage
+import figdeck.platform.WEIGHTS_HEADER
 import figdeck.platform.encodeUpstream
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -51,6 +54,8 @@
  * @property eventInterval the delay before each event.
  * @property serviceTime the delay before the answer of a plain service.
  * @property isLeaving whether its answers say that it is shutting down.
+ * @property weights the version of its weights, which its answers name; null to name none and to accept all requests.
+ * @property namesItself whether it names itself when it rejects a request as misdirected.
  */
 internal data class RunnerSettings(
     val eventCount: Int = 5,
@@ -58,6 +63,8 @@
     val eventInterval: Duration = 5.milliseconds,
     val serviceTime: Duration = Duration.ZERO,
     val isLeaving: Boolean = false,
+    val weights: Int? = null,
+    val namesItself: Boolean = false,
 )
 
 /**
@@ -108,17 +115,22 @@
         received += request
         when {
             isFatal(request) -> crash()
-            call.headers.get(EXPECTED_UPSTREAM_HEADER) != id -> responder.respond(
-                MISDIRECTED_REQUEST,
-                responseHeaders(call),
-                ByteArray(0)
-            )
+            call.headers.get(EXPECTED_UPSTREAM_HEADER) != id || expectsOtherWeights(call) ->
+                responder.respond(MISDIRECTED_REQUEST, rejectionHeaders(call), ByteArray(0))
             "impossible" in body -> responder.respond(UNPROCESSABLE_CONTENT, responseHeaders(call), ByteArray(0))
             "desk" in call.path -> answer(call, body, responder)
             else -> stream(call, responder)
         }
     }
 
+    private fun expectsOtherWeights(call: HttpCall): Boolean {
+        val expected = call.headers.get(EXPECTED_WEIGHTS_HEADER)
+        return expected != null && settings.weights != null && expected != settings.weights.toString()
+    }
+
+    private fun rejectionHeaders(call: HttpCall): HttpHeaders =
+        responseHeaders(call).also { if (settings.namesItself) it.set(UPSTREAM_ID_HEADER, id) }
+
     /** Closes the server on another thread, because closing waits for the event loop that this runs on. */
     private suspend fun crash() {
         thread(isDaemon = true) { close() }
@@ -148,4 +160,5 @@
         .set(ATTEMPT_ID_HEADER, call.headers.get(ATTEMPT_ID_HEADER) ?: "none")
         .set(RESPONSE_STAMP_HEADER, "stamp-$id")
         .also { if (settings.isLeaving) it.set(LEAVING_HEADER, "1") }
+        .also { headers -> settings.weights?.let { headers.set(WEIGHTS_HEADER, it) } }
 }
--- a/src/main/kotlin/figdeck/wire/RefusalCodec.kt
+++ b/src/main/kotlin/figdeck/wire/RefusalCodec.kt
@@ -11,6 +11,7 @@
 private const val NOT_FOUND = 404
 private const val CONFLICT = 409
 private const val CONTENT_TOO_LARGE = 413
+private const val MISDIRECTED_REQUEST = 421
 private const val UNPROCESSABLE = 422
 private const val TOO_MANY_REQUESTS = 429
 private const val BAD_GATEWAY = 502
@@ -48,6 +49,7 @@
         is Refusal.NoUpstream -> "no_upstream"
         is Refusal.Evacuated -> "evacuated"
         is Refusal.NoHomeUpstream -> "no_home_upstream"
+        is Refusal.WeightsUnavailable -> "weights_unavailable"
         is Refusal.UpstreamLost -> "upstream_lost"
         is Refusal.AnswerTimeout -> "answer_timeout"
         Refusal.StaleConfiguration -> "stale_configuration"
@@ -71,6 +73,7 @@
         is Refusal.BadRequest -> BAD_REQUEST
         is Refusal.BodyTooLarge -> CONTENT_TOO_LARGE
         is Refusal.ModelNotFound, is Refusal.RouteNotFound, is Refusal.NotFound -> NOT_FOUND
+        is Refusal.WeightsUnavailable -> MISDIRECTED_REQUEST
         is Refusal.TooManyTokens -> UNPROCESSABLE
         is Refusal.RateLimited -> TOO_MANY_REQUESTS
         is Refusal.UpstreamLost, is Refusal.Recorded -> BAD_GATEWAY
--- a/src/test/kotlin/figdeck/daemon/command/serving/ChunkedCopySpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/ChunkedCopySpec.kt
@@ -9,7 +9,9 @@
 import figdeck.http.readAll
 import figdeck.http.send
 import figdeck.model.Moment
+import figdeck.model.UpstreamId
 import figdeck.model.serving.noProgress
+import figdeck.platform.ExpectedReply
 import figdeck.platform.upstreamReply
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
@@ -24,6 +26,7 @@
 private const val MAX_BYTES = 100_000
 private const val READ_PAUSE_MILLIS = 5L
 private val MAX_PAUSE = 1.seconds
+private val expected = ExpectedReply(ID, UpstreamId("i-1"), weights = null)
 
 /** An answer in the chunks [written], as a runner sends it. */
 private data class ChunkedAnswer(val type: String, val written: List<String>) {
@@ -87,7 +90,7 @@
                 val sent = ByteArrayOutputStream()
                 val caller = CallerChannel({ _, _ -> }, { sent.write(it) }, { _, _, _ -> })
                 client.readStutter(stream, length) {
-                    StreamRelay(null).relay(upstreamReply(it, ID), MAX_PAUSE, clock, caller)
+                    StreamRelay(null).relay(upstreamReply(it, expected), MAX_PAUSE, clock, caller)
                 }
                 val text = sent.toByteArray().decodeToString()
                 if (stream.body.startsWith(text)) null else length to text
@@ -99,7 +102,7 @@
             val words = (1..24).map { "word $it of the answer" }
             val wrong = stream.cuts.mapNotNull { length ->
                 val output = ItemOutput(noProgress)
-                client.readStutter(stream, length) { output.collect(upstreamReply(it, ID), MAX_PAUSE, clock) }
+                client.readStutter(stream, length) { output.collect(upstreamReply(it, expected), MAX_PAUSE, clock) }
                 val events = output.progress.events
                 if (events == words.take(events.size)) null else length to events.last()
             }
--- a/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
+++ b/src/test/kotlin/figdeck/platform/CallerHeadersSpec.kt
@@ -8,6 +8,7 @@
 import figdeck.http.server.HttpCall
 import figdeck.model.UpstreamId
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.WeightsVersion
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
@@ -20,6 +21,8 @@
 private fun headers(vararg values: Pair<String, String>): HttpHeaders =
     newHeaders().apply { values.forEach { (name, value) -> add(name, value) } }
 
+private val first = ExpectedReply("1", UpstreamId("i-1"), weights = null)
+
 private fun call(headers: HttpHeaders) =
     HttpCall("POST", "/lohu930/2f", "/lohu930/2f", emptyMap(), headers, HttpBody(emptyFlow()))
 
@@ -53,9 +56,15 @@
                     affinity = null,
                     lastEventId = 12,
                     sharedParts = listOf(PromptPart("5c1e07a2"), PromptPart("91bd3f06")),
+                    expectedWeights = null,
                 )
         }
 
+        it("name the weights that the request asks for") {
+            val asking = parseCallerHeaders(call(headers("Host" to "h", "X-Expect-Version" to "07")))
+            asking.getOrNull()?.expectedWeights shouldBe WeightsVersion("7")
+        }
+
         it("have the same affinity if the prompts differ only in their last part") {
             val other = parseCallerHeaders(
                 call(headers("Host" to "h", "X-Prompt-Prefix" to "5c1e07a2:800,91bd3f06:410,0000:9")),
@@ -107,7 +116,7 @@
     describe("an upstream's response") {
         it("is accepted with the attempt id and a stamp") {
             val own = reply(200, "X-Attempt-Id" to "1", "X-Response-Stamp" to "s")
-            upstreamReply(own, "1").executionStatus shouldBe ExecutionStatus.RAN
+            upstreamReply(own, first).executionStatus shouldBe ExecutionStatus.RAN
         }
 
         it("is not trusted with another id or none, without a stamp or with a content encoding") {
@@ -116,32 +125,32 @@
                 reply(200, "X-Attempt-Id" to "2", "X-Response-Stamp" to "s"),
                 reply(200, "X-Attempt-Id" to "1"),
                 reply(200, "X-Attempt-Id" to "1", "X-Response-Stamp" to "s", "Content-Encoding" to "gzip"),
-            ).forEach { upstreamReply(it, "1").executionStatus shouldBe ExecutionStatus.UNVERIFIED }
+            ).forEach { upstreamReply(it, first).executionStatus shouldBe ExecutionStatus.UNVERIFIED }
         }
 
         it("is not trusted without the attempt id, whatever its status and its claim not to have run the request") {
             listOf(200, 404, 421, 429, 500, 503).forEach { status ->
-                upstreamReply(reply(status, "X-Response-Stamp" to "s"), "1").executionStatus shouldBe
+                upstreamReply(reply(status, "X-Response-Stamp" to "s"), first).executionStatus shouldBe
                     ExecutionStatus.UNVERIFIED
-                upstreamReply(reply(status, "X-Not-Executed" to "1"), "1").executionStatus shouldBe
+                upstreamReply(reply(status, "X-Not-Executed" to "1"), first).executionStatus shouldBe
                     ExecutionStatus.UNVERIFIED
             }
         }
 
         it("says that its upstream is leaving, unless another one may have sent it") {
             val leaving = "Server-Leaving" to "1"
-            upstreamReply(reply(503, "X-Attempt-Id" to "1", "X-Not-Executed" to "1", leaving), "1").isLeaving shouldBe
+            upstreamReply(reply(503, "X-Attempt-Id" to "1", "X-Not-Executed" to "1", leaving), first).isLeaving shouldBe
                 true
-            upstreamReply(reply(500, "X-Attempt-Id" to "1", leaving), "1").isLeaving shouldBe true
-            upstreamReply(reply(500, "X-Attempt-Id" to "1"), "1").isLeaving shouldBe false
-            upstreamReply(reply(500, "X-Attempt-Id" to "2", leaving), "1").isLeaving shouldBe false
-            upstreamReply(reply(421, "X-Attempt-Id" to "1", leaving), "1").isLeaving shouldBe false
+            upstreamReply(reply(500, "X-Attempt-Id" to "1", leaving), first).isLeaving shouldBe true
+            upstreamReply(reply(500, "X-Attempt-Id" to "1"), first).isLeaving shouldBe false
+            upstreamReply(reply(500, "X-Attempt-Id" to "2", leaving), first).isLeaving shouldBe false
+            upstreamReply(reply(421, "X-Attempt-Id" to "1", leaving), first).isLeaving shouldBe false
         }
 
         // Guards against a cold upstream that gets full load because its answer is not read, or is another one's.
         it("says how long its upstream stays cold, unless another one may have sent it") {
             fun coldTime(status: Int, id: String, value: String) =
-                upstreamReply(reply(status, "X-Attempt-Id" to id, "X-Cold-Ms" to value), "1").coldRemaining
+                upstreamReply(reply(status, "X-Attempt-Id" to id, "X-Cold-Ms" to value), first).coldRemaining
             coldTime(500, "1", "1700") shouldBe 1_700.milliseconds
             coldTime(503, "1", "0") shouldBe Duration.ZERO
             coldTime(500, "2", "1700").shouldBeNull()
@@ -151,16 +160,16 @@
 
         it("reports that the request did not run") {
             val own = "X-Attempt-Id" to "1"
-            upstreamReply(reply(503, own, "X-Not-Executed" to "1"), "1").executionStatus shouldBe
+            upstreamReply(reply(503, own, "X-Not-Executed" to "1"), first).executionStatus shouldBe
                 ExecutionStatus.NOT_RUN
-            upstreamReply(reply(421, own, "X-Instance-Id" to "i-2"), "1").executionStatus shouldBe
+            upstreamReply(reply(421, own, "X-Instance-Id" to "i-2"), first).executionStatus shouldBe
                 ExecutionStatus.WRONG_UPSTREAM
         }
 
         it("counts as run if it is an error of the upstream itself") {
             val own = "X-Attempt-Id" to "1"
-            upstreamReply(reply(503, own), "1").executionStatus shouldBe ExecutionStatus.RAN
-            upstreamReply(reply(500, own), "1").executionStatus shouldBe ExecutionStatus.RAN
+            upstreamReply(reply(503, own), first).executionStatus shouldBe ExecutionStatus.RAN
+            upstreamReply(reply(500, own), first).executionStatus shouldBe ExecutionStatus.RAN
         }
     }
 })
--- a/src/test/kotlin/figdeck/query/serving/NextStepSpec.kt
+++ b/src/test/kotlin/figdeck/query/serving/NextStepSpec.kt
@@ -3,6 +3,7 @@
 import figdeck.model.Refusal
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CallKind
+import figdeck.model.serving.WeightsVersion
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 
@@ -26,6 +27,18 @@
         }
     }
 
+    // Guards against callers who are told that no upstream can be reached while sound ones are idle.
+    describe("a request whose weights its upstreams don't have") {
+        val weights = WeightsVersion("1")
+        val otherWeights = FailedSend.NotRun(one, "weights 2", NotRunCause.OTHER_WEIGHTS)
+
+        it("is sent again, and refused for its weights after four sends") {
+            nextStep(CallKind.STREAM, 1, history(otherWeights), weights) shouldBe NextStep.SendAgain
+            nextStep(CallKind.STREAM, 1, history(notRun, otherWeights, otherWeights, otherWeights), weights) shouldBe
+                NextStep.Refuse(Refusal.WeightsUnavailable(weights))
+        }
+    }
+
     describe("a request that may have run") {
         listOf(CallKind.NON_IDEMPOTENT, CallKind.STREAM).forEach { kind ->
             it("is never sent again if it is $kind") {
--- a/src/test/kotlin/figdeck/wire/RefusalCodecSpec.kt
+++ b/src/test/kotlin/figdeck/wire/RefusalCodecSpec.kt
@@ -5,6 +5,7 @@
 import figdeck.model.RequestId
 import figdeck.model.TeamId
 import figdeck.model.UpstreamId
+import figdeck.model.serving.WeightsVersion
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,6 +28,8 @@
             Refusal.UnknownKey to CallerView(401, "unknown_key", MayHaveRun.NO, null),
             Refusal.BadRequest("model", "name one") to CallerView(400, "bad_request", MayHaveRun.NO, null),
             Refusal.BodyTooLarge(10) to CallerView(413, "body_too_large", MayHaveRun.NO, null),
+            Refusal.WeightsUnavailable(WeightsVersion("1")) to
+                CallerView(421, "weights_unavailable", MayHaveRun.NO, null),
             Refusal.ModelNotFound("m") to CallerView(404, "model_not_found", MayHaveRun.NO, null),
             Refusal.TooManyTokens(9, 5) to CallerView(422, "too_many_tokens", MayHaveRun.NO, null),
             Refusal.RouteNotFound("r") to CallerView(404, "route_not_found", MayHaveRun.NO, null),
