--- a/src/main/kotlin/figdeck/daemon/command/serving/DispatchRequests.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/DispatchRequests.kt
@@ -7,8 +7,10 @@
 import figdeck.control.serving.coldLimits
 import figdeck.model.Lane
 import figdeck.model.Moment
+import figdeck.model.TeamId
 import figdeck.model.Upstream
 import figdeck.model.serving.SlotRequest
+import figdeck.query.serving.noTeamWeights
 import kotlin.time.Duration.Companion.seconds
 
 /** Batch work uses the slots that online work leaves free, so its deadline is long enough never to refuse it. */
@@ -21,16 +23,24 @@
         TokenDemand(tokens, capacity)
     }
 
-/** The request for a slot at one of [candidates] that the dispatcher decides on. */
+/** The weight of [team] in the slots that online work shares. */
+private fun ServingState.weightOf(team: TeamId?): Int = (index?.weights ?: noTeamWeights).of(team)
+
+/**
+ * The request for a slot at one of [candidates] that the dispatcher decides on.
+ *
+ * @param sharesByRate whether teams share scarce slots in proportion to their rates, and not equally.
+ */
 internal fun SlotRequest.toDispatchRequest(
     candidates: List<Upstream>,
     state: ServingState,
     placement: PlacementContext?,
+    sharesByRate: Boolean,
     now: Moment,
 ): DispatchRequest = DispatchRequest(
     candidates = candidates,
     team = team,
-    weight = 1,
+    weight = if (sharesByRate && lane == Lane.ONLINE) state.weightOf(team) else 1,
     lane = lane,
     cost = cost,
     affinity = affinity,
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -54,7 +54,8 @@
 /**
  * Grants the slots of the pools that this host owns, to itself and to other hosts.
  *
- * @param work estimates the work of requests; null if their cost is used.
+ * @param work estimates the work of requests; null if their cost is used. With it, teams share scarce slots by their
+ * rates.
  */
 internal class SlotOwner(
     private val slots: SlotDispatcher,
@@ -72,7 +73,8 @@
 
     /** Adds to a request what this host knows of its candidates. */
     private val dispatchRequestOf: (SlotRequest, List<Upstream>) -> DispatchRequest = { request, candidates ->
-        request.toDispatchRequest(candidates, control.snapshot, placement.contextOf(request), clock())
+        val context = placement.contextOf(request)
+        request.toDispatchRequest(candidates, control.snapshot, context, sharesByRate = work != null, clock())
     }
 
     /** Answers [request] as soon as a slot is free or its wait time is over. */
--- a/src/main/kotlin/figdeck/query/serving/PlanIndex.kt
+++ b/src/main/kotlin/figdeck/query/serving/PlanIndex.kt
@@ -16,6 +16,7 @@
  * A plan indexed for look-ups.
  *
  * @property routesByHost the routes of each host, ordered from the longest to the shortest prefix.
+ * @property weights the shares of the teams in scarce slots.
  */
 public data class PlanIndex(
     public val plan: ServingPlan,
@@ -23,6 +24,7 @@
     private val routesByName: Map<String, ServingRoute>,
     public val teams: Map<TeamId, ServingTeam>,
     public val teamsByKey: Map<KeyHash, ServingTeam>,
+    public val weights: TeamWeights,
 ) {
     /** The route [name] for work that was accepted under the plan version [acceptedUnder]; null if that is unknown. */
     public fun route(name: String, acceptedUnder: Long?): Known<ServingRoute> = when {
@@ -40,6 +42,7 @@
     routesByName = plan.routes.associateBy { it.name },
     teams = plan.teams.associateBy { it.id },
     teamsByKey = plan.teams.flatMap { team -> team.keys.map { it to team } }.toMap(),
+    weights = teamWeights(plan.teams),
 )
 
 /**
--- a/src/test/kotlin/figdeck/command/dispatch/TooLittleRoomSpec.kt
+++ b/src/test/kotlin/figdeck/command/dispatch/TooLittleRoomSpec.kt
@@ -30,6 +30,12 @@
 private const val TEAMS = 10
 private const val HOT_TEAM = 0
 private const val HOT_FACTOR = 8.0
+
+/** The load of each team relative to the mean, if one of them has four tenths of all. */
+private val unevenSizes = List(TEAMS) { if (it == LARGE_TEAM) 4.0 else 6.0 / (TEAMS - 1) }
+private val evenSizes = List(TEAMS) { 1.0 }
+private const val LARGE_TEAM = 1
+private const val WEIGHT_OF_MEAN = 100
 private const val MEAN_USE = 0.6
 private const val HIGH = 1.9
 private const val LOW = 0.4
@@ -86,11 +92,17 @@
 }
 
 /** The callers of [team], drawn from its own source so that the others are the same with and without a hot team. */
-private fun callersOf(team: Int, seed: Int, isHot: Boolean, load: (Duration) -> Double): List<Caller> {
+private fun callersOf(
+    team: Int,
+    size: Double,
+    seed: Int,
+    isHot: Boolean,
+    load: (Duration) -> Double,
+): List<Caller> {
     val random = Random(seed * TEAMS + team)
     val normal = random.asJavaRandom()
     val callers = mutableListOf<Caller>()
-    val maxPerSecond = perTeam * HIGH * (if (isHot) HOT_FACTOR else 1.0)
+    val maxPerSecond = perTeam * size * HIGH * (if (isHot) HOT_FACTOR else 1.0)
     var at = Duration.ZERO
     while (at < END) {
         at += (-ln(1 - random.nextDouble()) / maxPerSecond).seconds
@@ -102,7 +114,12 @@
 }
 
 /** Plays callers that wait at most [MAX_WAIT] and return once, at the time that they were told. */
-private class Contention(seed: Int, hotTeam: Int?, private val policy: DispatchPolicy = edgePolicy) {
+private class Contention(
+    seed: Int,
+    hotTeam: Int?,
+    private val policy: DispatchPolicy = edgePolicy,
+    private val sizes: List<Double> = evenSizes,
+) {
     private val clock = VirtualClock()
     private var state = emptyDispatch(DataCentre("centre-a"))
     private var lastTicket = 0L
@@ -118,7 +135,7 @@
 
     init {
         val load = loadCurve(Random(seed))
-        val all = (0..<TEAMS).flatMap { callersOf(it, seed, it == hotTeam, load) }
+        val all = (0..<TEAMS).flatMap { callersOf(it, sizes[it], seed, it == hotTeam, load) }
         all.forEach { caller -> clock.schedule(caller.at) { ask(caller, isReturn = false) } }
         tickUntilEnd()
         clock.runUntil(END + 4.seconds)
@@ -136,7 +153,7 @@
         val request = DispatchRequest(
             candidates = engines,
             team = TeamId("team-${caller.team}"),
-            weight = 1,
+            weight = (sizes[caller.team] * WEIGHT_OF_MEAN).toInt(),
             lane = Lane.ONLINE,
             cost = PROMPT_TOKENS + 2 * MEAN_OUTPUT.toInt(),
             affinity = null,
@@ -232,6 +249,35 @@
         }
     }
 
+    describe("one team of ten whose rate is six times that of each other") {
+        val uneven = (1..SEEDS).map { Contention(it, hotTeam = null, sizes = unevenSizes) }
+        val largeTeam = listOf(LARGE_TEAM)
+        val smallTeams = (0..<TEAMS) - LARGE_TEAM
+
+        // Guards against a team that is refused for holding more slots than others although it has a larger share.
+        it("has its callers served as often as the others") {
+            val large = uneven.map { it.callers }.sumOver(largeTeam)
+            val small = uneven.map { it.callers }.sumOver(smallTeams)
+            withClue("large $large, small $small") { large.share shouldBeGreaterThan small.share - 0.03 }
+        }
+
+        it("does not cost the others what they get where all are even") {
+            val small = uneven.map { it.callers }.sumOver(smallTeams)
+            val even = usual.map { it.callers }.sumOver(smallTeams)
+            withClue("beside a large team $small, even $even") { small.share shouldBeGreaterThan even.share - 0.03 }
+        }
+
+        it("loses under 2 % to a small team at eight times its usual load, like the others") {
+            val hotSmall = (1..SEEDS).map { Contention(it, HOT_TEAM, sizes = unevenSizes) }
+            listOf(largeTeam, smallTeams - HOT_TEAM).forEach { teams ->
+                val without = uneven.map { it.callers }.sumOver(teams)
+                val with = hotSmall.map { it.callers }.sumOver(teams)
+                val lost = 1 - with.served.toDouble() / without.served
+                withClue("teams $teams without $without and with the hot team $with") { lost shouldBeLessThan 0.02 }
+            }
+        }
+    }
+
     describe("a refused caller that returns when it was told") {
         // Guards against callers that starve over repeats while newcomers of their team are served.
         listOf("the hot team" to listOf(HOT_TEAM), "another team" to others).forEach { (name, teams) ->
