--- a/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -5,8 +5,11 @@
 import arrow.core.right
 import figdeck.command.Step
 import figdeck.command.serving.VersionedJob
+import figdeck.command.serving.addPending
+import figdeck.command.serving.removePending
 import figdeck.command.serving.waitingTokens
 import figdeck.control.serving.updateJobs
+import figdeck.model.CallResult
 import figdeck.model.Moment
 import figdeck.model.Refusal
 import figdeck.model.serving.JobId
@@ -60,8 +63,7 @@
         known != null -> acceptIfSameTeam(known, submission)
         limit != null && control.snapshot.jobs.lastUpdateAt == null ->
             Refusal.StoreUnavailable(STORE_RETRY_AFTER).left()
-        !reserve(newRecord, limit) ->
-            Refusal.RateLimited(submission.team.id, TOKENS_RETRY_AFTER).left()
+        !reserve(newRecord, limit) -> refuseUnlessStored(submission)
         else -> try {
             persist(newRecord)
         } finally {
@@ -71,6 +73,15 @@
     }
 }
 
+/** Refuses [submission] for the team's limit, unless it repeats a job that is not in the directory any more. */
+private suspend fun JobServices.refuseUnlessStored(submission: Submission): Either<Refusal, Unit> =
+    when (val read = store.read(submission.id)) {
+        is CallResult.Done -> read.value?.let { acceptIfSameTeam(it, submission) }
+            ?: Refusal.RateLimited(submission.team.id, TOKENS_RETRY_AFTER).left()
+        is CallResult.NotDone, is CallResult.Refused, is CallResult.Unknown ->
+            Refusal.StoreUnavailable(STORE_RETRY_AFTER).left()
+    }
+
 private fun JobServices.recordOf(submission: Submission, now: Moment): JobRecord = JobRecord(
     id = submission.id,
     team = submission.team.id,
@@ -90,13 +101,11 @@
 private suspend fun JobServices.reserve(record: JobRecord, limit: Long?): Boolean = control.run { state, _ ->
     val waiting = state.jobs.waitingTokens(record.team, record.route)
     val fits = limit == null || waiting + record.tokens <= limit
-    val reserved =
-        if (fits) state.jobs.copy(pendingWrites = state.jobs.pendingWrites.put(record.id, record)) else state.jobs
-    Step(state.copy(jobs = reserved), fits)
+    Step(if (fits) state.copy(jobs = addPending(state.jobs, record)) else state, fits)
 }
 
 private suspend fun JobServices.releaseReservation(id: JobId) {
-    control.run { state, _ -> updateJobs(state) { it.copy(pendingWrites = it.pendingWrites.remove(id)) } }
+    control.run { state, _ -> updateJobs(state) { removePending(it, id) } }
 }
 
 /** Writes [record] and the items of [submission] to the store, as often as it takes within [timeout]. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -20,6 +20,7 @@
 import figdeck.store.Store
 import figdeck.store.query.TableFeed
 import figdeck.store.query.TableSnapshot
+import figdeck.store.query.allRows
 import figdeck.wire.serving.decodeFleetMember
 import figdeck.wire.serving.encodeFleetMember
 import kotlinx.coroutines.Job
@@ -54,7 +55,7 @@
     val startedAt = clock()
     while (true) {
         val sentAt = clock()
-        val listed = feed.snapshot(MEMBER_TABLE)
+        val listed = feed.snapshot(MEMBER_TABLE, allRows)
         if (listed is CallResult.Done) {
             applyListing(listed.value, sentAt)
             renew(store, clock)
--- a/src/main/kotlin/figdeck/daemon/query/serving/FollowTable.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/FollowTable.kt
@@ -6,6 +6,7 @@
 import figdeck.store.query.FeedReply
 import figdeck.store.query.RowChange
 import figdeck.store.query.TableFeed
+import figdeck.store.query.allRows
 import kotlinx.coroutines.delay
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -23,14 +24,16 @@
 /**
  * Receives the content and the changes of a table.
  *
- * @property replace receives all rows of the table.
+ * @property replace receives the rows of the table that [keep] accepts.
  * @property change receives changes in their order; the list is empty if the store reported none.
  * @property fail is called when the store gave no answer.
+ * @property keep tells which rows of the whole table matter. The others never are in memory together.
  */
 internal data class TableFollower(
     val replace: suspend (List<Row>) -> Unit,
     val change: suspend (List<RowChange>) -> Unit,
     val fail: suspend () -> Unit = {},
+    val keep: (Row) -> Boolean = allRows,
 )
 
 /**
@@ -79,7 +82,7 @@
     minInterval: () -> Duration,
     follower: TableFollower,
 ): FollowStep? = when (step) {
-    FollowStep.ReadSnapshot -> snapshot(table).valueOrNull()?.let {
+    FollowStep.ReadSnapshot -> snapshot(table, follower.keep).valueOrNull()?.let {
         follower.replace(it.rows)
         FollowStep.ReadChanges(it.version)
     }
--- a/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/Followers.kt
@@ -12,6 +12,7 @@
 import figdeck.command.serving.removeJob
 import figdeck.command.serving.removeMember
 import figdeck.command.serving.replaceMembers
+import figdeck.command.serving.replaceOpenJobs
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.adoptPlan
@@ -29,6 +30,7 @@
 import figdeck.model.serving.JobId
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.ServingPlan
+import figdeck.model.serving.isOpen
 import figdeck.wire.serving.decodeJobRecord
 
 /** The key of the row that holds the plan in force. */
@@ -98,7 +100,7 @@
     )
 }
 
-/** Returns a follower that updates the job directory. */
+/** Returns a follower that updates the job directory. Closed jobs are not read at the start: there may be many. */
 internal fun jobFollower(control: Control<ServingState>): TableFollower {
     val read: (Row) -> VersionedJob? = { row ->
         decodeJobRecord(row.key, row.value).orWarn(log)?.let { VersionedJob(it, row.version) }
@@ -106,12 +108,8 @@
     return TableFollower(
         replace = { rows ->
             val listed = rows.mapNotNull { read(it) }
-            val ids = listed.map { it.record.id }.toSet()
             control.run { state, now ->
-                updateJobs(state) { jobs ->
-                    val kept = jobs.jobs.keys.filter { it !in ids }.fold(jobs) { left, id -> removeJob(left, id) }
-                    listed.fold(kept) { all, job -> putJob(all, job) }.copy(lastUpdateAt = now)
-                }
+                updateJobs(state) { jobs -> replaceOpenJobs(jobs, listed).copy(lastUpdateAt = now) }
             }
         },
         change = { changes ->
@@ -124,6 +122,7 @@
                 }
             }
         },
+        keep = { row -> read(row)?.record?.isOpen == true },
     )
 }
 
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -21,6 +21,7 @@
 import figdeck.store.query.StoreQueries
 import figdeck.store.query.TableFeed
 import figdeck.store.query.TableSnapshot
+import figdeck.store.query.allRows
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -96,7 +97,7 @@
         return read.map { rows }
     }
 
-    private suspend fun listHosts(): CallResult<List<ListedHost>> = snapshot(UPSTREAM_TABLE).map { table ->
+    private suspend fun listHosts(): CallResult<List<ListedHost>> = snapshot(UPSTREAM_TABLE, allRows).map { table ->
         table.rows.mapNotNull { row -> decodeUpstream(row.key, row.value).getOrNull() }
             .map { with(it.upstream) { ListedHost(id.value, address, dataCentre, it.isLeaving) } }
     }
@@ -106,20 +107,20 @@
             Lookup(it.body.takeIf { _ -> it.isFound })
         }
 
-    private suspend fun snapshot(table: String): CallResult<TableSnapshot> {
+    private suspend fun snapshot(table: String, keep: (Row) -> Boolean): CallResult<TableSnapshot> {
         var read: CallResult<TablePage> = scan(table, "", null, SCAN_PAGE_ROWS)
-        var rows = read.rows()
+        val rows = read.rowsInTable().filterTo(mutableListOf(), keep)
         // Rows that change while later pages are read are among the changes after the version of the first page.
         val version = read.valueOrNull()?.version ?: 0
         while (read is CallResult.Done && read.value.hasMore && read.value.rows.isNotEmpty()) {
             read = scan(table, keyInTable(read.value.rows.last().key) + LOWEST_CHARACTER, null, SCAN_PAGE_ROWS)
-            rows = rows + read.rows()
-        }
-        return read.map { last ->
-            TableSnapshot(rows.map { it.copy(key = keyInTable(it.key)) }, version, last.storeMillis)
+            read.rowsInTable().filterTo(rows, keep)
         }
+        return read.map { last -> TableSnapshot(rows, version, last.storeMillis) }
     }
 
+    private fun CallResult<TablePage>.rowsInTable(): List<Row> = rows().map { it.copy(key = keyInTable(it.key)) }
+
     private fun CallResult<TablePage>.rows(): List<Row> = valueOrNull()?.rows.orEmpty()
 
     private suspend fun changes(table: String, after: Long, wait: Duration): CallResult<FeedReply> {
--- a/src/main/kotlin/figdeck/store/query/TableFeed.kt
+++ b/src/main/kotlin/figdeck/store/query/TableFeed.kt
@@ -4,8 +4,11 @@
 import figdeck.model.Row
 import kotlin.time.Duration
 
+/** Accepts all rows of a table. */
+public val allRows: (Row) -> Boolean = { true }
+
 /**
- * All rows of a table at one point in time.
+ * The rows of a table at one point in time.
  *
  * @property version the newest version of the store; changes can be followed from it.
  * @property storeMillis the time on the store's monotonic clock, in milliseconds.
@@ -37,10 +40,10 @@
 /**
  * Reads tables and follows their changes. Keys don't contain the table's name.
  *
- * @property snapshot reads all rows of a table.
+ * @property snapshot reads the rows of a table that `keep` accepts, page by page.
  * @property changes waits for changes of a table after a version, up to a maximum time.
  */
 public data class TableFeed(
-    public val snapshot: suspend (table: String) -> CallResult<TableSnapshot>,
+    public val snapshot: suspend (table: String, keep: (Row) -> Boolean) -> CallResult<TableSnapshot>,
     public val changes: suspend (table: String, after: Long, wait: Duration) -> CallResult<FeedReply>,
 )
--- a/src/test/kotlin/figdeck/daemon/query/serving/EvacuationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/EvacuationSpec.kt
@@ -116,7 +116,7 @@
     private val snapshotsLeft = ArrayDeque(snapshots)
     private val changesLeft = ArrayDeque(changes)
     val feed = TableFeed(
-        snapshot = { CallResult.Done(TableSnapshot(snapshotsLeft.removeFirst(), 5, 0)) },
+        snapshot = { _, _ -> CallResult.Done(TableSnapshot(snapshotsLeft.removeFirst(), 5, 0)) },
         changes = { _, _, _ ->
             if (isAway) CallResult.NotDone("503") else CallResult.Done(nextChanges())
         },
--- a/src/test/kotlin/figdeck/daemon/query/serving/FollowersSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/FollowersSpec.kt
@@ -58,6 +58,32 @@
         }
     }
 
+    // Guards against a host that holds the rows of all jobs of some days at its start.
+    describe("a follower of jobs") {
+        val text = """{"team":"t","route":"r","submittedAt":1,"total":2,"tokens":3,"results":%d,"ended":%b,""" +
+            """"owner":"h","incarnation":"1","chunks":1,"writeId":"w"}"""
+
+        it("keeps the rows of open jobs alone when it reads the whole table") {
+            val follower = jobFollower(control)
+            val rows = listOf(
+                Row("open", text.format(1, false), 1),
+                Row("done", text.format(2, false), 1),
+                Row("ended", text.format(0, true), 1),
+                Row("odd", "no JSON", 1),
+            )
+            rows.filter(follower.keep).map { it.key } shouldBe listOf("open")
+        }
+
+        it("learns of jobs that are closed later") {
+            val follower = jobFollower(control)
+            follower.replace(listOf(Row("job", text.format(1, false), 1)))
+            follower.change(listOf(RowChange("job", Row("job", text.format(2, false), 2))))
+            control.snapshot.jobs.closed.map { it.value } shouldBe listOf("job")
+            follower.change(listOf(RowChange("job", null)))
+            control.snapshot.jobs.jobs.size shouldBe 0
+        }
+    }
+
     describe("a follower that gets rows with foreign keys") {
         val changes = foreignKeys.flatMap { listOf(RowChange(it, null), RowChange(it, Row(it, "no JSON", 1))) }
 
--- a/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
+++ b/src/test/kotlin/figdeck/platform/StoreClientSpec.kt
@@ -14,6 +14,7 @@
 import figdeck.process.eventually
 import figdeck.standin.PlatformStandIn
 import figdeck.store.query.FeedReply
+import figdeck.store.query.allRows
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -82,7 +83,7 @@
             rows.map { it.value } shouldBe (1..ROW_COUNT).map { "$it" }
             platform.store.queries.scanRows("v/p/", "v/p/01199", 10).valueOrNull()?.map { it.value } shouldBe
                 listOf("$ROW_COUNT")
-            platform.feed.snapshot("v").valueOrNull()?.rows?.size shouldBe ROW_COUNT + 1
+            platform.feed.snapshot("v", allRows).valueOrNull()?.rows?.size shouldBe ROW_COUNT + 1
         }
     }
 
@@ -91,7 +92,7 @@
             val writes = (1..ROW_COUNT).map { RowWrite("y/${it.toString().padStart(5, '0')}", "0") }
             writes.chunked(100).forEach { commit(emptyList(), *it.toTypedArray()) }
             val stale = (1..SNAPSHOTS).filter { number ->
-                val snapshot = async(Dispatchers.Default) { platform.feed.snapshot("y").valueOrNull()!! }
+                val snapshot = async(Dispatchers.Default) { platform.feed.snapshot("y", allRows).valueOrNull()!! }
                 // Varied, so that the write meets each page.
                 delay((number % 10).milliseconds)
                 commit(emptyList(), RowWrite("y/00001", "$number")).shouldBeInstanceOf<CallResult.Done<CommitReply>>()
@@ -106,7 +107,7 @@
 
     describe("the changes of a table") {
         it("include all writes and removals after a version") {
-            val before = platform.feed.snapshot("w").valueOrNull()?.version ?: 0
+            val before = platform.feed.snapshot("w", allRows).valueOrNull()?.version ?: 0
             commit(emptyList(), RowWrite("w/a", "1"), RowWrite("w/b", "2"))
             commit(emptyList(), RowWrite("w/a", null))
             val reply = platform.feed.changes("w", before, 100.milliseconds).valueOrNull()
@@ -115,7 +116,7 @@
         }
 
         it("are empty if nothing changes during the wait") {
-            val version = platform.feed.snapshot("w").valueOrNull()?.version ?: 0
+            val version = platform.feed.snapshot("w", allRows).valueOrNull()?.version ?: 0
             val reply = platform.feed.changes("w", version, 50.milliseconds).valueOrNull()
             (reply as FeedReply.Changes).changes shouldBe emptyList()
         }
--- a/src/test/kotlin/figdeck/platform/UntrustedControlReplySpec.kt
+++ b/src/test/kotlin/figdeck/platform/UntrustedControlReplySpec.kt
@@ -14,6 +14,7 @@
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
 import figdeck.model.TeamId
+import figdeck.store.query.allRows
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
@@ -74,7 +75,7 @@
                 RawUpstream { _, socket -> endless.sendTo(socket) }.use { store ->
                     val platform = StoreClient(client, store.address, 200.milliseconds)
                     val (result, time) = measureTimedValue {
-                        withTimeoutOrNull(10.seconds) { platform.feed.snapshot("members") }
+                        withTimeoutOrNull(10.seconds) { platform.feed.snapshot("members", allRows) }
                     }
                     result.shouldBeInstanceOf<CallResult.Unknown>()
                     time shouldBeLessThan 5.seconds
