--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -19,11 +19,14 @@
 import figdeck.daemon.command.fatalErrorHandler
 import figdeck.daemon.command.jobs.ItemTimeEstimator
 import figdeck.daemon.command.jobs.JobCache
+import figdeck.daemon.command.jobs.JobClearing
 import figdeck.daemon.command.jobs.JobMemory
 import figdeck.daemon.command.jobs.JobServices
 import figdeck.daemon.command.jobs.JobStore
 import figdeck.daemon.command.jobs.ProgressStore
 import figdeck.daemon.command.jobs.acceptRelayed
+import figdeck.daemon.command.jobs.clearJobs
+import figdeck.daemon.command.jobs.keptFor
 import figdeck.daemon.command.jobs.runJobs
 import figdeck.daemon.command.serving.BodiesInFlight
 import figdeck.daemon.command.serving.BodyMemory
@@ -296,6 +299,12 @@
         startLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         startLoop("held slots") { slotClient.confirmHeldSlots() }
         startLoop("jobs") { jobs.runJobs() }
+        settings.resultRetention?.let { retention ->
+            val clearing = JobClearing(platform.feed, store, keptFor(retention)) {
+                telemetry.meters.count("figdeck.jobs.cleared")
+            }
+            startLoop("finished jobs") { jobs.clearJobs(clearing) }
+        }
         startLoop("prompt reports") { crashRiskWriter.writeRows() }
         peerServer.listen(settings.peerAddress.ip, settings.peerAddress.port)
         callerServer.listen(settings.callerAddress.ip, settings.callerAddress.port)
--- a/src/main/kotlin/figdeck/cli/EdgeSettings.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -29,6 +29,7 @@
     val region: String = "",
     val dataCentreRegions: String = "",
     val placement: String = Placement.FREE_SLOTS.label,
+    val resultRetentionSeconds: String = "",
 )
 
 /** How an upstream is chosen for a request. */
@@ -48,6 +49,7 @@
  * @property cores the CPU limit of this daemon, in cores.
  * @property region the region of this host; null if the settings name none.
  * @property regions the region of each data centre, as far as the settings name it.
+ * @property resultRetention how long after its submission callers may ask for a batch job; null to keep all jobs.
  * @property fleetName the bearer token between daemons of one fleet. A daemon rejects requests from other fleets.
  */
 public data class EdgeSettings(
@@ -65,6 +67,7 @@
     public val region: Region? = null,
     public val regions: Map<DataCentre, Region> = emptyMap(),
     public val placement: Placement = Placement.FREE_SLOTS,
+    public val resultRetention: Duration? = null,
 )
 
 /** The regions of data centres. The region of this host is also that of its data centre if the table lacks it. */
@@ -101,6 +104,15 @@
         "--placement",
         "'$placement' is no placement: write one of ${Placement.entries.joinToString { it.label }}",
     )
+    val retention = resultRetentionSeconds.ifSubstituted()?.let { text ->
+        text.toDoubleOrNull().also {
+            faults.expect(
+                it != null && it > 0,
+                "--result-retention-seconds",
+                "'$text' is no time: write seconds above 0, or nothing to keep all jobs",
+            )
+        }
+    }
     return faults.result {
         nullable {
             EdgeSettings(
@@ -118,6 +130,7 @@
                 region = ownRegion,
                 regions = regions.bind(),
                 placement = choice.bind(),
+                resultRetention = retention?.seconds,
             )
         }
     }
--- a/src/main/kotlin/figdeck/cli/command/Edge.kt
+++ b/src/main/kotlin/figdeck/cli/command/Edge.kt
@@ -39,6 +39,10 @@
     private val placement by option(help = "How upstreams are chosen: free-slots or expected-completion.")
         .default("free-slots")
 
+    private val resultRetentionSeconds by option(
+        help = "Seconds from the submission of a batch job for which its results are kept; all are kept without it.",
+    ).default("")
+
     override fun help(context: Context): String = "Run a daemon on the users' platform."
 
     override fun run() {
@@ -66,6 +70,7 @@
         region = region,
         dataCentreRegions = dataCentreRegions,
         placement = placement,
+        resultRetentionSeconds = resultRetentionSeconds,
     )
 
     private fun runDaemon(settings: EdgeSettings) {
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -18,6 +18,7 @@
 import figdeck.store.command.StoreCommands
 import figdeck.store.query.FeedReply
 import figdeck.store.query.Lookup
+import figdeck.store.query.RowPage
 import figdeck.store.query.StoreQueries
 import figdeck.store.query.TableFeed
 import figdeck.store.query.TableSnapshot
@@ -63,7 +64,7 @@
     )
 
     /** Reads whole tables and their changes. */
-    val feed: TableFeed = TableFeed(snapshot = ::snapshot, changes = ::changes)
+    val feed: TableFeed = TableFeed(snapshot = ::snapshot, page = ::page, changes = ::changes)
 
     private suspend fun commit(transaction: TableTransaction): CallResult<CommitReply> {
         val body = encodeTransaction(transaction).encodeToByteArray()
@@ -119,6 +120,13 @@
         return read.map { last -> TableSnapshot(rows, version, last.storeMillis) }
     }
 
+    private suspend fun page(table: String, after: String, limit: Int): CallResult<RowPage> {
+        val from = if (after.isEmpty()) "" else after + LOWEST_CHARACTER
+        return scan(table, from, null, limit).map { page ->
+            RowPage(page.rows.map { it.copy(key = keyInTable(it.key)) }, page.hasMore, page.version)
+        }
+    }
+
     private fun CallResult<TablePage>.rowsInTable(): List<Row> = rows().map { it.copy(key = keyInTable(it.key)) }
 
     private fun CallResult<TablePage>.rows(): List<Row> = valueOrNull()?.rows.orEmpty()
--- a/src/main/kotlin/figdeck/store/query/TableFeed.kt
+++ b/src/main/kotlin/figdeck/store/query/TableFeed.kt
@@ -19,6 +19,18 @@
     public val storeMillis: Long,
 )
 
+/**
+ * A page of the rows of a table, in the order of their keys.
+ *
+ * @property hasMore whether rows follow after it.
+ * @property version the newest version of the store.
+ */
+public data class RowPage(
+    public val rows: List<Row>,
+    public val hasMore: Boolean,
+    public val version: Long,
+)
+
 /** A change of a row; [row] is null if the row was removed. */
 public data class RowChange(
     public val key: String,
@@ -41,9 +53,11 @@
  * Reads tables and follows their changes. Keys don't contain the table's name.
  *
  * @property snapshot reads the rows of a table that `keep` accepts, page by page.
+ * @property page reads up to `limit` rows of a table with keys after `after`; an empty key precedes all.
  * @property changes waits for changes of a table after a version, up to a maximum time.
  */
 public data class TableFeed(
     public val snapshot: suspend (table: String, keep: (Row) -> Boolean) -> CallResult<TableSnapshot>,
+    public val page: suspend (table: String, after: String, limit: Int) -> CallResult<RowPage>,
     public val changes: suspend (table: String, after: Long, wait: Duration) -> CallResult<FeedReply>,
 )
--- a/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
@@ -4,6 +4,7 @@
 import figdeck.model.RowWrite
 import figdeck.model.serving.JobId
 import figdeck.model.serving.JobItem
+import figdeck.model.serving.JobRecord
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
@@ -39,6 +40,10 @@
 internal fun itemWrites(id: JobId, text: String): List<RowWrite> =
     splitIntoRowValues(text).mapIndexed { i, part -> RowWrite("${itemKeyPrefix(id)}${padded(i)}", part) }
 
+/** The keys of the rows that hold the items of [record]; none if an object holds them. */
+internal fun itemKeys(record: JobRecord): List<String> =
+    List(record.chunks) { "${itemKeyPrefix(record.id)}${padded(it)}" }
+
 /** The prefix of the keys of the rows that hold the items of [id]. */
 internal fun itemKeyPrefix(id: JobId): String = "$ITEM_TABLE/$id/"
 
--- a/src/test/kotlin/figdeck/cli/BackgroundLoopsSpec.kt
+++ b/src/test/kotlin/figdeck/cli/BackgroundLoopsSpec.kt
@@ -17,7 +17,7 @@
 private val edgeLoops = listOf(
     "table op", "table servers", "table job", "table promptrisk",
     "bootstrap", "membership", "pools", "cold upstreams", "slots", "granted slots", "held slots", "jobs",
-    "prompt reports",
+    "prompt reports", "finished jobs",
 )
 private val ownLoops = listOf(
     "lease", "promises", "shards",
@@ -37,6 +37,7 @@
         fleetName = "test",
         seeds = emptyList(),
         cores = 1.0,
+        resultRetention = 120.seconds,
     )
     return EdgeDaemon(settings, newEventLoops(), supervision = supervision).also { it.start() }
 }
--- a/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
+++ b/src/test/kotlin/figdeck/daemon/command/MemoryFleet.kt
@@ -22,7 +22,9 @@
 import figdeck.store.Store
 import figdeck.store.command.StoreCommands
 import figdeck.store.query.Lookup
+import figdeck.store.query.RowPage
 import figdeck.store.query.StoreQueries
+import figdeck.store.query.TableFeed
 import figdeck.upstream.command.EngineResult
 import figdeck.upstream.command.ServiceResponse
 import figdeck.upstream.command.UpstreamCommands
@@ -76,6 +78,20 @@
         ),
     )
 
+    internal fun feed(faults: FaultInjector) = TableFeed(
+        snapshot = { _, _ -> CallResult.NotDone("only pages are read") },
+        page = { table, after, limit ->
+            faults.call {
+                onTable { state ->
+                    val rows = scan(state, "$table/", "$table/$after", limit + 1)
+                    val page = rows.take(limit).map { it.copy(key = it.key.removePrefix("$table/")) }
+                    Step(state, RowPage(page, rows.size > limit, state.version))
+                }
+            }
+        },
+        changes = { _, _, _ -> CallResult.NotDone("no changes are read") },
+    )
+
     internal fun upstreams(faults: FaultInjector) = UpstreamCommands(
         generate = { generation, onDelta ->
             when (val result = faults.call { count(generation.request) }) {
--- a/src/test/kotlin/figdeck/daemon/query/serving/EvacuationSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/query/serving/EvacuationSpec.kt
@@ -117,6 +117,7 @@
     private val changesLeft = ArrayDeque(changes)
     val feed = TableFeed(
         snapshot = { _, _ -> CallResult.Done(TableSnapshot(snapshotsLeft.removeFirst(), 5, 0)) },
+        page = { _, _, _ -> CallResult.NotDone("no pages") },
         changes = { _, _, _ ->
             if (isAway) CallResult.NotDone("503") else CallResult.Done(nextChanges())
         },
