--- a/src/main/kotlin/figdeck/daemon/command/jobs/ClearJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ClearJobs.kt
@@ -18,6 +18,7 @@
 import figdeck.wire.serving.decodeJobRecord
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -27,6 +28,7 @@
 /** The key of the fleet's ownership of clearing. */
 private const val CLEARING_KEY = "jobs/clearing"
 private val PASS_INTERVAL = 15.seconds
+private val SWEEP_INTERVAL = 1.hours
 
 /**
  * How much longer than their callers may ask for them jobs are kept: as long as a late call, a resend, or a difference
@@ -50,6 +52,7 @@
     val store: Store,
     val keep: Duration,
     val passInterval: Duration = PASS_INTERVAL,
+    val sweepInterval: Duration = SWEEP_INTERVAL,
     val countCleared: () -> Unit = {},
 )
 
@@ -59,9 +62,28 @@
  */
 internal suspend fun JobServices.clearJobs(clearing: JobClearing) {
     var history = noVersionHistory
+    var sweptAt = clock()
     while (true) {
         delay(clearing.passInterval)
-        if (isClearingOwner()) history = clearOnce(clearing, history)
+        if (isClearingOwner()) {
+            history = clearOnce(clearing, history)
+            if (clock() - sweptAt >= clearing.sweepInterval) {
+                sweptAt = clock()
+                sweep(clearing)
+            }
+        }
+    }
+}
+
+/** Removes rows of jobs and hosts that are gone. */
+private suspend fun JobServices.sweep(clearing: JobClearing) {
+    val rows = clearing.sweepOrphans()
+    val hosts = clearing.removeGoneHosts(control.snapshot)
+    if (rows > 0 || hosts.isNotEmpty()) {
+        log.note("swept", self.host.value) {
+            put("rows_without_job", rows.toLong())
+            put("hosts", hosts.joinToString(" "))
+        }
     }
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -21,8 +21,10 @@
 import figdeck.store.query.TableFeed
 import figdeck.store.query.TableSnapshot
 import figdeck.store.query.allRows
+import figdeck.wire.serving.MEMBER_TABLE
 import figdeck.wire.serving.decodeFleetMember
 import figdeck.wire.serving.encodeFleetMember
+import figdeck.wire.serving.memberKey
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
@@ -31,7 +33,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val MEMBER_TABLE = "member"
 private const val MIN_JITTER = 0.9
 private const val JITTER_RANGE = 0.2
 
@@ -108,5 +109,3 @@
         run { state, _ -> updateFleet(state) { confirmRenewal(it, self, sentAt) } }
     }
 }
-
-private fun memberKey(host: String): String = "$MEMBER_TABLE/$host"
--- a/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
@@ -10,6 +10,12 @@
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
 
+/** The table that holds the entry of each daemon under the name of its host. */
+internal const val MEMBER_TABLE = "member"
+
+/** The key of the row that holds the entry of [host]. */
+internal fun memberKey(host: String): String = "$MEMBER_TABLE/$host"
+
 /** A daemon's entry in the store and in messages between daemons; both times are milliseconds of the store's clock. */
 @Serializable
 internal data class FleetMemberDto(
--- a/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobItemCodec.kt
@@ -11,7 +11,10 @@
 import kotlinx.serialization.builtins.ListSerializer
 import java.util.Base64
 
-private const val ITEM_TABLE = "jobitem"
+internal const val ITEM_TABLE = "jobitem"
+
+/** The tables whose rows belong to jobs, with the id of the job in front of their keys. */
+internal val JOB_CHILD_TABLES: List<String> = listOf(ITEM_TABLE, RESULT_TABLE, RUN_TABLE)
 
 /** An item of a batch job as stored; the body is encoded as Base64. */
 @Serializable
--- a/src/main/kotlin/figdeck/wire/serving/JobResultCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/JobResultCodec.kt
@@ -9,7 +9,7 @@
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
 
-private const val RESULT_TABLE = "jobresult"
+internal const val RESULT_TABLE = "jobresult"
 private const val MAX_PART = 99_999
 
 /** Separates the number of a part from the number of parts in the key of a row. */
--- a/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/OutputSegmentCodec.kt
@@ -12,7 +12,7 @@
 import kotlinx.serialization.Serializable
 
 /** Rows of the table `jobprogress`, which earlier versions write, name no run, so they are not read. */
-private const val RUN_TABLE = "jobruns"
+internal const val RUN_TABLE = "jobruns"
 
 /** A stored segment of the output of an item. */
 @Serializable
--- a/src/test/kotlin/figdeck/daemon/command/jobs/ClearJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/ClearJobsSpec.kt
@@ -1,6 +1,8 @@
 package figdeck.daemon.command.jobs
 
 import figdeck.command.serving.VersionedJob
+import figdeck.command.serving.applyScan
+import figdeck.control.serving.updateFleet
 import figdeck.daemon.command.Fault
 import figdeck.daemon.command.FaultInjector
 import figdeck.daemon.command.MemoryBackends
@@ -11,13 +13,17 @@
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
 import figdeck.model.TeamId
+import figdeck.model.serving.FleetScan
 import figdeck.model.serving.JobId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobOwner
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
+import figdeck.model.systemClock
 import figdeck.process.eventually
+import figdeck.wire.serving.encodeFleetMember
 import figdeck.wire.serving.itemKeyPrefix
+import figdeck.wire.serving.memberKey
 import figdeck.wire.serving.progressKeyPrefix
 import figdeck.wire.serving.resultKeyPrefix
 import io.kotest.assertions.withClue
@@ -32,7 +38,9 @@
 import kotlinx.coroutines.selects.select
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 private const val ITEMS = 60
@@ -76,6 +84,15 @@
     return rows.keys.filter { key -> key == "job/$name" || prefixes.any { key.startsWith(it) } }
 }
 
+/** Clearing that keeps closed jobs for a second, and counts those that it has deleted. */
+private fun MemoryBackends.clearing(count: AtomicInteger = AtomicInteger()) = JobClearing(
+    feed = feed(healthy),
+    store = platform(healthy),
+    keep = 1.seconds,
+    passInterval = 50.milliseconds,
+    countCleared = { count.incrementAndGet() },
+)
+
 /** Deletes [job] with [fault] injected; null if the host is lost on the way. */
 private suspend fun MemoryBackends.deleteWith(fault: Fault, job: VersionedJob): DeletionOutcome? {
     val faults = FaultInjector(fault)
@@ -146,6 +163,44 @@
         }
     }
 
+    describe("a sweep") {
+        // Guards against output that is saved late, of a job that is deleted, and stays for ever.
+        it("removes the rows of jobs without a record, in pages, and no others") {
+            val backends = MemoryBackends()
+            val job = backends.storeJob("job-1", total = 2)
+            backends.storeJob("job-2", total = 2, listed = 1)
+            val kept = backends.rows.keys
+            val late = List(50) { RowWrite("${progressKeyPrefix(JobId("gone-1"))}00000/0000$it/run", "{}") } +
+                RowWrite("${resultKeyPrefix(JobId("job-10"))}00000/00000.1", "{}") +
+                RowWrite("${itemKeyPrefix(JobId("a"))}00000", "{}")
+            late.chunked(20).forEach {
+                backends.platform(healthy).commands.commit(TableTransaction(emptyList(), it))
+            }
+            backends.clearing().sweepOrphans() shouldBe 52
+            backends.rows.keys shouldBe kept
+            backends.rowsOf(job.record.id.value).size shouldBe 9
+        }
+
+        // Guards against rows of hosts that each renewal of a lease reads, and against hosts that lose their lease.
+        it("removes the rows of hosts that are gone for an hour, unless one has come back") {
+            TestHost(fleetMember("host-1")).use { host ->
+                val backends = MemoryBackends()
+                val now = 5.hours.inWholeMilliseconds
+                val listed = listOf("gone" to 1.hours, "back" to 1.hours, "away" to 59.minutes).map { (name, age) ->
+                    fleetMember(name).copy(renewedAtMillis = now - age.inWholeMilliseconds)
+                }
+                val stored = listed.map { if (it.host.value == "back") it.copy(renewedAtMillis = now) else it }
+                val writes = stored.map { RowWrite(memberKey(it.host.value), encodeFleetMember(it)) }
+                backends.platform(healthy).commands.commit(TableTransaction(emptyList(), writes))
+                host.control.run { state, _ ->
+                    updateFleet(state) { applyScan(it, FleetScan(listed, now, systemClock())) }
+                }
+                backends.clearing().removeGoneHosts(host.control.snapshot) shouldBe listOf("gone")
+                backends.rows.keys shouldBe setOf("member/back", "member/away")
+            }
+        }
+    }
+
     describe("a host that clears jobs") {
         // Guards against open jobs, and results that are still owed, that are deleted with the old ones.
         it("deletes those that were closed long enough ago, and no others") {
@@ -157,13 +212,7 @@
                 val services = JobHost(host).services
                 host.setView(listOf(fleetMember("host-1")), emptyList())
                 val count = AtomicInteger()
-                val clearing = JobClearing(
-                    feed = backends.feed(healthy),
-                    store = backends.platform(healthy),
-                    keep = 1.seconds,
-                    passInterval = 50.milliseconds,
-                    countCleared = { count.incrementAndGet() },
-                )
+                val clearing = backends.clearing(count)
                 val clears = CoroutineScope(Dispatchers.Default).launch { services.clearJobs(clearing) }
                 delay(500.milliseconds)
                 val young = backends.storeJob("closed-2", total = 2)
