--- a/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
@@ -6,7 +6,9 @@
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 
 /** Admits work in the order of its arrival, as long as all of it takes at most [limit] bytes. */
 internal class ByteBudget(private val limit: Long) {
@@ -18,17 +20,31 @@
 
     /** Runs [block] once [bytes] are reserved for it, and frees them when it ends. */
     suspend fun <R> withBytes(bytes: Long, block: suspend (Reservation) -> R): R {
-        turn.withLock {
-            // Others reserve nothing meanwhile, but for a little that a resize adds.
-            used.first { fitsInMemory(it, bytes, limit) }
-            used.update { it + bytes }
-        }
-        val reservation = Reservation(bytes)
-        try {
-            return block(reservation)
-        } finally {
-            reservation.resize(0)
+        reserve(bytes)
+        return block.using(Reservation(bytes))
+    }
+
+    /** Runs [block] like [withBytes], or returns null if [bytes] can't be reserved within [wait]. */
+    suspend fun <R : Any> withBytesWithin(wait: Duration, bytes: Long, block: suspend (Reservation) -> R): R? {
+        // The time may be over just after the bytes are reserved.
+        var reserved: Reservation? = null
+        withTimeoutOrNull(wait) {
+            reserve(bytes) { reserved = Reservation(bytes) }
         }
+        return reserved?.let { block.using(it) }
+    }
+
+    private suspend fun reserve(bytes: Long, onReserved: () -> Unit = {}) = turn.withLock {
+        // Others reserve nothing meanwhile, but for a little that a resize adds.
+        used.first { fitsInMemory(it, bytes, limit) }
+        used.update { it + bytes }
+        onReserved()
+    }
+
+    private suspend fun <R> (suspend (Reservation) -> R).using(reservation: Reservation): R = try {
+        this(reservation)
+    } finally {
+        reservation.resize(0)
     }
 
     /** Bytes that are reserved for one piece of work. */
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobMemory.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobMemory.kt
@@ -4,6 +4,7 @@
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
 import figdeck.wire.serving.MAX_ROW_CHARACTERS
+import kotlin.time.Duration.Companion.seconds
 
 /** The platform accepts no larger body of a request, in bytes. */
 private const val MAX_SUBMISSION_BYTES = 4L * 1024 * 1024
@@ -12,10 +13,33 @@
 private const val LOADING_FACTOR = 4
 private const val ITEM_OVERHEAD_BYTES = 256L
 
-/** The memory of one host for the items of batch jobs. */
+/**
+ * The memory that reading a page of results and answering with it takes: the reply of the store in Base64, its rows,
+ * the results, and the answer as text and in bytes.
+ */
+private const val RESULT_READ_BYTES = 4L * RESULT_PAGE_ROWS * MAX_ROW_CHARACTERS
+
+/** How long a caller waits for the memory that its answer takes. Others wait behind it. */
+private val ANSWER_WAIT = 1.seconds
+
+/** The memory of one host for batch jobs. */
 internal class JobMemory(limits: JobMemoryLimits) {
     val held = ByteBudget(limits.held)
     private val loading = ByteBudget(limits.loading)
+    private val answers = ByteBudget(limits.answers)
+
+    /** The bytes that are reserved for reading and answering with results now. */
+    val answerBytes: Long get() = answers.usedBytes
+
+    /** Runs [read], which reads a page of results, once there is room for it. */
+    suspend fun <R> whileReadingResults(read: suspend () -> R): R = answers.withBytes(RESULT_READ_BYTES) { read() }
+
+    /**
+     * Runs [answer], which reads a page of results and sends it to a caller, once there is room for it. Returns null if
+     * there is none in time.
+     */
+    suspend fun <R : Any> whileAnswering(answer: suspend (ByteBudget.Reservation) -> R): R? =
+        answers.withBytesWithin(ANSWER_WAIT, RESULT_READ_BYTES, answer)
 
     /** Runs [load], which reads the items of [record], once there is room for it. */
     suspend fun <R> whileLoading(record: JobRecord, load: suspend () -> R): R =
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobStore.kt
@@ -36,7 +36,10 @@
 import figdeck.wire.serving.resultWrites
 
 private const val MAX_ITEM_CHUNKS = 90
-private const val RESULT_PAGE_ROWS = 100
+
+/** Limits what a read of results takes in memory. Most results take one row. */
+internal const val RESULT_PAGE_ROWS = 40
+private const val MAX_RESULT_ROWS = 100
 private val log = PartLog("jobs")
 
 /** The result of writing a job record. */
@@ -118,17 +121,14 @@
      * Reads the results of [id] from position [from] on, up to the size of one page. Stops before a result that can't
      * be decoded, so that each later one keeps its position.
      */
-    suspend fun readResults(id: JobId, from: Int): CallResult<List<JobResult>> =
-        store.queries.scanRows(resultKeyPrefix(id), keyBeforeResult(id, from), RESULT_PAGE_ROWS).map { rows ->
-            rows.groupBy { resultPosition(id, it) }
-                .values
-                .asSequence()
-                .takeWhile { isCompleteResult(it) }
-                .map { decodeResult(it).orWarn(log) }
-                .takeWhile { it != null }
-                .filterNotNull()
-                .toList()
-        }
+    suspend fun readResults(id: JobId, from: Int): CallResult<List<JobResult>> {
+        val rows = store.readResultRows(id, from, RESULT_PAGE_ROWS)
+        val results = rows.map { decodeResults(id, it) }
+        // An earlier version may have stored a result of more rows than a page.
+        val isCut = results is CallResult.Done && results.value.isEmpty() &&
+            rows.valueOrNull()?.size == RESULT_PAGE_ROWS
+        return if (isCut) store.readResultRows(id, from, MAX_RESULT_ROWS).map { decodeResults(id, it) } else results
+    }
 
     /** Returns the row writes that store [results] from position [from] on. */
     fun resultRowWrites(id: JobId, from: Int, results: List<JobResult>): List<RowWrite> =
@@ -160,6 +160,20 @@
     }
 }
 
+private suspend fun Store.readResultRows(id: JobId, from: Int, limit: Int): CallResult<List<Row>> =
+    queries.scanRows(resultKeyPrefix(id), keyBeforeResult(id, from), limit)
+
+/** The results of [id] that [rows] hold whole, in order, up to one that can't be decoded. */
+private fun decodeResults(id: JobId, rows: List<Row>): List<JobResult> =
+    rows.groupBy { resultPosition(id, it) }
+        .values
+        .asSequence()
+        .takeWhile { isCompleteResult(it) }
+        .map { decodeResult(it).orWarn(log) }
+        .takeWhile { it != null }
+        .filterNotNull()
+        .toList()
+
 private suspend fun Store.readItemObject(record: JobRecord): String? =
     queries.readObject(itemObjectKey(record.id, record.itemsId)).valueOrNull()?.value?.decodeToString()
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/RunJob.kt
@@ -6,6 +6,7 @@
 import figdeck.log.PartLog
 import figdeck.model.CallResult
 import figdeck.model.RowWrite
+import figdeck.model.serving.JobId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobRecord
 import figdeck.model.valueOrNull
@@ -86,18 +87,21 @@
 
 /** Returns the ids of the items of [record] that have results; null if not all results can be read now. */
 private suspend fun JobServices.readListedItems(record: JobRecord): Set<String>? {
-    // Kept here as well: the cache may drop them at any time.
-    var known = cache.results(record.id)
+    val listed = mutableListOf<String>()
     var isReadable = true
-    while (known.size < record.results && isReadable) {
-        val found = store.readResults(record.id, known.size).valueOrNull().orEmpty()
-        cache.addResults(record.id, known.size, found)
-        known = known + found
+    while (listed.size < record.results && isReadable) {
+        val found = resultIdsFrom(record.id, listed.size)
+        listed += found
         isReadable = found.isNotEmpty()
     }
-    return known.takeIf { isReadable }?.map { it.item }?.toSet()
+    return listed.takeIf { isReadable }?.toSet()
 }
 
+/** The ids of the items whose results stand at position [from] and after it; none if they can't be read now. */
+private suspend fun JobServices.resultIdsFrom(id: JobId, from: Int): List<String> =
+    cache.result(id, from)?.let { listOf(it.item) }
+        ?: memory.whileReadingResults { store.readResults(id, from).valueOrNull().orEmpty().map { it.item } }
+
 /**
  * Stores the results of one job. Each write checks the version of the job's record, so only one owner succeeds.
  *
@@ -194,7 +198,7 @@
     }
 
     private suspend fun onWritten(job: VersionedJob, batch: List<FinishedItem>) {
-        services.cache.addResults(job.record.id, current.record.results, batch.map { it.result })
+        services.cache.putResults(job.record.id, current.record.results, batch.map { it.result })
         services.log.note("listed", job.record.id.value) {
             put("results", job.record.results.toLong())
             put("total", job.record.total.toLong())
--- a/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
+++ b/src/main/kotlin/figdeck/daemon/query/jobs/ReadJob.kt
@@ -16,6 +16,7 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.JobResult
 import figdeck.model.serving.isOpen
+import figdeck.model.valueOrNull
 import figdeck.wire.serving.jsonBytes
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -35,6 +36,9 @@
 /** Limits the results in one response, because the platform limits responses to one megabyte. */
 private const val MAX_PAGE_BYTES = 900_000
 
+/** How often a page is in memory while it is sent: its results, the text of the answer, and that in bytes, twice. */
+private const val ANSWER_COPIES = 4
+
 /** What a result adds to a response besides its output, at most. */
 private const val RESULT_FRAME_BYTES = 400
 
@@ -50,15 +54,28 @@
     val next: Int,
 )
 
-/** Reads the results of the job [id] of [team] from position [after] on, waiting up to [wait] for the first one. */
-internal suspend fun JobServices.readResults(
+/**
+ * Reads the results of the job [id] of [team] from position [after] on, waiting up to [wait] for the first one, and
+ * passes them to [answer]. Only as many pages are in memory at a time as there is room for.
+ */
+internal suspend fun JobServices.answerWithResults(
     id: JobId,
     team: TeamId,
     after: Int,
     wait: Duration,
-): Either<Refusal, ResultPage> = currentRecord(id, team).flatMap { first ->
+    answer: suspend (ResultPage) -> Unit,
+): Either<Refusal, Unit> = currentRecord(id, team).flatMap { first ->
     val record = awaitResult(first, after, wait)
-    resultsFrom(record, after).map { ResultPage(record.total, it, after + it.size) }
+    if (record.results <= after) {
+        answer(ResultPage(record.total, emptyList(), after)).right()
+    } else {
+        memory.whileAnswering { room ->
+            resultsFrom(record, after).map { results ->
+                room.resize(results.sumOf { it.pageBytes.toLong() } * ANSWER_COPIES)
+                answer(ResultPage(record.total, results, after + results.size))
+            }
+        } ?: Refusal.Overloaded("reading of results", RETRY_AFTER).left()
+    }
 }
 
 /** Reads the body of the item [item] of the job [id] of [team]. */
@@ -98,27 +115,27 @@
 
 private val JobResult.pageBytes: Int get() = RESULT_FRAME_BYTES + jsonBytes(output)
 
-private fun List<JobResult>.fillPage(after: Int): Boolean = drop(after).sumOf { it.pageBytes } > MAX_PAGE_BYTES
-
 private suspend fun JobServices.resultsFrom(record: JobRecord, after: Int): Either<Refusal, List<JobResult>> {
-    // Kept here as well: the cache may drop them at any time.
-    var known = cache.results(record.id)
-    while (known.size < record.results && !known.fillPage(after)) {
-        val read = store.readResults(record.id, known.size)
-        val found = (read as? CallResult.Done)?.value.orEmpty()
-        if (found.isEmpty() && known.size <= after) {
+    val page = mutableListOf<JobResult>()
+    var bytes = 0
+    var isOpen = true
+    while (isOpen && after + page.size < record.results) {
+        val found = nextResults(record.id, after + page.size)
+        if (found.isEmpty() && page.isEmpty()) {
             return Refusal.StoreUnavailable(RETRY_AFTER).left()
         }
-        if (found.isEmpty()) {
-            break
+        val fitting = found.takeWhile {
+            val isFirst = bytes == 0
+            bytes += it.pageBytes
+            isFirst || bytes <= MAX_PAGE_BYTES
         }
-        cache.addResults(record.id, known.size, found)
-        known = known + found
+        page += fitting
+        isOpen = found.isNotEmpty() && fitting.size == found.size
     }
-    var bytes = 0
-    return known.drop(after).takeWhile {
-        val isFirst = bytes == 0
-        bytes += it.pageBytes
-        isFirst || bytes <= MAX_PAGE_BYTES
-    }.right()
+    return page.right()
 }
+
+/** Some results from position [from] on; none if they can't be read now. */
+private suspend fun JobServices.nextResults(id: JobId, from: Int): List<JobResult> =
+    cache.result(id, from)?.let { listOf(it) }
+        ?: store.readResults(id, from).valueOrNull().orEmpty().also { cache.putResults(id, from, it) }
--- a/src/main/kotlin/figdeck/platform/JobApi.kt
+++ b/src/main/kotlin/figdeck/platform/JobApi.kt
@@ -12,8 +12,8 @@
 import figdeck.daemon.command.jobs.endJob
 import figdeck.daemon.command.jobs.submitAnywhere
 import figdeck.daemon.command.serving.BodiesInFlight
+import figdeck.daemon.query.jobs.answerWithResults
 import figdeck.daemon.query.jobs.readItemBody
-import figdeck.daemon.query.jobs.readResults
 import figdeck.http.checkedHeaders
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.HttpClient
@@ -82,8 +82,12 @@
         val after = call.parameter(AFTER_PARAMETER)?.toIntOrNull()?.coerceAtLeast(0) ?: 0
         val wait = call.headers.get(WAIT_HEADER)?.toLongOrNull()?.milliseconds ?: Duration.ZERO
         authenticateCaller(call, headers, RESULTS_PATH)
-            .flatMap { (id, team) -> services.readResults(id, team, after, minOf(wait, MAX_RESULTS_WAIT)) }
-            .fold({ responder.refuse(it) }, { responder.json(HTTP_OK, encodeResults(it)) })
+            .flatMap { (id, team) ->
+                services.answerWithResults(id, team, after, minOf(wait, MAX_RESULTS_WAIT)) { page ->
+                    responder.json(HTTP_OK, encodeResults(page))
+                }
+            }
+            .onLeft { responder.refuse(it) }
     }
 
     private suspend fun itemBody(call: HttpCall, headers: CallerHeaders, responder: HttpResponder) {
--- a/src/test/kotlin/figdeck/command/serving/JobMemoryLimitsSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/JobMemoryLimitsSpec.kt
@@ -4,12 +4,13 @@
 import io.kotest.matchers.shouldBe
 
 class JobMemoryLimitsSpec : DescribeSpec({
-    describe("the memory for the items of batch jobs") {
+    describe("the memory for batch jobs") {
         it("is a half of a heap of 112 MB") {
             jobMemoryLimits(112_000_000) shouldBe JobMemoryLimits(
                 held = 22_400_000,
-                loading = 22_400_000,
-                cached = 11_200_000,
+                loading = 16_800_000,
+                cached = 8_960_000,
+                answers = 7_840_000,
             )
         }
     }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/HomesJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/HomesJobsSpec.kt
@@ -149,7 +149,10 @@
     describe("items of a job whose homes leave no upstream") {
         // Guards against items that only wait and keep all memory, so that sound jobs never start.
         it("wait, and hinder no other job") {
-            withJobs(centreN, limits = JobMemoryLimits(held = 1_000, loading = 1_000, cached = 0)) { _, jobs ->
+            withJobs(
+                centreN,
+                limits = JobMemoryLimits(held = 1_000, loading = 1_000, cached = 0, answers = 1_000_000)
+            ) { _, jobs ->
                 jobs.submit("job-1", "eastern")
                 jobs.submit("job-2", "northern", team = "southern")
                 jobs.submit("job-3", "northern")
--- a/src/test/kotlin/figdeck/daemon/command/jobs/JobHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/JobHost.kt
@@ -31,7 +31,7 @@
 /** The batch jobs of [host], with a store of its own and upstreams that answer each item at once. */
 internal class JobHost(
     private val host: TestHost,
-    limits: JobMemoryLimits = JobMemoryLimits(held = 1_000_000, loading = 1_000_000, cached = 0),
+    limits: JobMemoryLimits = JobMemoryLimits(held = 1_000_000, loading = 1_000_000, cached = 0, answers = 1_000_000),
 ) {
     private val store = MemoryBackends().platform(FaultInjector(null))
 
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RelaySubmissionSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RelaySubmissionSpec.kt
@@ -91,7 +91,7 @@
         store = JobStore(store),
         progress = ProgressStore(store),
         cache = JobCache(100_000),
-        memory = JobMemory(JobMemoryLimits(100_000, 100_000, 100_000)),
+        memory = JobMemory(JobMemoryLimits(100_000, 100_000, 100_000, 100_000)),
         timeEstimator = ItemTimeEstimator(),
         slots = test.slots,
         crashGuard = CrashGuard(test.control, systemClock, crashRisks, Random(1), DecisionLog("prompts")),
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobSpec.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.command.jobs
 
+import arrow.core.Either
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
@@ -19,7 +20,8 @@
 import figdeck.daemon.command.serving.UpstreamReply
 import figdeck.daemon.command.serving.fleetMember
 import figdeck.daemon.command.serving.poolMember
-import figdeck.daemon.query.jobs.readResults
+import figdeck.daemon.query.jobs.ResultPage
+import figdeck.daemon.query.jobs.answerWithResults
 import figdeck.http.HttpBody
 import figdeck.http.client.ExchangeFailure
 import figdeck.http.client.LossCause
@@ -103,6 +105,22 @@
     writeId = "w1",
 )
 
+/** All results of [id], however many reads they take. */
+private suspend fun JobStore.allResults(id: JobId): List<JobResult> {
+    val all = mutableListOf<JobResult>()
+    do {
+        val found = (readResults(id, all.size) as CallResult.Done).value
+        all += found
+    } while (found.isNotEmpty())
+    return all
+}
+
+/** The page that a caller of [team] gets who asks for the results of [id] from the start. */
+private suspend fun JobServices.firstPage(id: JobId, team: TeamId): Either<Refusal, ResultPage> {
+    val pages = mutableListOf<ResultPage>()
+    return answerWithResults(id, team, 0, Duration.ZERO) { pages += it }.map { pages.single() }
+}
+
 private val testMemory = jobMemoryLimits(heapBytes = 100_000_000)
 
 private fun event(number: Long, data: String) = "id: $number\ndata: $data\n\n".encodeToByteArray()
@@ -383,7 +401,7 @@
                 withTimeoutOrNull(12.seconds) { run.join() }
                 run.cancelAndJoin()
             }
-            return (jobs.readResults(id, 0) as CallResult.Done).value
+            return jobs.allResults(id)
         }
 
         it("has all of them, though together they are larger than a write may be") {
@@ -432,7 +450,10 @@
                         if (item.id.substringAfter('-').toInt() % 2 == 0) listOf(deadly) else emptyList()
                     },
                 )
-                (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamStart(UpstreamId("e-$it"), null), listOf(deadly)) }
+                (1..4).forEach {
+                    val lost = UpstreamStart(UpstreamId("e-$it"), null)
+                    services.crashGuard.recordLoss("loss-$it", lost, listOf(deadly))
+                }
                 services.crashGuard.recordAnswer(listOf(PromptPart("other")))
                 val run = CoroutineScope(Dispatchers.Default).launch { services.runJob(created.job, Semaphore(4)) }
                 eventually(10.seconds) { (jobs.readResults(id, 0) as CallResult.Done).value.size == many.size / 2 }
@@ -470,7 +491,7 @@
             val store = MemoryBackends().platform(FaultInjector(null))
             store.commands.commit(TableTransaction(emptyList(), listOf(RowWrite(jobRecordKey(id), "{}"))))
             onHost("host-1", store, FakeEngine(last = EVENTS)) { services ->
-                services.readResults(id, record.team, 0, Duration.ZERO).leftOrNull()
+                services.firstPage(id, record.team).leftOrNull()
                     .shouldBeInstanceOf<Refusal.StoreUnavailable>()
                 services.endJob(id, record.team).leftOrNull().shouldBeInstanceOf<Refusal.StoreUnavailable>()
             }
@@ -485,9 +506,9 @@
             val created = jobs.create(record, items) as RecordWrite.Written
             val first = jobs.list(created.job, results.take(1))
             onHost("host-2", store, FakeEngine(last = EVENTS)) { services ->
-                services.readResults(id, record.team, 0, Duration.ZERO).map { it.next }.getOrNull() shouldBe 1
+                services.firstPage(id, record.team).map { it.next }.getOrNull() shouldBe 1
                 jobs.list(first, results.drop(1))
-                services.readResults(id, record.team, 0, Duration.ZERO).map { it.next }.getOrNull() shouldBe 2
+                services.firstPage(id, record.team).map { it.next }.getOrNull() shouldBe 2
             }
         }
     }
--- a/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/RunJobsSpec.kt
@@ -55,7 +55,7 @@
 private val RUN_TIME = 200.milliseconds
 
 /** Room for two jobs: the third may take six rows of 16,000 bytes when it is read. */
-private val roomForTwo = JobMemoryLimits(held = 170_000, loading = 500_000, cached = 61_000)
+private val roomForTwo = JobMemoryLimits(held = 170_000, loading = 500_000, cached = 61_000, answers = 1_000_000)
 private val plan = servingPlan {
     version = 1
     route("notes") {
@@ -209,7 +209,7 @@
 
     describe("a host whose memory is smaller than each of its jobs") {
         it("runs them one after the other") {
-            runOnHost(JobMemoryLimits(held = 1_000, loading = 1_000, cached = 1_000)) { run ->
+            runOnHost(JobMemoryLimits(held = 1_000, loading = 1_000, cached = 1_000, answers = 1_000_000)) { run ->
                 (1..3).forEach { run.submit(it) }
                 run.untilDone(3) shouldBe 0
                 run.doneJobs() shouldBe 3
@@ -224,7 +224,13 @@
         val deadly = PromptPart("deadly")
 
         suspend fun Run.quarantine() {
-            (1..4).forEach { services.crashGuard.recordLoss("loss-$it", UpstreamStart(UpstreamId("engine-$it"), null), listOf(deadly)) }
+            (1..4).forEach {
+                services.crashGuard.recordLoss(
+                    "loss-$it",
+                    UpstreamStart(UpstreamId("engine-$it"), null),
+                    listOf(deadly)
+                )
+            }
             services.crashGuard.recordAnswer(listOf(PromptPart("other")))
             (services.crashGuard.holdOf(listOf(deadly)) != null) shouldBe true
         }
