--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -83,9 +83,9 @@
 import figdeck.platform.decodeEvacuationKey
 import figdeck.platform.decodePlan
 import figdeck.platform.decodeUpstream
+import figdeck.platform.expectedWeightsOf
 import figdeck.platform.gatewayHandler
 import figdeck.platform.httpItemForwarder
-import figdeck.platform.expectedWeightsOf
 import figdeck.platform.itemFeaturesOf
 import figdeck.platform.readinessHandler
 import figdeck.platform.sendFaultOf
--- a/src/main/kotlin/figdeck/cli/EdgeSettings.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeSettings.kt
@@ -104,15 +104,7 @@
         "--placement",
         "'$placement' is no placement: write one of ${Placement.entries.joinToString { it.label }}",
     )
-    val retention = resultRetentionSeconds.ifSubstituted()?.let { text ->
-        text.toDoubleOrNull().also {
-            faults.expect(
-                it != null && it > 0,
-                "--result-retention-seconds",
-                "'$text' is no time: write seconds above 0, or nothing to keep all jobs",
-            )
-        }
-    }
+    val retention = parseRetention(resultRetentionSeconds.ifSubstituted(), faults)
     return faults.result {
         nullable {
             EdgeSettings(
@@ -130,7 +122,7 @@
                 region = ownRegion,
                 regions = regions.bind(),
                 placement = choice.bind(),
-                resultRetention = retention?.seconds,
+                resultRetention = retention,
             )
         }
     }
@@ -139,6 +131,17 @@
 /** This value, or null if it is empty or a placeholder. A platform without regions leaves `{{Region}}` in place. */
 private fun String.ifSubstituted(): String? = takeUnless { it.isBlank() || it.startsWith("{{") }
 
+/** Parses the seconds for which results are kept. Without a text, they are kept for good. */
+private fun parseRetention(text: String?, faults: FaultCollector): Duration? {
+    val seconds = text?.toDoubleOrNull()
+    faults.expect(
+        text == null || (seconds != null && seconds > 0),
+        "--result-retention-seconds",
+        "'$text' is no time: write seconds above 0, or nothing to keep all jobs",
+    )
+    return seconds?.seconds
+}
+
 /** Parses a JSON object from data centre to region. Without a text, no region is known. */
 private fun parseRegions(text: String?): Map<DataCentre, Region> = if (text == null) {
     emptyMap()
--- a/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
+++ b/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
@@ -95,7 +95,7 @@
 private val KnownCrash.upstreamCrash: UpstreamCrash
     get() = UpstreamCrash(report.start.id, reportedAt.monotonicNanos / SAME_CRASH.inWholeNanoseconds)
 
-/** The starts of upstreams in [losses]. One that a host of an earlier version doesn't tell may be any of its upstream. */
+/** The starts of upstreams in [losses]. One that a host of an earlier version doesn't tell may be any of them. */
 private fun countStarts(losses: List<KnownCrash>): Int = losses
     .groupBy({ it.report.start.id }, { it.report.start.startedAtMillis })
     .values
--- a/src/main/kotlin/figdeck/command/serving/UpstreamWeights.kt
+++ b/src/main/kotlin/figdeck/command/serving/UpstreamWeights.kt
@@ -27,7 +27,11 @@
     }
 
 /** The usable upstreams of [pool] that had other weights than [version] by their latest answers. */
-public fun PoolMembers.upstreamsWithOtherWeights(pool: PoolName, version: WeightsVersion, now: Moment): Set<UpstreamId> =
+public fun PoolMembers.upstreamsWithOtherWeights(
+    pool: PoolName,
+    version: WeightsVersion,
+    now: Moment
+): Set<UpstreamId> =
     weights
         .filter { (start, known) ->
             val member = members[start.id]
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ClearJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ClearJobs.kt
@@ -100,15 +100,23 @@
 private suspend fun JobServices.clearExpired(clearing: JobClearing, history: VersionHistory) {
     var after: String? = ""
     while (after != null && isClearingOwner()) {
-        val page = clearing.feed.page(JOB_TABLE, after, PAGE_ROWS).valueOrNull() ?: return
+        val page = clearing.feed.page(JOB_TABLE, after, PAGE_ROWS).valueOrNull()
         delay(TIME_PER_CALL)
-        for (job in page.rows.mapNotNull { versionedJob(it) }) {
-            if (history.isExpired(job, clearing.keep, clock())) {
-                if (clear(clearing, job) == DeletionOutcome.INTERRUPTED) return
-            }
-        }
-        after = page.nextKey
+        val expired = page?.rows.orEmpty()
+            .mapNotNull { versionedJob(it) }
+            .filter { history.isExpired(it, clearing.keep, clock()) }
+        after = if (clearAll(clearing, expired)) page?.nextKey else null
+    }
+}
+
+/** Deletes [expired] one after the other. Returns false if the store doesn't answer now. */
+private suspend fun JobServices.clearAll(clearing: JobClearing, expired: List<VersionedJob>): Boolean {
+    val left = ArrayDeque(expired)
+    var isAnswering = true
+    while (isAnswering && left.isNotEmpty()) {
+        isAnswering = clear(clearing, left.removeFirst()) != DeletionOutcome.INTERRUPTED
     }
+    return isAnswering
 }
 
 private suspend fun JobServices.clear(clearing: JobClearing, job: VersionedJob): DeletionOutcome {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/JobServices.kt
@@ -13,9 +13,11 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.log.DecisionLog
 import figdeck.model.Clock
+import figdeck.model.Moment
 import figdeck.model.TeamId
 import figdeck.model.serving.JobItem
 import figdeck.model.serving.JobOwner
+import figdeck.model.serving.JobRecord
 import figdeck.model.serving.OutputRunId
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.ServingRoute
@@ -24,6 +26,8 @@
 import figdeck.query.serving.NotRunCause
 import kotlinx.coroutines.sync.Semaphore
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val ID_RADIX = 36
 private const val MAX_ACCEPTED_RELAYS = 4
@@ -86,3 +90,6 @@
 internal suspend fun JobServices.updateJobDirectory(job: VersionedJob) {
     control.run { state, _ -> updateJobs(state) { putJob(it, job) } }
 }
+
+/** The wall-clock time from the job's submission to [now]. */
+internal fun JobRecord.age(now: Moment): Duration = (now.epochMillis - submittedAtMillis).milliseconds
--- a/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SubmitJob.kt
@@ -161,6 +161,3 @@
         Refusal.BadRequest("job ${known.record.id}", "the id belongs to another team's job: choose another").left()
     }
 }
-
-/** The wall-clock time from the job's submission to [now]. */
-internal fun JobRecord.age(now: Moment): Duration = (now.epochMillis - submittedAtMillis).milliseconds
--- a/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/ServeOnline.kt
@@ -116,7 +116,7 @@
      */
     private suspend fun onSlotRefused(refusal: Refusal): Either<Refusal, Unit>? {
         if (history.hasStarted) {
-            if (refusal is Refusal.WeightsUnavailable) breakOff(refusal.message)
+            if (refusal is Refusal.WeightsUnavailable) throw brokenOff(call, refusal.message)
             delay(RESUME_RETRY_DELAY)
             return null
         }
@@ -141,12 +141,10 @@
         return when (step) {
             NextStep.SendAgain -> null
             is NextStep.Refuse -> refuse(step.refusal)
-            is NextStep.BreakOff -> breakOff(step.reason)
+            is NextStep.BreakOff -> throw brokenOff(call, step.reason)
         }
     }
 
-    private fun breakOff(reason: String): Nothing = throw IOException("the answer of ${call.id} broke off: $reason")
-
     /**
      * Ends the request with [refusal] if no upstream may have run it. Otherwise forwards the error response of the
      * upstream, or refuses the request because the upstream was lost.
@@ -183,6 +181,8 @@
     }
 }
 
+private fun brokenOff(call: OnlineCall, reason: String) = IOException("the answer of ${call.id} broke off: $reason")
+
 private fun OnlineServices.slotRequest(call: OnlineCall, history: SendHistory): SlotRequest {
     val route = call.access.route
     val elapsed = clock() - call.receivedAt
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -77,7 +77,7 @@
 
 /** Acquires slots from the owners of pools and tracks the slots that this host holds. */
 internal class SlotClient(
-    private val control: Control<ServingState>,
+    val control: Control<ServingState>,
     private val clock: Clock,
     private val localOwner: SlotOwner,
     private val remoteOwners: RemoteSlotOwners,
@@ -100,14 +100,10 @@
     suspend fun acquire(request: SlotRequest, weights: WeightsVersion? = null): Either<Refusal, HeldPermit> {
         val state = control.snapshot
         val now = clock()
-        val refused = weights?.let { state.refusalByWeights(request.pool, it, request.homes, now) }
-        return refused?.left() ?: acquireUsable(weights?.let { state.withoutOtherWeights(request, it, now) } ?: request)
-    }
-
-    private suspend fun acquireUsable(request: SlotRequest): Either<Refusal, HeldPermit> {
-        var current = request
+        var current = weights?.let { state.withoutOtherWeights(request, it, now) } ?: request
         var unusableGrants = 0
-        var result: Either<Refusal, HeldPermit>? = null
+        var result: Either<Refusal, HeldPermit>? =
+            weights?.let { state.refusalByWeights(request.pool, it, request.homes, now) }?.left()
         while (result == null) {
             val refusal = control.snapshot.refusalByLimits(current)
             val grant = refusal?.let { AcquireFailure(it, null).left() } ?: acquireOnce(current)
@@ -187,16 +183,6 @@
         }
     }
 
-    /**
-     * Records that [start] had the weights [version] by an answer, if that tells anything new. A rejection for its
-     * weights always does: it tells that they are still the same.
-     */
-    suspend fun recordWeights(start: UpstreamStart, version: WeightsVersion, isRejection: Boolean) {
-        if (isRejection || control.snapshot.pools.weights[start]?.version != version) {
-            control.run { state, now -> updatePools(state) { recordWeights(it, start, version, now) } }
-        }
-    }
-
     /** Marks the slots with [tickets] as revoked, so that the requests that use them stop. */
     fun revoke(tickets: List<Long>) {
         tickets.forEach { held[it]?.revoked?.complete(Unit) }
@@ -273,6 +259,16 @@
     }
 }
 
+/**
+ * Records that [start] had the weights [version] by an answer, if that tells anything new. A rejection for its weights
+ * always does: it tells that they are still the same.
+ */
+private suspend fun SlotClient.recordWeights(start: UpstreamStart, version: WeightsVersion, isRejection: Boolean) {
+    if (isRejection || control.snapshot.pools.weights[start]?.version != version) {
+        control.run { state, now -> updatePools(state) { recordWeights(it, start, version, now) } }
+    }
+}
+
 /** The hosts that grant slots of [pool]: one to online work and one to batch work, which may be the same. */
 private fun Fleet.slotOwners(pool: PoolName, now: Moment): Set<FleetMember> =
     setOfNotNull(ranked(slotKey(pool), now).firstOrNull(), batchOwner(pool, now))
--- a/src/main/kotlin/figdeck/platform/StoreClient.kt
+++ b/src/main/kotlin/figdeck/platform/StoreClient.kt
@@ -127,10 +127,6 @@
         }
     }
 
-    private fun CallResult<TablePage>.rowsInTable(): List<Row> = rows().map { it.copy(key = keyInTable(it.key)) }
-
-    private fun CallResult<TablePage>.rows(): List<Row> = valueOrNull()?.rows.orEmpty()
-
     private suspend fun changes(table: String, after: Long, wait: Duration): CallResult<FeedReply> {
         val target = storeTarget(
             CHANGES_PATH,
@@ -179,3 +175,8 @@
             .fold({ it.toResult() }, { toStoreResult(it.status, it.body) })
     }
 }
+
+private fun CallResult<TablePage>.rows(): List<Row> = valueOrNull()?.rows.orEmpty()
+
+/** The rows of this page, without the name of the table in their keys. */
+private fun CallResult<TablePage>.rowsInTable(): List<Row> = rows().map { it.copy(key = keyInTable(it.key)) }
--- a/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -33,9 +33,9 @@
 )
 
 /**
- * Converts [reply] to the response to the [expected] attempt. A response without this id is not trusted, nor is a successful
- * one that lacks the upstream's stamp or has a content encoding: it may be a late copy of the answer to an earlier
- * request on the connection. Upstreams return the id in all their responses.
+ * Converts [reply] to the response to the [expected] attempt. A response without this id is not trusted, nor is a
+ * successful one that lacks the upstream's stamp or has a content encoding: it may be a late copy of the answer to an
+ * earlier request on the connection. Upstreams return the id in all their responses.
  */
 internal fun upstreamReply(reply: HttpReply, expected: ExpectedReply): UpstreamReply {
     val headers = reply.headers
@@ -45,7 +45,12 @@
     val executionStatus = when {
         !hasOwnId || (isSuccess(reply.status) && !isOwnBody) -> ExecutionStatus.UNVERIFIED
         reply.status == MISDIRECTED_REQUEST ->
-            Misdirection(expected.upstream, expected.weights, headers.get(UPSTREAM_ID_HEADER)?.trim(), weights).cause.executionStatus
+            Misdirection(
+                expected.upstream,
+                expected.weights,
+                headers.get(UPSTREAM_ID_HEADER)?.trim(),
+                weights
+            ).cause.executionStatus
         NOT_EXECUTED_HEADER in headers -> ExecutionStatus.NOT_RUN
         else -> ExecutionStatus.RAN
     }
--- a/src/main/kotlin/figdeck/query/serving/Misdirection.kt
+++ b/src/main/kotlin/figdeck/query/serving/Misdirection.kt
@@ -20,7 +20,8 @@
  *
  * @property expected the upstream to which it was sent.
  * @property expectedWeights the weights that it asks for; null for any.
- * @property answeredBy the name of the upstream that rejected it, which may be no valid id; null if the answer has none.
+ * @property answeredBy the name of the upstream that rejected it, which may be no valid id; null if the answer has
+ * none.
  * @property weights the weights of the upstream that rejected it; null if the answer doesn't say.
  */
 public data class Misdirection(
--- a/src/main/kotlin/figdeck/query/serving/NextStep.kt
+++ b/src/main/kotlin/figdeck/query/serving/NextStep.kt
@@ -98,8 +98,8 @@
 }
 
 /**
- * Decides what to do after the latest failure in [history] of a request of [kind] with at most [maxAttempts] runs, which
- * asks for the weights [expectedWeights].
+ * Decides what to do after the latest failure in [history] of a request of [kind] with at most [maxAttempts] runs. The
+ * request asks for the weights [expectedWeights]; null for any.
  */
 public fun nextStep(
     kind: CallKind,
--- a/src/test/kotlin/figdeck/control/serving/ColdFleetSimulation.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdFleetSimulation.kt
@@ -72,7 +72,15 @@
 
     /** Its entry in the store. It writes a new one when it becomes cold. */
     fun entry(now: Long) = PoolMember(
-        Upstream(id, Address("127.0.0.1", 1), DataCentre("centre-a"), UpstreamKind.SERVICE, SLOTS, false, startedAtMillis = 1),
+        Upstream(
+            id,
+            Address("127.0.0.1", 1),
+            DataCentre("centre-a"),
+            UpstreamKind.SERVICE,
+            SLOTS,
+            false,
+            startedAtMillis = 1
+        ),
         pool,
         isLeaving = false,
         coldRemaining = (if (now < cold.first + ENTRY_DELAY_MILLIS) 0L else cold.last - cold.first).milliseconds,
--- a/src/test/kotlin/figdeck/process/RollingReleaseSpec.kt
+++ b/src/test/kotlin/figdeck/process/RollingReleaseSpec.kt
@@ -82,7 +82,7 @@
 private fun RunnerStandIn.countOf(path: String): Int = received.count { it.target == path }
 
 class RollingReleaseSpec : DescribeSpec({
-    // Guards against sound upstreams that are dropped, and pools that stay empty, because requests ask for other weights.
+    // Guards against sound upstreams that are dropped for the weights that requests ask for, until the pool is empty.
     describe("a release that replaces all upstreams by ones with other weights") {
         listOf(false, true).forEach { namesItself ->
             it("takes no sound upstream out of use; each names itself when it rejects a request: $namesItself") {
@@ -103,7 +103,9 @@
                             statuses += version to fleet.call(daemons[round % 2], "/desk/quick", version).status
                         }
                     }
-                    withClue("versions asked for, and statuses") { statuses.map { it.second }.toSet() shouldBe setOf(200) }
+                    withClue(
+                        "versions asked for, and statuses"
+                    ) { statuses.map { it.second }.toSet() shouldBe setOf(200) }
                     fleet.call(daemons[0], "/desk/quick", 1).status shouldBe 421
                     fleet.statusesOfAllSlots(daemons, RUNNERS) shouldBe List(RUNNERS) { 200 }
                     later.map { it.countOf("/desk/slow") } shouldBe List(RUNNERS) { 1 }
