--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
@@ -17,6 +17,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val HELD_ITEM_CHECK_INTERVAL = 1.seconds
+private val SLOT_RETRY_DELAY = 150.milliseconds
 private val FIRST_READ_DELAY = 250.milliseconds
 private val MAX_READ_DELAY = 1.seconds
 private val partLog = PartLog("jobs")
@@ -111,14 +112,24 @@
     }
 
     private suspend fun runItem(state: ItemState, item: JobItem, room: ByteBudget.Reservation) {
-        when (val run = itemPermits.withPermit { ItemRunner(services, record, item, state).run() }) {
-            is ItemRun.Held -> hold(state, run.hold)
+        when (val end = runUntilEnd(ItemRunner(services, record, item, state))) {
+            is ItemRun.Held -> hold(state, end.hold)
             is ItemRun.Finished -> {
-                val end = FinishedItem(state, run.result)
-                finished.send(end)
-                end.isSettled.await()
+                val finishedItem = FinishedItem(state, end.result)
+                finished.send(finishedItem)
+                finishedItem.isSettled.await()
             }
         }
         room.shrink(item.heapBytes)
     }
+
+    /** An item that finds no slot waits without a permit, behind those of all jobs that wait for one. */
+    private suspend fun runUntilEnd(runner: ItemRunner): ItemRun.End {
+        var run = itemPermits.withPermit { runner.run() }
+        while (run !is ItemRun.End) {
+            delay(SLOT_RETRY_DELAY)
+            run = itemPermits.withPermit { runner.run() }
+        }
+        return run
+    }
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -32,7 +32,6 @@
 
 /** How long a request for a slot waits before it is repeated. */
 private val SLOT_WAIT_LIMIT = 1_500.milliseconds
-private val SLOT_RETRY_DELAY = 150.milliseconds
 private val FAILURE_RETRY_DELAY = 100.milliseconds
 private val MAX_LOSS_DELAY = 10.seconds
 private const val MAX_LOSS_DOUBLINGS = 10
@@ -85,14 +84,14 @@
         }
     }
 
-    /** Runs the item until its output is complete, it is given up, or it is held back. */
+    /** Runs the item until its output is complete, it is given up or held back, or no slot is found for it. */
     suspend fun run(): ItemRun {
         var end: ItemRun? = null
         while (end == null) {
             end = when (val decision = services.decideItem(record) { route -> holdOfItem(route) }) {
                 is ItemDecision.Hold -> ItemRun.Held(decision.hold)
                 is ItemDecision.GiveUp -> ItemRun.Finished(services.giveUp(record, state, decision.reason))
-                is ItemDecision.Run -> tryOnce(decision.route)?.let { ItemRun.Finished(it) }
+                is ItemDecision.Run -> tryOnce(decision.route)
             }
         }
         return end
@@ -107,15 +106,13 @@
                 ?: expectedWeights?.let { services.holdByWeights(record, route, route.poolFor(item.id), it) }
         }
 
-    private suspend fun tryOnce(route: ServingRoute): JobResult? =
+    /** Runs the item at one upstream. Returns null if it is to be run again at once. */
+    private suspend fun tryOnce(route: ServingRoute): ItemRun? =
         services.slots.acquire(newSlotRequest(route), expectedWeights).fold(
-            {
-                delay(SLOT_RETRY_DELAY)
-                null
-            },
+            { ItemRun.NoSlot },
             { permit ->
                 if (services.crashGuard.holdOf(sharedParts) == null) {
-                    resultOf(runWithPermit(permit, route), permit, route)
+                    resultOf(runWithPermit(permit, route), permit, route)?.let { ItemRun.Finished(it) }
                 } else {
                     services.slots.release(permit, SlotOutcome.ABANDONED, 0)
                     null
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
@@ -57,11 +57,17 @@
     data class GiveUp(val reason: String) : ItemDecision
 }
 
-/** How a run of an item ended. */
+/** How an attempt to run an item ended. */
 internal sealed interface ItemRun {
-    data class Finished(val result: JobResult) : ItemRun
+    /** The item is not to be run again now. */
+    sealed interface End : ItemRun
 
-    data class Held(val hold: ItemHold) : ItemRun
+    data class Finished(val result: JobResult) : End
+
+    data class Held(val hold: ItemHold) : End
+
+    /** No upstream has a slot for it now. */
+    data object NoSlot : ItemRun
 }
 
 /** Decides about an item of [record] that [holdOf] may hold back. An item that is held back may be given up. */
--- a/src/test/kotlin/figdeck/daemon/command/jobs/HomesJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/HomesJobsSpec.kt
@@ -40,22 +40,28 @@
     poolMember(engines, "engine-s", dataCentre = centreS),
 )
 
-private fun ServingPlanBuilder.batchRoute(name: String, regions: List<String>) = route(name) {
+private fun ServingPlanBuilder.batchRoute(
+    name: String,
+    regions: List<String>,
+    pool: String = "engines",
+) = route(name) {
     host = "desk.example"
     prefix = "/$name/"
     kind = CallKind.BATCH
     maxAttempts = 2
     batch = BatchPolicy(18.seconds, 60.seconds, null)
     homes = regions
-    pool("engines")
+    pool(pool)
 }
 
 private val plan: ServingPlan = servingPlan {
     version = 1
     batchRoute("everywhere", emptyList())
+    batchRoute("nowhere", emptyList(), pool = "idle")
     batchRoute("northern", listOf("north"))
     batchRoute("eastern", listOf("east"))
     team("walkers") { }
+    team("riders") { }
     team("southern") { homes = listOf("south") }
 }.getOrElse { error(it.toString()) }
 
@@ -167,6 +173,20 @@
         }
     }
 
+    describe("items that find no slot") {
+        // Guards against items that keep all permits of their host, so that those of other teams never run.
+        it("wait without a permit, so that the items of others run meanwhile") {
+            withJobs(centreN) { _, jobs ->
+                repeat(60) { jobs.submit("stuck-$it", "nowhere") }
+                jobs.whileRunning {
+                    delay(500.milliseconds)
+                    jobs.submit("sound", "northern", team = "riders")
+                    eventually(5.seconds) { jobs.doneJobs() == setOf("sound") }
+                }
+            }
+        }
+    }
+
     describe("items of a job while the data centres of all its upstreams are evacuated") {
         // Guards against items that are given up, or that never go on after the end of the evacuation.
         it("wait, and go on when one of them is open again") {
