--- a/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ByteBudget.kt
@@ -21,17 +21,26 @@
     /** Runs [block] once [bytes] are reserved for it, and frees them when it ends. */
     suspend fun <R> withBytes(bytes: Long, block: suspend (Reservation) -> R): R {
         reserve(bytes)
-        return block.using(Reservation(bytes))
+        val reservation = Reservation(bytes)
+        try {
+            return block(reservation)
+        } finally {
+            reservation.resize(0)
+        }
     }
 
     /** Runs [block] like [withBytes], or returns null if [bytes] can't be reserved within [wait]. */
     suspend fun <R : Any> withBytesWithin(wait: Duration, bytes: Long, block: suspend (Reservation) -> R): R? {
-        // The time may be over just after the bytes are reserved.
-        var reserved: Reservation? = null
-        withTimeoutOrNull(wait) {
-            reserve(bytes) { reserved = Reservation(bytes) }
+        // The time may be over, or the caller gone, just after the bytes are reserved.
+        var reservation: Reservation? = null
+        try {
+            withTimeoutOrNull(wait) {
+                reserve(bytes) { reservation = Reservation(bytes) }
+            }
+            return reservation?.let { block(it) }
+        } finally {
+            reservation?.resize(0)
         }
-        return reserved?.let { block.using(it) }
     }
 
     private suspend fun reserve(bytes: Long, onReserved: () -> Unit = {}) = turn.withLock {
@@ -41,12 +50,6 @@
         onReserved()
     }
 
-    private suspend fun <R> (suspend (Reservation) -> R).using(reservation: Reservation): R = try {
-        this(reservation)
-    } finally {
-        reservation.resize(0)
-    }
-
     /** Bytes that are reserved for one piece of work. */
     inner class Reservation(bytes: Long) {
         private val reserved = AtomicLong(bytes)
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -257,6 +257,7 @@
     }
     ExecutionStatus.OTHER_WEIGHTS -> {
         meter.onNotRun()
+        delay(FAILURE_RETRY_DELAY)
         AttemptResult.Interrupted("the upstream has weights ${reply.weights}", SlotOutcome.ABANDONED)
     }
     ExecutionStatus.NOT_RUN -> {
--- a/src/main/kotlin/figdeck/query/serving/TeamWeights.kt
+++ b/src/main/kotlin/figdeck/query/serving/TeamWeights.kt
@@ -7,7 +7,7 @@
 /** The weight of a team with the median rate. */
 private const val MEDIAN_WEIGHT = 100
 
-/** A rate that is further from the median is not meant as a share: it stands for no limit, or for a team's last day. */
+/** A rate that is further from the median is not meant as a share: it stands for no limit, or for a blocked team. */
 private const val MAX_RATIO_TO_MEDIAN = 10.0
 
 /**
--- a/src/test/kotlin/figdeck/daemon/command/jobs/ByteBudgetSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/ByteBudgetSpec.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -53,6 +54,35 @@
             eventually(5.seconds) { budget.usedBytes == 0L }
         }
 
+        it("refuses work that it can't admit in time, and admits it later") {
+            val budget = ByteBudget(limit = 100)
+            val holders = Holders(budget).apply { expect("a") }
+            holders.start("a", 60)
+            budget.withBytesWithin(50.milliseconds, 60) { error("there is no room") } shouldBe null
+            holders.end("a")
+            eventually(5.seconds) { budget.usedBytes == 0L }
+            budget.withBytesWithin(50.milliseconds, 60) { budget.usedBytes } shouldBe 60L
+            budget.usedBytes shouldBe 0L
+        }
+
+        // Guards against bytes that stay reserved for good because a caller left just when it got them.
+        it("frees the bytes of callers that leave, or wait too long, at any moment") {
+            val budget = ByteBudget(limit = 100)
+            val scope = CoroutineScope(Dispatchers.Default)
+            val random = Random(5)
+            repeat(400) {
+                val callers = List(10) {
+                    scope.launch {
+                        budget.withBytesWithin(random.nextLong(3).milliseconds, 40) { delay(random.nextLong(2)) }
+                    }
+                }
+                delay(random.nextLong(3))
+                callers.filter { random.nextBoolean() }.forEach { it.cancel() }
+                callers.forEach { it.join() }
+                budget.usedBytes shouldBe 0L
+            }
+        }
+
         it("admits work that is larger than itself, alone") {
             val budget = ByteBudget(limit = 100)
             val holders = Holders(budget).apply { expect("large", "small") }
