--- a/src/main/kotlin/figdeck/daemon/command/jobs/ClearJobs.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ClearJobs.kt
@@ -22,23 +22,17 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How long closed jobs are kept if callers may ask for them for [retention] after their submission. */
-internal fun keptFor(retention: Duration): Duration = retention + RETENTION_MARGIN
-
 /** The key of the fleet's ownership of clearing. */
 private const val CLEARING_KEY = "jobs/clearing"
 private val PASS_INTERVAL = 15.seconds
 private val SWEEP_INTERVAL = 1.hours
 
-/**
- * How much longer than their callers may ask for them jobs are kept: as long as a late call, a resend, or a difference
- * between the time of the submission and that of the last write may be.
- */
+/** Covers late calls to the store and resends of submissions, which come some seconds after the first one. */
 private val RETENTION_MARGIN = 30.seconds
 private const val PAGE_ROWS = 200
 
 /** Limits what clearing takes of the calls that the store allows for the whole fleet, to about 50 in a second. */
-private val TIME_PER_CALL = 20.milliseconds
+internal val CLEARING_TIME_PER_CALL: Duration = 20.milliseconds
 private val partLog = PartLog("jobs")
 
 /**
@@ -56,6 +50,9 @@
     val countCleared: () -> Unit = {},
 )
 
+/** How long closed jobs are kept if callers may ask for them for [retention] after their submission. */
+internal fun keptFor(retention: Duration): Duration = retention + RETENTION_MARGIN
+
 /**
  * Deletes closed jobs whose results are owed no longer, until cancelled. One host of the fleet does so at a time. If
  * two do for a moment, the second one finds nothing left.
@@ -101,7 +98,7 @@
     var after: String? = ""
     while (after != null && isClearingOwner()) {
         val page = clearing.feed.page(JOB_TABLE, after, PAGE_ROWS).valueOrNull()
-        delay(TIME_PER_CALL)
+        delay(CLEARING_TIME_PER_CALL)
         val expired = page?.rows.orEmpty()
             .mapNotNull { versionedJob(it) }
             .filter { history.isExpired(it, clearing.keep, clock()) }
@@ -128,7 +125,7 @@
         put("outcome", deletion.outcome.name.lowercase())
     }
     if (deletion.outcome == DeletionOutcome.DONE) clearing.countCleared()
-    delay(TIME_PER_CALL * deletion.calls)
+    delay(CLEARING_TIME_PER_CALL * deletion.calls)
     return deletion.outcome
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRounds.kt
@@ -17,7 +17,6 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val HELD_ITEM_CHECK_INTERVAL = 1.seconds
-private val SLOT_RETRY_DELAY = 150.milliseconds
 private val FIRST_READ_DELAY = 250.milliseconds
 private val MAX_READ_DELAY = 1.seconds
 private val partLog = PartLog("jobs")
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -33,6 +33,9 @@
 /** How long a request for a slot waits before it is repeated. */
 private val SLOT_WAIT_LIMIT = 1_500.milliseconds
 private val FAILURE_RETRY_DELAY = 100.milliseconds
+
+/** How long an item waits after it has found no slot. */
+internal val SLOT_RETRY_DELAY: Duration = 150.milliseconds
 private val MAX_LOSS_DELAY = 10.seconds
 private const val MAX_LOSS_DOUBLINGS = 10
 
@@ -109,7 +112,7 @@
     /** Runs the item at one upstream. Returns null if it is to be run again at once. */
     private suspend fun tryOnce(route: ServingRoute): ItemRun? =
         services.slots.acquire(newSlotRequest(route), expectedWeights).fold(
-            { ItemRun.NoSlot },
+            { withoutSlot() },
             { permit ->
                 if (services.crashGuard.holdOf(sharedParts) == null) {
                     resultOf(runWithPermit(permit, route), permit, route)?.let { ItemRun.Finished(it) }
@@ -120,6 +123,17 @@
             },
         )
 
+    /**
+     * An item that has no output yet lets others run meanwhile. One that has some is kept, so that the memory for
+     * unfinished outputs stays bounded and started work is finished first.
+     */
+    private suspend fun withoutSlot(): ItemRun? = if (output.progress.events.isEmpty()) {
+        ItemRun.NoSlot
+    } else {
+        delay(SLOT_RETRY_DELAY)
+        null
+    }
+
     private suspend fun resultOf(attemptResult: AttemptResult, permit: HeldPermit, route: ServingRoute): JobResult? {
         if (attemptResult != AttemptResult.Whole) {
             services.log.note("item_stopped", item.id) {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
@@ -66,7 +66,7 @@
 
     data class Held(val hold: ItemHold) : End
 
-    /** No upstream has a slot for it now. */
+    /** It has no output yet, and no upstream has a slot for it now. */
     data object NoSlot : ItemRun
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/jobs/SweepOrphans.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/SweepOrphans.kt
@@ -3,6 +3,7 @@
 import figdeck.control.serving.ServingState
 import figdeck.model.ABSENT
 import figdeck.model.CallResult
+import figdeck.model.CommitReply
 import figdeck.model.RowCheck
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
@@ -21,7 +22,6 @@
 
 /** How many rows of a job without a record are removed at once: one entry of the transaction is a check. */
 private const val SWEPT_ROWS = 20
-private val TIME_PER_CALL = 20.milliseconds
 
 /** A host that has not renewed its lease for this long is gone; its incarnation never comes back. */
 private val GONE_AFTER = 1.hours
@@ -40,7 +40,7 @@
     var after: String? = ""
     while (after != null) {
         val row = feed.page(table, after, 1).valueOrNull()?.rows?.firstOrNull()
-        delay(TIME_PER_CALL)
+        delay(CLEARING_TIME_PER_CALL)
         val id = row?.key?.substringBefore('/')
         if (id != null && isId(id) && store.lacksRecord(JobId(id))) {
             removed += store.removeRowsOf(table, JobId(id))
@@ -52,7 +52,7 @@
 
 private suspend fun Store.lacksRecord(id: JobId): Boolean {
     val read = queries.readRow(jobRecordKey(id))
-    delay(TIME_PER_CALL)
+    delay(CLEARING_TIME_PER_CALL)
     return read is CallResult.Done && read.value.value == null
 }
 
@@ -60,15 +60,16 @@
     val prefix = "$table/$id/"
     var removed = 0
     var isLeft = true
+    // A conflict ends it: the job has a record again.
     while (isLeft) {
         val rows = queries.scanRows(prefix, prefix, SWEPT_ROWS).valueOrNull().orEmpty()
         val removal = TableTransaction(
             checks = listOf(RowCheck(jobRecordKey(id), ABSENT)),
             writes = rows.map { RowWrite(it.key, null) },
         )
-        isLeft = rows.isNotEmpty() && commands.commit(removal) is CallResult.Done
+        isLeft = rows.isNotEmpty() && isCommitted(removal)
         if (isLeft) removed += rows.size
-        delay(TIME_PER_CALL * 2)
+        delay(CLEARING_TIME_PER_CALL * 2)
     }
     return removed
 }
@@ -78,7 +79,7 @@
     val scan = state.fleet.scan ?: return emptyList()
     val gone = scan.members.filter { it.isGone(scan.storeMillis) }.map { it.host.value }
     return gone.filter { host ->
-        delay(TIME_PER_CALL * 2)
+        delay(CLEARING_TIME_PER_CALL * 2)
         store.removeIfGone(host, scan.storeMillis)
     }
 }
@@ -90,9 +91,12 @@
         false
     } else {
         val removal = TableTransaction(listOf(RowCheck(row.key, row.version)), listOf(RowWrite(row.key, null)))
-        commands.commit(removal) is CallResult.Done
+        isCommitted(removal)
     }
 }
 
+private suspend fun Store.isCommitted(removal: TableTransaction): Boolean =
+    commands.commit(removal).valueOrNull() is CommitReply.Committed
+
 private fun FleetMember.isGone(storeMillis: Long): Boolean =
     (storeMillis - renewedAtMillis).milliseconds >= GONE_AFTER
--- a/src/test/kotlin/figdeck/daemon/command/jobs/ClearJobsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/ClearJobsSpec.kt
@@ -9,6 +9,7 @@
 import figdeck.daemon.command.serving.TestHost
 import figdeck.daemon.command.serving.fleetMember
 import figdeck.model.CallResult
+import figdeck.model.CommitReply
 import figdeck.model.HostId
 import figdeck.model.RowWrite
 import figdeck.model.TableTransaction
@@ -36,6 +37,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeout
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.hours
@@ -181,6 +183,18 @@
             backends.rowsOf(job.record.id.value).size shouldBe 9
         }
 
+        // Guards against a sweep that never ends because the rows that it has found belong to a job again.
+        it("ends at rows whose job has got a record meanwhile") {
+            val backends = MemoryBackends()
+            val late = RowWrite("${progressKeyPrefix(JobId("gone-1"))}00000/00000/run", "{}")
+            backends.platform(healthy).commands.commit(TableTransaction(emptyList(), listOf(late)))
+            val conflicting = backends.platform(healthy).let { store ->
+                val conflict = CallResult.Done(CommitReply.Conflict(listOf("job/gone-1")))
+                store.copy(commands = store.commands.copy(commit = { conflict }))
+            }
+            withTimeout(5.seconds) { backends.clearing().copy(store = conflicting).sweepOrphans() } shouldBe 0
+        }
+
         // Guards against rows of hosts that each renewal of a lease reads, and against hosts that lose their lease.
         it("removes the rows of hosts that are gone for an hour, unless one has come back") {
             TestHost(fleetMember("host-1")).use { host ->
