--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -112,7 +112,7 @@
     /** Runs the item at one upstream. Returns null if it is to be run again at once. */
     private suspend fun tryOnce(route: ServingRoute): ItemRun? =
         services.slots.acquire(newSlotRequest(route), expectedWeights).fold(
-            { withoutSlot() },
+            { output.withoutSlot() },
             { permit ->
                 if (services.crashGuard.holdOf(sharedParts) == null) {
                     resultOf(runWithPermit(permit, route), permit, route)?.let { ItemRun.Finished(it) }
@@ -123,17 +123,6 @@
             },
         )
 
-    /**
-     * An item that has no output yet lets others run meanwhile. One that has some is kept, so that the memory for
-     * unfinished outputs stays bounded and started work is finished first.
-     */
-    private suspend fun withoutSlot(): ItemRun? = if (output.progress.events.isEmpty()) {
-        ItemRun.NoSlot
-    } else {
-        delay(SLOT_RETRY_DELAY)
-        null
-    }
-
     private suspend fun resultOf(attemptResult: AttemptResult, permit: HeldPermit, route: ServingRoute): JobResult? {
         if (attemptResult != AttemptResult.Whole) {
             services.log.note("item_stopped", item.id) {
@@ -255,6 +244,17 @@
     }
 }
 
+/**
+ * An item that has no output yet lets others run meanwhile. One that has some is kept, so that the memory for
+ * unfinished outputs stays bounded and started work is finished first.
+ */
+private suspend fun ItemOutput.withoutSlot(): ItemRun? = if (progress.events.isEmpty()) {
+    ItemRun.NoSlot
+} else {
+    delay(SLOT_RETRY_DELAY)
+    null
+}
+
 private fun slotOutcomeOf(lost: ExchangeFailure): SlotOutcome =
     if (lost is ExchangeFailure.NotSent && !lost.isPeerAtFault) SlotOutcome.ABANDONED else SlotOutcome.FAILED
 
