--- a/src/test/kotlin/figdeck/process/RollingReleaseSpec.kt
+++ b/src/test/kotlin/figdeck/process/RollingReleaseSpec.kt
@@ -128,7 +128,11 @@
         // Guards against requests that collect rejections although earlier answers tell where to go.
         it("sends a request to one that has the weights, by what earlier answers told") {
             withFleet(mixed) { fleet, daemons, runners ->
-                repeat(20) { fleet.call(daemons[0], "/desk/any", null).status shouldBe 200 }
+                // Which upstream answers is drawn at random; all must have told their weights.
+                eventually(20.seconds) {
+                    fleet.call(daemons[0], "/desk/any", null).status shouldBe 200
+                    runners.values.none { it.countOf("/desk/any") == 0 }
+                }
                 runners.values.map { it.countOf("/desk/any") } shouldNotContain 0
                 repeat(10) { fleet.call(daemons[0], "/desk/order/1", 1).status shouldBe 200 }
                 runners.getValue("r-1").countOf("/desk/order/1") shouldBe 10
@@ -138,7 +142,11 @@
 
         it("rejects at once a request for weights that no upstream has, and says so") {
             withFleet(mixed) { fleet, daemons, runners ->
-                repeat(20) { fleet.call(daemons[0], "/desk/any", null).status shouldBe 200 }
+                // Which upstream answers is drawn at random; all must have told their weights.
+                eventually(20.seconds) {
+                    fleet.call(daemons[0], "/desk/any", null).status shouldBe 200
+                    runners.values.none { it.countOf("/desk/any") == 0 }
+                }
                 val answer = fleet.call(daemons[0], "/desk/order/1", 3)
                 answer.status shouldBe 421
                 answer.body shouldContain "\"type\":\"weights_unavailable\""
