Logs tell the limit that an answer names, and which upstream completed a batch item

An answer's Server-Limit is decoded into AdvertisedRate and noted in the sent line; a value that is no number of 0 or more tells nothing. A completed item leaves a line, as a stopped one does. No decision reads either.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -124,7 +124,12 @@
         )
 
     private suspend fun resultOf(attemptResult: AttemptResult, permit: HeldPermit, route: ServingRoute): JobResult? {
-        if (attemptResult != AttemptResult.Whole) {
+        if (attemptResult == AttemptResult.Whole) {
+            services.log.note("item_completed", item.id) {
+                put("job", record.id.value)
+                put("upstream", permit.upstream.id.value)
+            }
+        } else {
             services.log.note("item_stopped", item.id) {
                 put("job", record.id.value)
                 put("upstream", permit.upstream.id.value)
--- a/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/OnlineCall.kt
@@ -5,6 +5,7 @@
 import figdeck.http.client.ExchangeFailure
 import figdeck.model.Moment
 import figdeck.model.Upstream
+import figdeck.model.serving.AdvertisedRate
 import figdeck.model.serving.CrashSuspect
 import figdeck.model.serving.PromptPart
 import figdeck.model.serving.RequestFingerprint
@@ -108,6 +109,7 @@
  * @property coldRemaining how long the upstream stays cold; null if it doesn't say so.
  * @property weights the weights of the upstream that answered; null if it doesn't name them.
  * @property earlierExchanges the number of exchanges that the connection had carried before this one.
+ * @property advertisedRate the requests per second that the upstream takes; null if the response doesn't tell.
  */
 internal data class UpstreamReply(
     val executionStatus: ExecutionStatus,
@@ -119,6 +121,7 @@
     val earlierExchanges: Int = 0,
     val coldRemaining: Duration? = null,
     val weights: WeightsVersion? = null,
+    val advertisedRate: AdvertisedRate? = null,
 )
 
 private const val FIRST_SUCCESS = 200
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -5,6 +5,7 @@
 import figdeck.http.readAll
 import figdeck.log.LogLine
 import figdeck.model.UpstreamId
+import figdeck.model.serving.AdvertisedRate
 import figdeck.model.serving.isRepeatable
 import figdeck.model.serving.isStream
 import figdeck.query.serving.FailedSend
@@ -228,4 +229,5 @@
     put("status", answer.status.toLong())
     put("execution", answer.executionStatus.name.lowercase())
     put("earlier_exchanges", answer.earlierExchanges.toLong())
+    (answer.advertisedRate as? AdvertisedRate.Limited)?.let { put("limit_per_second", it.requestsPerSecond.toString()) }
 }
--- a/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
+++ b/src/main/kotlin/figdeck/platform/UpstreamReplies.kt
@@ -6,6 +6,7 @@
 import figdeck.daemon.command.serving.isSuccess
 import figdeck.http.client.HttpReply
 import figdeck.model.UpstreamId
+import figdeck.model.serving.AdvertisedRate
 import figdeck.model.serving.WeightsVersion
 import figdeck.query.serving.Misdirection
 import figdeck.query.serving.MisdirectionCause
@@ -16,6 +17,9 @@
 
 private const val MISDIRECTED_REQUEST = 421
 
+/** Excludes the names of numbers, hexadecimal digits and suffixes that the parser of numbers takes as well. */
+private val DECIMAL_DIGITS = Regex("[0-9.eE+-]+")
+
 /** The value of [LEAVING_HEADER] in the answers of an upstream that is shutting down. */
 private const val IS_LEAVING = "1"
 
@@ -65,6 +69,11 @@
         earlierExchanges = reply.earlierExchanges,
         coldRemaining = if (executionStatus.isFromExpectedUpstream) parseColdTime(headers.get(COLD_HEADER)) else null,
         weights = weights,
+        advertisedRate = if (executionStatus.isFromExpectedUpstream) {
+            parseAdvertisedRate(headers.getAll(LIMIT_HEADER))
+        } else {
+            null
+        },
     )
 }
 
@@ -78,3 +87,13 @@
 /** Parses the milliseconds for which an upstream stays cold; null if there is no valid number. */
 private fun parseColdTime(text: String?): Duration? =
     text?.trim()?.toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }?.milliseconds
+
+/** Parses the [fields] that name a limit; without any there is none. Returns null if one of them is no valid number. */
+private fun parseAdvertisedRate(fields: List<String>): AdvertisedRate? {
+    val rates = fields.map { field -> field.trim().takeIf { DECIMAL_DIGITS.matches(it) }?.toDoubleOrNull() }
+    return when {
+        rates.isEmpty() -> AdvertisedRate.Unlimited
+        rates.all { it != null && it.isFinite() && it >= 0 } -> AdvertisedRate.Limited(rates.filterNotNull().min())
+        else -> null
+    }
+}
--- a/src/test/kotlin/figdeck/platform/UpstreamRepliesSpec.kt
+++ b/src/test/kotlin/figdeck/platform/UpstreamRepliesSpec.kt
@@ -5,6 +5,7 @@
 import figdeck.http.client.HttpReply
 import figdeck.http.newHeaders
 import figdeck.model.UpstreamId
+import figdeck.model.serving.AdvertisedRate
 import figdeck.model.serving.WeightsVersion
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
@@ -20,6 +21,13 @@
     return upstreamReply(reply, expected).executionStatus
 }
 
+private fun rateIn(status: Int, vararg limits: String, id: String = "a-1"): AdvertisedRate? {
+    val answered = newHeaders().set(ATTEMPT_ID_HEADER, id).set(RESPONSE_STAMP_HEADER, "stamp")
+    limits.forEach { answered.add(LIMIT_HEADER, it) }
+    val reply = HttpReply(status, answered, HttpBody(emptyFlow()))
+    return upstreamReply(reply, ExpectedReply("a-1", UpstreamId("i-1"), null)).advertisedRate
+}
+
 class UpstreamRepliesSpec : DescribeSpec({
     // Guards against a sound upstream that is dropped because it has other weights than a request asks for.
     describe("a 421 to a request") {
@@ -47,4 +55,30 @@
             upstreamReply(reply, expected).executionStatus shouldBe ExecutionStatus.UNVERIFIED
         }
     }
+
+    describe("the limit that an answer names") {
+        mapOf("2.8" to 2.8, "3" to 3.0, "0" to 0.0, ".5" to 0.5, "1e-05" to 1e-5, "9".repeat(30) to 1e30).forEach {
+            it("'${it.key}' is a rate") {
+                listOf(200, 500, 503).forEach { status ->
+                    rateIn(status, it.key) shouldBe AdvertisedRate.Limited(it.value)
+                }
+            }
+        }
+
+        // Guards against a limit that is lifted, or set, by a value that means nothing.
+        listOf("", "three", "NaN", "Infinity", "-1", "1e999", "0x3", "3f", "1,5", "3 a second").forEach {
+            it("'$it' tells nothing") { rateIn(200, it) shouldBe null }
+        }
+
+        it("is the lowest of several, and tells nothing if one of them is no rate") {
+            rateIn(200, "4", "2") shouldBe AdvertisedRate.Limited(2.0)
+            rateIn(200, "4", "two") shouldBe null
+        }
+
+        it("is none in an answer without the header, and unknown in one that another upstream may have sent") {
+            rateIn(200) shouldBe AdvertisedRate.Unlimited
+            rateIn(200, "3", id = "a-2") shouldBe null
+            rateIn(MISDIRECTED_REQUEST, "3") shouldBe null
+        }
+    }
 })
