--- a/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
+++ b/src/main/kotlin/figdeck/standin/RunnerStandIn.kt
@@ -13,6 +13,7 @@
 import figdeck.platform.EXPECTED_WEIGHTS_HEADER
 import figdeck.platform.LAST_EVENT_ID_HEADER
 import figdeck.platform.LEAVING_HEADER
+import figdeck.platform.LIMIT_HEADER
 import figdeck.platform.READY_STATE
 import figdeck.platform.RESPONSE_STAMP_HEADER
 import figdeck.platform.UPSTREAM_ID_HEADER
@@ -28,8 +29,10 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 private const val LOOPBACK = "127.0.0.1"
 private const val HTTP_OK = 200
@@ -44,6 +47,7 @@
     val target: String,
     val headers: Map<String, String>,
     val body: String,
+    val receivedAt: ComparableTimeMark,
 )
 
 /**
@@ -56,6 +60,7 @@
  * @property isLeaving whether its answers say that it is shutting down.
  * @property weights the version of its weights, which its answers name; null to name none and to accept all requests.
  * @property namesItself whether it names itself when it rejects a request as misdirected.
+ * @property advertisedLimit the requests per second that its answers say it takes; null if they say nothing.
  */
 internal data class RunnerSettings(
     val eventCount: Int = 5,
@@ -65,6 +70,7 @@
     val isLeaving: Boolean = false,
     val weights: Int? = null,
     val namesItself: Boolean = false,
+    val advertisedLimit: () -> String? = { null },
 )
 
 /**
@@ -110,7 +116,8 @@
             call.method,
             call.target,
             call.headers.associate { it.key.lowercase() to it.value },
-            body
+            body,
+            TimeSource.Monotonic.markNow(),
         )
         received += request
         when {
@@ -161,4 +168,5 @@
         .set(RESPONSE_STAMP_HEADER, "stamp-$id")
         .also { if (settings.isLeaving) it.set(LEAVING_HEADER, "1") }
         .also { headers -> settings.weights?.let { headers.set(WEIGHTS_HEADER, it) } }
+        .also { headers -> settings.advertisedLimit()?.let { headers.set(LIMIT_HEADER, it) } }
 }
