Upstreams get no more requests than the limit that they advertise

Nothing read the limit: the logs show as many requests at limited engines as at others, about 4 in 10 of them runs of batch items.

The last limit of each start of an upstream is part of PoolMembers with the time at which it was heard. The host that grants the slots of a pool counts each granted slot, of a first or second send, a resumption or a batch item, against a bucket with nine tenths of the rate; all other hosts share the last tenth in tokens that expire. Hosts learn limits from their answers, from releases and confirmations of slots, and from the entries of the hosts that have the main parts. Placement counts the slots that an upstream has tokens for, and what no candidate takes in time is refused at once.

--- a/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
+++ b/src/main/kotlin/figdeck/cli/EdgeDaemon.kt
@@ -13,6 +13,7 @@
 import figdeck.control.serving.beginStop
 import figdeck.control.serving.coldUpstreams
 import figdeck.control.serving.initialServingState
+import figdeck.control.serving.limitedUpstreams
 import figdeck.daemon.command.LoopSupervision
 import figdeck.daemon.command.PeerClient
 import figdeck.daemon.command.SlotDispatcher
@@ -59,6 +60,7 @@
 import figdeck.daemon.query.serving.followedBy
 import figdeck.daemon.query.serving.jobFollower
 import figdeck.daemon.query.serving.logColdUpstreams
+import figdeck.daemon.query.serving.logLimitedUpstreams
 import figdeck.daemon.query.serving.planFollower
 import figdeck.daemon.query.serving.poolFollower
 import figdeck.daemon.query.serving.upstreamReader
@@ -294,7 +296,8 @@
         membership = startLoop("membership") { control.keepMembership(store, platform.feed, clock, random) }
         startLoop("pools") { control.maintainPools() }
         startLoop("cold upstreams") { control.logColdUpstreams(clock, decisionLog) }
-        registerColdMetrics(telemetry.meters, control, clock)
+        startLoop("limited upstreams") { control.logLimitedUpstreams(clock, decisionLog) }
+        registerLimitMetrics(telemetry.meters, control, clock)
         startLoop("slots") { slots.tickPeriodically() }
         startLoop("granted slots") { slotOwner.releaseUnconfirmed() }
         startLoop("held slots") { slotClient.confirmHeldSlots() }
@@ -385,9 +388,11 @@
     }
 }
 
-private fun registerColdMetrics(meters: Meters, control: Control<ServingState>, clock: Clock) {
+private fun registerLimitMetrics(meters: Meters, control: Control<ServingState>, clock: Clock) {
     meters.gauge("figdeck.cold.upstreams") { coldUpstreams(control.snapshot, clock()).size }
     meters.counter("figdeck.cold.held.back") { control.snapshot.slots.heldBack }
+    meters.gauge("figdeck.limited.upstreams") { control.snapshot.limitedUpstreams(clock()).count { it.limit != null } }
+    meters.counter("figdeck.limited.held.back") { control.snapshot.slots.heldBackByRate }
 }
 
 private suspend fun sendRevocation(peers: FleetPeers, holder: FleetMember, ticket: Long) {
--- a/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/AssignFreeSlots.kt
@@ -25,11 +25,12 @@
     val free = state.usableSlots(now) - state.occupiedSlots
     val headroom = state.headroom.wholeSlots(now, policy.headroom)
     return expire(state, policy, now) ?: when {
-        !state.hasToken(now) -> null
+        !state.hasToken(Lane.ONLINE, now) -> null
         state.online.waiting.isNotEmpty() && free > 0 ->
             grant(state, Lane.ONLINE, policy, now) ?: revokeForTokens(state, now)
         state.online.waiting.isNotEmpty() -> revokeOne(state, now)
-        state.batch.waiting.isNotEmpty() && free > headroom -> grant(state, Lane.BATCH, policy, now)
+        state.batch.waiting.isNotEmpty() && free > headroom && state.hasToken(Lane.BATCH, now) ->
+            grant(state, Lane.BATCH, policy, now)
         else -> null
     }
 }
@@ -56,7 +57,7 @@
     val left = queue.copy(waiting = queue.waiting.remove(next), shares = shares)
     val running = state.running.put(next.ticket, RunningRequest(next.ticket, request, now, revokedAt = null))
     return Step(
-        state.withQueue(lane, left).copy(running = running, cold = state.cold?.take(now)),
+        state.withQueue(lane, left).copy(running = running, cold = state.cold?.take(now), rate = state.rate?.take(now)),
         listOf(DispatchEffect.Granted(next.ticket, state.upstream, state.health.probeTimeout)),
     )
 }
--- a/src/main/kotlin/figdeck/command/dispatch/ColdStart.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ColdStart.kt
@@ -1,6 +1,5 @@
 package figdeck.command.dispatch
 
-import com.dynatrace.hash4j.hashing.Hashing
 import figdeck.model.HostId
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
@@ -22,8 +21,6 @@
 
 /** Absorbs the rounding of token counts, which would otherwise delay a token that is due exactly now. */
 private const val ROUNDING = 1e-9
-private const val HASH_BITS_DROPPED = 11
-private const val HASH_UNIT = 1.0 / (1L shl 53)
 
 /**
  * The requests that this host may send to an upstream while it is cold.
@@ -98,8 +95,3 @@
 }
 
 private val ColdLimit.capacity: Double get() = maxOf(MIN_CAPACITY, requestsPerSecond * HELD_SECONDS)
-
-private fun hashToUnit(host: HostId, upstream: UpstreamId): Double {
-    val hash = Hashing.komihash5_0().hashStream().putString(host.value).putString(upstream.value).asLong
-    return (hash ushr HASH_BITS_DROPPED) * HASH_UNIT
-}
--- a/src/main/kotlin/figdeck/command/dispatch/CompletionViews.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/CompletionViews.kt
@@ -55,7 +55,7 @@
  * behind other batch work.
  */
 private fun UpstreamState.freeFor(request: DispatchRequest, policy: DispatchPolicy, now: Moment): Int {
-    val open = grantableSlots(now) - online.waiting.size
+    val open = grantableSlots(request.lane, now) - online.waiting.size
     val free = when (request.lane) {
         Lane.ONLINE -> open
         Lane.BATCH -> open - batch.waiting.size - headroom.wholeSlots(now, policy.headroom)
--- a/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/Dispatch.kt
@@ -87,10 +87,12 @@
     val wait = chosen.expectedWait(request, now)
     val late = now + wait + chosen.queue(request.lane).requiredTime(request.lane, policy) - request.deadline
     return when {
-        wait > Duration.ZERO && chosen.cold == null && policy.shareByHeldWork && request.sharesByHeldWork ->
+        wait > Duration.ZERO && !chosen.isLimited && policy.shareByHeldWork && request.sharesByHeldWork ->
             placeByHeldWork(state, chosen, arrival, now) {
                 enqueue(it, it.stateOf(chosen.upstream, now), arrival, policy, now)
             }
+        wait > Duration.ZERO && late > Duration.ZERO && chosen.rate != null ->
+            refuseForTokens(state, arrival, policy, now)
         wait > Duration.ZERO && late > Duration.ZERO -> {
             val step = chosen.refuse(arrival.ticket, request.refusedFor(RefusalReason.LATE_IN_QUEUE), late, now)
             Step(state.with(step.state), step.result)
--- a/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/DispatchState.kt
@@ -18,6 +18,7 @@
  *
  * @property tickets the upstream at which each queued or running ticket is registered.
  * @property heldBack how many requests found a free slot that only a cold limit kept from them.
+ * @property heldBackByRate how many requests found a free slot that an advertised limit kept from them.
  * @property paces the latest comparison of the upstreams of each pool that may be placed by expected completion.
  */
 public data class DispatchState(
@@ -26,6 +27,7 @@
     public val tickets: PersistentMap<Long, UpstreamId>,
     public val retryBudget: RetryBudget,
     public val heldBack: Long = 0,
+    public val heldBackByRate: Long = 0,
     public val paces: PersistentMap<PoolName, PoolPace> = persistentMapOf(),
 )
 
@@ -65,7 +67,7 @@
 ): UpstreamView {
     val roundTrip = if (state.upstream.dataCentre == dataCentre) Duration.ZERO else policy.crossCentreRoundTrip
     val load = state.loadFor(request.lane)
-    val free = state.grantableSlots(now) - state.online.waiting.size
+    val free = state.grantableSlots(request.lane, now) - state.online.waiting.size
     val usable = if (state.hasTokensFor(request)) free else minOf(free, 0)
     return UpstreamView(state.upstream, load, state.expectedWait(request, now) + roundTrip, usable)
 }
--- a/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/FreeSlot.kt
@@ -66,7 +66,7 @@
     Lane.entries.fold(state) { current, lane ->
         val here = current.upstreams.getValue(to.upstream.id)
         val reserved = if (lane == Lane.BATCH) here.headroom.wholeSlots(now, policy.headroom) else 0
-        val hasFree = here.usableSlots(now) - here.occupiedSlots > reserved && here.hasToken(now)
+        val hasFree = here.usableSlots(now) - here.occupiedSlots > reserved && here.hasToken(lane, now)
         if (here.fittingQueue(lane) == null && hasFree) current.stealOne(lane, here, policy) else current
     }
 
--- a/src/main/kotlin/figdeck/command/dispatch/ScarceSlots.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ScarceSlots.kt
@@ -64,7 +64,7 @@
     now: Moment,
 ): Pair<DispatchState, OrderPolicy> {
     val here = state.upstreams.getValue(id)
-    val free = here.usableSlots(now) - here.occupiedSlots
+    val free = here.grantableSlots(Lane.ONLINE, now)
     val canTake = policy.shareByHeldWork && here.cold == null && free > 0
     val waiting = if (canTake) state.waitingFor(here) else emptyList()
     if (waiting.isEmpty()) {
@@ -121,9 +121,9 @@
         .copy(tickets = tickets.put(next.ticket, to))
 }
 
-/** The time in which the candidates of [request] free [count] slots. */
+/** The time in which the candidates of [request] can take [count] requests. */
 private fun DispatchState.poolWait(request: DispatchRequest, count: Int, now: Moment): Duration {
     val usable = request.candidates.map { stateOf(it, now) }.filter { it.usableSlots(now) > 0 }
-    val perNano = usable.sumOf { it.usableSlots(now) / it.online.averageHold.inWholeNanoseconds.toDouble() }
+    val perNano = usable.sumOf { it.onlinePerNano(now) }
     return if (perNano > 0) (count / perNano).nanoseconds else Duration.INFINITE
 }
--- a/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/UpstreamState.kt
@@ -51,6 +51,7 @@
  * @property startSeenAt when this host learned that the upstream had started again; null if it has not.
  * @property lastReturnAt the latest time at which a refused caller was told to return; null before the first refusal.
  * @property cold the limit while the upstream is cold; null if it isn't, or if the limit has ended.
+ * @property rate the tokens while the upstream advertises a limit; null if it doesn't.
  * @property pace how fast the upstream has been. It is observed only for requests with a [DispatchRequest.placement].
  */
 public data class UpstreamState(
@@ -63,6 +64,7 @@
     public val startSeenAt: Moment? = null,
     public val lastReturnAt: Moment? = null,
     public val cold: ColdBucket? = null,
+    public val rate: RateBucket? = null,
     public val pace: UpstreamPace = unknownPace,
 )
 
@@ -77,14 +79,14 @@
 )
 
 /**
- * This state with the address and slots of [current], which describes the same upstream at [now]. The failures of an
- * earlier start say nothing about a later one.
+ * This state with the address and slots of [current], which describes the same upstream at [now]. The failures and the
+ * advertised limit of an earlier start say nothing about a later one.
  */
 internal fun UpstreamState.updatedTo(current: Upstream, now: Moment): UpstreamState {
     val earlier = upstream.startedAtMillis
     val hasRestarted = earlier != null && current.startedAtMillis != null && earlier != current.startedAtMillis
     return if (hasRestarted) {
-        copy(upstream = current, health = healthy, startSeenAt = now)
+        copy(upstream = current, health = healthy, startSeenAt = now, rate = null)
     } else {
         copy(upstream = current)
     }
--- a/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
+++ b/src/main/kotlin/figdeck/command/serving/PoolMembers.kt
@@ -2,6 +2,7 @@
 
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
+import figdeck.model.serving.AdvertisedLimit
 import figdeck.model.serving.PoolMember
 import figdeck.model.serving.UpstreamStart
 import kotlinx.collections.immutable.PersistentMap
@@ -26,6 +27,7 @@
  * say, with the time at which this host learned it.
  * @property cold what this host has last learned about each upstream that may be cold.
  * @property weights the weights that upstreams had by their answers.
+ * @property limits the requests that upstreams take by their answers, as far as one named a limit.
  */
 public data class PoolMembers(
     public val members: PersistentMap<UpstreamId, PoolMember>,
@@ -36,6 +38,7 @@
     public val silence: StoreSilence = StoreSilence(),
     public val cold: PersistentMap<UpstreamId, ColdStatement> = persistentMapOf(),
     public val weights: PersistentMap<UpstreamStart, ObservedWeights> = persistentMapOf(),
+    public val limits: PersistentMap<UpstreamStart, AdvertisedLimit> = persistentMapOf(),
 )
 
 /** The state before the first answer of the store. */
--- a/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
+++ b/src/main/kotlin/figdeck/command/serving/StoreResponses.kt
@@ -20,7 +20,7 @@
         leaving = state.leaving.filterValues { now - it < LEAVING_RETENTION }.toPersistentMap(),
         silence = StoreSilence(countedUntil = now),
         cold = state.currentColdStatements(now),
-    ).withoutPastWeights()
+    ).withoutPastWeights().withoutPastLimits(now)
 }
 
 /** Records that a call to the store has failed. */
--- a/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/ColdLimits.kt
@@ -23,8 +23,8 @@
 import figdeck.query.serving.slotKey
 import kotlin.time.Duration
 
-/** Whether this host may use the main part of the rate at the cold upstreams of [pool]. */
-internal fun Fleet.hasMainColdShare(pool: PoolName, now: Moment): Boolean =
+/** Whether this host may use the main part of the rate at the limited upstreams of [pool]. */
+internal fun Fleet.hasMainShare(pool: PoolName, now: Moment): Boolean =
     // Several hosts may take a bucket for their own while they are cut off from the store. The lease excludes that.
     bucketLocation(slotKey(pool), now) == BucketLocation.Local && !isCutOff(now)
 
@@ -84,7 +84,7 @@
         val cold = statements.filter { (id, statement) ->
             now < statement.until(policy) && state.pools.members[id]?.pool == pool.name
         }
-        val isMain = cold.isNotEmpty() && fleet.hasMainColdShare(pool.name, now)
+        val isMain = cold.isNotEmpty() && fleet.hasMainShare(pool.name, now)
         cold.map { (id, statement) ->
             val until = statement.until(policy)
             val limit = if (isMain) {
--- a/src/main/kotlin/figdeck/control/serving/ServingState.kt
+++ b/src/main/kotlin/figdeck/control/serving/ServingState.kt
@@ -16,6 +16,7 @@
 import figdeck.command.work.noWorkEstimates
 import figdeck.model.DataCentre
 import figdeck.model.Known
+import figdeck.model.Moment
 import figdeck.model.Region
 import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.CrashSuspect
@@ -117,12 +118,13 @@
     return Step(state.copy(limits = step.state), step.result)
 }
 
-/** Applies a decision to the slots that this host assigns. */
+/** Applies a decision to the slots that this host assigns, under the limits that upstreams advertise. */
 internal fun updateSlots(
     state: ServingState,
+    now: Moment,
     decide: (DispatchState) -> DispatchStep,
 ): Step<ServingState, List<DispatchEffect>> {
-    val step = decide(state.slots)
+    val step = decide(state.withRateLimits(now).slots)
     return Step(state.copy(slots = step.state), step.result)
 }
 
--- a/src/main/kotlin/figdeck/control/serving/SlotChanges.kt
+++ b/src/main/kotlin/figdeck/control/serving/SlotChanges.kt
@@ -6,6 +6,7 @@
 import figdeck.command.dispatch.DispatchStep
 import figdeck.command.dispatch.PlacementChange
 import figdeck.command.dispatch.placementChanges
+import figdeck.model.Moment
 
 /** The effects of a decision on slots, and the changes of placement that came with it. */
 internal data class SlotChanges(
@@ -16,8 +17,9 @@
 /** Applies a decision to the slots that this host assigns, and returns the changes of placement besides the effects. */
 internal fun updateSlotsWithChanges(
     state: ServingState,
+    now: Moment,
     decide: (DispatchState) -> DispatchStep,
 ): Step<ServingState, SlotChanges> {
-    val step = updateSlots(state, decide)
+    val step = updateSlots(state, now, decide)
     return Step(step.state, SlotChanges(step.result, placementChanges(state.slots, step.state.slots)))
 }
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -228,11 +228,12 @@
         )
         var attemptResult: AttemptResult = AttemptResult.Interrupted("no response", SlotOutcome.FAILED)
         val before = output.progress.events.size
+        val sentAt = services.clock()
         val result = services.forward(
             ItemCall(item, route, record.team),
             options
         ) { reply ->
-            services.slots.recordReply(permit, reply, item.id, services.log)
+            services.slots.recordReply(permit, reply, sentAt, item.id, services.log)
             reply.executionStatus.misdirection?.let { services.countMisdirected(it) }
             attemptResult = output.receive(reply, services.clock, meter) {
                 services.crashGuard.recordAnswer(sharedParts)
--- a/src/main/kotlin/figdeck/daemon/command/serving/BootstrapFromPeers.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/BootstrapFromPeers.kt
@@ -1,11 +1,10 @@
 package figdeck.daemon.command.serving
 
 import figdeck.command.serving.adoptUnconfirmed
-import figdeck.command.serving.applyScan
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.applyMembers
 import figdeck.control.serving.updateColdPools
-import figdeck.control.serving.updateFleet
 import figdeck.daemon.query.serving.TableFollower
 import figdeck.log.PartLog
 import figdeck.model.Address
@@ -68,7 +67,7 @@
     run { state, now -> updateColdPools(state, now) { adoptUnconfirmed(it, upstreams, now) } }
     val storeMillis = view.storeMillis
     if (storeMillis != null && snapshot.fleet.scan == null) {
-        run { state, _ -> updateFleet(state) { applyScan(it, FleetScan(view.members, storeMillis, clock())) } }
+        run { state, _ -> applyMembers(state, FleetScan(view.members, storeMillis, clock())) }
     }
     log.info { "read ${upstreams.size} upstreams and ${view.members.size} hosts from a peer" }
 }
--- a/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/KeepMembership.kt
@@ -1,10 +1,11 @@
 package figdeck.daemon.command.serving
 
-import figdeck.command.serving.applyScan
 import figdeck.command.serving.confirmRenewal
 import figdeck.command.serving.levels
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.announcedLimits
+import figdeck.control.serving.applyMembers
 import figdeck.control.serving.updateFleet
 import figdeck.log.PartLog
 import figdeck.log.orWarn
@@ -87,7 +88,7 @@
 
 private suspend fun Control<ServingState>.applyListing(listed: TableSnapshot, sentAt: Moment) {
     val members = listed.rows.mapNotNull { decodeFleetMember(it.key, it.value).orWarn(log) }
-    run { state, _ -> updateFleet(state) { applyScan(it, FleetScan(members, listed.storeMillis, sentAt)) } }
+    run { state, _ -> applyMembers(state, FleetScan(members, listed.storeMillis, sentAt)) }
 }
 
 private suspend fun Control<ServingState>.renew(store: Store, clock: Clock) {
@@ -102,7 +103,8 @@
     val self = fleet.self.copy(
         joinedAtMillis = fleet.joinedAt(storeMillis, sentAt),
         renewedAtMillis = storeMillis,
-        levels = levels
+        levels = levels,
+        limits = snapshot.announcedLimits(sentAt),
     )
     val write = RowWrite(memberKey(self.host.value), encodeFleetMember(self))
     if (store.commands.commit(TableTransaction(emptyList(), listOf(write))).valueOrNull() != null) {
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotClient.kt
@@ -33,10 +33,12 @@
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.ReportedLimit
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
 import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.WeightsVersion
+import figdeck.model.serving.reportedAt
 import figdeck.query.serving.SlotConfirmations
 import figdeck.query.serving.areDue
 import figdeck.query.serving.ranked
@@ -78,7 +80,7 @@
 /** Acquires slots from the owners of pools and tracks the slots that this host holds. */
 internal class SlotClient(
     val control: Control<ServingState>,
-    private val clock: Clock,
+    val clock: Clock,
     private val localOwner: SlotOwner,
     private val remoteOwners: RemoteSlotOwners,
     private val scope: CoroutineScope,
@@ -216,7 +218,12 @@
 
     private suspend fun confirm(owner: FleetMember, permits: List<HeldPermit>) {
         val slots = permits.map { HeldSlot(it.request, it.upstream.id) }
-        if (owner.host == self) localOwner.confirm(self, slots) else remoteOwners.confirm(owner, HeldSlots(self, slots))
+        if (owner.host == self) {
+            localOwner.confirm(self, slots)
+        } else {
+            val limits = control.snapshot.pools.reportedLimits(permits.map { it.start }, clock())
+            remoteOwners.confirm(owner, HeldSlots(self, slots, limits))
+        }
     }
 
     private fun returnUnusableSlot(granted: SlotResponse.Granted?, owner: FleetMember?, request: SlotRequest) {
@@ -245,15 +252,17 @@
     )
 }
 
-/** Records what [reply] to [request] tells of the upstream of [permit]. */
+/** Records what [reply] to [request], which was sent at [sentAt], tells of the upstream of [permit]. */
 internal suspend fun SlotClient.recordReply(
     permit: HeldPermit,
     reply: UpstreamReply,
+    sentAt: Moment,
     request: String,
     decisions: DecisionLog,
 ) {
     if (reply.isLeaving) recordLeaving(permit.start, request, decisions)
     reply.coldRemaining?.let { recordColdReply(permit.start, it) }
+    reply.advertisedRate?.let { control.recordAdvertisedRate(permit.start, it, sentAt, clock()) }
     reply.weights?.takeIf { reply.executionStatus.showsOwnWeights }?.let {
         recordWeights(permit.start, it, isRejection = reply.executionStatus == ExecutionStatus.OTHER_WEIGHTS)
     }
@@ -275,9 +284,21 @@
 
 internal fun Fleet.batchOwner(pool: PoolName, now: Moment): FleetMember? = settledOwner(slotKey(pool), now)
 
+/** What this host knows of the requests that [starts] take, as far as it has heard of a limit. */
+private fun PoolMembers.reportedLimits(starts: List<UpstreamStart>, now: Moment): Map<UpstreamStart, ReportedLimit> =
+    if (limits.isEmpty()) {
+        emptyMap()
+    } else {
+        starts.distinct().mapNotNull { start -> limits[start]?.let { start to it.reportedAt(now) } }.toMap()
+    }
+
 /** Adds what this host knows of [start] by [pools] and the owner of its slots may not know. */
 private fun SlotRelease.withUpstreamStatus(pools: PoolMembers, start: UpstreamStart, now: Moment): SlotRelease {
-    val release = copy(isLeaving = start in pools.leaving, coldRemaining = pools.ownColdTimeLeft(start, now))
+    val release = copy(
+        isLeaving = start in pools.leaving,
+        coldRemaining = pools.ownColdTimeLeft(start, now),
+        limit = pools.limits[start]?.reportedAt(now),
+    )
     return if (release.concernsUpstream) release.copy(startedAtMillis = start.startedAtMillis) else release
 }
 
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotOwner.kt
@@ -25,6 +25,7 @@
 import figdeck.model.serving.ExpectedWork
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.ReportedLimit
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
 import figdeck.model.serving.UpstreamStart
@@ -127,6 +128,7 @@
                     }
                 }
             }
+            release.limit?.let { control.recordReportedLimits(mapOf(start to it), clock()) }
             slots.release(slot.permit, release.outcome, release.cost, release.usage)
             work?.learn(slot.request, slot.expected, release.usage)
             if (release.outcome == SlotOutcome.GONE) {
@@ -142,10 +144,16 @@
 
     /**
      * Processes the list of all slots that [from] holds here. Unknown slots were granted by an earlier owner and are
-     * adopted. Slots missing from the list are freed, unless they were granted while the list was in transit.
+     * adopted. Slots missing from the list are freed, unless they were granted while the list was in transit. Its
+     * upstreams take no more than [limits], as the holder has heard.
      */
-    suspend fun confirm(from: HostId, list: List<HeldSlot>) {
+    suspend fun confirm(
+        from: HostId,
+        list: List<HeldSlot>,
+        limits: Map<UpstreamStart, ReportedLimit> = emptyMap(),
+    ) {
         val now = clock()
+        control.recordReportedLimits(limits, now)
         for (slot in list) {
             val known = grantedSlots[slot.request.ticket]
             if (known == null) {
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotPlacement.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotPlacement.kt
@@ -84,7 +84,7 @@
     now = { control.snapshot.slots },
     decide = { decision ->
         val changes = control.run { state: ServingState, now ->
-            updateSlotsWithChanges(state) { decision(it, now) }
+            updateSlotsWithChanges(state, now) { decision(it, now) }
         }
         changes.placementChanges.forEach(onChange)
         changes.effects.filterIsInstance<DispatchEffect.Refused>().forEach(onRefused)
--- a/src/main/kotlin/figdeck/daemon/command/serving/SlotRequestRouter.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/SlotRequestRouter.kt
@@ -2,14 +2,13 @@
 
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
+import figdeck.control.serving.onlineOwners
 import figdeck.model.Clock
 import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
-import figdeck.query.serving.ranked
-import figdeck.query.serving.slotKey
 import kotlin.time.Duration.Companion.milliseconds
 
 private val NO_OWNER_RETRY_AFTER = 200.milliseconds
@@ -34,8 +33,8 @@
 
     /** Because a caller waits, the next owner is asked without delay, and this host decides itself if none answers. */
     private suspend fun requestOnlineSlot(request: SlotRequest): Pair<SlotResponse, FleetMember?> {
-        val ranked = control.snapshot.fleet.ranked(slotKey(request.pool), clock()).take(MAX_OWNERS)
-        return ranked.takeWhile { it.host != self }
+        val owners = control.snapshot.onlineOwners(request.pool, clock()).take(MAX_OWNERS)
+        return owners.takeWhile { it.host != self }
             .firstNotNullOfOrNull { owner -> remoteOwners.acquire(owner, request)?.let { it to owner } }
             ?: (localOwner.acquire(request) to null)
     }
--- a/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/UpstreamSender.kt
@@ -101,6 +101,7 @@
         stream.meter = meter
         val result = forward(options) { reply ->
             received = reply
+            services.slots.recordReply(permit, reply, sentAt, call.id, services.log)
             failure = receive(reply, permit, options, meter)
         }
         val hasBegun = stream.eventCount > eventsBefore
@@ -159,7 +160,6 @@
         meter: SlotUsageMeter,
     ): FailedSend? {
         val id = permit.upstream.id
-        services.slots.recordReply(permit, reply, call.id, services.log)
         return when (reply.executionStatus) {
             ExecutionStatus.NOT_RUN ->
                 FailedSend.NotRun(id, "the upstream answered ${reply.status} without running it", NotRunCause.FULL)
--- a/src/main/kotlin/figdeck/daemon/query/serving/ColdUpstreamLog.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/ColdUpstreamLog.kt
@@ -5,7 +5,7 @@
 import figdeck.control.serving.ColdUpstream
 import figdeck.control.serving.ServingState
 import figdeck.control.serving.coldUpstreams
-import figdeck.control.serving.hasMainColdShare
+import figdeck.control.serving.hasMainShare
 import figdeck.log.DecisionLog
 import figdeck.log.LogLine
 import figdeck.model.Clock
@@ -51,6 +51,6 @@
     put("stated_ms", (statement.remaining ?: upstream.policy.duration).inWholeMilliseconds)
     put("learned_ms_ago", (now - statement.learnedAt).inWholeMilliseconds)
     put("per_second", upstream.limit.requestsPerSecond.toString())
-    put("share", if (state.fleet.hasMainColdShare(upstream.pool, now)) "main" else "own")
+    put("share", if (state.fleet.hasMainShare(upstream.pool, now)) "main" else "own")
     put("members_read_ms_ago", state.fleet.scan?.let { (now - it.sentAt).inWholeMilliseconds } ?: -1)
 }
--- a/src/main/kotlin/figdeck/model/serving/FleetMember.kt
+++ b/src/main/kotlin/figdeck/model/serving/FleetMember.kt
@@ -13,6 +13,7 @@
  * @property renewedAtMillis when it last announced itself.
  * @property cores the processor time that the daemon may use, in cores.
  * @property levels the tokens left in the rate-limit buckets that it owns and that are not full.
+ * @property limits the limits that upstreams have advertised, with their ages at [renewedAtMillis].
  */
 public data class FleetMember(
     public val host: HostId,
@@ -23,4 +24,5 @@
     public val renewedAtMillis: Long,
     public val cores: Double = 1.0,
     public val levels: Map<TeamId, Int> = emptyMap(),
+    public val limits: Map<UpstreamStart, ReportedLimit> = emptyMap(),
 )
--- a/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
+++ b/src/main/kotlin/figdeck/traffic/command/SlotHandlers.kt
@@ -49,7 +49,7 @@
     },
     CONFIRM_PATH to { call, responder ->
         call.readBody(::decodeHeldSlots).fold({ responder.refuse(it) }, {
-            owner.confirm(it.from, it.slots)
+            owner.confirm(it.from, it.slots, it.limits)
             responder.json(EMPTY_REPLY)
         })
     },
--- a/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
+++ b/src/main/kotlin/figdeck/wire/serving/FleetMemberDto.kt
@@ -26,6 +26,7 @@
     val renewedAt: Long,
     val cores: Double = 1.0,
     val levels: Map<String, Int> = emptyMap(),
+    val limits: List<UpstreamLimitDto> = emptyList(),
 )
 
 internal fun encodeFleetMember(member: FleetMember): String =
@@ -42,6 +43,7 @@
     renewedAt = renewedAtMillis,
     cores = cores,
     levels = levels.mapKeys { it.key.value },
+    limits = limits.toLimitDtos(),
 )
 
 internal fun FleetMemberDto.toMember(host: HostId): FleetMember = FleetMember(
@@ -53,4 +55,5 @@
     renewedAtMillis = renewedAt,
     cores = cores,
     levels = levels.mapKeys { TeamId(it.key) },
+    limits = limits.toLimits(),
 )
--- a/src/main/kotlin/figdeck/wire/serving/SlotMessages.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotMessages.kt
@@ -4,8 +4,10 @@
 import figdeck.model.HostId
 import figdeck.model.UpstreamId
 import figdeck.model.serving.HeldSlot
+import figdeck.model.serving.ReportedLimit
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
+import figdeck.model.serving.UpstreamStart
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
 import kotlinx.serialization.Serializable
@@ -30,16 +32,22 @@
 internal data class HeldSlotsDto(
     val from: String,
     val slots: List<HeldSlotDto>,
+    val limits: List<UpstreamLimitDto> = emptyList(),
 )
 
 /** The tickets whose slots are revoked. */
 @Serializable
 internal data class RevocationDto(val tickets: List<Long>)
 
-/** All slots that the host [from] still uses. */
+/**
+ * All slots that the host [from] still uses.
+ *
+ * @property limits the requests that the upstreams of these slots take, as far as the host has heard of a limit.
+ */
 public data class HeldSlots(
     public val from: HostId,
     public val slots: List<HeldSlot>,
+    public val limits: Map<UpstreamStart, ReportedLimit> = emptyMap(),
 )
 
 internal fun encodeSlotRequest(request: SlotRequest): String =
@@ -67,13 +75,21 @@
     }
 
 internal fun encodeHeldSlots(held: HeldSlots): String {
-    val dto = HeldSlotsDto(held.from.value, held.slots.map { HeldSlotDto(it.request.toDto(), it.upstream.value) })
+    val dto = HeldSlotsDto(
+        from = held.from.value,
+        slots = held.slots.map { HeldSlotDto(it.request.toDto(), it.upstream.value) },
+        limits = held.limits.toLimitDtos(),
+    )
     return lenientJson.encodeToString(HeldSlotsDto.serializer(), dto)
 }
 
 internal fun decodeHeldSlots(text: String): Either<String, HeldSlots> =
     decodeAs(text, HeldSlotsDto.serializer()) { dto ->
-        HeldSlots(HostId(dto.from), dto.slots.map { HeldSlot(it.ask.toSlotRequest(), UpstreamId(it.upstream)) })
+        HeldSlots(
+            from = HostId(dto.from),
+            slots = dto.slots.map { HeldSlot(it.ask.toSlotRequest(), UpstreamId(it.upstream)) },
+            limits = dto.limits.toLimits(),
+        )
     }
 
 internal fun encodeRevocation(tickets: List<Long>): String =
--- a/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
+++ b/src/main/kotlin/figdeck/wire/serving/SlotReleaseCodec.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import figdeck.command.dispatch.SlotOutcome
+import figdeck.model.serving.ReportedLimit
 import figdeck.model.serving.SlotUsage
 import figdeck.wire.decodeAs
 import figdeck.wire.lenientJson
@@ -19,6 +20,7 @@
  * @property coldRemaining how long the upstream stays cold, as the holder knows; null if it isn't cold.
  * @property startedAtMillis the start of the upstream in Unix milliseconds, if the release [concernsUpstream]; null if
  * it is unknown, as it is from hosts of an earlier version.
+ * @property limit the requests that the upstream takes, as the holder knows; null if it knows of no limit.
  */
 public data class SlotRelease(
     public val ticket: Long,
@@ -28,10 +30,11 @@
     public val usage: SlotUsage? = null,
     public val coldRemaining: Duration? = null,
     public val startedAtMillis: Long? = null,
+    public val limit: ReportedLimit? = null,
 ) {
     /** Whether the release tells something of the upstream that may not be true of its next start. */
     public val concernsUpstream: Boolean
-        get() = isLeaving || coldRemaining != null || outcome == SlotOutcome.GONE
+        get() = isLeaving || coldRemaining != null || limit != null || outcome == SlotOutcome.GONE
 }
 
 /** The release of a slot by its holder. */
@@ -44,6 +47,7 @@
     val usage: SlotUsageDto? = null,
     val coldMillis: Long? = null,
     val startedAtMillis: Long? = null,
+    val limit: ReportedLimitDto? = null,
 )
 
 /** What the holder of a slot has seen of the work in it. */
@@ -72,6 +76,7 @@
         usage = usage,
         coldMillis = release.coldRemaining?.inWholeMilliseconds,
         startedAtMillis = release.startedAtMillis,
+        limit = release.limit?.toDto(),
     )
     return lenientJson.encodeToString(SlotReleaseDto.serializer(), dto)
 }
@@ -86,6 +91,7 @@
             usage = it.usage?.toUsage(),
             coldRemaining = it.coldMillis?.milliseconds,
             startedAtMillis = it.startedAtMillis,
+            limit = it.limit?.toReportedLimit(),
         )
     }
 
--- a/src/test/kotlin/figdeck/control/serving/ColdFleetSimulation.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdFleetSimulation.kt
@@ -13,11 +13,11 @@
 import figdeck.command.dispatch.release
 import figdeck.command.dispatch.tick
 import figdeck.command.serving.ColdSource
-import figdeck.command.serving.applyScan
 import figdeck.command.serving.confirmRenewal
 import figdeck.command.serving.markSuspect
 import figdeck.command.serving.ownColdTimeLeft
 import figdeck.command.serving.recordCold
+import figdeck.command.serving.recordLimit
 import figdeck.command.serving.replaceMembers
 import figdeck.model.Address
 import figdeck.model.DataCentre
@@ -27,6 +27,8 @@
 import figdeck.model.Upstream
 import figdeck.model.UpstreamId
 import figdeck.model.UpstreamKind
+import figdeck.model.serving.AdvertisedLimit
+import figdeck.model.serving.AdvertisedRate
 import figdeck.model.serving.FleetMember
 import figdeck.model.serving.FleetScan
 import figdeck.model.serving.PoolMember
@@ -36,6 +38,7 @@
 import figdeck.model.serving.storeMillisAt
 import figdeck.query.serving.joinedAt
 import figdeck.query.serving.ranked
+import figdeck.query.serving.settledOwner
 import figdeck.query.serving.slotKey
 import figdeck.query.serving.usableUpstreams
 import kotlin.random.Random
@@ -49,6 +52,7 @@
 private const val ENTRY_DELAY_MILLIS = 30L
 private const val TICK_MILLIS = 20L
 private const val HOLD_MILLIS = 60L
+private const val CONFIRMATION_MILLIS = 500L
 private const val SLOTS = 8
 private const val MAX_OWNERS = 2
 private val pool = PoolName("p")
@@ -62,11 +66,13 @@
  *
  * @property cold when it is cold.
  * @property answersTell whether its answers say how long it stays cold. Its entry does in any case.
+ * @property rate the requests per second that its answers advertise, by their time; null for no limit.
  */
 internal data class SimulatedUpstream(
     val name: String,
     val cold: LongRange,
     val answersTell: Boolean,
+    val rate: (Long) -> Double? = { null },
 ) {
     val id = UpstreamId(name)
 
@@ -105,8 +111,8 @@
         isAlive = true
     }
 
-    fun decide(decision: (DispatchState) -> DispatchStep): List<DispatchEffect> {
-        val step = updateSlots(state, decision)
+    fun decide(now: Moment, decision: (DispatchState) -> DispatchStep): List<DispatchEffect> {
+        val step = updateSlots(state, now, decision)
         state = step.state
         return step.result
     }
@@ -132,13 +138,14 @@
 )
 
 private data class RunningSend(
+    val sentAt: Long,
     val endsAt: Long,
     val ticket: Long,
     val upstream: UpstreamId,
 )
 
 /**
- * A fleet of [size] hosts in virtual time, which run the decisions of the product on membership, cold upstreams and
+ * A fleet of [size] hosts in virtual time, which run the decisions of the product on membership, limited upstreams and
  * slots. Messages take no time; a host that is asked in vain is suspected. [links] and the hosts' lives may change.
  */
 internal class ColdFleet(
@@ -177,6 +184,7 @@
             val ended = running.filter { it.endsAt <= now }
             running -= ended.toSet()
             ended.forEach { finish(it) }
+            if (now % CONFIRMATION_MILLIS == 0L) confirmSlots()
             submitRequests()
         }
     }
@@ -185,16 +193,18 @@
         val reachesStore = links.store(hosts.indexOf(host))
         if (reachesStore && now >= host.nextRenewalAt) renew(host)
         if (reachesStore && (now + hosts.indexOf(host) * STEP_MILLIS) % ENTRY_READ_MILLIS == 0L) readEntries(host)
-        if (now % TICK_MILLIS == 0L) apply(host, host.decide { tick(it, policy, at(now)) })
+        if (now % TICK_MILLIS == 0L) apply(host, host.decide(at(now)) { tick(it, policy, at(now)) })
     }
 
     private fun renew(host: SimulatedHost) {
         val scan = FleetScan(rows.values.toList(), now, at(now))
-        val fleet = applyScan(host.state.fleet, scan)
+        host.state = applyMembers(host.state, scan).state
+        val fleet = host.state.fleet
         val storeMillis = scan.storeMillisAt(at(now))
         val row = fleet.self.copy(
             joinedAtMillis = fleet.joinedAt(storeMillis, at(now)),
             renewedAtMillis = storeMillis,
+            limits = host.state.announcedLimits(at(now)),
         )
         rows[host.id] = row
         host.state = host.state.copy(fleet = confirmRenewal(fleet, row, at(now)))
@@ -215,8 +225,7 @@
 
     private fun requestSlot(holder: SimulatedHost) {
         val ticket = ++lastTicket
-        val ranked = holder.state.fleet.ranked(slotKey(pool), at(now)).take(MAX_OWNERS)
-        val owner = ranked.takeWhile { it.host != holder.id }
+        val owner = holder.state.onlineOwners(pool, at(now)).take(MAX_OWNERS).takeWhile { it.host != holder.id }
             .firstNotNullOfOrNull { member -> hosts.first { it.id == member.host }.takeIf { reaches(holder, it) } }
             ?: holder
         tickets[ticket] = SimulatedTicket(owner, holder)
@@ -230,7 +239,7 @@
             deadline = at(now) + maxWait,
             coldLimits = coldLimits(owner.state, pool, at(now)),
         )
-        apply(owner, owner.decide { admit(it, Arrival(ticket, request, random.nextLong()), policy, at(now)) })
+        apply(owner, owner.decide(at(now)) { admit(it, Arrival(ticket, request, random.nextLong()), policy, at(now)) })
     }
 
     private fun reaches(from: SimulatedHost, to: SimulatedHost): Boolean {
@@ -244,7 +253,7 @@
             val ticket = tickets.getValue(granted.ticket)
             if (ticket.owner === owner && ticket.holder.isAlive) {
                 sends.getValue(granted.upstream.id) += now
-                running += RunningSend(now + HOLD_MILLIS, granted.ticket, granted.upstream.id)
+                running += RunningSend(now, now + HOLD_MILLIS, granted.ticket, granted.upstream.id)
             }
         }
     }
@@ -256,15 +265,47 @@
             val left = (upstream.cold.last - now).milliseconds
             learn(holder, send.upstream, left, ColdSource.REPLY)
         }
+        val rate = upstream.rate(now)
+        val advertised = if (rate == null) {
+            AdvertisedLimit(AdvertisedRate.Unlimited, at(send.sentAt))
+        } else {
+            AdvertisedLimit(AdvertisedRate.Limited(rate), at(now))
+        }
+        learnLimit(holder, send.upstream, advertised)
         val isTold = owner === holder || links.peers(hosts.indexOf(holder), hosts.indexOf(owner))
         if (owner.isAlive && isTold) {
             holder.startOf(send.upstream)?.let { holder.state.pools.ownColdTimeLeft(it, at(now)) }
                 ?.let { learn(owner, send.upstream, it, ColdSource.RELEASE) }
+            reportLimit(holder, owner, send.upstream)
             val freed = Release(send.ticket, SlotOutcome.ANSWERED, 1, random.nextLong())
-            apply(owner, owner.decide { release(it, freed, policy, at(now)) })
+            apply(owner, owner.decide(at(now)) { release(it, freed, policy, at(now)) })
         }
     }
 
+    /** Each holder confirms its slots to the hosts that grant them, with the limits of their upstreams. */
+    private fun confirmSlots() {
+        running.map { tickets.getValue(it.ticket).holder to it.upstream }.distinct()
+            .filter { (holder, _) -> holder.isAlive }
+            .forEach { (holder, upstream) ->
+                val fleet = holder.state.fleet
+                val key = slotKey(pool)
+                setOfNotNull(fleet.ranked(key, at(now)).firstOrNull(), fleet.settledOwner(key, at(now)))
+                    .map { owner -> hosts.first { it.id == owner.host } }
+                    .filter { it.isAlive && links.peers(hosts.indexOf(holder), hosts.indexOf(it)) }
+                    .forEach { reportLimit(holder, it, upstream) }
+            }
+    }
+
+    private fun reportLimit(holder: SimulatedHost, owner: SimulatedHost, upstream: UpstreamId) {
+        val known = holder.startOf(upstream)?.let { holder.state.pools.limits[it] }
+        if (known != null && owner !== holder) learnLimit(owner, upstream, known)
+    }
+
+    private fun learnLimit(host: SimulatedHost, upstream: UpstreamId, limit: AdvertisedLimit) {
+        val start = host.startOf(upstream) ?: return
+        host.state = updatePools(host.state) { recordLimit(it, start, limit) }.state
+    }
+
     private fun learn(host: SimulatedHost, upstream: UpstreamId, left: Duration, source: ColdSource) {
         val start = host.startOf(upstream) ?: return
         host.state = updateColdPools(host.state, at(now)) { recordCold(it, start, left, source, at(now)) }.state
@@ -272,10 +313,13 @@
 }
 
 /** The most of [times] in any span of one second. */
-internal fun mostInOneSecond(times: List<Long>): Int {
+internal fun mostInOneSecond(times: List<Long>): Int = mostIn(1_000, times)
+
+/** The most of [times] in any span of [spanMillis]. */
+internal fun mostIn(spanMillis: Long, times: List<Long>): Int {
     var first = 0
     return times.indices.maxOfOrNull { last ->
-        while (times[last] - times[first] > 1_000) first++
+        while (times[last] - times[first] > spanMillis) first++
         last - first + 1
     } ?: 0
 }
--- a/src/test/kotlin/figdeck/control/serving/ColdFleetSpec.kt
+++ b/src/test/kotlin/figdeck/control/serving/ColdFleetSpec.kt
@@ -147,7 +147,7 @@
         val pool = PoolName("p")
         val fleet = ColdFleet(HOSTS, plan(RATE), emptyList(), 0, Random(1))
         fleet.runUntil(SETTLED)
-        val owners = fleet.hosts.filter { it.state.fleet.hasMainColdShare(pool, at(fleet.now)) }
+        val owners = fleet.hosts.filter { it.state.fleet.hasMainShare(pool, at(fleet.now)) }
 
         it("belongs to one host, and to none that is cut off from the store") {
             owners.size shouldBe 1
@@ -155,7 +155,7 @@
             fleet.runUntil(SETTLED + 10_000)
             val now = at(fleet.now)
             owners.single().state.fleet.bucketLocation(slotKey(pool), now) shouldBe BucketLocation.Local
-            val next = fleet.hosts.filter { it.state.fleet.hasMainColdShare(pool, now) }
+            val next = fleet.hosts.filter { it.state.fleet.hasMainShare(pool, now) }
             next.size shouldBe 1
             next shouldNotBe owners
         }
--- a/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/SlotClientSpec.kt
@@ -5,15 +5,19 @@
 import figdeck.command.serving.ColdSource
 import figdeck.control.serving.adoptPlan
 import figdeck.log.DecisionLog
+import figdeck.model.Address
 import figdeck.model.HostId
 import figdeck.model.Lane
 import figdeck.model.UpstreamId
+import figdeck.model.serving.AdvertisedRate
 import figdeck.model.serving.HeldSlot
 import figdeck.model.serving.PoolName
+import figdeck.model.serving.ReportedLimit
 import figdeck.model.serving.SlotRequest
 import figdeck.model.serving.SlotResponse
 import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.servingPlan
+import figdeck.model.systemClock
 import figdeck.process.eventually
 import figdeck.wire.serving.SlotRelease
 import io.kotest.core.spec.style.DescribeSpec
@@ -295,6 +299,64 @@
         }
     }
 
+    // Guards against an owner that grants an upstream's slots beyond its limit because it doesn't see its answers.
+    describe("an upstream that has advertised a limit") {
+        val rate = AdvertisedRate.Limited(0.01)
+
+        it("is limited, and the owner of its slots is told with the release") {
+            val owner = GrantingOwner(listOf("i-1"))
+            TestHost(fleetMember("host-1", cores = 0.1), owner.peers).use { host ->
+                host.setView(listOf(fleetMember("host-2", cores = 2.0)), listOf(poolMember(pool, "i-1").startedAt(1)))
+                val permit = host.slots.acquire(slotRequest(1)).getOrNull().shouldNotBeNull()
+                host.control.recordAdvertisedRate(permit.start, rate, systemClock(), systemClock())
+                host.slots.release(permit, SlotOutcome.ANSWERED, 1)
+                eventually(5.seconds) { owner.released.size == 1 }
+                owner.released.single().limit?.rate shouldBe rate
+                owner.released.single().startedAtMillis shouldBe 1
+            }
+        }
+
+        it("is limited at an owner that is told with a release or with held slots") {
+            val told = ReportedLimit(rate, 100.milliseconds)
+            val start = UpstreamStart(UpstreamId("i-1"), 1)
+            listOf<suspend TestHost.() -> Unit>(
+                { owner.release(SlotRelease(1, SlotOutcome.ANSWERED, 1, startedAtMillis = 1, limit = told)) },
+                {
+                    val held = HeldSlot(slotRequest(1), UpstreamId("i-1"))
+                    owner.confirm(HostId("host-1"), listOf(held), mapOf(start to told))
+                },
+            ).forEach { tell ->
+                TestHost(fleetMember("host-1")).use { host ->
+                    host.setView(listOf(fleetMember("host-1")), listOf(poolMember(pool, "i-1").startedAt(1)))
+                    host.owner.acquire(slotRequest(1)) shouldBe SlotResponse.Granted(UpstreamId("i-1"))
+                    host.tell()
+                    host.owner.acquire(slotRequest(2)).shouldBeInstanceOf<SlotResponse.Full>()
+                    host.control.snapshot.slots.heldBackByRate shouldBe 1
+                }
+            }
+        }
+
+        // Guards against a member without the main part of the rate that is asked before the one that has it.
+        it("has its slots granted by the settled owner, even if a member that has just joined ranks first") {
+            val asked = CopyOnWriteArrayList<Address>()
+            val peers = unresponsivePeers.copy(acquire = { owner, _ ->
+                asked += owner
+                SlotResponse.Granted(UpstreamId("i-1"))
+            })
+            val settled = fleetMember("settled", cores = 2.0).copy(address = Address("127.0.0.1", 11))
+            val joined = (1..20).map {
+                fleetMember("joined-$it", cores = 2.0).copy(joinedAtMillis = 9_900, address = Address("127.0.0.1", 12))
+            }
+            TestHost(fleetMember("host-1", cores = 0.1), peers).use { host ->
+                host.setView(joined + settled, listOf(poolMember(pool, "i-1")))
+                host.slots.acquire(slotRequest(1))
+                host.control.recordAdvertisedRate(poolMember(pool, "i-1").start, rate, systemClock(), systemClock())
+                host.slots.acquire(slotRequest(2))
+                asked.map { it.port } shouldContainExactly listOf(12, 11)
+            }
+        }
+    }
+
     // Guards against a slot that stays held by nobody for seconds, and turns requests away from its upstream.
     describe("a list of held slots that arrives after the release of one of them") {
         it("does not bring that slot back") {
--- a/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/TestHost.kt
@@ -81,7 +81,7 @@
     private val ownSlots = LocalSlots(
         now = { control.snapshot.slots },
         decide = { decision ->
-            control.run { state: ServingState, now -> updateSlots(state) { decision(it, now) } }
+            control.run { state: ServingState, now -> updateSlots(state, now) { decision(it, now) } }
         },
     )
     val dispatcher = SlotDispatcher(ownSlots, DispatchPolicy(), Random(1))
--- a/src/test/kotlin/figdeck/daemon/command/serving/WorkEstimatorSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/serving/WorkEstimatorSpec.kt
@@ -66,7 +66,11 @@
     val control = Control(initialServingState(fleetMember("host-1")), systemClock)
     private val slots = LocalSlots(
         now = { control.snapshot.slots },
-        decide = { decision -> control.run { state: ServingState, now -> updateSlots(state) { decision(it, now) } } },
+        decide = { decision ->
+            control.run { state: ServingState, now ->
+                updateSlots(state, now) { decision(it, now) }
+            }
+        },
     )
     val owner = SlotOwner(
         SlotDispatcher(slots, DispatchPolicy(), Random(1)),
