An item under which upstreams crashed is run again within 2 s

An item waited twice as long after each upstream that was lost under it, up to 10 s, since it might have crashed them. Parts of prompts that crash upstreams are held back after five losses, which come within 2 s.

--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -36,7 +36,7 @@
 
 /** How long an item waits after it has found no slot. */
 internal val SLOT_RETRY_DELAY: Duration = 150.milliseconds
-private val MAX_LOSS_DELAY = 10.seconds
+private val MAX_LOSS_DELAY = 2.seconds
 private const val MAX_LOSS_DOUBLINGS = 10
 
 /** How long an upstream may complete no event before the item continues at another one. */
@@ -156,7 +156,7 @@
         }
     }
 
-    /** Reports the loss of [upstream], and waits longer after each loss: the item may be the cause. */
+    /** Reports the loss of [upstream], and waits longer after each loss, since others may be lost for the same reason. */
     private suspend fun onLoss(upstream: UpstreamStart) {
         services.crashGuard.recordLoss(item.id, upstream, sharedParts)
         delay((FAILURE_RETRY_DELAY * (1 shl state.losses)).coerceAtMost(MAX_LOSS_DELAY))
--- a/src/test/kotlin/figdeck/daemon/command/jobs/JobHost.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/JobHost.kt
@@ -20,6 +20,7 @@
 import figdeck.model.serving.JobRecord
 import figdeck.model.serving.isOpen
 import figdeck.model.systemClock
+import figdeck.store.Store
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelAndJoin
@@ -28,41 +29,49 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 
-/** The batch jobs of [host], with a store of its own and upstreams that answer each item at once. */
+/**
+ * The batch jobs of [host], with a store of its own and upstreams that answer each item at once.
+ *
+ * @param customize replaces parts of the services.
+ */
 internal class JobHost(
     private val host: TestHost,
     limits: JobMemoryLimits = JobMemoryLimits(held = 1_000_000, loading = 1_000_000, cached = 0, answers = 1_000_000),
+    customize: (JobServices, Store) -> JobServices = { services, _ -> services },
 ) {
     private val store = MemoryBackends().platform(FaultInjector(null))
 
     /** The upstreams to which items were sent, in order. */
     val sentTo = CopyOnWriteArrayList<UpstreamId>()
-    val services = JobServices(
-        control = host.control,
-        clock = systemClock,
-        store = JobStore(store),
-        progress = ProgressStore(store),
-        cache = JobCache(limits.cached),
-        memory = JobMemory(limits),
-        timeEstimator = ItemTimeEstimator(),
-        slots = host.slots,
-        crashGuard = CrashGuard(
-            host.control,
-            systemClock,
-            CrashRiskWriter(host.control, systemClock, store),
-            Random(4),
-            DecisionLog("prompts"),
+    val services = customize(
+        JobServices(
+            control = host.control,
+            clock = systemClock,
+            store = JobStore(store),
+            progress = ProgressStore(store),
+            cache = JobCache(limits.cached),
+            memory = JobMemory(limits),
+            timeEstimator = ItemTimeEstimator(),
+            slots = host.slots,
+            crashGuard = CrashGuard(
+                host.control,
+                systemClock,
+                CrashRiskWriter(host.control, systemClock, store),
+                Random(4),
+                DecisionLog("prompts"),
+            ),
+            forward = { _, options, use ->
+                sentTo += options.upstream.id
+                val events = HttpBody(flowOf("id: 1\ndata: word\n\n".encodeToByteArray()))
+                use(UpstreamReply(ExecutionStatus.RAN, 200, newHeaders(), events))
+                Unit.right()
+            },
+            random = Random(3),
+            log = DecisionLog("jobs"),
+            sharedParts = { emptyList() },
+            sendFault = { null },
         ),
-        forward = { _, options, use ->
-            sentTo += options.upstream.id
-            val events = HttpBody(flowOf("id: 1\ndata: word\n\n".encodeToByteArray()))
-            use(UpstreamReply(ExecutionStatus.RAN, 200, newHeaders(), events))
-            Unit.right()
-        },
-        random = Random(3),
-        log = DecisionLog("jobs"),
-        sharedParts = { emptyList() },
-        sendFault = { null },
+        store,
     )
 
     /** Stores the job [name] of [team], with one item, which [owner] runs. */
