Items that are held back for a part of their prompts are tried again

An item whose prompt has a part under which several upstreams crashed was held back until the part was answered or its reports were 10 minutes old.

Fifteen seconds after the latest loss, and twice as long after each further one, hosts let a single item through, each at a time of its own within ten seconds. An answer clears the part for all hosts, a loss holds it back for longer. Online requests are held back as before.

OwedItemsSpec failed before: none of three items was sent within 10 s although the part had become sound.

--- a/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
+++ b/src/main/kotlin/figdeck/command/serving/AssessCrashes.kt
@@ -36,6 +36,10 @@
 /** Losses of one upstream within this time are one crash of it. A crashed upstream is away for longer. */
 private val SAME_CRASH = 2.seconds
 
+/** How long after the latest loss a batch item may be sent all the same. The time doubles with each loss since. */
+private val FIRST_TRIAL_DELAY = 15.seconds
+private const val MAX_TRIAL_DOUBLINGS = 5
+
 /** The newest reports are kept if there are more. */
 private const val MAX_CRASHES = 1_000
 
@@ -77,7 +81,14 @@
     val enough = (QUARANTINE_STARTS..losses.size).asSequence().map { losses.take(it) }
         .firstOrNull { isEnough(suspect, it) && isBeyondChance(it, all) }
     val companions = losses.map { suspectsOf(it).toSet() - suspect }.reduce { all, next -> all intersect next }
-    return enough?.let { Quarantine(it.last().reportedAt + CRASH_REPORT_RETENTION, companions) }
+    return enough?.let {
+        val doublings = (losses.size - it.size).coerceAtMost(MAX_TRIAL_DOUBLINGS)
+        Quarantine(
+            until = it.last().reportedAt + CRASH_REPORT_RETENTION,
+            companions = companions,
+            trialFrom = losses.first().reportedAt + FIRST_TRIAL_DELAY * (1 shl doublings),
+        )
+    }
 }
 
 private fun isBeyondChance(losses: List<KnownCrash>, all: List<KnownCrash>): Boolean {
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemRunner.kt
@@ -78,6 +78,7 @@
     private val output = state.output
     private val sharedParts = services.sharedParts(item)
     private val expectedWeights = services.expectedWeights(item)
+    private val quarantine = ItemQuarantine(services.crashGuard, sharedParts)
 
     /** Rows that earlier versions stored may hold such items. */
     private val sendFault = services.sendFault(item)?.also { fault ->
@@ -104,7 +105,7 @@
         if (sendFault != null) {
             ItemHold.NotProcessable
         } else {
-            services.crashGuard.holdOf(sharedParts)?.let { ItemHold.Quarantined(it.companions + it.suspect) }
+            quarantine.holdAt(services.clock())
                 ?: services.control.snapshot.holdByLimits(record, route, route.poolFor(item.id))
                 ?: expectedWeights?.let { services.holdByWeights(record, route, route.poolFor(item.id), it) }
         }
@@ -114,7 +115,7 @@
         services.slots.acquire(newSlotRequest(route), expectedWeights).fold(
             { output.withoutSlot() },
             { permit ->
-                if (services.crashGuard.holdOf(sharedParts) == null) {
+                if (quarantine.endWait()) {
                     resultOf(runWithPermit(permit, route), permit, route)?.let { ItemRun.Finished(it) }
                 } else {
                     services.slots.release(permit, SlotOutcome.ABANDONED, 0)
@@ -156,7 +157,7 @@
         }
     }
 
-    /** Reports the loss of [upstream], and waits longer after each loss, since others may be lost for the same reason. */
+    /** Reports the loss of [upstream] and waits longer after each loss, as others may be lost for the same reason. */
     private suspend fun onLoss(upstream: UpstreamStart) {
         services.crashGuard.recordLoss(item.id, upstream, sharedParts)
         delay((FAILURE_RETRY_DELAY * (1 shl state.losses)).coerceAtMost(MAX_LOSS_DELAY))
--- a/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
+++ b/src/main/kotlin/figdeck/daemon/command/jobs/ItemState.kt
@@ -95,7 +95,10 @@
     ItemHold.NotProcessable -> known
     is ItemHold.NoUpstream -> control.snapshot.holdByLimits(record, route, known.pool)
     is ItemHold.OtherWeights -> holdByWeights(record, route, known.pool, known.weights)
-    is ItemHold.Quarantined -> known.takeIf { crashGuard.holdOf(known.suspects.toList()) != null }
+    is ItemHold.Quarantined -> {
+        val hold = crashGuard.holdOf(known.suspects.toList())
+        known.takeIf { hold != null && !crashGuard.trials.isDue(hold, clock()) }
+    }
 }
 
 /** What holds an item of [record] back that asks for [weights], if all upstreams of [pool] have others. */
--- a/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
+++ b/src/main/kotlin/figdeck/daemon/command/serving/CrashGuard.kt
@@ -21,9 +21,10 @@
 import figdeck.wire.serving.soundKey
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-private val MAX_REPORT_DELAY = 10.seconds
+internal val MAX_REPORT_DELAY: Duration = 10.seconds
 private const val MAX_UNREPORTED = 256
 
 /**
@@ -44,6 +45,9 @@
     private val answeredRequests = RecentAnswers()
     private val unreported = ConcurrentLinkedQueue<UnreportedLoss>()
 
+    /** The items that are sent although they are held back. */
+    val trials = CrashTrials({ control.snapshot.fleet.self.host }, log)
+
     /** Why a request with [suspects] must not be sent to upstreams; null if it may be sent. */
     fun holdOf(suspects: List<CrashSuspect>): CrashHold? = control.snapshot.crashRisks.holdOf(suspects, clock())
 
--- a/src/main/kotlin/figdeck/model/serving/CrashRisks.kt
+++ b/src/main/kotlin/figdeck/model/serving/CrashRisks.kt
@@ -36,10 +36,12 @@
  * @property until when it is tried again.
  * @property companions the other suspects of every report against it. Any of them may be the cause, so only requests
  * that have them all are held back: one without them shows which it is.
+ * @property trialFrom when a batch item may be sent all the same, to find out whether upstreams still crash.
  */
 public data class Quarantine(
     public val until: Moment,
     public val companions: Set<CrashSuspect>,
+    public val trialFrom: Moment,
 )
 
 /**
--- a/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
+++ b/src/test/kotlin/figdeck/command/serving/CrashRisksSpec.kt
@@ -1,5 +1,6 @@
 package figdeck.command.serving
 
+import figdeck.model.HostId
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
 import figdeck.model.serving.CRASH_REPORT_RETENTION
@@ -16,6 +17,7 @@
 import figdeck.query.serving.expiredClearances
 import figdeck.query.serving.expiredCrashes
 import figdeck.query.serving.holdOf
+import figdeck.query.serving.trialAt
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -51,7 +53,8 @@
     describe("a part of a prompt") {
         it("is held back after three requests have lost two upstreams") {
             noCrashRisks.after(Loss("a", "e-1", 1), Loss("b", "e-2", 2)).holds(deadly).shouldBeNull()
-            quarantined.holds(listOf(topic, deadly)) shouldBe CrashHold(deadly, CRASH_REPORT_RETENTION - 9.seconds)
+            quarantined.holds(listOf(topic, deadly)) shouldBe
+                CrashHold(deadly, CRASH_REPORT_RETENTION - 9.seconds, trialFrom = start + 18.seconds)
             quarantined.holds(topic).shouldBeNull()
         }
 
@@ -86,6 +89,22 @@
             noCrashRisks.after(*losses).holds(deadly).shouldNotBeNull()
         }
 
+        // Guards against an item that is tried again and again, and crashes an upstream each time.
+        it("may be tried with an item 15 s after the latest loss, and twice as long after each further one") {
+            val losses = Array(5) { Loss("request-$it", "e-$it", it + 1) }
+            listOf(3 to 18, 4 to 34, 5 to 65).forEach { (count, second) ->
+                val risks = noCrashRisks.after(*losses.take(count).toTypedArray())
+                risks.holds(deadly)?.trialFrom shouldBe start + second.seconds
+            }
+        }
+
+        it("is tried at different times by different hosts, in the 10 s after that") {
+            val hold = quarantined.holds(deadly).shouldNotBeNull()
+            val times = (1..13).map { hold.trialAt(HostId("host-$it")).shouldNotBeNull() - start }
+            times.distinct().size shouldBe 13
+            (times.min() >= 18.seconds && times.max() < 28.seconds) shouldBe true
+        }
+
         it("is tried again when its reports no longer count") {
             val end = start + 1.seconds + CRASH_REPORT_RETENTION
             quarantined.holdOf(listOf(deadly), start + CRASH_REPORT_RETENTION).shouldNotBeNull()
--- a/src/test/kotlin/figdeck/daemon/command/jobs/OwedItemsSpec.kt
+++ b/src/test/kotlin/figdeck/daemon/command/jobs/OwedItemsSpec.kt
@@ -19,20 +19,27 @@
 import figdeck.http.newHeaders
 import figdeck.log.DecisionLog
 import figdeck.model.Moment
+import figdeck.model.UpstreamId
 import figdeck.model.serving.BatchPolicy
 import figdeck.model.serving.CallKind
 import figdeck.model.serving.PoolName
 import figdeck.model.serving.PromptPart
+import figdeck.model.serving.UpstreamStart
 import figdeck.model.serving.servingPlan
 import figdeck.model.systemClock
 import figdeck.process.eventually
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.flowOf
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val plan = servingPlan {
@@ -49,7 +56,7 @@
 private val part = PromptPart("part")
 private val jobNames = listOf("job-1", "job-2", "job-3")
 
-/** A host whose upstreams crash under the first [crashes] items that are sent. All items have [parts] in their prompts. */
+/** A host whose upstreams crash under the first [crashes] items that are sent. All prompts have [parts] in common. */
 private class CrashingHost(
     crashes: Int,
     private val parts: List<PromptPart> = listOf(part),
@@ -57,12 +64,13 @@
     private val host = TestHost(fleetMember("host-1"))
     private val left = AtomicInteger(crashes)
 
-    /** How much later it is for the guard than for everything else. */
+    /** How much later it is for the jobs and the guard than for everything else. */
     @Volatile
     var skipped = Duration.ZERO
     private val clock = { systemClock().let { Moment(it.monotonicNanos, it.epochMillis) + skipped } }
     private val jobs = JobHost(host, jobMemoryLimits(heapBytes = 100_000_000)) { services, store ->
         services.copy(
+            clock = clock,
             crashGuard = CrashGuard(
                 host.control,
                 clock,
@@ -94,12 +102,50 @@
         jobs.whileRunning(use)
     }
 
+    /** Reports the losses of [count] online requests with [part] at different upstreams. */
+    suspend fun loseOnline(count: Int) {
+        val guard = jobs.services.crashGuard
+        repeat(count) { guard.recordLoss("call-$it", UpstreamStart(UpstreamId("e-${it + 1}"), null), listOf(part)) }
+        guard.recordAnswer(listOf(PromptPart("other")))
+    }
+
     fun doneJobs(): Set<String> = jobs.doneJobs()
 
     override fun close() = host.close()
 }
 
 class OwedItemsSpec : DescribeSpec({
+    // Guards against items that are not run again, although they are owed, because servers crashed under them.
+    describe("items with a part of a prompt that is held back") {
+        it("are completed once one of them, sent after a while, is answered") {
+            CrashingHost(crashes = 0).use { host ->
+                host.loseOnline(3)
+                host.runJobs {
+                    delay(2.seconds)
+                    host.sentAt.size shouldBe 0
+                    host.skipped = 30.seconds
+                    eventually(10.seconds) { host.doneJobs().size == jobNames.size }
+                    host.doneJobs() shouldContainExactlyInAnyOrder jobNames
+                }
+            }
+        }
+
+        // Guards against items that are all sent together, and crash an upstream each.
+        it("are sent one at a time, and later each time, while upstreams crash under them") {
+            CrashingHost(crashes = 100).use { host ->
+                host.loseOnline(3)
+                host.runJobs {
+                    repeat(60) {
+                        host.skipped += 1.seconds
+                        delay(100.milliseconds)
+                        host.loseOnline(0)
+                    }
+                    host.sentAt.size shouldBeLessThanOrEqual 3
+                }
+            }
+        }
+    }
+
     // Guards against items that wait ever longer after crashes that they did not cause.
     describe("an item under which nine upstreams crashed, and whose prompt has no part that others share") {
         it("is run again within 3 s each time") {
