--- a/src/main/kotlin/figdeck/command/dispatch/ColdStart.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/ColdStart.kt
@@ -3,6 +3,7 @@
 import figdeck.model.HostId
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
+import figdeck.model.hashToUnit
 import figdeck.model.serving.ColdStartPolicy
 import kotlin.math.floor
 import kotlin.time.Duration
@@ -57,7 +58,7 @@
 ): ColdLimit = ColdLimit(
     until = until,
     requestsPerSecond = policy.requestsPerSecond * COMMON_SHARE / hosts.coerceAtLeast(1),
-    initialTokens = hashToUnit(host, upstream),
+    initialTokens = hashToUnit(host, upstream.value),
 )
 
 /** Whether the upstream is still cold at [now]. */
--- a/src/main/kotlin/figdeck/command/dispatch/RateBucket.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/RateBucket.kt
@@ -33,13 +33,9 @@
 /** The time until there are [count] tokens; where they expire, until as many have come that are taken in time. */
 public fun RateBucket.timeToTokens(count: Int, now: Moment): Duration {
     val tokens = tokensAt(now)
-    val lacking = if (limit.tokenLifetime == null) {
-        count - tokens
-    } else {
-        count - wholeTokens(now) - fractionOf(tokens)
-    }
-    val isThere = count <= wholeTokens(now)
-    return if (isThere) Duration.ZERO else (lacking / limit.requestsPerSecond).seconds
+    val usable = wholeTokens(now)
+    val lacking = if (limit.tokenLifetime == null) count - tokens else count - usable - fractionOf(tokens)
+    return if (count <= usable) Duration.ZERO else (lacking / limit.requestsPerSecond).seconds
 }
 
 /** This bucket after a granted slot has taken a token. */
--- a/src/main/kotlin/figdeck/command/dispatch/RateLimit.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/RateLimit.kt
@@ -2,6 +2,7 @@
 
 import figdeck.model.HostId
 import figdeck.model.UpstreamId
+import figdeck.model.hashToUnit
 import figdeck.model.serving.AdvertisedRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,6 +19,7 @@
 /** The most tokens that a bucket holds, in seconds of its rate. */
 private const val HELD_SECONDS = 1.0
 
+/** With a single token, batch work would take the one that online work needs next. */
 private const val MIN_CAPACITY = 2.0
 
 /** How long a host without the lease may use a token. Held for longer, the tokens of many hosts would add up. */
@@ -54,7 +56,7 @@
     RateLimit(
         requestsPerSecond = rate.usedPerSecond * COMMON_SHARE / hosts.coerceAtLeast(1),
         capacity = 1.0,
-        initialTokens = hashToUnit(host, upstream),
+        initialTokens = hashToUnit(host, upstream.value),
         tokenLifetime = OWN_TOKEN_LIFETIME,
     )
 
--- a/src/main/kotlin/figdeck/command/dispatch/TokenAdmission.kt
+++ b/src/main/kotlin/figdeck/command/dispatch/TokenAdmission.kt
@@ -23,12 +23,11 @@
 public fun limitRates(state: DispatchState, upstreams: List<LimitedUpstream>, now: Moment): DispatchState =
     upstreams.fold(state) { current, (upstream, limit) ->
         val known = current.upstreams[upstream.id]
-        val next = when {
-            limit != null -> current.registeredStateOf(
-                upstream,
-                now
-            ).let { it.copy(rate = it.rate.limitedTo(limit, now)) }
-            else -> known?.copy(rate = null)
+        val next = if (limit == null) {
+            known?.copy(rate = null)
+        } else {
+            val registered = current.registeredStateOf(upstream, now)
+            registered.copy(rate = registered.rate.limitedTo(limit, now))
         }
         if (next == null || next == known) current else current.with(next)
     }
--- a/src/main/kotlin/figdeck/control/serving/RateLimits.kt
+++ b/src/main/kotlin/figdeck/control/serving/RateLimits.kt
@@ -25,7 +25,7 @@
 import figdeck.query.serving.slotKey
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Keeps the announcements of a large fleet within its share of the network. */
+/** Bounds what each host of a large fleet reads with the list of members. */
 private const val MAX_ANNOUNCED_LIMITS = 200
 
 /** Whether an upstream of [pool] advertises a limit. */
--- a/src/main/kotlin/figdeck/daemon/query/serving/LimitedUpstreamLog.kt
+++ b/src/main/kotlin/figdeck/daemon/query/serving/LimitedUpstreamLog.kt
@@ -1,5 +1,6 @@
 package figdeck.daemon.query.serving
 
+import figdeck.command.dispatch.RateLimit
 import figdeck.command.dispatch.isOwnPart
 import figdeck.control.Control
 import figdeck.control.serving.ServingState
@@ -8,19 +9,22 @@
 import figdeck.model.Clock
 import figdeck.model.Moment
 import figdeck.model.UpstreamId
-import figdeck.model.serving.AdvertisedLimit
 import figdeck.model.serving.AdvertisedRate
+import figdeck.model.serving.UpstreamStart
 import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.milliseconds
 
 private val CHECK_INTERVAL = 500.milliseconds
 
-/** An upstream that advertises a limit, and this host's part of its rate. */
+/**
+ * An upstream that advertises a limit.
+ *
+ * @property applied this host's part of its rate.
+ */
 internal data class LimitView(
     val advertised: AdvertisedRate.Limited,
     val heardAt: Moment,
-    val ownPerSecond: Double,
-    val isOwnPart: Boolean,
+    val applied: RateLimit,
 )
 
 /** Logs each upstream whose advertised limit has begun, changed or ended for this host, until cancelled. */
@@ -34,8 +38,8 @@
             decisions.note("upstream_limited", id.value) {
                 put("advertised_per_second", view.advertised.requestsPerSecond.toString())
                 put("heard_ms_ago", (now - view.heardAt).inWholeMilliseconds)
-                put("per_second", view.ownPerSecond.toString())
-                put("share", if (view.isOwnPart) "own" else "main")
+                put("per_second", view.applied.requestsPerSecond.toString())
+                put("share", if (view.applied.isOwnPart) "own" else "main")
             }
         }
         (known - current.keys).keys.forEach { id ->
@@ -50,15 +54,10 @@
 /** The upstreams that are limited in [state]. */
 internal fun limitViews(state: ServingState, now: Moment): Map<UpstreamId, LimitView> =
     state.limitedUpstreams(now).mapNotNull { (upstream, limit) ->
-        val start = state.pools.members[upstream.id]?.start
-        val advertised: AdvertisedLimit? = start?.let { state.pools.limits[it] }
+        val advertised = state.pools.limits[UpstreamStart(upstream.id, upstream.startedAtMillis)]
         val rate = advertised?.rate as? AdvertisedRate.Limited
-        if (limit == null || rate == null) {
-            null
-        } else {
-            upstream.id to LimitView(rate, advertised.heardAt, limit.requestsPerSecond, limit.isOwnPart)
-        }
+        if (limit == null || rate == null) null else upstream.id to LimitView(rate, advertised.heardAt, limit)
     }.toMap()
 
 private fun LimitView.isEquivalentTo(other: LimitView): Boolean =
-    advertised == other.advertised && isOwnPart == other.isOwnPart
+    advertised == other.advertised && applied.isOwnPart == other.applied.isOwnPart
--- a/src/main/kotlin/figdeck/query/serving/CrashHold.kt
+++ b/src/main/kotlin/figdeck/query/serving/CrashHold.kt
@@ -1,8 +1,8 @@
 package figdeck.query.serving
 
-import com.dynatrace.hash4j.hashing.Hashing
 import figdeck.model.HostId
 import figdeck.model.Moment
+import figdeck.model.hashToUnit
 import figdeck.model.serving.CrashRisks
 import figdeck.model.serving.CrashSuspect
 import kotlin.time.Duration
@@ -10,8 +10,6 @@
 
 /** The time over which hosts spread their trials. */
 private val TRIAL_SPREAD = 10.seconds
-private const val HASH_BITS_DROPPED = 11
-private const val HASH_UNIT = 1.0 / (1L shl 53)
 
 /**
  * Why a request is not sent to upstreams.
@@ -46,7 +44,5 @@
  * When [host] may send an item in spite of this hold. Hosts do so at different times: the first of them clears the
  * item's suspects, or reports another loss, before the others do.
  */
-public fun CrashHold.trialAt(host: HostId): Moment? = trialFrom?.let { from ->
-    val hash = Hashing.komihash5_0().hashStream().putString(host.value).putString(suspect.id).asLong
-    from + TRIAL_SPREAD * ((hash ushr HASH_BITS_DROPPED) * HASH_UNIT)
-}
+public fun CrashHold.trialAt(host: HostId): Moment? =
+    trialFrom?.let { it + TRIAL_SPREAD * hashToUnit(host, suspect.id) }
